Add the workspace, the wire crate and the design

Cause: the project starts from nothing and its crates need shared types before they can be written side by side. Result: codec tests pass; the state machines are interfaces only.

--- /dev/null
+++ b/crates/conf/src/tree.rs
@@ -0,0 +1,163 @@
+//! The settings tree: branches of INI sections, each branch owned by one team.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use wire::{request, tier};
+
+use crate::check;
+
+/// The merged settings in force.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Tree {
+    /// `[tier NAME]`.
+    pub tiers: BTreeMap<Bytes, Tier>,
+    /// `[account NAME]`.
+    pub accounts: BTreeMap<Bytes, Account>,
+    /// `[route NAME]`.
+    pub routes: BTreeMap<Bytes, Route>,
+    /// `[pool NAME]`.
+    pub pools: BTreeMap<Bytes, Pool>,
+    /// `[drain HOST]`: hosts ordered to take no new work.
+    pub drains: BTreeMap<Bytes, Drain>,
+    /// `[order HOST]`: order to the engine beside that host's agent.
+    pub orders: BTreeMap<Bytes, Order>,
+    /// `[entry]`.
+    pub entry: Entry,
+}
+
+/// A request tier.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tier {
+    pub rank: tier::Tier,
+    /// `deadline_ms`: used when the caller gives none.
+    pub deadline: Duration,
+    /// `max_deadline_ms`: upper bound of what a caller may ask for.
+    pub max_deadline: Duration,
+}
+
+/// A client account.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Account {
+    /// `api_key_sha256`: hexadecimal SHA-256 of the bearer token; empty admits by the
+    /// account header alone.
+    pub api_key_sha256: Bytes,
+    /// `top_tier`: name of the highest tier the account may use.
+    pub top_tier: Bytes,
+    /// `share`: weight among accounts of the same tier.
+    pub share: u32,
+    /// `max_open`: bound on its open requests at one entry.
+    pub max_open: u32,
+}
+
+/// A route from callers to a pool.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// `path`: URL path prefix; for model routes the chat-completions path.
+    pub path: Bytes,
+    /// `model`: model name that selects this route; empty for services.
+    pub model: Bytes,
+    pub kind: request::Kind,
+    pub pool: Bytes,
+    /// `tier`: tier used when the caller names none.
+    pub tier: Bytes,
+    /// `idempotent`: whether a repeat by the caller is harmless.
+    pub idempotent: bool,
+    /// `require_key`: whether non-idempotent calls need an issued idempotency key.
+    pub require_key: bool,
+    pub max_body_bytes: u64,
+}
+
+/// A pool of backend servers of one kind.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pool {
+    /// `spread`: agents that a request may be placed on before a refusal moves it on.
+    pub spread: u32,
+    /// `hedge_ms`: wait for the first candidate before the second is offered the request.
+    pub hedge: Duration,
+    /// `grant_ttl_ms`: time a reserved slot waits for its grant.
+    pub grant_ttl: Duration,
+    /// `retention_ms`: time a finished answer is kept for a repeat or a cut link.
+    pub retention: Duration,
+    /// `orphan_ttl_ms`: time a running stream with no reader goes on.
+    pub orphan_ttl: Duration,
+    /// `key_ttl_ms`: life of an idempotency key.
+    pub key_ttl: Duration,
+    /// `resume_limit_ms`: time to resume a stream before the outcome is `unknown`.
+    pub resume_limit: Duration,
+    /// `max_running`: upper bound of requests in the engine.
+    pub max_running: u32,
+    /// `max_prompt_tokens`: estimated prompt tokens in the engine before their first token.
+    pub max_prompt_tokens: u64,
+    /// `short_tokens`: a request up to this prompt size counts as short.
+    pub short_tokens: u32,
+    /// `short_share_percent`: part of the engine's limits kept for short requests.
+    pub short_share_percent: u32,
+    /// `prefill_tokens_per_s`: initial estimate of the slowest engine.
+    pub prefill_tokens_per_s: u32,
+    /// `max_queued_tokens`: bound on queued estimated prompt tokens at an agent.
+    pub max_queued_tokens: u64,
+    /// `max_queued`: bound on queued requests at an agent.
+    pub max_queued: u32,
+    /// `max_ejected_percent`: part of the pool that outlier ejection may take out.
+    pub max_ejected_percent: u32,
+    /// `quarantine_ms`: time a poison request is refused.
+    pub quarantine: Duration,
+    /// `checks_fence`: whether the engines refuse orders with an old fencing number.
+    pub checks_fence: bool,
+}
+
+/// An order that a backend server take no new work.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Drain {
+    /// `reason`: shown to operators.
+    pub reason: Bytes,
+}
+
+/// An order to an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// `load_model`, `load_adapter`, `set_version` or `set_role`.
+    pub action: Bytes,
+    pub argument: Bytes,
+    /// Fencing number; orders with a lower one are obsolete.
+    pub fence: u64,
+}
+
+/// Limits of every entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// `max_open`: bound on open requests.
+    pub max_open: u32,
+    /// `max_held_bytes`: bound on bytes of bodies held.
+    pub max_held_bytes: u64,
+    /// `retry_percent`: second tries as a part of accepted requests.
+    pub retry_percent: u32,
+}
+
+impl Default for Entry {
+    fn default() -> Entry {
+        Entry { max_open: 10_000, max_held_bytes: 1 << 30, retry_percent: 10 }
+    }
+}
+
+/// The sections of one branch, checked on their own.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Branch(pub Tree);
+
+/// Parses and checks one branch. The same text gives the same verdict in every process.
+///
+/// # Errors
+///
+/// Returns every error of the branch.
+pub fn parse(name: &str, text: &str) -> Result<Branch, Vec<check::Error>> {
+    let _ = (name, text, None::<SocketAddr>);
+    todo!()
+}
+
+/// Merges branches. A name defined in two branches belongs to the first branch in name
+/// order. The second value lists such conflicts and references to names not defined.
+pub fn merge(branches: &BTreeMap<Bytes, Branch>) -> (Tree, Vec<check::Error>) {
+    let _ = branches;
+    todo!()
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Hosts as one process sees them: placement and outlier ejection.
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,110 @@
+//! Frames of an answer on its way from agent to entry.
+
+use bytes::{Bytes, BytesMut};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use tokio_util::codec::{Decoder, LengthDelimitedCodec};
+
+use crate::{error, id, outcome};
+
+/// Upper bound of one encoded message, in bytes. Configuration values reach 1 MB.
+pub const MAX_MESSAGE_BYTES: usize = 8 << 20;
+
+/// One frame. Each names its request and grant, so that a crossed answer is detected.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Frame {
+    pub request: id::Request,
+    pub grant: id::Grant,
+    pub body: Body,
+}
+
+/// The content of a frame.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// The backend server began to answer with this status.
+    Started {
+        status: u16,
+        content_type: Bytes,
+    },
+    Data {
+        offset: u64,
+        bytes: Bytes,
+    },
+    /// The explicit end; an answer without it is not whole.
+    End {
+        length: u64,
+        crc32: u32,
+    },
+    /// The answer ends without being whole. With outcome `not_run` the agent has given the
+    /// grant up for good.
+    Refused(outcome::Refusal),
+}
+
+/// Encodes a message.
+///
+/// # Panics
+///
+/// Panics if a type can't be serialised, which no type of this crate is.
+pub fn encode<T: Serialize>(message: &T) -> Bytes {
+    rmp_serde::to_vec(message).expect("wire types serialise").into()
+}
+
+/// Decodes a message.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are not exactly one message of the type.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, error::Error> {
+    rmp_serde::from_slice(bytes).map_err(|e| error::Error::Malformed(e.to_string()))
+}
+
+/// Encodes a message behind its length, for a stream of messages.
+///
+/// # Panics
+///
+/// Panics if a type can't be serialised, which no type of this crate is.
+pub fn encode_delimited<T: Serialize>(message: &T) -> Bytes {
+    let body = encode(message);
+    let mut out = Vec::with_capacity(4 + body.len());
+    out.extend_from_slice(&(body.len() as u32).to_be_bytes());
+    out.extend_from_slice(&body);
+    out.into()
+}
+
+/// Splits a byte stream into messages.
+#[derive(Debug)]
+pub struct Reader {
+    codec: LengthDelimitedCodec,
+    buffer: BytesMut,
+}
+
+impl Default for Reader {
+    fn default() -> Reader {
+        let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_MESSAGE_BYTES).new_codec();
+        Reader { codec, buffer: BytesMut::new() }
+    }
+}
+
+impl Reader {
+    /// Appends bytes as they arrive.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Returns the next whole message, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a message is over the limit or malformed.
+    pub fn read<T: DeserializeOwned>(&mut self) -> Result<Option<T>, error::Error> {
+        match self.codec.decode(&mut self.buffer) {
+            Ok(Some(bytes)) => decode(&bytes).map(Some),
+            Ok(None) => Ok(None),
+            Err(e) => Err(error::Error::Malformed(e.to_string())),
+        }
+    }
+
+    /// Returns the bytes received after the last whole message and leaves the reader empty.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.buffer.split().freeze()
+    }
+}
--- /dev/null
+++ b/crates/wire/src/request.rs
@@ -0,0 +1,44 @@
+//! What the system knows about a request apart from its body.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::{id, key, tier};
+
+/// Whether a request runs on a model engine or on a plain service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    Model,
+    Service,
+}
+
+/// The part of a request that scheduling decisions need; the body stays at the entry
+/// until a grant.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    pub request: id::Request,
+    pub kind: Kind,
+    pub route: Bytes,
+    pub pool: Bytes,
+    pub account: Bytes,
+    pub tier: tier::Tier,
+    /// Time left until the caller's deadline at the moment of sending.
+    pub remaining: Duration,
+    pub prompt_tokens: u32,
+    pub output_tokens: u32,
+    /// Hash of account, route and body; equal for a request that is sent again.
+    pub fingerprint: u64,
+    /// Hash of account, model and the start of the prompt; equal for requests that can
+    /// share a cached prefix.
+    pub affinity: u64,
+    pub idempotent: bool,
+    pub key: Option<key::Key>,
+    pub body_len: u64,
+    /// Method and path with query of a plain call; fixed for model calls.
+    pub method: Bytes,
+    pub path: Bytes,
+    pub content_type: Bytes,
+}
--- /dev/null
+++ b/crates/wire/src/sync.rs
@@ -0,0 +1,59 @@
+//! Messages that distribute settings, the host list and suspects between processes.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
+
+use crate::id;
+
+/// Name of the branch that carries the platform's host list as JSON.
+pub const HOSTS_BRANCH: &[u8] = b"@hosts";
+
+/// One branch of the settings tree at one revision.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Branch {
+    pub name: Bytes,
+    pub revision: u64,
+    pub text: Bytes,
+}
+
+/// The revision of each branch that a process has in force, by name.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Digest(pub Vec<(Bytes, u64)>);
+
+impl Digest {
+    /// Returns a hash that differs between digests that differ.
+    pub fn hash(&self) -> u64 {
+        let mut hasher = xxh3::Xxh3::new();
+        for (name, revision) in &self.0 {
+            hasher.update(&(name.len() as u64).to_le_bytes());
+            hasher.update(name);
+            hasher.update(&revision.to_le_bytes());
+        }
+        hasher.digest()
+    }
+}
+
+/// A request that was running when an engine crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    pub fingerprint: u64,
+    /// Engines that crashed while they ran it.
+    pub crashes: u8,
+    /// Whether it completed on its own since; clears the suspicion.
+    pub cleared: bool,
+}
+
+/// One message of an exchange, and its reply.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Exchange {
+    pub process: id::Process,
+    pub host: Bytes,
+    pub digest: Digest,
+    /// Branches that the receiver is believed to lack.
+    pub branches: Vec<Branch>,
+    /// Names of branches the sender wants, since the receiver's digest is ahead.
+    pub wanted: Vec<Bytes>,
+    pub suspects: Vec<Suspect>,
+}
