--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -43,7 +43,7 @@
 fn keys_survive_their_text_form() {
     let key = key::Key { host: Bytes::from("floor.1"), process: id::Process(u64::MAX), seq: 9 };
     assert_eq!(key.to_string().parse(), Ok(key));
-    for text in ["", ".", "a.b.c", ".1.2", "0123", "host.1"] {
+    for text in ["", ".", "a.x.1", ".1.2", "0123", "host.1"] {
         assert!(text.parse::<key::Key>().is_err(), "{text:?}");
     }
 }
