Add the daemon's input and output around the state machines

Cause: the state machines decide but touch no socket; a process needs listeners, clients, timers, logs and metrics around them. Change: quincespoked with the entry and agent roles, the callers', peers' and operators' listeners, the client of the backend server with one connection for each dispatch so that a failed connection proves that nothing was sent, reads of the configuration service and the host list, and a planned stop that waits for answers to be written.

--- /dev/null
+++ b/crates/daemon/src/chat.rs
@@ -0,0 +1,103 @@
+//! What scheduling needs to know of a chat-completions body.
+
+use std::borrow::Cow;
+
+use serde::Deserialize;
+use xxhash_rust::xxh3;
+
+/// Output tokens assumed when the caller sets no limit.
+const DEFAULT_OUTPUT_TOKENS: u32 = 512;
+/// Bytes of the first user message that enter the prefix hash.
+const PREFIX_BYTES: usize = 2048;
+/// Bytes of text for one token, on average over the tokenizers in use.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Summary of a request body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Summary {
+    pub model: String,
+    pub stream: bool,
+    /// Estimated from the length of the text.
+    pub prompt_tokens: u32,
+    pub output_tokens: u32,
+    pub prefix_hash: u64,
+}
+
+#[derive(Deserialize)]
+struct Body<'a> {
+    #[serde(borrow)]
+    model: Cow<'a, str>,
+    #[serde(borrow)]
+    messages: Vec<Message<'a>>,
+    #[serde(default)]
+    stream: Option<bool>,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    max_completion_tokens: Option<u32>,
+}
+
+#[derive(Deserialize)]
+struct Message<'a> {
+    #[serde(borrow)]
+    role: Cow<'a, str>,
+    #[serde(borrow, default)]
+    content: Option<Content<'a>>,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Content<'a> {
+    #[serde(borrow)]
+    Text(Cow<'a, str>),
+    #[serde(borrow)]
+    Parts(Vec<Part<'a>>),
+}
+
+#[derive(Deserialize)]
+struct Part<'a> {
+    #[serde(borrow, default)]
+    text: Option<Cow<'a, str>>,
+}
+
+impl Content<'_> {
+    fn texts(&self) -> Vec<&str> {
+        match self {
+            Content::Text(text) => vec![text],
+            Content::Parts(parts) => parts.iter().filter_map(|p| p.text.as_deref()).collect(),
+        }
+    }
+}
+
+/// Reads a chat-completions body.
+///
+/// # Errors
+///
+/// Returns what is wrong and where, for the caller.
+pub fn summarise(body: &[u8]) -> Result<Summary, serde_json::Error> {
+    let body: Body<'_> = serde_json::from_slice(body)?;
+    let mut bytes = 0;
+    let mut prefix = xxh3::Xxh3::new();
+    let mut seen_user = false;
+    for message in &body.messages {
+        let texts = message.content.as_ref().map(Content::texts).unwrap_or_default();
+        for text in texts {
+            bytes += text.len();
+            if !seen_user {
+                let end = text.len().min(PREFIX_BYTES);
+                prefix.update(&text.as_bytes()[..end]);
+            }
+        }
+        seen_user |= message.role == "user";
+    }
+    Ok(Summary {
+        model: body.model.into_owned(),
+        stream: body.stream.unwrap_or(false),
+        prompt_tokens: (bytes / BYTES_PER_TOKEN).clamp(1, u32::MAX as usize) as u32,
+        output_tokens: body
+            .max_completion_tokens
+            .or(body.max_tokens)
+            .unwrap_or(DEFAULT_OUTPUT_TOKENS),
+        prefix_hash: prefix.digest(),
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/distribution.rs
@@ -0,0 +1,176 @@
+//! Input and output of settings distribution.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use compio::runtime;
+use futures_channel::oneshot;
+use wire::{status, sync::Exchange};
+
+use crate::{
+    driver::{Driver, Execute},
+    peer, platform,
+    role::{Identity, Role},
+};
+
+/// Distribution of settings within one process.
+pub struct Distribution {
+    driver: Rc<Driver<sync::Machine>>,
+    role: Rc<dyn Role>,
+    platform: platform::Client,
+    peers: peer::Client,
+    links: RefCell<HashMap<u64, oneshot::Sender<Exchange>>>,
+    next_link: Cell<u64>,
+    refused: RefCell<BTreeMap<String, String>>,
+}
+
+impl Distribution {
+    /// Starts distribution for a role.
+    pub fn start(
+        process: &conf::process::Process,
+        identity: &Identity,
+        role: Rc<dyn Role>,
+    ) -> Rc<Distribution> {
+        let setup = sync::Setup {
+            process: identity.process,
+            host: identity.host.clone(),
+            availability_zone: identity.availability_zone.clone(),
+            address: identity.address,
+            seeds: process.seeds.clone(),
+            seed: identity.seed,
+        };
+        let distribution = Rc::new(Distribution {
+            driver: Driver::new(sync::Machine::new(setup)),
+            role,
+            platform: platform::Client::new(process),
+            peers: peer::Client::new(identity.address),
+            links: RefCell::default(),
+            next_link: Cell::new(0),
+            refused: RefCell::default(),
+        });
+        distribution.feed(sync::Event::Start);
+        distribution
+    }
+
+    /// Feeds an event to the state machine.
+    pub fn feed(self: &Rc<Self>, event: sync::Event) {
+        let executor = Rc::new(Executor(self.clone()));
+        self.driver.feed(&executor, event);
+    }
+
+    /// Answers an exchange of another process.
+    pub async fn exchange(self: &Rc<Self>, exchange: Exchange) -> Option<Exchange> {
+        let link = self.next_link.replace(self.next_link.get() + 1);
+        let (sender, receiver) = oneshot::channel();
+        self.links.borrow_mut().insert(link, sender);
+        self.feed(sync::Event::Received { link, exchange });
+        let reply = receiver.await.ok();
+        self.links.borrow_mut().remove(&link);
+        reply
+    }
+
+    /// Returns the hash of the digest in force.
+    pub fn hash(&self) -> u64 {
+        self.driver.read(|machine| machine.digest().hash())
+    }
+
+    /// Fills in revisions.
+    pub fn report(&self, status: &mut status::Status) {
+        self.driver.read(|machine| {
+            for (name, revision) in &machine.digest().0 {
+                let name = String::from_utf8_lossy(name).into_owned();
+                status.revisions.insert(name, *revision);
+            }
+        });
+        status.refused_revisions = self.refused.borrow().clone();
+    }
+
+    fn send(self: &Rc<Self>, peer: SocketAddr, exchange: Exchange) {
+        let distribution = self.clone();
+        runtime::spawn(async move {
+            let limit = peer::EXCHANGE_TIMEOUT;
+            let reply = distribution.peers.exchange(peer, "/sync", &exchange, limit).await;
+            distribution.feed(match reply {
+                Ok(exchange) => sync::Event::Replied { peer, exchange },
+                Err(error) => {
+                    tracing::debug!(event = "exchange_failed", %error);
+                    sync::Event::SendFailed { peer }
+                }
+            });
+        })
+        .detach();
+    }
+
+    fn read(self: &Rc<Self>, index: Option<u64>, wait: std::time::Duration) {
+        let distribution = self.clone();
+        runtime::spawn(async move {
+            let read = distribution.platform.read(index, wait).await;
+            distribution.feed(match read {
+                Ok((branches, index)) => sync::Event::Read { branches, index },
+                Err(error) => {
+                    tracing::warn!(event = "configuration_read_failed", %error);
+                    sync::Event::ReadFailed
+                }
+            });
+        })
+        .detach();
+    }
+
+    fn read_hosts(self: &Rc<Self>) {
+        let distribution = self.clone();
+        runtime::spawn(async move {
+            let read = distribution.platform.read_hosts().await;
+            distribution.feed(match read {
+                Ok((revision, text)) => sync::Event::Hosts { revision, text },
+                Err(error) => {
+                    tracing::warn!(event = "host_list_read_failed", %error);
+                    sync::Event::HostsFailed
+                }
+            });
+        })
+        .detach();
+    }
+
+    fn refuse(&self, branch: &[u8], revision: u64, errors: &[conf::check::Error]) {
+        let branch = String::from_utf8_lossy(branch).into_owned();
+        let errors: Vec<String> = errors.iter().map(ToString::to_string).collect();
+        let reason = errors.join("; ");
+        tracing::error!(event = "settings_refused", branch, revision, reason);
+        self.refused.borrow_mut().insert(branch, format!("revision {revision}: {reason}"));
+    }
+}
+
+struct Executor(Rc<Distribution>);
+
+impl Execute<sync::Action> for Executor {
+    fn execute(&self, action: sync::Action) {
+        let distribution = &self.0;
+        match action {
+            sync::Action::Read { index, wait } => distribution.read(index, wait),
+            sync::Action::ReadHosts => distribution.read_hosts(),
+            sync::Action::Send { peer, exchange } => distribution.send(peer, exchange),
+            sync::Action::Reply { link, exchange } => {
+                if let Some(sender) = distribution.links.borrow_mut().remove(&link) {
+                    let _ = sender.send(exchange);
+                }
+            }
+            sync::Action::Settings(tree) => {
+                tracing::info!(event = "settings_in_force", routes = tree.routes.len());
+                distribution.role.clone().settings(tree);
+            }
+            sync::Action::Hosts(hosts) => distribution.role.clone().hosts(hosts),
+            sync::Action::Suspects(suspects) => distribution.role.clone().suspects(suspects),
+            sync::Action::Ready => {
+                tracing::info!(event = "ready");
+                distribution.role.clone().ready();
+            }
+            sync::Action::Refused { branch, revision, errors } => {
+                distribution.refuse(&branch, revision, &errors);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/error.rs
@@ -0,0 +1,72 @@
+//! Errors of input and output, with the step and the peer at which they arose.
+
+use std::{error, fmt};
+
+/// What the process was doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    Bind,
+    Connect,
+    Send,
+    Receive,
+    Decode,
+}
+
+/// What went wrong.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Nothing happened within the time limit.
+    Timeout,
+    /// The peer answered with this HTTP status.
+    Status(u16),
+    /// The message is over the size limit.
+    TooLarge,
+    Other(String),
+}
+
+/// An error of input or output.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error {
+    pub step: Step,
+    /// Address or URL of the other side.
+    pub peer: String,
+    pub kind: Kind,
+}
+
+impl Error {
+    /// Returns an error for any displayable cause.
+    pub fn new(step: Step, peer: impl fmt::Display, cause: impl fmt::Display) -> Error {
+        Error { step, peer: peer.to_string(), kind: Kind::Other(cause.to_string()) }
+    }
+
+    /// Returns an error of this kind.
+    pub fn of_kind(step: Step, peer: impl fmt::Display, kind: Kind) -> Error {
+        Error { step, peer: peer.to_string(), kind }
+    }
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Step::Bind => "bind",
+            Step::Connect => "connect",
+            Step::Send => "send",
+            Step::Receive => "receive",
+            Step::Decode => "decode",
+        })
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}: ", self.step, self.peer)?;
+        match &self.kind {
+            Kind::Timeout => f.write_str("timed out"),
+            Kind::Status(status) => write!(f, "answered with status {status}"),
+            Kind::TooLarge => f.write_str("message over the size limit"),
+            Kind::Other(cause) => f.write_str(cause),
+        }
+    }
+}
+
+impl error::Error for Error {}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,25 @@
+//! The daemon `quincespoked`: the input and output around the state machines.
 
+pub mod backend;
+pub mod callers;
+pub mod chat;
+pub mod clock;
+pub mod distribution;
+pub mod driver;
+pub mod error;
+pub mod exit_code;
+pub mod http;
+pub mod log;
+pub mod metrics;
+pub mod operators;
+pub mod options;
+pub mod peer;
+pub mod platform;
+pub mod refusal;
+pub mod role;
+pub mod role_agent;
+pub mod role_entry;
+pub mod run;
+pub mod trace;
+
+pub use error::Error;
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,98 @@
+//! Histograms for each account and tier, and metrics sent by statsd.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    net::{SocketAddr, UdpSocket},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use cadence::{CountedExt, StatsdClient, Timed};
+use hdrhistogram::Histogram;
+use wire::status;
+
+/// Histograms kept at once; further accounts share one under `other`.
+const MAX_SERIES: usize = 20_000;
+/// Significant decimal digits: with one, a series takes about 2 KB, so that 2,300 accounts at
+/// three tiers stay under a third of the memory allowed for control.
+const DIGITS: u8 = 1;
+/// Upper bound of a recorded time, in microseconds.
+const MAX_US: u64 = 3_600_000_000;
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Series {
+    name: &'static str,
+    account: Bytes,
+    tier: Bytes,
+}
+
+/// Metrics of one process.
+pub struct Metrics {
+    statsd: StatsdClient,
+    histograms: RefCell<BTreeMap<Series, Histogram<u32>>>,
+}
+
+impl Metrics {
+    /// Returns metrics sent to `address`, or kept only in memory without one.
+    pub fn new(address: Option<SocketAddr>) -> Metrics {
+        Metrics { statsd: client(address), histograms: RefCell::default() }
+    }
+
+    /// Records a time for an account and tier.
+    pub fn record(&self, name: &'static str, account: &Bytes, tier: &Bytes, time: Duration) {
+        let mut histograms = self.histograms.borrow_mut();
+        let mut series = Series { name, account: account.clone(), tier: tier.clone() };
+        if histograms.len() >= MAX_SERIES && !histograms.contains_key(&series) {
+            series.account = Bytes::from_static(b"other");
+        }
+        let account = String::from_utf8_lossy(&series.account).into_owned();
+        let tier = String::from_utf8_lossy(&series.tier).into_owned();
+        let _ = self
+            .statsd
+            .time_with_tags(name, time.as_millis() as u64)
+            .with_tag("account", &account)
+            .with_tag("tier", &tier)
+            .try_send();
+        let histogram = histograms.entry(series).or_insert_with(|| {
+            Histogram::new_with_max(MAX_US, DIGITS).expect("bounds of a histogram are constant")
+        });
+        histogram.saturating_record(time.as_micros() as u64);
+    }
+
+    /// Counts one event.
+    pub fn count(&self, name: &str) {
+        let _ = self.statsd.incr(name);
+    }
+
+    /// Returns all histograms, in milliseconds.
+    pub fn histograms(&self) -> Vec<status::Histogram> {
+        let text = |bytes: &Bytes| String::from_utf8_lossy(bytes).into_owned();
+        let milliseconds = |us: u64| us as f64 / 1000.0;
+        let histograms = self.histograms.borrow();
+        let row = |(series, histogram): (&Series, &Histogram<u32>)| status::Histogram {
+            name: series.name.into(),
+            account: text(&series.account),
+            tier: text(&series.tier),
+            count: histogram.len(),
+            p50: milliseconds(histogram.value_at_quantile(0.50)),
+            p95: milliseconds(histogram.value_at_quantile(0.95)),
+            p99: milliseconds(histogram.value_at_quantile(0.99)),
+            max: milliseconds(histogram.max()),
+        };
+        histograms.iter().map(row).collect()
+    }
+}
+
+fn client(address: Option<SocketAddr>) -> StatsdClient {
+    let sink = address.and_then(|address| {
+        let socket = UdpSocket::bind("0.0.0.0:0").ok()?;
+        // A full socket buffer drops metrics instead of stalling requests.
+        socket.set_nonblocking(true).ok()?;
+        cadence::BufferedUdpMetricSink::from(address, socket).ok()
+    });
+    match sink {
+        Some(sink) => StatsdClient::from_sink("quincespoke", sink),
+        None => StatsdClient::from_sink("quincespoke", cadence::NopMetricSink),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/platform.rs
@@ -0,0 +1,135 @@
+//! Reads the platform's configuration service and host list.
+
+use std::time::Duration;
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use compio::time;
+use serde::{Deserialize, Serialize};
+use wire::{host, sync};
+
+use crate::error::{Error, Kind, Step};
+
+/// Time for a read that does not wait for a change.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// Upper bound of one answer: the whole tree in base64.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// Client of the platform's services, which are only read.
+#[derive(Clone)]
+pub struct Client {
+    http: cyper::Client,
+    configuration: String,
+    prefix: String,
+    hosts: String,
+}
+
+/// One key of the configuration service, as Consul's KV API gives it.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Pair {
+    key: String,
+    value: Option<String>,
+    modify_index: u64,
+}
+
+/// The host list.
+#[derive(Debug, Deserialize, Serialize)]
+struct List {
+    revision: u64,
+    hosts: Vec<host::Record>,
+}
+
+impl Client {
+    /// Returns a client for these URLs.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the HTTP client can't be built, which only TLS back ends can cause.
+    pub fn new(process: &conf::process::Process) -> Client {
+        let http = cyper::Client::builder().no_proxy().build().expect("client without TLS");
+        Client {
+            http,
+            configuration: process.configuration.trim_end_matches('/').into(),
+            prefix: process.prefix.trim_matches('/').into(),
+            hosts: process.hosts.clone(),
+        }
+    }
+
+    /// Reads all branches; with `index`, waits up to `wait` for a change beyond it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with the step and the URL.
+    pub async fn read(
+        &self,
+        index: Option<u64>,
+        wait: Duration,
+    ) -> Result<(Vec<sync::Branch>, u64), Error> {
+        let mut url = format!("{}/v1/kv/{}/?recurse=true", self.configuration, self.prefix);
+        let mut limit = READ_TIMEOUT;
+        if let Some(index) = index {
+            url.push_str(&format!("&index={index}&wait={}ms", wait.as_millis()));
+            limit += wait;
+        }
+        let (bytes, index) = time::timeout(limit, self.get(&url))
+            .await
+            .map_err(|_| Error::of_kind(Step::Receive, &url, Kind::Timeout))??;
+        let pairs: Vec<Pair> =
+            serde_json::from_slice(&bytes).map_err(|e| Error::new(Step::Decode, &url, e))?;
+        let branches = pairs
+            .into_iter()
+            .map(|pair| self.branch(pair))
+            .collect::<Result<_, _>>()
+            .map_err(|e| Error::new(Step::Decode, &url, e))?;
+        Ok((branches, index))
+    }
+
+    /// Reads the host list.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with the step and the URL.
+    pub async fn read_hosts(&self) -> Result<(u64, Bytes), Error> {
+        let (bytes, _) = time::timeout(READ_TIMEOUT, self.get(&self.hosts))
+            .await
+            .map_err(|_| Error::of_kind(Step::Receive, &self.hosts, Kind::Timeout))??;
+        let decode = |e| Error::new(Step::Decode, &self.hosts, e);
+        let list: List = serde_json::from_slice(&bytes).map_err(decode)?;
+        let text = serde_json::to_vec(&list.hosts).map_err(decode)?;
+        Ok((list.revision, text.into()))
+    }
+
+    fn branch(&self, pair: Pair) -> Result<sync::Branch, base64::DecodeError> {
+        let name = pair.key.strip_prefix(&self.prefix).unwrap_or(&pair.key);
+        let text = STANDARD.decode(pair.value.unwrap_or_default())?;
+        Ok(sync::Branch {
+            name: Bytes::copy_from_slice(name.trim_matches('/').as_bytes()),
+            revision: pair.modify_index,
+            text: text.into(),
+        })
+    }
+
+    /// Returns the body and Consul's index header.
+    async fn get(&self, url: &str) -> Result<(Bytes, u64), Error> {
+        let send = |e: cyper::Error| Error::new(Step::Send, url, e);
+        let response = self.http.get(url).map_err(send)?.send().await.map_err(send)?;
+        let status = response.status().as_u16();
+        let index = response
+            .headers()
+            .get("x-consul-index")
+            .and_then(|value| value.to_str().ok()?.parse().ok())
+            .unwrap_or(0);
+        match status {
+            200 => {}
+            // Consul answers 404 when no key has the prefix.
+            404 if index > 0 => return Ok((Bytes::from_static(b"[]"), index)),
+            _ => return Err(Error::of_kind(Step::Receive, url, Kind::Status(status))),
+        }
+        let bytes = response.bytes().await.map_err(|e| Error::new(Step::Receive, url, e))?;
+        if bytes.len() > MAX_ANSWER_BYTES {
+            return Err(Error::of_kind(Step::Receive, url, Kind::TooLarge));
+        }
+        Ok((bytes, index))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/role_agent.rs
@@ -0,0 +1,339 @@
+//! The agent role: carries out the actions of `agent::Machine`.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::{Rc, Weak},
+    sync::Arc,
+    time::Duration,
+};
+
+use agent::{Action, Event, Link, Progress};
+use bytes::Bytes;
+use compio::runtime;
+use conf::tree;
+use futures_channel::{mpsc, oneshot};
+use futures_util::future::LocalBoxFuture;
+use hyper::{Request, Response, body};
+use serde::{Serialize, de::DeserializeOwned};
+use wire::{frame, grant, host, id, key, offer, outcome, request, status, sync};
+
+use crate::{
+    backend, clock,
+    distribution::Distribution,
+    driver::{Driver, Execute},
+    http,
+    metrics::Metrics,
+    peer,
+    role::{Identity, Role},
+    trace,
+};
+
+/// Time between probes of the backend server.
+const PROBE_PERIOD: Duration = Duration::from_millis(250);
+/// Bound on a commitment with its body.
+const MAX_COMMIT_BYTES: u64 = 65 << 20;
+/// Bound on other messages.
+const MAX_MESSAGE_BYTES: u64 = 1 << 20;
+
+/// Where the answer to a peer's message goes.
+enum Slot {
+    Offer(oneshot::Sender<offer::Reply>),
+    Key(oneshot::Sender<Result<key::Key, outcome::Refusal>>),
+    Stream(http::Sender),
+}
+
+/// The agent role of a process.
+pub struct Agent {
+    driver: Rc<Driver<agent::Machine>>,
+    backend: backend::Client,
+    links: RefCell<HashMap<Link, Slot>>,
+    next_link: Cell<u64>,
+    dispatches: RefCell<HashMap<id::Grant, runtime::JoinHandle<()>>>,
+    distribution: RefCell<Weak<Distribution>>,
+    stopped: Rc<dyn Fn()>,
+    traces: Rc<trace::Store>,
+    metrics: Rc<Metrics>,
+}
+
+/// Reports a closed connection to the state machine.
+struct Guard {
+    agent: Rc<Agent>,
+    link: Link,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        let agent = self.agent.clone();
+        let link = self.link;
+        // The answer may be dropped while the machine is borrowed.
+        runtime::spawn(async move {
+            agent.links.borrow_mut().remove(&link);
+            agent.feed(Event::LinkClosed { link });
+        })
+        .detach();
+    }
+}
+
+impl Agent {
+    /// Starts the role and its probes; `stopped` is called at the end of a planned stop.
+    pub fn start(
+        identity: &Identity,
+        pool: Bytes,
+        backend: backend::Client,
+        metrics: Rc<Metrics>,
+        traces: Rc<trace::Store>,
+        stopped: Rc<dyn Fn()>,
+    ) -> Rc<Agent> {
+        let setup = agent::Setup {
+            process: identity.process,
+            host: identity.host.clone(),
+            pool,
+            seed: identity.seed,
+        };
+        let agent = Rc::new(Agent {
+            driver: Driver::new(agent::Machine::new(setup)),
+            backend,
+            links: RefCell::default(),
+            next_link: Cell::new(1),
+            dispatches: RefCell::default(),
+            distribution: RefCell::default(),
+            stopped,
+            traces,
+            metrics,
+        });
+        runtime::spawn(probe(agent.clone())).detach();
+        agent
+    }
+
+    /// Sets where settings mismatches and suspects are reported.
+    pub fn set_distribution(&self, distribution: &Rc<Distribution>) {
+        *self.distribution.borrow_mut() = Rc::downgrade(distribution);
+    }
+
+    fn feed(self: &Rc<Self>, event: Event) {
+        let executor = Rc::new(Executor(self.clone()));
+        self.driver.feed(&executor, event);
+    }
+
+    fn link(self: &Rc<Self>, slot: Slot) -> Guard {
+        let link = Link(self.next_link.replace(self.next_link.get() + 1));
+        self.links.borrow_mut().insert(link, slot);
+        Guard { agent: self.clone(), link }
+    }
+
+    async fn answer(self: Rc<Self>, request: Request<body::Incoming>) -> Response<http::Body> {
+        let path = request.uri().path().to_owned();
+        let from = request.headers().get(peer::FROM).cloned();
+        let limit = if path == "/grant" { MAX_COMMIT_BYTES } else { MAX_MESSAGE_BYTES };
+        let Ok(body) = http::read_body(request.into_body(), limit).await else {
+            return http::empty(400);
+        };
+        match path.as_str() {
+            "/offer" => self.offer(&body, from).await,
+            "/grant" => self.commit(&body),
+            "/attach" => self.attach(&body),
+            "/cancel" => self.cancel(&body),
+            "/key" => self.key(&body).await,
+            _ => http::empty(404),
+        }
+    }
+
+    async fn offer(
+        self: &Rc<Self>,
+        body: &[u8],
+        from: Option<hyper::header::HeaderValue>,
+    ) -> Response<http::Body> {
+        let Some(offer) = decode::<offer::Offer>(body) else { return http::empty(400) };
+        let from = from.and_then(|value| value.to_str().ok()?.parse().ok());
+        if let (Some(peer), Some(distribution)) = (from, self.distribution.borrow().upgrade()) {
+            distribution.feed(::sync::Event::Seen { peer, hash: offer.settings });
+        }
+        let (sender, receiver) = oneshot::channel();
+        let guard = self.link(Slot::Offer(sender));
+        self.feed(Event::Offer { link: guard.link, offer });
+        match receiver.await {
+            Ok(reply) => message(&reply),
+            Err(_) => http::empty(503),
+        }
+    }
+
+    fn commit(self: &Rc<Self>, body: &[u8]) -> Response<http::Body> {
+        let mut reader = frame::Reader::default();
+        reader.push(body);
+        let Ok(Some(commit)) = reader.read::<grant::Commit>() else { return http::empty(400) };
+        let body = reader.take_rest();
+        self.stream(|link| Event::Commit { link, commit, body })
+    }
+
+    fn attach(self: &Rc<Self>, body: &[u8]) -> Response<http::Body> {
+        let Some(attach) = decode(body) else { return http::empty(400) };
+        self.stream(|link| Event::Attach { link, attach })
+    }
+
+    fn stream(self: &Rc<Self>, event: impl FnOnce(Link) -> Event) -> Response<http::Body> {
+        let (sender, receiver) = mpsc::unbounded();
+        let guard = self.link(Slot::Stream(sender));
+        self.feed(event(guard.link));
+        http::streamed(200, peer::CONTENT_TYPE.as_bytes(), receiver, guard)
+    }
+
+    fn cancel(self: &Rc<Self>, body: &[u8]) -> Response<http::Body> {
+        let Some(commit) = decode(body) else { return http::empty(400) };
+        self.feed(Event::Cancel { commit });
+        message(&())
+    }
+
+    async fn key(self: &Rc<Self>, body: &[u8]) -> Response<http::Body> {
+        let Some(route) = decode(body) else { return http::empty(400) };
+        let (sender, receiver) = oneshot::channel();
+        let guard = self.link(Slot::Key(sender));
+        self.feed(Event::KeyCall { link: guard.link, route });
+        match receiver.await {
+            Ok(reply) => message(&reply),
+            Err(_) => http::empty(503),
+        }
+    }
+
+    fn dispatch(self: &Rc<Self>, grant: id::Grant, head: request::Head, body: Bytes) {
+        self.metrics.count("dispatched");
+        let backend = self.backend;
+        let report = self.reporter(grant);
+        let task = runtime::spawn(backend.dispatch(grant, head, body, report));
+        self.dispatches.borrow_mut().insert(grant, task);
+    }
+
+    fn resume(self: &Rc<Self>, grant: id::Grant, offset: u64) {
+        let backend = self.backend;
+        let report = self.reporter(grant);
+        let task = runtime::spawn(backend.resume(grant, offset, report));
+        self.dispatches.borrow_mut().insert(grant, task);
+    }
+
+    /// Returns a function that feeds progress and releases the task at its end.
+    fn reporter(self: &Rc<Self>, grant: id::Grant) -> impl Fn(Progress) + use<> {
+        let agent = self.clone();
+        move |progress| {
+            let goes_on = matches!(progress, Progress::Started { .. } | Progress::Data(_));
+            if !goes_on && let Some(task) = agent.dispatches.borrow_mut().remove(&grant) {
+                task.detach();
+            }
+            agent.feed(Event::Backend { grant, progress });
+        }
+    }
+
+    fn send(&self, link: Link, frame: &wire::Frame) {
+        if let Some(Slot::Stream(sender)) = self.links.borrow().get(&link) {
+            let _ = sender.unbounded_send(Ok(frame::encode_delimited(frame)));
+        }
+    }
+
+    fn order(&self, order: tree::Order) {
+        let backend = self.backend;
+        runtime::spawn(async move {
+            let action = String::from_utf8_lossy(&order.action).into_owned();
+            let status = backend.order(&order).await;
+            tracing::info!(event = "order_given", action, fence = order.fence, ?status);
+        })
+        .detach();
+    }
+}
+
+/// Probes the backend server for ever. The first probe comes at once, so that a crash before
+/// the first request is noticed.
+async fn probe(agent: Rc<Agent>) {
+    loop {
+        let instance = agent.backend.probe().await;
+        let alive = instance.is_some();
+        agent.feed(Event::Probe { instance });
+        if alive && let Some(load) = agent.backend.load().await {
+            agent.feed(Event::Load { running: load.running, waiting: load.waiting });
+        }
+        compio::time::sleep(PROBE_PERIOD).await;
+    }
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
+    let decoded = frame::decode(body);
+    if let Err(error) = &decoded {
+        tracing::warn!(event = "bad_message", %error);
+    }
+    decoded.ok()
+}
+
+fn message(message: &impl Serialize) -> Response<http::Body> {
+    http::whole(200, peer::CONTENT_TYPE, frame::encode(message))
+}
+
+struct Executor(Rc<Agent>);
+
+impl Execute<Action> for Executor {
+    fn execute(&self, action: Action) {
+        let agent = &self.0;
+        match action {
+            Action::Reply { link, reply } => {
+                if let Some(Slot::Offer(sender)) = agent.links.borrow_mut().remove(&link) {
+                    let _ = sender.send(reply);
+                }
+            }
+            Action::Frame { link, frame } => agent.send(link, &frame),
+            Action::Close { link } => {
+                agent.links.borrow_mut().remove(&link);
+            }
+            Action::KeyReply { link, reply } => {
+                if let Some(Slot::Key(sender)) = agent.links.borrow_mut().remove(&link) {
+                    let _ = sender.send(reply);
+                }
+            }
+            Action::Dispatch { grant, head, body } => agent.dispatch(grant, head, body),
+            Action::Resume { grant, offset } => agent.resume(grant, offset),
+            Action::Cancel { grant } => {
+                agent.dispatches.borrow_mut().remove(&grant);
+                runtime::spawn(agent.backend.cancel(grant)).detach();
+            }
+            Action::Order { order } => agent.order(order),
+            Action::Suspects(suspects) => {
+                if let Some(distribution) = agent.distribution.borrow().upgrade() {
+                    distribution.feed(::sync::Event::Suspects(suspects));
+                }
+            }
+            Action::Trace { request, step, event, peer } => {
+                agent.traces.record(request, step, event, peer);
+            }
+            Action::Stopped => (agent.stopped)(),
+        }
+    }
+}
+
+impl Role for Agent {
+    fn settings(self: Rc<Self>, tree: Arc<tree::Tree>) {
+        self.feed(Event::Settings(tree));
+    }
+
+    fn hosts(self: Rc<Self>, hosts: Vec<host::Record>) {
+        self.feed(Event::Hosts(hosts));
+    }
+
+    fn suspects(self: Rc<Self>, suspects: Vec<sync::Suspect>) {
+        self.feed(Event::Suspects(suspects));
+    }
+
+    fn ready(self: Rc<Self>) {
+        self.feed(Event::Ready);
+    }
+
+    fn stop(self: Rc<Self>) {
+        self.feed(Event::Stop);
+    }
+
+    fn report(&self, status: &mut status::Status) {
+        self.driver.read(|machine| machine.report(clock::now(), status));
+    }
+
+    fn message(
+        self: Rc<Self>,
+        request: Request<body::Incoming>,
+    ) -> LocalBoxFuture<'static, Response<http::Body>> {
+        Box::pin(self.answer(request))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,239 @@
+//! Puts the parts of a process together and runs them.
+
+use std::{cell::RefCell, fs, io::Write, rc::Rc, time::Duration};
+
+use compio::{runtime, signal};
+use conf::process;
+use futures_channel::oneshot;
+use futures_util::future::{self, LocalBoxFuture};
+use hyper::{Request, Response, body};
+use wire::{host, id, sync::Exchange};
+
+use crate::{
+    backend,
+    callers::Callers,
+    distribution::Distribution,
+    error::Error,
+    exit_code::ExitCode,
+    http, log,
+    metrics::Metrics,
+    operators::Operators,
+    options, peer,
+    role::{Identity, Role},
+    role_agent::Agent,
+    role_entry::Entry,
+    trace,
+};
+
+const NAME: &str = "quincespoked";
+/// Time for the last bytes of answers to leave after a planned stop.
+const FLUSH_LIMIT: Duration = Duration::from_secs(5);
+/// Bound on an exchange: eight branches of the largest size.
+const MAX_EXCHANGE_BYTES: u64 = 8 << 20;
+
+/// Prints text such as the help.
+pub fn print(text: &str) -> ExitCode {
+    let _ = std::io::stdout().write_all(text.as_bytes());
+    ExitCode::Success
+}
+
+/// Reports a bad command line.
+pub fn usage(error: &lexopt::Error) -> ExitCode {
+    eprintln!("{NAME}: {error}; see '{NAME} --help'");
+    ExitCode::Usage
+}
+
+/// Checks the settings file and prints every error.
+pub fn check(options: &options::Options) -> ExitCode {
+    match read(options) {
+        Ok(_) => ExitCode::Success,
+        Err(code) => code,
+    }
+}
+
+/// Runs the daemon until a planned stop is complete.
+pub fn run(options: &options::Options) -> ExitCode {
+    let settings = match read(options) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    log::start(&settings.log_level);
+    let runtime = match runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("{NAME}: runtime: {error}");
+            return ExitCode::Startup;
+        }
+    };
+    match runtime.block_on(serve(&settings)) {
+        Ok(()) => ExitCode::Success,
+        Err(error) => {
+            eprintln!("{NAME}: {error}");
+            ExitCode::Startup
+        }
+    }
+}
+
+fn read(options: &options::Options) -> Result<process::Process, ExitCode> {
+    let file = options.settings.display().to_string();
+    let text = fs::read_to_string(&options.settings).map_err(|error| {
+        eprintln!("{NAME}: {file}: {error}");
+        ExitCode::BadSettings
+    })?;
+    process::parse(&file, &text).map_err(|errors| {
+        for error in errors {
+            eprintln!("{NAME}: {error}");
+        }
+        ExitCode::BadSettings
+    })
+}
+
+/// Answers messages of other processes: settings exchanges here, the rest by the role.
+struct Peers {
+    role: Rc<dyn Role>,
+    distribution: Rc<Distribution>,
+}
+
+impl http::Handler for Peers {
+    fn handle(
+        self: Rc<Self>,
+        request: Request<body::Incoming>,
+    ) -> LocalBoxFuture<'static, Response<http::Body>> {
+        if request.uri().path() != "/sync" {
+            return self.role.clone().message(request);
+        }
+        Box::pin(async move {
+            let body = http::read_body(request.into_body(), MAX_EXCHANGE_BYTES).await;
+            let exchange = body.ok().and_then(|b| wire::frame::decode::<Exchange>(&b).ok());
+            let Some(exchange) = exchange else { return http::empty(400) };
+            match self.distribution.exchange(exchange).await {
+                Some(reply) => http::whole(200, peer::CONTENT_TYPE, wire::frame::encode(&reply)),
+                None => http::empty(503),
+            }
+        })
+    }
+}
+
+/// What both roles are built from.
+struct Parts<'a> {
+    settings: &'a process::Process,
+    identity: Identity,
+    metrics: Rc<Metrics>,
+    traces: Rc<trace::Store>,
+    server: Rc<http::Server>,
+    stopped: Rc<dyn Fn()>,
+}
+
+async fn serve(settings: &process::Process) -> Result<(), Error> {
+    let peers = http::bind(settings.peers).await?;
+    let operators = http::bind(settings.operators).await?;
+    let (stopped, wait) = stop_signal();
+    let parts = Parts {
+        settings,
+        identity: identify(settings),
+        metrics: Rc::new(Metrics::new(settings.statsd)),
+        traces: Rc::default(),
+        server: Rc::default(),
+        stopped,
+    };
+    let host = String::from_utf8_lossy(&settings.host).into_owned();
+    tracing::info!(event = "started", host, peers = %settings.peers, role = ?settings.role);
+    let (role, distribution) = match settings.role {
+        host::Role::Entry => start_entry(&parts).await?,
+        host::Role::Agent => start_agent(&parts),
+    };
+    listen(&parts, role.clone(), distribution, peers, operators);
+    wait_for_signal().await;
+    tracing::info!(event = "stopping");
+    role.stop();
+    let _ = wait.await;
+    parts.server.close(FLUSH_LIMIT).await;
+    tracing::info!(event = "stopped");
+    Ok(())
+}
+
+fn identify(settings: &process::Process) -> Identity {
+    Identity {
+        process: id::Process(fastrand::u64(..)),
+        host: settings.host.clone(),
+        availability_zone: settings.availability_zone.clone(),
+        role: settings.role,
+        address: settings.peers,
+        seed: fastrand::u64(..),
+    }
+}
+
+async fn start_entry(parts: &Parts<'_>) -> Result<(Rc<dyn Role>, Rc<Distribution>), Error> {
+    let entry = Entry::new(
+        parts.identity.clone(),
+        parts.metrics.clone(),
+        parts.traces.clone(),
+        parts.stopped.clone(),
+    );
+    if let Some(address) = parts.settings.callers {
+        let listener = http::bind(address).await?;
+        let handler = Callers::new(entry.clone());
+        runtime::spawn(parts.server.clone().serve(listener, handler)).detach();
+    }
+    let distribution = Distribution::start(parts.settings, &parts.identity, entry.clone());
+    let source = distribution.clone();
+    entry.set_settings_hash(move || source.hash());
+    Ok((entry, distribution))
+}
+
+fn start_agent(parts: &Parts<'_>) -> (Rc<dyn Role>, Rc<Distribution>) {
+    let settings = parts.settings;
+    let agent = Agent::start(
+        &parts.identity,
+        settings.pool.clone(),
+        backend::Client { address: settings.backend.unwrap_or(settings.peers) },
+        parts.metrics.clone(),
+        parts.traces.clone(),
+        parts.stopped.clone(),
+    );
+    let distribution = Distribution::start(settings, &parts.identity, agent.clone());
+    agent.set_distribution(&distribution);
+    (agent, distribution)
+}
+
+fn listen(
+    parts: &Parts<'_>,
+    role: Rc<dyn Role>,
+    distribution: Rc<Distribution>,
+    peers: compio::net::TcpListener,
+    operators: compio::net::TcpListener,
+) {
+    let peer_handler = Rc::new(Peers { role: role.clone(), distribution: distribution.clone() });
+    runtime::spawn(parts.server.clone().serve(peers, peer_handler)).detach();
+    let operator_handler = Rc::new(Operators {
+        identity: parts.identity.clone(),
+        role,
+        distribution,
+        metrics: parts.metrics.clone(),
+        traces: parts.traces.clone(),
+    });
+    // Operators watch a stop to its end, so their connections are not waited for.
+    let operator_server = Rc::new(http::Server::default());
+    runtime::spawn(operator_server.serve(operators, operator_handler)).detach();
+}
+
+/// Returns a function to call at the end of a planned stop and a future that waits for it.
+fn stop_signal() -> (Rc<dyn Fn()>, oneshot::Receiver<()>) {
+    let (sender, receiver) = oneshot::channel();
+    let sender = RefCell::new(Some(sender));
+    let stopped = Rc::new(move || {
+        if let Some(sender) = sender.borrow_mut().take() {
+            let _ = sender.send(());
+        }
+    });
+    (stopped, receiver)
+}
+
+async fn wait_for_signal() {
+    let terminate = Box::pin(signal::unix::signal(SIGTERM));
+    let interrupt = Box::pin(signal::unix::signal(SIGINT));
+    future::select(terminate, interrupt).await;
+}
+
+const SIGINT: i32 = 2;
+const SIGTERM: i32 = 15;
