Parse, check and merge settings

Cause: process settings and settings branches had types but no parser.

Change: reads both documents with rust-ini after a line check, since the parser joins a line without "=" with the following lines and skips an indented one at the end of the text. Every key has a unit, bounds and, unless required, a default. All errors of a document are reported at once, up to 1,000. Branch records whether it contains [entry], so that an [entry] section equal to the defaults still belongs to the first branch. Merge leaves out accounts and routes with undefined references or with a key or path that an earlier branch uses. docs/settings.md lists the keys; its examples are parsed and merged by a test.

--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -2,6 +2,12 @@
 
 use std::fmt;
 
+/// Longest value that an error repeats, in characters; the rest is cut.
+const SHOWN_CHARS: usize = 120;
+
+/// Errors kept for one document; a binary file would otherwise yield one for each line.
+const MAX_ERRORS: usize = 1_000;
+
 /// One error: where it is, what was found and what is allowed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Error {
@@ -20,3 +26,43 @@
         write!(f, "{file}: [{section}] {key} = {value:?}: allowed is {allowed}")
     }
 }
+
+/// Collects the errors of one document.
+#[derive(Debug)]
+pub(crate) struct Report {
+    file: String,
+    errors: Vec<Error>,
+}
+
+impl Report {
+    /// Returns an empty report about `file`.
+    pub(crate) fn new(file: &str) -> Report {
+        Report { file: shorten(file), errors: Vec::new() }
+    }
+
+    /// Adds one error.
+    pub(crate) fn add(&mut self, section: &str, key: &str, value: &str, allowed: &str) {
+        if self.errors.len() >= MAX_ERRORS {
+            return;
+        }
+        self.errors.push(Error {
+            file: self.file.clone(),
+            section: shorten(section),
+            key: shorten(key),
+            value: shorten(value),
+            allowed: allowed.to_owned(),
+        });
+    }
+
+    /// Returns `value` if nothing was reported.
+    pub(crate) fn finish<T>(self, value: Option<T>) -> Result<T, Vec<Error>> {
+        match value {
+            Some(value) if self.errors.is_empty() => Ok(value),
+            _ => Err(self.errors),
+        }
+    }
+}
+
+fn shorten(text: &str) -> String {
+    text.chars().take(SHOWN_CHARS).collect()
+}
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -1,5 +1,9 @@
 //! Settings: the process settings file and the settings tree that operators publish.
 
+mod branch;
 pub mod check;
+pub mod document;
+mod merge;
 pub mod process;
+mod section;
 pub mod tree;
--- a/crates/conf/src/tree.rs
+++ b/crates/conf/src/tree.rs
@@ -1,11 +1,14 @@
 //! The settings tree: branches of INI sections, each branch owned by one team.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use bytes::Bytes;
 use wire::{request, tier};
 
-use crate::check;
+use crate::{branch, check, merge};
+
+/// Path of model routes.
+pub const CHAT_PATH: &[u8] = b"/v1/chat/completions";
 
 /// The merged settings in force.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -36,6 +39,16 @@
     pub max_deadline: Duration,
 }
 
+impl Default for Tier {
+    fn default() -> Tier {
+        Tier {
+            rank: tier::Tier(0),
+            deadline: Duration::from_secs(30),
+            max_deadline: Duration::from_secs(300),
+        }
+    }
+}
+
 /// A client account.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Account {
@@ -50,6 +63,12 @@
     pub max_open: u32,
 }
 
+impl Default for Account {
+    fn default() -> Account {
+        Account { api_key_sha256: Bytes::new(), top_tier: Bytes::new(), share: 1, max_open: 1_000 }
+    }
+}
+
 /// A route from callers to a pool.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Route {
@@ -68,6 +87,21 @@
     pub max_body_bytes: u64,
 }
 
+impl Default for Route {
+    fn default() -> Route {
+        Route {
+            path: Bytes::from_static(CHAT_PATH),
+            model: Bytes::new(),
+            kind: request::Kind::Model,
+            pool: Bytes::new(),
+            tier: Bytes::new(),
+            idempotent: true,
+            require_key: true,
+            max_body_bytes: 1 << 20,
+        }
+    }
+}
+
 /// A pool of backend servers of one kind.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Pool {
@@ -107,6 +141,30 @@
     pub checks_fence: bool,
 }
 
+impl Default for Pool {
+    fn default() -> Pool {
+        Pool {
+            spread: 2,
+            hedge: Duration::from_millis(20),
+            grant_ttl: Duration::from_millis(250),
+            retention: Duration::from_secs(60),
+            orphan_ttl: Duration::from_secs(10),
+            key_ttl: Duration::from_secs(900),
+            resume_limit: Duration::from_secs(5),
+            max_running: 64,
+            max_prompt_tokens: 65_536,
+            short_tokens: 1_024,
+            short_share_percent: 25,
+            prefill_tokens_per_s: 8_000,
+            max_queued_tokens: 2_000_000,
+            max_queued: 1_024,
+            max_ejected_percent: 33,
+            quarantine: Duration::from_secs(600),
+            checks_fence: false,
+        }
+    }
+}
+
 /// An order that a backend server take no new work.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Drain {
@@ -141,9 +199,9 @@
     }
 }
 
-/// The sections of one branch, checked on their own.
+/// The sections of one branch, checked on their own, and whether `[entry]` is one of them.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Branch(pub Tree);
+pub struct Branch(pub Tree, pub(crate) bool);
 
 /// Parses and checks one branch. The same text gives the same verdict in every process.
 ///
@@ -151,13 +209,12 @@
 ///
 /// Returns every error of the branch.
 pub fn parse(name: &str, text: &str) -> Result<Branch, Vec<check::Error>> {
-    let _ = (name, text, None::<SocketAddr>);
-    todo!()
+    branch::parse(name, text)
 }
 
 /// Merges branches. A name defined in two branches belongs to the first branch in name
-/// order. The second value lists such conflicts and references to names not defined.
+/// order. The second value lists such conflicts and references to names not defined; a
+/// section with such a reference is left out of the tree.
 pub fn merge(branches: &BTreeMap<Bytes, Branch>) -> (Tree, Vec<check::Error>) {
-    let _ = branches;
-    todo!()
+    merge::merge(branches)
 }
