Distribute settings branches, the host list and suspects

Cause: the sync crate had its events and actions but no state machine.

Change: implements the machine. A revision comes into force if it is valid and higher than the one held. Two watchers for each zone hold blocking reads; every process makes rare backup reads, about two per second over the fleet, which cover watchers that are gone or whose read hangs. Branches up to 1 KiB are pushed, larger ones are announced by their revision and asked for. A deleted branch becomes a tombstone whose revision is the index of the reading that lacked it. A starting process does not say what it holds when it answers, so that it can't stand in for a seed that has the current settings.

No test fails yet without the empty digest of a starting process, the tombstones on data from peers, the loss of a hanging read, the longer memory of suspects and the rule for what counts as an exchange.

--- /dev/null
+++ b/crates/sync/src/exchange.rs
@@ -0,0 +1,141 @@
+//! Messages with peers: pushes, digest exchanges and their replies.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use wire::{sync, time::Instant};
+
+use crate::{Action, Machine, limit, store};
+
+impl Machine {
+    fn message(&self, now: Instant) -> sync::Exchange {
+        sync::Exchange {
+            process: self.setup.process,
+            host: self.setup.host.clone(),
+            digest: self.store.digest().clone(),
+            branches: Vec::new(),
+            wanted: Vec::new(),
+            suspects: self.suspects.shared(now),
+        }
+    }
+
+    pub(crate) fn exchange_with(&self, now: Instant, peer: SocketAddr, actions: &mut Vec<Action>) {
+        actions.push(Action::Send { peer, exchange: self.message(now) });
+    }
+
+    /// Exchanges digests with one random peer.
+    pub(crate) fn exchange_with_any(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        for peer in self.peers.choose(&mut self.rng, 1, b"") {
+            self.partner = Some(peer);
+            self.exchange_with(now, peer, actions);
+        }
+    }
+
+    /// Tells random peers of revisions that just came into force.
+    pub(crate) fn push(
+        &mut self,
+        now: Instant,
+        changed: &[Bytes],
+        except: &[u8],
+        actions: &mut Vec<Action>,
+    ) {
+        if changed.is_empty() {
+            return;
+        }
+        let mut exchange = self.message(now);
+        exchange.branches = self.store.named(changed.iter());
+        exchange.branches.retain(|branch| branch.text.len() <= limit::PUSH_BYTES);
+        for peer in self.peers.choose(&mut self.rng, limit::FANOUT, except) {
+            actions.push(Action::Send { peer, exchange: exchange.clone() });
+        }
+    }
+
+    /// Answers a peer's exchange.
+    pub(crate) fn received(
+        &mut self,
+        now: Instant,
+        link: u64,
+        exchange: sync::Exchange,
+        actions: &mut Vec<Action>,
+    ) {
+        let digest = exchange.digest.clone();
+        let host = exchange.host.clone();
+        let changed = self.absorb(now, exchange, actions);
+        let mut reply = self.message(now);
+        reply.branches = self.store.ahead(&digest);
+        reply.wanted = self.wanted(now, &digest);
+        // A process that is starting may hold settings of a stale service only. Its reply
+        // must not count as a seed's answer, so it doesn't say what it holds.
+        if !self.join.is_done() {
+            reply.digest = sync::Digest::default();
+        }
+        actions.push(Action::Reply { link, exchange: reply });
+        self.push(now, &changed, &host, actions);
+    }
+
+    /// Takes a peer's reply.
+    pub(crate) fn replied(
+        &mut self,
+        now: Instant,
+        peer: SocketAddr,
+        exchange: sync::Exchange,
+        actions: &mut Vec<Action>,
+    ) {
+        let digest = exchange.digest.clone();
+        let host = exchange.host.clone();
+        let wanted = exchange.wanted.clone();
+        let changed = self.absorb(now, exchange, actions);
+        let is_behind = !self.store.behind(&digest).is_empty();
+        if !digest.0.is_empty() && !is_behind {
+            self.join.answered(peer);
+        }
+        // The rest of a difference that exceeds one message follows in the next.
+        let is_partial = is_behind && !changed.is_empty();
+        if (is_partial || !wanted.is_empty()) && self.follow_ups < limit::MAX_FOLLOW_UPS {
+            self.follow_ups += 1;
+            let mut exchange = self.message(now);
+            exchange.branches = self.store.named(wanted.iter());
+            actions.push(Action::Send { peer, exchange });
+        }
+        self.push(now, &changed, &host, actions);
+    }
+
+    /// Takes what a message carries and returns the names of branches that changed.
+    fn absorb(
+        &mut self,
+        now: Instant,
+        exchange: sync::Exchange,
+        actions: &mut Vec<Action>,
+    ) -> Vec<Bytes> {
+        let new = self.suspects.learn(now, &exchange.suspects);
+        if !new.is_empty() {
+            actions.push(Action::Suspects(new));
+        }
+        let branches = exchange.branches.into_iter().take(limit::MAX_BRANCHES);
+        let changed = self.take(store::Source::Peer, branches, actions);
+        // A message that leaves this process behind its sender is no complete exchange, and
+        // one from a process that is starting says nothing about the fleet.
+        let digest = &exchange.digest;
+        if !digest.0.is_empty() && self.store.behind(digest).is_empty() {
+            self.contact = now;
+            self.is_orphan = false;
+        }
+        changed
+    }
+
+    /// Returns the branches to ask of the holder of `digest`, leaving out those asked of
+    /// another peer just before.
+    fn wanted(&mut self, now: Instant, digest: &sync::Digest) -> Vec<Bytes> {
+        self.asked.retain(|_, (_, at)| now.since(*at) < limit::ASK_AGAIN);
+        let mut wanted = Vec::new();
+        for (name, revision) in self.store.behind(digest) {
+            let asked = self.asked.get(&name);
+            let is_asked = asked.is_some_and(|(asked, _)| *asked >= revision);
+            if !is_asked && (asked.is_some() || self.asked.len() < limit::MAX_BRANCHES) {
+                self.asked.insert(name.clone(), (revision, now));
+                wanted.push(name);
+            }
+        }
+        wanted
+    }
+}
--- /dev/null
+++ b/crates/sync/src/peer.rs
@@ -0,0 +1,83 @@
+//! The peers of this process and its place among the watchers of its zone.
+
+use std::{collections::BTreeSet, net::SocketAddr};
+
+use bytes::Bytes;
+use wire::host;
+use xxhash_rust::xxh3;
+
+use crate::{Setup, limit};
+
+/// Processes that this one may contact.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    /// Hosts in force and seeds, without this process. Seeds stay in the set so that a
+    /// wrong host list can't cut the process off.
+    peers: Vec<(Bytes, SocketAddr)>,
+    is_watcher: bool,
+    fleet: usize,
+}
+
+impl Peers {
+    /// Returns the peers known before a host list is in force.
+    pub(crate) fn new(setup: &Setup) -> Peers {
+        let mut peers = Peers { peers: Vec::new(), is_watcher: false, fleet: 0 };
+        peers.update(setup, &[]);
+        peers
+    }
+
+    /// Takes a new host list.
+    pub(crate) fn update(&mut self, setup: &Setup, hosts: &[host::Record]) {
+        let listed = hosts.iter().map(|record| (record.host.clone(), record.address));
+        let seeds = setup.seeds.iter().map(|seed| (Bytes::new(), *seed));
+        let mut seen = BTreeSet::from([setup.address]);
+        self.peers = listed.chain(seeds).filter(|(_, address)| seen.insert(*address)).collect();
+        self.fleet = hosts.len();
+        self.is_watcher = is_watcher(setup, hosts);
+    }
+
+    /// Returns whether this process watches the service for its zone.
+    pub(crate) fn is_watcher(&self) -> bool {
+        self.is_watcher
+    }
+
+    /// Returns the number of hosts in force.
+    pub(crate) fn fleet(&self) -> usize {
+        self.fleet
+    }
+
+    /// Returns up to `count` distinct random peers, none of them on host `except`.
+    pub(crate) fn choose(
+        &self,
+        rng: &mut fastrand::Rng,
+        count: usize,
+        except: &[u8],
+    ) -> Vec<SocketAddr> {
+        let wanted = |peer: &&(Bytes, SocketAddr)| peer.0.is_empty() || peer.0 != except;
+        rng.choose_multiple(self.peers.iter().filter(wanted), count)
+            .into_iter()
+            .map(|(_, address)| *address)
+            .collect()
+    }
+}
+
+/// Returns whether the process is among the first live ones of its zone in rendezvous order.
+/// Before a host list is known the seeds watch, or every process if there are none.
+fn is_watcher(setup: &Setup, hosts: &[host::Record]) -> bool {
+    if hosts.is_empty() {
+        return setup.seeds.is_empty() || setup.seeds.contains(&setup.address);
+    }
+    let in_zone = |record: &&host::Record| {
+        record.availability_zone == setup.availability_zone && record.state == host::State::Live
+    };
+    let score = |record: &host::Record| {
+        let mut hasher = xxh3::Xxh3::new();
+        hasher.update(&record.availability_zone);
+        hasher.update(&[0]);
+        hasher.update(&record.host);
+        (hasher.digest(), record.address)
+    };
+    let mut order: Vec<_> = hosts.iter().filter(in_zone).map(score).collect();
+    order.sort_unstable();
+    order.iter().take(limit::WATCHERS).any(|(_, address)| *address == setup.address)
+}
--- /dev/null
+++ b/crates/sync/tests/distribution.rs
@@ -0,0 +1,228 @@
+//! Distribution over a simulated network. Besides what each test says, the network checks
+//! at every step that no revision goes down, that no bad revision is in force, that what is
+//! accepted is in force in the whole group within 3 s, and that no process is ready with
+//! less than its reachable seeds held when it started.
+
+mod net;
+
+use net::{MS, Net, SECOND};
+use sync::Event;
+use wire::sync::{Branch, Suspect};
+
+fn pool(name: &str, spread: u64, padding: usize) -> String {
+    format!("; {}\n[pool {name}]\nspread = {spread}\n", "x".repeat(padding))
+}
+
+/// Applies one random disturbance or operation.
+fn disturb(net: &mut Net) {
+    let name = format!("b{}", net.rng.u32(..3));
+    let count = net.nodes.len();
+    match net.rng.u32(..16) {
+        0..4 => {
+            let padding = if net.rng.bool() { 0 } else { 3_000 };
+            let text = pool(&name, net.rng.u64(1..=8), padding);
+            net.write(&name, &text);
+        }
+        // Two operators race, and one of them errs.
+        4 => {
+            net.write(&name, &pool(&name, 3, 0));
+            net.write(&name, "[pool p]\nspread = 99\n");
+        }
+        5 => net.delete(&name),
+        6 | 7 => {
+            let node = net.rng.usize(..count);
+            net.restart(node);
+        }
+        8 => {
+            let cut = net.rng.usize(1..count);
+            net.partition(|node| u8::from(node >= cut));
+        }
+        9 | 10 => net.partition(|_| 0),
+        11 => {
+            if net.rng.bool() {
+                net.service.save();
+            }
+            net.service.serve_saved();
+        }
+        12 => net.service.refresh(),
+        13 => net.service.down = (0..2).collect(),
+        14 => net.service.down = [net.rng.u8(..3)].into(),
+        _ => net.hosts_up = !net.hosts_up,
+    }
+}
+
+fn schedule(seed: u64) -> (u64, u64) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let count = rng.usize(3..8);
+    let mut net = Net::new(seed, count, 2, 2);
+    net.drop_percent = rng.u32(..10);
+    net.run_for(2_500 * MS);
+    for _ in 0..10 {
+        disturb(&mut net);
+        let longest = if net.rng.u32(..4) == 0 { 5 * SECOND } else { SECOND };
+        let pause = net.rng.u64(..longest);
+        net.run_for(pause);
+    }
+    net.service.down.clear();
+    net.service.refresh();
+    net.hosts_up = true;
+    net.partition(|_| 0);
+    net.run_for(7 * SECOND);
+    let latest: Vec<_> = net.service.latest().cloned().collect();
+    let is_good =
+        |branch: &&Branch| !net.service.bad.contains(&(branch.name.clone(), branch.revision));
+    for node in &net.nodes {
+        assert!(node.is_ready, "seed {seed}: not ready");
+        assert_eq!(node.held, net.nodes[0].held, "seed {seed}");
+        assert_eq!(node.tree, net.nodes[0].tree, "seed {seed}");
+        for branch in latest.iter().filter(is_good) {
+            assert_eq!(node.held.get(&branch.name), Some(&branch.revision), "seed {seed}");
+        }
+        for pool in node.tree.pools.keys() {
+            let is_listed = latest.iter().any(|branch| branch.name == *pool);
+            assert!(is_listed, "seed {seed}: {pool:?} was deleted");
+        }
+    }
+    (net.checks, net.ready_checks)
+}
+
+/// Guards against any combination of faults that reverts, loses or delays settings.
+#[test]
+fn random_schedules() {
+    let part = |part: u64| (part * 250..part * 250 + 250).map(schedule);
+    let run = |number| part(number).fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1));
+    let parts: Vec<_> = std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..4).map(|number| scope.spawn(move || run(number))).collect();
+        threads.into_iter().map(|thread| thread.join().unwrap()).collect()
+    });
+    println!("checks of the 3 s bound and of a start: {parts:?}");
+    assert!(parts.iter().all(|part| part.0 > 500 && part.1 > 100), "too few checks: {parts:?}");
+}
+
+/// Guards against gossip that reaches a small fleet only, or depends on every message.
+#[test]
+fn sixty_processes_follow_changes_with_losses() {
+    let mut net = Net::new(7, 60, 4, 3);
+    net.drop_percent = 10;
+    net.run_for(4 * SECOND);
+    for change in 0..20 {
+        net.write("pools", &pool("p", 1 + change % 8, 4_000 * (change as usize % 2)));
+        net.run_for(500 * MS);
+    }
+    net.run_for(4 * SECOND);
+    assert!(net.checks >= 20, "{}", net.checks);
+}
+
+/// Guards against a stale service that reverts a process which starts with nothing.
+#[test]
+fn a_stale_service_does_not_revert_a_start() {
+    let mut net = Net::new(3, 20, 4, 3);
+    net.write("pools", &pool("p", 2, 0));
+    net.run_for(3 * SECOND);
+    net.service.save();
+    net.write("pools", &pool("p", 3, 0));
+    net.run_for(3 * SECOND);
+    net.service.serve_saved();
+    let held = net.nodes[0].held.clone();
+    for node in 0..20 {
+        net.restart(node);
+        net.run_for(3 * SECOND);
+        assert!(net.nodes[node].is_ready);
+        assert_eq!(net.nodes[node].held, held);
+    }
+    assert!(net.ready_checks >= 17);
+}
+
+/// Guards against a deleted branch that a partitioned holder brings back, and against one
+/// that can't be created again.
+#[test]
+fn a_deletion_survives_a_holder_that_missed_it() {
+    let mut net = Net::new(5, 20, 4, 3);
+    net.write("pools", &pool("p", 2, 0));
+    net.run_for(4 * SECOND);
+    net.service.down = [1].into();
+    net.partition(|node| u8::from(node >= 15));
+    net.delete("pools");
+    net.run_for(SECOND);
+    // The informed side forgets that the branch ever existed.
+    (0..15).for_each(|node| net.restart(node));
+    net.run_for(4 * SECOND);
+    assert!(net.nodes[19].tree.pools.contains_key(&b"p"[..]));
+    net.partition(|_| 0);
+    net.run_for(4 * SECOND);
+    assert!(net.nodes.iter().all(|node| node.tree.pools.is_empty()));
+    net.write("pools", &pool("p", 4, 0));
+    net.run_for(3 * SECOND);
+    assert!(net.nodes.iter().all(|node| node.tree.pools[&b"p"[..]].spread == 4));
+}
+
+/// Guards against load on the service and the host list that grows with the fleet.
+#[test]
+fn service_reads_do_not_grow_with_the_fleet() {
+    let rates = [20, 60, 200].map(|count| {
+        let mut net = Net::new(11, count, 4, 3);
+        net.run_for(5 * SECOND);
+        (net.reads, net.host_reads) = (0, 0);
+        for change in 0..60 {
+            if change % 10 == 0 {
+                net.write("pools", &pool("p", 1 + change / 10, 0));
+            }
+            net.run_for(SECOND);
+        }
+        println!("{count} processes: {} and {} reads in 60 s", net.reads, net.host_reads);
+        (net.reads, net.host_reads)
+    });
+    // 8 watchers: at most a blocking read in 10 s and one for each of 6 changes, a poll of
+    // the host list each second, and 2 backup reads per second.
+    for (reads, host_reads) in rates {
+        assert!(reads <= 8 * (7 + 6) + 2 * 60 * 5 / 4, "{rates:?}");
+        assert!(host_reads <= 8 * 61 + 2 * 60 * 5 / 4, "{rates:?}");
+    }
+}
+
+/// Guards against an outage of all watchers that stops the distribution while the host list
+/// still names them.
+#[test]
+fn changes_spread_without_any_watcher() {
+    let mut net = Net::new(13, 30, 1, 3);
+    net.run_for(4 * SECOND);
+    // Processes without blocking reads are those that don't watch.
+    let watchers: Vec<usize> = net.service.waiting.values().map(|(node, _)| *node).collect();
+    assert_eq!(watchers.len(), 2);
+    net.service.down = [1].into();
+    net.partition(|node| u8::from(watchers.contains(&node)));
+    net.service.waiting.clear();
+    net.write("pools", &pool("p", 5, 0));
+    net.run_for(4 * SECOND);
+    let others = net.nodes.iter().filter(|node| node.group == 0);
+    assert!(others.clone().all(|node| node.tree.pools.contains_key(&b"p"[..])));
+}
+
+/// Guards against suspects that don't reach the fleet, are told twice or circulate for ever.
+#[test]
+fn suspects_reach_every_process_once() {
+    let mut net = Net::new(17, 60, 4, 3);
+    net.run_for(4 * SECOND);
+    let suspect = Suspect { fingerprint: 9, crashes: 1, cleared: false };
+    net.act(30, Event::Suspects(vec![suspect, suspect]));
+    net.run_for(100 * MS);
+    let informed = net.nodes.iter().filter(|node| node.suspects == [suspect]).count();
+    assert_eq!(informed, 59);
+    net.run_for(150 * SECOND);
+    assert!(net.nodes.iter().all(|node| node.suspects.len() <= 1));
+    net.act(2, Event::Suspects(vec![Suspect { cleared: true, ..suspect }]));
+    net.run_for(100 * MS);
+    assert!(net.nodes[30].suspects.iter().any(|suspect| suspect.cleared));
+}
+
+/// Guards against a bad revision that is reported more than once at a process, or travels.
+#[test]
+fn a_bad_revision_is_refused_once_and_not_passed_on() {
+    let mut net = Net::new(19, 20, 1, 3);
+    net.run_for(4 * SECOND);
+    net.write("pools", "[pool p]\nspread = 0\n");
+    net.run_for(60 * SECOND);
+    // Watchers and backup readers see it; others hear nothing of it.
+    assert!(net.nodes.iter().all(|node| node.refusals <= 1));
+    assert!(net.nodes.iter().any(|node| node.refusals == 1));
+}
--- /dev/null
+++ b/crates/sync/tests/machine.rs
@@ -0,0 +1,185 @@
+//! One machine against peers that send what they should not.
+
+use bytes::Bytes;
+use sync::{Action, Event, Machine, Setup, limit};
+use wire::{
+    id,
+    sync::{Branch, Digest, Exchange, Suspect},
+    time::Instant,
+};
+
+fn machine() -> Machine {
+    let setup = Setup {
+        process: id::Process(1),
+        host: Bytes::from_static(b"h1"),
+        availability_zone: Bytes::from_static(b"z1"),
+        address: "10.0.0.1:7000".parse().unwrap(),
+        seeds: vec!["10.0.0.2:7000".parse().unwrap()],
+        seed: 1,
+    };
+    let mut machine = Machine::new(setup);
+    machine.handle(Instant(1), Event::Start, &mut Vec::new());
+    machine
+}
+
+fn exchange(branches: Vec<Branch>) -> Exchange {
+    Exchange {
+        process: id::Process(2),
+        host: Bytes::from_static(b"h2"),
+        digest: Digest::default(),
+        branches,
+        wanted: Vec::new(),
+        suspects: Vec::new(),
+    }
+}
+
+fn branch(name: &str, revision: u64, text: &str) -> Branch {
+    let text = Bytes::copy_from_slice(text.as_bytes());
+    Branch { name: Bytes::copy_from_slice(name.as_bytes()), revision, text }
+}
+
+fn send(machine: &mut Machine, exchange: Exchange) -> Vec<Action> {
+    let mut actions = Vec::new();
+    machine.handle(Instant(2), Event::Received { link: 1, exchange }, &mut actions);
+    actions
+}
+
+fn refusals(actions: &[Action]) -> usize {
+    actions.iter().filter(|action| matches!(action, Action::Refused { .. })).count()
+}
+
+/// Guards against memory that grows with the number or size of branches a peer sends.
+#[test]
+fn branches_are_bounded() {
+    let mut machine = machine();
+    let small: Vec<Branch> = (0..2_000).map(|n| branch(&format!("b{n}"), 1, "[entry]")).collect();
+    for part in small.chunks(500) {
+        send(&mut machine, exchange(part.to_vec()));
+    }
+    assert_eq!(machine.digest().0.len(), limit::MAX_BRANCHES);
+    let text = format!(";{}\n", "x".repeat(limit::MAX_BRANCH_BYTES));
+    assert_eq!(refusals(&send(&mut machine, exchange(vec![branch("b1", 2, &text)]))), 1);
+    let text = &text[..limit::MAX_BRANCH_BYTES / 2];
+    let large = (0..100).map(|n| branch(&format!("b{n}"), 2, text)).collect();
+    send(&mut machine, exchange(large));
+    let held = machine.digest().0.iter().filter(|(_, revision)| *revision == 2).count();
+    assert!(held * text.len() <= limit::MAX_TOTAL_BYTES, "{held} large branches");
+}
+
+/// Guards against a refused revision that blocks a valid text of the same revision, is
+/// reported twice, or takes the place of the accepted one.
+#[test]
+fn a_forged_bad_text_does_not_block_the_valid_one() {
+    let mut machine = machine();
+    send(&mut machine, exchange(vec![branch("b", 1, "[entry]")]));
+    let bad = || exchange(vec![branch("b", 2, "[nonsense]")]);
+    assert_eq!(refusals(&send(&mut machine, bad())), 1);
+    assert_eq!(refusals(&send(&mut machine, bad())), 0);
+    assert_eq!(machine.digest().0, [(Bytes::from_static(b"b"), 1)]);
+    send(&mut machine, exchange(vec![branch("b", 2, "[entry]\nmax_open = 7")]));
+    assert_eq!(machine.digest().0, [(Bytes::from_static(b"b"), 2)]);
+}
+
+/// Guards against host lists that cut the process off: malformed, empty or ambiguous.
+#[test]
+fn unusable_host_lists_are_refused() {
+    let mut machine = machine();
+    let record = r#"{"host":"h","role":"entry","address":"10.0.0.9:1","availability_zone":"z","state":"live"}"#;
+    let lists = ["", "[]", "{}", "[1]", &format!("[{record},{record}]")];
+    for (revision, list) in (1..).zip(lists) {
+        let mut actions = Vec::new();
+        let text = Bytes::copy_from_slice(list.as_bytes());
+        machine.handle(Instant(3), Event::Hosts { revision, text }, &mut actions);
+        assert_eq!(refusals(&actions), 1, "{list}");
+    }
+    let text = Bytes::from(format!("[{record}]"));
+    let mut actions = Vec::new();
+    machine.handle(Instant(3), Event::Hosts { revision: 9, text }, &mut actions);
+    assert!(actions.iter().any(|action| matches!(action, Action::Hosts(list) if list.len() == 1)));
+}
+
+/// Guards against suspects that fill the memory, and against exchanges that list them all.
+#[test]
+fn suspects_are_bounded() {
+    let mut machine = machine();
+    for round in 0..20_u64 {
+        let suspect = |n| Suspect { fingerprint: round * 1_000 + n, crashes: 1, cleared: false };
+        let suspects = (0..1_000).map(suspect).collect();
+        let actions = send(&mut machine, Exchange { suspects, ..exchange(Vec::new()) });
+        for action in actions {
+            if let Action::Reply { exchange, .. } = action {
+                assert!(exchange.suspects.len() <= limit::MAX_SUSPECTS_SENT);
+            }
+        }
+    }
+}
+
+/// Guards against a start that waits for a dead seed for ever, or serves without settings.
+#[test]
+fn a_start_without_seeds_ends_after_the_join_time() {
+    let step = |machine: &mut Machine, millis: u64, event| {
+        let mut actions = Vec::new();
+        machine.handle(Instant(millis * 1_000), event, &mut actions);
+        actions.iter().any(|action| matches!(action, Action::Ready))
+    };
+    let read = || Event::Read { branches: vec![branch("b", 1, "[entry]")], index: 1 };
+    let peer = "10.0.0.2:7000".parse().unwrap();
+    let mut late = machine();
+    assert!(!step(&mut late, 2_500, Event::Tick), "ready without settings");
+    assert!(step(&mut late, 2_600, read()));
+    let mut machine = machine();
+    assert!(!step(&mut machine, 10, read()), "ready without its seed");
+    assert!(!step(&mut machine, 1_999, Event::SendFailed { peer }));
+    assert!(step(&mut machine, 2_001, Event::Tick));
+}
+
+/// Guards against a digest hash of another process that is ignored or answered in a loop.
+#[test]
+fn a_differing_hash_causes_one_exchange() {
+    let mut machine = machine();
+    let peer = "10.0.0.7:7000".parse().unwrap();
+    let mut sends = |millis: u64, hash| {
+        let mut actions = Vec::new();
+        machine.handle(Instant(millis * 1_000), Event::Seen { peer, hash }, &mut actions);
+        let to_peer = |a: &&Action| matches!(a, Action::Send { peer: to, .. } if *to == peer);
+        actions.iter().filter(to_peer).count()
+    };
+    assert_eq!(sends(10, Digest::default().hash()), 0);
+    assert_eq!([sends(11, 1), sends(12, 1), sends(99, 1)], [1, 0, 1]);
+}
+
+quickcheck::quickcheck! {
+    /// Guards against arbitrary messages that panic the machine or lower a revision.
+    fn arbitrary_messages_do_no_harm(messages: Vec<(u8, u64, Vec<u8>)>) -> bool {
+        let mut machine = machine();
+        let mut before = Digest::default();
+        for (kind, number, bytes) in messages {
+            let bytes = Bytes::from(bytes);
+            let name = if kind % 3 == 0 { Bytes::from_static(b"@hosts") } else { bytes.clone() };
+            let peer = "10.0.0.2:7000".parse().unwrap();
+            let branch = Branch { name: name.clone(), revision: number, text: bytes.clone() };
+            let message = Exchange {
+                digest: Digest(vec![(name.clone(), number)]),
+                wanted: vec![name],
+                ..exchange(vec![branch.clone()])
+            };
+            let event = match kind % 6 {
+                0 => Event::Received { link: number, exchange: message },
+                1 => Event::Replied { peer, exchange: message },
+                2 => Event::Read { branches: vec![branch], index: number },
+                3 => Event::Hosts { revision: number, text: bytes },
+                4 => Event::Seen { peer, hash: number },
+                _ => Event::SendFailed { peer },
+            };
+            machine.handle(Instant(number / 2), event, &mut Vec::new());
+            let _ = machine.next_timer();
+            let now = machine.digest().clone();
+            let kept = |(name, old): &(Bytes, u64)| {
+                now.0.iter().any(|(held, revision)| held == name && revision >= old)
+            };
+            assert!(before.0.iter().all(kept));
+            before = now;
+        }
+        true
+    }
+}
