Add the engine server of the test doubles

Cause: the daemon is tested against an engine that resumes and cancels streams, reports load and crashes.

--- /dev/null
+++ b/crates/stand/src/http.rs
@@ -0,0 +1,179 @@
+//! HTTP/1.1 server shared by the test doubles.
+
+use std::{future::Future, io, net::SocketAddr, pin::Pin, rc::Rc};
+
+use bytes::Bytes;
+use compio::net::TcpStream;
+use cyper_core::{CompioTimer, HyperStream};
+use futures_util::stream::{LocalBoxStream, StreamExt};
+use http_body_util::{BodyExt, Either, Full, Limited, StreamBody};
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::{Frame, Incoming},
+    header,
+    server::conn::http1,
+    service,
+};
+use serde::{Serialize, de::DeserializeOwned};
+use wire::header::ENGINE_INSTANCE;
+
+use crate::port::{Gate, Port};
+
+/// Largest request body that is read.
+const MAX_BODY: usize = 16 << 20;
+
+/// Response body: whole, or produced over time. An error cuts the connection.
+pub type Body = Either<Full<Bytes>, StreamBody<LocalBoxStream<'static, io::Result<Frame<Bytes>>>>>;
+
+/// What a handler returns: `Err` drops the connection without an answer.
+pub type Answer = io::Result<Response<Body>>;
+
+type Pending = Pin<Box<dyn Future<Output = Answer>>>;
+
+/// A request with its whole body.
+#[derive(Debug)]
+pub struct Call {
+    /// Number of the connection within its port.
+    pub connection: u64,
+    pub method: Method,
+    pub path: String,
+    pub query: String,
+    pub headers: header::HeaderMap,
+    pub body: Bytes,
+}
+
+impl Call {
+    /// Returns a header as text, or an empty string.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+    }
+
+    /// Returns the value of a query parameter; one without a value is an empty string.
+    pub fn param(&self, name: &str) -> Option<&str> {
+        self.query.split('&').find_map(|pair| {
+            let (key, value) = pair.split_once('=').unwrap_or((pair, ""));
+            (key == name).then_some(value)
+        })
+    }
+
+    /// Parses the body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason as text.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, String> {
+        serde_json::from_slice(&self.body).map_err(|error| format!("body: {error}\n"))
+    }
+}
+
+/// Serves HTTP on `address` until the port is dropped.
+///
+/// # Errors
+///
+/// Returns the error of the bind.
+pub fn serve<F, H>(address: SocketAddr, gate: Rc<Gate>, handler: H) -> io::Result<Port>
+where
+    F: Future<Output = Answer> + 'static,
+    H: Fn(Call) -> F + 'static,
+{
+    let handler: Rc<dyn Fn(Call) -> Pending> = Rc::new(move |call| Box::pin(handler(call)));
+    Port::open(address, gate, move |stream, id| connection(stream, id, handler.clone()))
+}
+
+/// Returns an answer with a text body.
+pub fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
+    respond(status, "text/plain", body)
+}
+
+/// Returns a 200 answer with a JSON body.
+pub fn json(value: &impl Serialize) -> Response<Body> {
+    let body = serde_json::to_vec(value).expect("values of the doubles serialise");
+    respond(StatusCode::OK, "application/json", body)
+}
+
+/// Returns a 200 answer with one JSON value a line.
+pub fn json_lines<T: Serialize>(values: impl IntoIterator<Item = T>) -> Response<Body> {
+    let mut body = Vec::new();
+    for value in values {
+        serde_json::to_writer(&mut body, &value).expect("values of the doubles serialise");
+        body.push(b'\n');
+    }
+    respond(StatusCode::OK, "application/x-ndjson", body)
+}
+
+/// Returns an answer with a whole body.
+pub fn respond(status: StatusCode, kind: &str, body: impl Into<Bytes>) -> Response<Body> {
+    build(status, kind, Either::Left(Full::new(body.into())))
+}
+
+/// Returns a 200 answer whose body is produced over time.
+pub fn streamed(
+    kind: &str,
+    parts: impl futures_util::Stream<Item = io::Result<Bytes>> + 'static,
+) -> Response<Body> {
+    let frames = parts.map(|part| part.map(Frame::data)).boxed_local();
+    build(StatusCode::OK, kind, Either::Right(StreamBody::new(frames)))
+}
+
+fn build(status: StatusCode, kind: &str, body: Body) -> Response<Body> {
+    Response::builder()
+        .status(status)
+        .header(header::CONTENT_TYPE, kind)
+        .body(body)
+        .expect("status and content type are valid")
+}
+
+/// Adds the header that names the run of an engine or service.
+pub fn stamp(mut answer: Response<Body>, instance: u64) -> Response<Body> {
+    let value = header::HeaderValue::try_from(format!("{instance:016x}"));
+    let value = value.expect("hexadecimal digits form a header value");
+    answer.headers_mut().insert(ENGINE_INSTANCE, value);
+    answer
+}
+
+/// Returns an answer to a request that can't be understood.
+pub fn bad_request(reason: impl Into<Bytes>) -> Response<Body> {
+    text(StatusCode::BAD_REQUEST, reason)
+}
+
+/// Returns an answer for a path or method that is not served.
+pub fn not_found() -> Response<Body> {
+    text(StatusCode::NOT_FOUND, "not found\n")
+}
+
+/// Returns the error that drops a connection without an answer.
+pub fn dropped() -> io::Error {
+    io::ErrorKind::ConnectionAborted.into()
+}
+
+async fn connection(stream: TcpStream, id: u64, handler: Rc<dyn Fn(Call) -> Pending>) {
+    stream.set_nodelay(true).ok();
+    let service = service::service_fn(move |request| answer(request, id, handler.clone()));
+    let served = http1::Builder::new()
+        .timer(CompioTimer)
+        // Idle connections stay open, so that each lost connection is an injected fault.
+        .header_read_timeout(None)
+        .serve_connection(HyperStream::new_plain(stream), service);
+    // A connection ends with an error when its caller leaves or a fault is injected.
+    served.await.ok();
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    id: u64,
+    handler: Rc<dyn Fn(Call) -> Pending>,
+) -> Answer {
+    let (head, body) = request.into_parts();
+    let Ok(body) = Limited::new(body, MAX_BODY).collect().await else {
+        return Ok(text(StatusCode::PAYLOAD_TOO_LARGE, "body too large or cut off\n"));
+    };
+    let call = Call {
+        connection: id,
+        method: head.method,
+        path: head.uri.path().to_owned(),
+        query: head.uri.query().unwrap_or_default().to_owned(),
+        headers: head.headers,
+        body: body.to_bytes(),
+    };
+    handler(call).await
+}
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -3,6 +3,13 @@
 //!
 //! Each server runs on the current compio runtime; dropping its handle stops it.
 
+pub mod answer;
 pub mod cache;
+pub mod clock;
+pub mod engine;
+pub mod http;
 pub mod model;
+pub mod port;
 pub mod run;
+pub mod signal;
+pub mod stream;
