Add the service, configuration and host list doubles

Cause: settings distribution, drains and non-idempotent routes are tested against the systems outside.

--- /dev/null
+++ b/crates/stand/src/configuration.rs
@@ -0,0 +1,296 @@
+//! Configuration service: the read and blocking-query part of Consul's KV HTTP API.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    pin::pin,
+    rc::Rc,
+    time::Duration,
+};
+
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use futures_util::future::{Either, select};
+use hyper::{Method, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    clock::Clock,
+    http::{self, Answer, Body, Call},
+    port::{Gate, Port},
+    signal::Signal,
+};
+
+const KV: &str = "/v1/kv/";
+const CONTROL: &str = "/control/";
+/// Largest value; Consul's own limit is 512 KB.
+const MAX_VALUE: usize = 1 << 20;
+/// Longest and default wait of a blocking query, as in Consul.
+const MAX_WAIT: Duration = Duration::from_secs(600);
+const DEFAULT_WAIT: Duration = Duration::from_secs(300);
+
+#[derive(Clone, Debug)]
+struct Item {
+    /// `None` marks a deleted key, whose index still wakes watches.
+    value: Option<Bytes>,
+    create_index: u64,
+    modify_index: u64,
+}
+
+/// All keys at one time.
+#[derive(Clone, Debug, Default)]
+struct Snapshot {
+    items: BTreeMap<String, Item>,
+    index: u64,
+}
+
+/// One key as the API gives it.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct Pair<'a> {
+    lock_index: u64,
+    key: &'a str,
+    flags: u64,
+    value: String,
+    create_index: u64,
+    modify_index: u64,
+}
+
+#[derive(Deserialize)]
+struct Control {
+    down: Option<bool>,
+    stale: Option<bool>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    clock: Clock,
+    current: RefCell<Snapshot>,
+    /// What is answered instead while the service is stale.
+    stale: RefCell<Option<Snapshot>>,
+    down: Cell<bool>,
+    changed: Signal,
+    calls: Cell<u64>,
+}
+
+/// A running configuration service; dropping it stops the server.
+#[derive(Debug)]
+pub struct Service {
+    shared: Rc<Shared>,
+    port: Port,
+}
+
+/// Starts the service on the current runtime.
+///
+/// # Errors
+///
+/// Returns the error of the bind.
+pub fn spawn(address: SocketAddr) -> io::Result<Service> {
+    let shared = Rc::new(Shared {
+        clock: Clock::start(),
+        current: RefCell::default(),
+        stale: RefCell::default(),
+        down: Cell::new(false),
+        changed: Signal::default(),
+        calls: Cell::new(0),
+    });
+    let handled = shared.clone();
+    let gate = Rc::new(Gate::default());
+    let port = http::serve(address, gate, move |call| handle(handled.clone(), call))?;
+    Ok(Service { shared, port })
+}
+
+impl Service {
+    /// Returns the bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.port.address()
+    }
+
+    /// Publishes a value and returns its index.
+    pub fn publish(&self, key: &str, value: impl Into<Bytes>) -> u64 {
+        self.shared.set(key, Some(value.into()))
+    }
+
+    /// Deletes a key and returns the index of the deletion.
+    pub fn delete(&self, key: &str) -> u64 {
+        self.shared.set(key, None)
+    }
+
+    /// Makes reads fail: their connections are dropped, also those of waiting watches.
+    pub fn set_down(&self, down: bool) {
+        self.shared.set_down(down);
+    }
+
+    /// Makes reads answer from the keys as they are now, until it is switched off.
+    pub fn set_stale(&self, stale: bool) {
+        self.shared.set_stale(stale);
+    }
+
+    /// Returns the number of reads so far; a watch counts once.
+    pub fn calls(&self) -> u64 {
+        self.shared.calls.get()
+    }
+}
+
+impl Shared {
+    fn set(&self, key: &str, value: Option<Bytes>) -> u64 {
+        let mut current = self.current.borrow_mut();
+        current.index += 1;
+        let index = current.index;
+        let item = current.items.entry(key.to_owned()).or_insert_with(|| Item {
+            value: None,
+            create_index: index,
+            modify_index: index,
+        });
+        if item.value.is_none() {
+            item.create_index = index;
+        }
+        item.value = value;
+        item.modify_index = index;
+        drop(current);
+        self.changed.notify();
+        index
+    }
+
+    fn set_down(&self, down: bool) {
+        self.down.set(down);
+        self.changed.notify();
+    }
+
+    fn set_stale(&self, stale: bool) {
+        let snapshot = stale.then(|| self.current.borrow().clone());
+        self.stale.replace(snapshot);
+        self.changed.notify();
+    }
+
+    /// Runs `read` on the keys that are visible to callers.
+    fn visible<T>(&self, read: impl FnOnce(&Snapshot) -> T) -> T {
+        match &*self.stale.borrow() {
+            Some(snapshot) => read(snapshot),
+            None => read(&self.current.borrow()),
+        }
+    }
+}
+
+impl Snapshot {
+    fn matching(&self, key: &str, recurse: bool) -> impl Iterator<Item = (&str, &Item)> {
+        let range = self.items.range(key.to_owned()..);
+        range
+            .take_while(move |(name, _)| name.starts_with(key))
+            .filter(move |(name, _)| recurse || *name == key)
+            .map(|(name, item)| (name.as_str(), item))
+    }
+
+    /// Returns the index of the last change to the matching keys, and the index of the
+    /// store, but at least 1, if none was ever set.
+    fn index(&self, key: &str, recurse: bool) -> u64 {
+        let last = self.matching(key, recurse).map(|(_, item)| item.modify_index).max();
+        last.unwrap_or(self.index).max(1)
+    }
+}
+
+async fn handle(shared: Rc<Shared>, call: Call) -> Answer {
+    if let Some(key) = call.path.strip_prefix(KV) {
+        if call.method != Method::GET {
+            return Ok(http::text(StatusCode::METHOD_NOT_ALLOWED, "read only\n"));
+        }
+        return read(&shared, key, &call).await;
+    }
+    Ok(match (&call.method, call.path.as_str()) {
+        (&Method::GET, "/count") => http::json(&serde_json::json!({"calls": shared.calls.get()})),
+        (&Method::POST, "/control/state") => control(&shared, &call),
+        _ => match call.path.strip_prefix(CONTROL) {
+            Some(key) => publish(&shared, key, &call),
+            None => http::not_found(),
+        },
+    })
+}
+
+fn publish(shared: &Shared, key: &str, call: &Call) -> Response<Body> {
+    let index = match call.method {
+        Method::PUT if call.body.len() > MAX_VALUE => {
+            return http::text(StatusCode::PAYLOAD_TOO_LARGE, "value over 1 MB\n");
+        }
+        Method::PUT => shared.set(key, Some(call.body.clone())),
+        Method::DELETE => shared.set(key, None),
+        _ => return http::not_found(),
+    };
+    http::json(&serde_json::json!({"index": index}))
+}
+
+fn control(shared: &Shared, call: &Call) -> Response<Body> {
+    let control: Control = match call.json() {
+        Ok(control) => control,
+        Err(reason) => return http::bad_request(reason),
+    };
+    if let Some(down) = control.down {
+        shared.set_down(down);
+    }
+    if let Some(stale) = control.stale {
+        shared.set_stale(stale);
+    }
+    http::text(StatusCode::OK, "ok\n")
+}
+
+async fn read(shared: &Shared, key: &str, call: &Call) -> Answer {
+    shared.calls.set(shared.calls.get() + 1);
+    let recurse = call.param("recurse").is_some_and(|value| value != "false");
+    let seen: u64 = match call.param("index").unwrap_or("0").parse() {
+        Ok(seen) => seen,
+        Err(_) => return Ok(http::bad_request("index: not a number\n")),
+    };
+    let Some(wait) = call.param("wait").map_or(Some(DEFAULT_WAIT), span) else {
+        return Ok(http::bad_request("wait: not a time\n"));
+    };
+    let until = shared.clock.now() + wait.min(MAX_WAIT);
+    loop {
+        if shared.down.get() {
+            return Err(http::dropped());
+        }
+        let changes = shared.changed.changes();
+        let index = shared.visible(|keys| keys.index(key, recurse));
+        if seen == 0 || index > seen {
+            break;
+        }
+        let due = pin!(shared.clock.sleep_until(until));
+        if let Either::Left(_) = select(due, pin!(shared.changed.wait(changes))).await {
+            break;
+        }
+    }
+    Ok(shared.visible(|keys| pairs(keys, key, recurse)))
+}
+
+fn pairs(keys: &Snapshot, key: &str, recurse: bool) -> Response<Body> {
+    let present = keys.matching(key, recurse).filter_map(|(key, item)| {
+        Some(Pair {
+            lock_index: 0,
+            key,
+            flags: 0,
+            value: STANDARD.encode(item.value.as_ref()?),
+            create_index: item.create_index,
+            modify_index: item.modify_index,
+        })
+    });
+    let present: Vec<Pair<'_>> = present.collect();
+    let mut answer = match present.is_empty() {
+        true => http::text(StatusCode::NOT_FOUND, ""),
+        false => http::json(&present),
+    };
+    answer.headers_mut().insert("x-consul-index", keys.index(key, recurse).into());
+    answer
+}
+
+/// Parses a time such as `55s`, `5m` or `100ms`.
+fn span(text: &str) -> Option<Duration> {
+    let unit = text.find(|c: char| !c.is_ascii_digit())?;
+    let (count, unit) = text.split_at(unit);
+    let count: u64 = count.parse().ok()?;
+    match unit {
+        "ms" => Some(Duration::from_millis(count)),
+        "s" => Some(Duration::from_secs(count)),
+        "m" => Some(Duration::from_secs(count.checked_mul(60)?)),
+        _ => None,
+    }
+}
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -6,10 +6,13 @@
 pub mod answer;
 pub mod cache;
 pub mod clock;
+pub mod configuration;
 pub mod engine;
+pub mod hosts;
 pub mod http;
 pub mod model;
 pub mod port;
 pub mod run;
+pub mod service;
 pub mod signal;
 pub mod stream;
--- /dev/null
+++ b/crates/stand/src/service.rs
@@ -0,0 +1,171 @@
+//! Plain service: answers any path and records what it ran.
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use hyper::{Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use wire::{header, time::Instant};
+use xxhash_rust::xxh3;
+
+use crate::{
+    clock::Clock,
+    http::{self, Answer, Body, Call},
+    port::{Gate, Port},
+};
+
+/// Settings of the service.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    /// Time from a call to its answer.
+    pub latency: Duration,
+    /// Time from a crash until the port is open again.
+    pub restart: Duration,
+}
+
+/// One call that was run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Effect {
+    pub request_id: String,
+    pub method: String,
+    pub path: String,
+    /// Hash of the request body.
+    pub body_hash: u64,
+    pub instance: u64,
+    /// When the effect took place, by the service's own clock.
+    pub at: Instant,
+}
+
+#[derive(Deserialize)]
+struct Control {
+    #[serde(default)]
+    crash: bool,
+    latency_ms: Option<u64>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    restart: Duration,
+    clock: Clock,
+    gate: Rc<Gate>,
+    latency: Cell<Duration>,
+    instance: Cell<u64>,
+    effects: RefCell<Vec<Effect>>,
+}
+
+/// A running service; dropping it stops the server.
+#[derive(Debug)]
+pub struct Service {
+    shared: Rc<Shared>,
+    port: Port,
+}
+
+/// Starts the service on the current runtime.
+///
+/// # Errors
+///
+/// Returns the error of the bind.
+pub fn spawn(address: SocketAddr, settings: Settings) -> io::Result<Service> {
+    let gate = Rc::new(Gate::default());
+    let shared = Rc::new(Shared {
+        restart: settings.restart,
+        clock: Clock::start(),
+        gate: gate.clone(),
+        latency: Cell::new(settings.latency),
+        instance: Cell::new(fastrand::u64(..)),
+        effects: RefCell::default(),
+    });
+    let handled = shared.clone();
+    let port = http::serve(address, gate, move |call| handle(handled.clone(), call))?;
+    Ok(Service { shared, port })
+}
+
+impl Service {
+    /// Returns the bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.port.address()
+    }
+
+    /// Returns the number of the current run of the service.
+    pub fn instance(&self) -> u64 {
+        self.shared.instance.get()
+    }
+
+    /// Returns all calls that were run, over all instances.
+    pub fn record(&self) -> Vec<Effect> {
+        self.shared.effects.borrow().clone()
+    }
+
+    /// Changes the time from a call to its answer.
+    pub fn set_latency(&self, latency: Duration) {
+        self.shared.latency.set(latency);
+    }
+
+    /// Drops all connections and restarts as a new instance.
+    pub fn crash(&self) {
+        crash(&self.shared, None);
+    }
+}
+
+async fn handle(shared: Rc<Shared>, call: Call) -> Answer {
+    match call.path.as_str() {
+        "/record" => Ok(http::json_lines(&*shared.effects.borrow())),
+        "/control" => Ok(control(&shared, &call)),
+        "/health" => Ok(stamp(&shared, http::text(StatusCode::OK, "ok\n"))),
+        _ => run(&shared, call).await,
+    }
+}
+
+async fn run(shared: &Rc<Shared>, call: Call) -> Answer {
+    let instance = shared.instance.get();
+    let body_hash = xxh3::xxh3_64(&call.body);
+    shared.effects.borrow_mut().push(Effect {
+        request_id: call.header(header::REQUEST_ID).to_owned(),
+        method: call.method.to_string(),
+        path: call.path.clone(),
+        body_hash,
+        instance,
+        at: shared.clock.now(),
+    });
+    let latency = shared.latency.get();
+    if !latency.is_zero() {
+        compio::time::sleep(latency).await;
+    }
+    if shared.instance.get() != instance {
+        return Err(http::dropped());
+    }
+    let answer = serde_json::json!({
+        "method": call.method.as_str(),
+        "path": call.path,
+        "body_hash": format!("{body_hash:016x}"),
+    });
+    Ok(stamp(shared, http::json(&answer)))
+}
+
+fn stamp(shared: &Shared, answer: Response<Body>) -> Response<Body> {
+    http::stamp(answer, shared.instance.get())
+}
+
+fn control(shared: &Rc<Shared>, call: &Call) -> Response<Body> {
+    let control: Control = match call.json() {
+        Ok(control) => control,
+        Err(reason) => return http::bad_request(reason),
+    };
+    if let Some(latency) = control.latency_ms {
+        shared.latency.set(Duration::from_millis(latency));
+    }
+    if control.crash {
+        crash(shared, Some(call.connection));
+    }
+    http::text(StatusCode::OK, "ok\n")
+}
+
+fn crash(shared: &Shared, kept: Option<u64>) {
+    shared.instance.set(shared.instance.get().wrapping_add(1));
+    shared.gate.crash(kept, shared.restart);
+}
