--- a/crates/stand/tests/small.rs
+++ b/crates/stand/tests/small.rs
@@ -1,8 +1,12 @@
-//! Tests of the plain service and the host list.
+//! Tests of the plain service, the host list and the binary.
 
 mod common;
 
-use std::time::Duration;
+use std::{
+    io::{BufRead, BufReader},
+    process::{Command, Stdio},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use common::{any_port, read, run, send};
@@ -67,3 +71,24 @@
         assert!(list().await.is_err());
     });
 }
+
+/// Guards against a binary that doesn't report its address, doesn't serve, or ignores the
+/// signal to stop.
+#[test]
+fn binary_serves_until_terminated() {
+    let binary = env!("CARGO_BIN_EXE_quincespoke-stand");
+    for command in ["engine", "service", "configuration", "hosts"] {
+        let spawned = Command::new(binary).arg(command).stdout(Stdio::piped()).spawn();
+        let mut child = spawned.expect("the binary starts");
+        let mut line = String::new();
+        let mut out = BufReader::new(child.stdout.take().expect("piped"));
+        out.read_line(&mut line).expect("a line");
+        let address = line.trim().strip_prefix("listening=").expect("an address");
+        run(async {
+            let path = if command == "hosts" { "/hosts" } else { "/health" };
+            assert!(read(address.parse().expect("an address"), path).await.is_ok());
+        });
+        Command::new("kill").arg(child.id().to_string()).status().expect("kill runs");
+        assert!(child.wait().expect("the binary ends").success());
+    }
+}
