Add the operators' command-line tool

Cause: operators have no way to see the fleet or to check settings before publishing them. Change: quincespoke with check, hosts, revisions, explain, stragglers, quarantine, histograms, watch-drain and watch-revision. Processes are asked concurrently behind a Source trait; decisions are pure functions; exit codes are typed.

--- /dev/null
+++ b/crates/cli/src/clock.rs
@@ -0,0 +1,36 @@
+//! The clock of the polling subcommands, replaceable so that tests don't wait.
+
+use std::time::{self, Duration};
+
+use futures_util::future::{FutureExt, LocalBoxFuture};
+
+/// Measures and waits.
+pub trait Clock {
+    /// Returns the time since the clock was made.
+    fn elapsed(&self) -> Duration;
+
+    /// Completes after `duration`.
+    fn wait(&self, duration: Duration) -> LocalBoxFuture<'_, ()>;
+}
+
+/// The system's monotonic clock.
+#[derive(Debug)]
+pub struct System {
+    start: time::Instant,
+}
+
+impl Default for System {
+    fn default() -> System {
+        System { start: time::Instant::now() }
+    }
+}
+
+impl Clock for System {
+    fn elapsed(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    fn wait(&self, duration: Duration) -> LocalBoxFuture<'_, ()> {
+        compio::time::sleep(duration).boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/cli/src/command.rs
@@ -0,0 +1,131 @@
+//! Runs a subcommand and returns its report.
+
+use std::collections::BTreeSet;
+
+use serde_json::{Value, json};
+use wire::status;
+
+use crate::{
+    clock, disagreements, error, fetch, help, hosts, latency, options, output, poison, revisions,
+    settings, slow, trace, watch,
+};
+
+/// Runs what the options ask for.
+///
+/// # Errors
+///
+/// Returns an error if there is nothing to report; an error beside a report is part of it.
+pub async fn run(
+    options: &options::Options,
+    source: &dyn fetch::Source,
+    clock: &dyn clock::Clock,
+) -> Result<output::Report, error::Error> {
+    if options.help {
+        return Ok(plain(help::text(options.subcommand)));
+    }
+    let Some(subcommand) = options.subcommand.filter(|_| !options.version) else {
+        return Ok(plain(format!("quincespoke {}\n", env!("CARGO_PKG_VERSION"))));
+    };
+    Ok(match subcommand {
+        options::Subcommand::Check => check(options)?,
+        options::Subcommand::Hosts => hosts(options, source).await,
+        options::Subcommand::Revisions => revisions(options, source).await,
+        options::Subcommand::Explain => explain(options, source).await,
+        options::Subcommand::Stragglers => stragglers(options, source).await,
+        options::Subcommand::Quarantine => quarantine(options, source).await,
+        options::Subcommand::Histograms => histograms(options, source).await,
+        options::Subcommand::WatchDrain => {
+            let mut condition = watch::Drain { host: &options.host, seen: BTreeSet::new() };
+            watch::run(options, source, clock, &mut condition).await
+        }
+        options::Subcommand::WatchRevision => {
+            let mut condition =
+                watch::Revision { branch: &options.branch, revision: options.revision };
+            watch::run(options, source, clock, &mut condition).await
+        }
+    })
+}
+
+fn plain(text: String) -> output::Report {
+    output::Report { text, json: Value::Null, error: None }
+}
+
+fn check(options: &options::Options) -> Result<output::Report, error::Error> {
+    let check = if options.process { settings::check_processes } else { settings::check_trees };
+    let checked = check(&options.paths)?;
+    let count = checked.errors.len();
+    let error =
+        (count > 0).then_some(error::Error::Invalid { errors: count, files: checked.files });
+    Ok(output::Report { text: settings::text(&checked), json: json!(checked), error })
+}
+
+async fn statuses(
+    options: &options::Options,
+    source: &dyn fetch::Source,
+) -> (Vec<status::Status>, Option<error::Error>) {
+    fetch::ask_status(source, &options.at).await.into_values()
+}
+
+async fn hosts(options: &options::Options, source: &dyn fetch::Source) -> output::Report {
+    let (statuses, error) = statuses(options, source).await;
+    let rows = hosts::rows(&statuses);
+    let revisions = disagreements::revisions(&statuses);
+    let leaving = disagreements::leaving(&statuses);
+    let text = hosts::text(&rows, &revisions, &leaving);
+    let json = json!({
+        "processes": rows,
+        "disagreements": {"revisions": revisions, "leaving": leaving},
+    });
+    output::Report::over_processes(text, json, error)
+}
+
+async fn revisions(options: &options::Options, source: &dyn fetch::Source) -> output::Report {
+    let (statuses, error) = statuses(options, source).await;
+    let rows = revisions::rows(&statuses);
+    output::Report::over_processes(revisions::text(&rows), json!({"revisions": rows}), error)
+}
+
+async fn stragglers(options: &options::Options, source: &dyn fetch::Source) -> output::Report {
+    let (statuses, error) = statuses(options, source).await;
+    let stragglers = slow::stragglers(&statuses, options.slow_factor);
+    output::Report::over_processes(
+        slow::text(&stragglers),
+        json!({"stragglers": stragglers}),
+        error,
+    )
+}
+
+async fn quarantine(options: &options::Options, source: &dyn fetch::Source) -> output::Report {
+    let (statuses, error) = statuses(options, source).await;
+    let merged = poison::merge(&statuses);
+    output::Report::over_processes(poison::text(&merged), json!({"fingerprints": merged}), error)
+}
+
+async fn histograms(options: &options::Options, source: &dyn fetch::Source) -> output::Report {
+    let answers =
+        fetch::ask_all::<Vec<status::Histogram>>(source, &options.at, "/histograms").await;
+    let (histograms, error) = answers.into_values();
+    let rows = latency::merge(histograms, options.account.as_deref(), options.tier.as_deref());
+    output::Report::over_processes(latency::text(&rows), json!({"histograms": rows}), error)
+}
+
+async fn explain(options: &options::Options, source: &dyn fetch::Source) -> output::Report {
+    let request = options.request.map(|request| request.to_string()).unwrap_or_default();
+    let path = format!("/requests/{request}");
+    let mut answers = fetch::ask_all::<Vec<status::Trace>>(source, &options.at, &path).await;
+    let asked = answers.asked();
+    // The other processes never saw the request, or have forgotten it.
+    answers.failures.retain(|failed| failed.failure != fetch::Failure::Status(fetch::NOT_FOUND));
+    let failures = answers.failures;
+    let traces = answers.answers.into_iter().map(|answer| answer.value).collect();
+    let merged = trace::merge(traces);
+    let error = if !failures.is_empty() {
+        Some(error::Error::Unreachable { asked, failures })
+    } else if merged.is_empty() {
+        Some(error::Error::NoTrace { request: request.clone() })
+    } else {
+        None
+    };
+    let text = if merged.is_empty() { String::new() } else { trace::text(&merged) };
+    output::Report::over_processes(text, json!({"request": request, "trace": merged}), error)
+}
--- /dev/null
+++ b/crates/cli/src/drain.rs
@@ -0,0 +1,55 @@
+//! Decides whether a drained host has finished its work.
+
+use std::fmt;
+
+use wire::status;
+
+/// How far the drain of one host is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// No process that answered runs on the host.
+    Absent,
+    /// The host has not learned of the drain.
+    NotLeaving {
+        queued: u64,
+        running: u64,
+    },
+    Draining {
+        queued: u64,
+        running: u64,
+    },
+    /// Leaving, with nothing queued or running.
+    Drained,
+}
+
+impl fmt::Display for Progress {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Progress::Absent => write!(f, "does not answer"),
+            Progress::NotLeaving { queued, running } => {
+                write!(f, "not leaving, {queued} queued, {running} running")
+            }
+            Progress::Draining { queued, running } => {
+                write!(f, "leaving, {queued} queued, {running} running")
+            }
+            Progress::Drained => write!(f, "drained"),
+        }
+    }
+}
+
+/// Returns the progress of all processes on the host taken together.
+pub fn progress(host: &str, statuses: &[status::Status]) -> Progress {
+    let on_host: Vec<&status::Status> =
+        statuses.iter().filter(|status| status.host == host).collect();
+    let queued = on_host.iter().flat_map(|status| status.queued.values()).sum();
+    let running = on_host.iter().map(|status| status.running).sum();
+    if on_host.is_empty() {
+        Progress::Absent
+    } else if !on_host.iter().all(|status| status.leaving) {
+        Progress::NotLeaving { queued, running }
+    } else if queued > 0 || running > 0 {
+        Progress::Draining { queued, running }
+    } else {
+        Progress::Drained
+    }
+}
--- /dev/null
+++ b/crates/cli/src/exit_codes.rs
@@ -0,0 +1,24 @@
+//! Exit codes, fit for scripts.
+
+use std::process;
+
+/// Result of a run as scripts see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Code {
+    Ok = 0,
+    /// A check failed, a watched condition was not met in time, or nothing was found.
+    Failed = 1,
+    /// The command line is wrong.
+    Usage = 2,
+    /// At least one process did not answer, or not as expected.
+    Unreachable = 3,
+    /// A file or the standard output could not be used.
+    File = 4,
+}
+
+impl From<Code> for process::ExitCode {
+    fn from(code: Code) -> process::ExitCode {
+        process::ExitCode::from(code as u8)
+    }
+}
--- /dev/null
+++ b/crates/cli/src/output.rs
@@ -0,0 +1,116 @@
+//! Prints reports: tables for people, JSON for machines, errors as one line.
+
+use std::io::{self, Write};
+
+use serde_json::{Value, json};
+
+use crate::{error, exit_codes};
+
+/// Names listed in full before the rest is only counted.
+const MAX_NAMES: usize = 4;
+
+/// What a subcommand found out.
+#[derive(Debug)]
+pub struct Report {
+    /// Text for people.
+    pub text: String,
+    /// The same for machines, null if there is text only.
+    pub json: Value,
+    /// Set if the exit code is not 0.
+    pub error: Option<error::Error>,
+}
+
+impl Report {
+    /// Returns a report over the processes that answered. Those that did not are listed in
+    /// the text and under `unreachable`.
+    pub fn over_processes(
+        mut text: String,
+        mut json: Value,
+        error: Option<error::Error>,
+    ) -> Report {
+        if let Some(error::Error::Unreachable { failures, .. }) = &error {
+            let rows = failures
+                .iter()
+                .map(|failed| vec![failed.address.clone(), failed.failure.to_string()])
+                .collect();
+            text.push_str("\nNo answer from:\n");
+            text.push_str(&table(&["address", "cause"], rows));
+            json["unreachable"] = failures
+                .iter()
+                .map(|failed| {
+                    json!({"address": failed.address, "cause": failed.failure.to_string()})
+                })
+                .collect();
+        } else {
+            json["unreachable"] = json!([]);
+        }
+        Report { text, json, error }
+    }
+}
+
+/// Returns a table with a heading, one line per row.
+pub fn table(headings: &[&str], rows: Vec<Vec<String>>) -> String {
+    let mut table = comfy_table::Table::new();
+    table.load_preset(comfy_table::presets::NOTHING);
+    table.set_header(headings.iter().map(|heading| heading.to_uppercase()));
+    for row in rows {
+        table.add_row(row.iter().map(|cell| printable(cell)));
+    }
+    let lines = table.lines().map(|line| {
+        // Every column is padded by one blank, the first one too.
+        line.strip_prefix(' ').unwrap_or(&line).trim_end().to_owned()
+    });
+    lines.collect::<Vec<_>>().join("\n") + "\n"
+}
+
+/// Replaces control characters, so that text from processes can't steer the terminal, and
+/// shows empty text as `-`, so that scripts that split columns at blanks don't miscount.
+fn printable(text: &str) -> String {
+    if text.is_empty() {
+        return "-".to_owned();
+    }
+    text.chars()
+        .map(|char| if char.is_control() { char::REPLACEMENT_CHARACTER } else { char })
+        .collect()
+}
+
+/// Returns the first names and the count of the others.
+pub fn names(names: &[String]) -> String {
+    let listed = names.iter().take(MAX_NAMES).cloned().collect::<Vec<_>>().join(", ");
+    match names.len().saturating_sub(MAX_NAMES) {
+        0 => listed,
+        others => format!("{listed} and {others} more"),
+    }
+}
+
+/// Returns `yes` or `no`.
+pub fn yes_no(value: bool) -> String {
+    if value { "yes" } else { "no" }.to_owned()
+}
+
+/// Prints a report and returns the exit code.
+///
+/// # Errors
+///
+/// Returns an error if standard output can't be written. A reader that closes it early,
+/// such as `head`, is no error.
+pub fn print(report: &Report, json: bool) -> Result<exit_codes::Code, error::Error> {
+    let text = if json && !report.json.is_null() {
+        format!("{:#}\n", report.json)
+    } else {
+        report.text.clone()
+    };
+    let mut stdout = io::stdout().lock();
+    match stdout.write_all(text.as_bytes()).and_then(|()| stdout.flush()) {
+        Err(error) if error.kind() != io::ErrorKind::BrokenPipe => Err(error::Error::Output(error)),
+        _ => Ok(report.error.as_ref().map_or(exit_codes::Code::Ok, report_error)),
+    }
+}
+
+/// Prints an error on standard error and returns its exit code.
+pub fn report_error(error: &error::Error) -> exit_codes::Code {
+    let line = printable(&error.to_string());
+    // Nothing is left to report to if standard error is closed.
+    let _ = writeln!(io::stderr(), "quincespoke: {line}");
+    error.code()
+}
--- /dev/null
+++ b/crates/cli/src/settings.rs
@@ -0,0 +1,180 @@
+//! Checks settings before they are published.
+
+use std::{
+    collections::BTreeMap,
+    fs, io,
+    path::{Path, PathBuf},
+};
+
+use bytes::Bytes;
+use conf::{check, process, tree};
+use serde::Serialize;
+
+use crate::{error, options};
+
+/// Extension of the files of a settings tree.
+const EXTENSION: &str = "ini";
+
+/// Outcome of a check.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Checked {
+    pub files: usize,
+    pub errors: Vec<Invalid>,
+}
+
+/// One error; the fields are those of [`check::Error`].
+#[derive(Clone, Debug, Serialize)]
+pub struct Invalid {
+    pub file: String,
+    pub section: String,
+    pub key: String,
+    pub value: String,
+    pub allowed: String,
+}
+
+impl From<check::Error> for Invalid {
+    fn from(error: check::Error) -> Invalid {
+        let check::Error { file, section, key, value, allowed } = error;
+        Invalid { file, section, key, value, allowed }
+    }
+}
+
+/// Returns the name of the branch that a file of a settings tree holds.
+pub fn branch_name(root: &Path, file: &Path) -> Option<String> {
+    let relative = file.strip_prefix(root).ok()?.with_extension("");
+    let parts: Option<Vec<&str>> = relative.iter().map(|part| part.to_str()).collect();
+    Some(parts?.join("/"))
+}
+
+/// Returns the files of a settings tree by branch name. Hidden files and directories, such
+/// as those of version control, are left out.
+///
+/// # Errors
+///
+/// Returns an error if a directory can't be read.
+pub fn branch_files(root: &Path) -> Result<BTreeMap<String, PathBuf>, error::Error> {
+    let mut files = BTreeMap::new();
+    let mut directories = vec![root.to_owned()];
+    while let Some(directory) = directories.pop() {
+        let entries = fs::read_dir(&directory).and_then(Iterator::collect::<io::Result<Vec<_>>>);
+        for entry in
+            entries.map_err(|cause| error::Error::File { path: directory.clone(), cause })?
+        {
+            let path = entry.path();
+            if entry.file_name().as_encoded_bytes().starts_with(b".") {
+                continue;
+            }
+            // A link to a directory is not followed, since it may lead round in a circle.
+            if entry.file_type().is_ok_and(|kind| kind.is_dir()) {
+                directories.push(path);
+            } else if path.extension().is_some_and(|extension| extension == EXTENSION) {
+                let name = branch_name(root, &path).ok_or_else(|| error::Error::File {
+                    path: path.clone(),
+                    cause: io::Error::new(
+                        io::ErrorKind::InvalidFilename,
+                        "a branch name must be UTF-8",
+                    ),
+                })?;
+                files.insert(name, path);
+            }
+        }
+    }
+    Ok(files)
+}
+
+/// Checks process settings files.
+///
+/// # Errors
+///
+/// Returns an error if a file can't be read or is a directory.
+pub fn check_processes(paths: &[PathBuf]) -> Result<Checked, error::Error> {
+    let mut checked = Checked::default();
+    for path in paths {
+        if path.is_dir() {
+            return Err(misplaced(path, "is a directory; --process takes files"));
+        }
+        let text = read(path)?;
+        checked.files += 1;
+        if let Err(errors) = process::parse(&path.display().to_string(), &text) {
+            checked.errors.extend(errors.into_iter().map(Invalid::from));
+        }
+    }
+    Ok(checked)
+}
+
+/// Checks settings trees. Branches are merged only if each of them is valid on its own,
+/// since names from an invalid branch would all be reported as not defined.
+///
+/// # Errors
+///
+/// Returns an error if a path can't be read or is not the directory of a settings tree.
+pub fn check_trees(roots: &[PathBuf]) -> Result<Checked, error::Error> {
+    let mut checked = Checked::default();
+    for root in roots {
+        if root.is_file() {
+            let remedy = "is a file; give the directory of the settings tree, or --process \
+                          for process settings";
+            return Err(misplaced(root, remedy));
+        }
+        let files = branch_files(root)?;
+        if files.is_empty() {
+            return Err(misplaced(root, "holds no *.ini file"));
+        }
+        check_tree(&files, &mut checked)?;
+    }
+    Ok(checked)
+}
+
+fn check_tree(
+    files: &BTreeMap<String, PathBuf>,
+    checked: &mut Checked,
+) -> Result<(), error::Error> {
+    let mut branches = BTreeMap::new();
+    for (name, path) in files {
+        let text = read(path)?;
+        checked.files += 1;
+        match tree::parse(name, &text) {
+            Ok(branch) => {
+                branches.insert(Bytes::from(name.clone()), branch);
+            }
+            Err(errors) => {
+                checked.errors.extend(errors.into_iter().map(|error| with_path(files, error)));
+            }
+        }
+    }
+    if branches.len() == files.len() {
+        let (_, errors) = tree::merge(&branches);
+        checked.errors.extend(errors.into_iter().map(|error| with_path(files, error)));
+    }
+    Ok(())
+}
+
+/// Returns one line for each error, and a closing line if there is none.
+pub fn text(checked: &Checked) -> String {
+    if checked.errors.is_empty() {
+        return format!("{} files, no errors\n", checked.files);
+    }
+    let lines = checked.errors.iter().map(|error| {
+        let Invalid { file, section, key, value, allowed } = error;
+        format!("{file}: [{section}] {key} = {value:?}: allowed is {allowed}\n")
+    });
+    lines.collect()
+}
+
+/// Names the file in place of the branch: that is what has to be edited.
+fn with_path(files: &BTreeMap<String, PathBuf>, error: check::Error) -> Invalid {
+    let mut invalid = Invalid::from(error);
+    if let Some(path) = files.get(&invalid.file) {
+        invalid.file = path.display().to_string();
+    }
+    invalid
+}
+
+fn read(path: &Path) -> Result<String, error::Error> {
+    fs::read_to_string(path).map_err(|cause| error::Error::File { path: path.to_owned(), cause })
+}
+
+fn misplaced(path: &Path, problem: &str) -> error::Error {
+    let message = format!("PATH {:?} {problem}", path.display().to_string());
+    error::Error::Usage { message, subcommand: Some(options::Subcommand::Check) }
+}
--- /dev/null
+++ b/crates/cli/src/trace.rs
@@ -0,0 +1,27 @@
+//! The merged trace of one request.
+
+use wire::status;
+
+use crate::output;
+
+/// Merges the traces of several processes, ordered by host and, within a host, by time.
+/// Times of different hosts count from different origins and can't be compared.
+pub fn merge(traces: Vec<Vec<status::Trace>>) -> Vec<status::Trace> {
+    let mut merged: Vec<status::Trace> = traces.into_iter().flatten().collect();
+    merged.sort_by(|a, b| (&a.host, a.at_us).cmp(&(&b.host, b.at_us)));
+    merged
+}
+
+/// Returns the table for people.
+pub fn text(trace: &[status::Trace]) -> String {
+    let cells = trace.iter().map(|event| {
+        vec![
+            event.host.clone(),
+            format!("{:.3}", event.at_us as f64 / 1000.0),
+            event.step.clone(),
+            event.event.clone(),
+            event.peer.clone(),
+        ]
+    });
+    output::table(&["host", "at ms", "step", "event", "peer"], cells.collect())
+}
