--- /dev/null
+++ b/crates/cli/tests/program.rs
@@ -0,0 +1,175 @@
+//! Behaviour of the built program, seen from outside.
+
+mod world;
+
+use std::{collections::BTreeMap, net::TcpListener};
+
+use wire::status;
+
+use world::{SILENT, World, run, serve, serve_status, status};
+
+/// Guards against usage errors that scripts can't tell apart or that don't name the argument.
+#[test]
+fn usage_errors_name_the_argument_and_exit_with_2() {
+    let cases: [(&[&str], &[&str]); 12] = [
+        (&[], &["no subcommand", "--help"]),
+        (&["host"], &["unknown subcommand \"host\""]),
+        (&["hosts"], &["--at HOST:PORT", "quincespoke hosts --help"]),
+        (&["hosts", "--at"], &["--at"]),
+        (&["hosts", "--at", "http://a:1"], &["--at \"http://a:1\"", "HOST:PORT"]),
+        (&["hosts", "--at", "a:1", "extra"], &["\"extra\""]),
+        (&["hosts", "--at", "a:1", "--within", "3"], &["hosts does not take --within"]),
+        (&["hosts", "--at", "a:1", "--timeout-ms", "0"], &["--timeout-ms", "from 1"]),
+        (&["explain", "--at", "a:1", "xyz"], &["ID \"xyz\""]),
+        (&["explain", "--at", "a:1"], &["needs ID"]),
+        (&["watch-revision", "--at", "a:1", "accounts", "new"], &["REVISION \"new\""]),
+        (&["check"], &["needs PATH"]),
+    ];
+    for (args, parts) in cases {
+        let run = run(args);
+        run.assert_error(2, parts);
+        assert_eq!(run.stdout, "", "{args:?}");
+    }
+}
+
+/// Guards against a subcommand without help or without an example.
+#[test]
+fn every_subcommand_has_help_with_an_example() {
+    assert_eq!(run(&["--version"]).stdout, "quincespoke 0.1.0\n");
+    for subcommand in cli::options::Subcommand::ALL {
+        let name = subcommand.name();
+        let run = run(&[name, "--help"]);
+        assert_eq!(run.code, 0);
+        assert!(run.stdout.contains(&format!("\nExamples:\n  quincespoke {name} ")), "{run:?}");
+    }
+}
+
+/// Guards against a wrong address list: comments taken as addresses, or a wrong line unnoticed.
+#[test]
+fn address_files_have_comments_and_report_the_wrong_line() {
+    let world = World::new("addresses");
+    let address = serve_status(&[status("h1", "agent")]);
+    let good = world.file("good", &format!("# fleet\n\n{address} # h1\n{address}\n"));
+    let run_good = run(&["hosts", "--at-file", &good, "--json"]);
+    assert_eq!(run_good.code, 0, "{run_good:?}");
+    assert_eq!(run_good.json()["processes"].as_array().unwrap().len(), 1);
+    let bad = world.file("bad", "127.0.0.1:9\nh2\n");
+    run(&["hosts", "--at-file", &bad]).assert_error(2, &["line 2", "\"h2\""]);
+    run(&["hosts", "--at-file", &world.path("none")]).assert_error(4, &["none"]);
+}
+
+/// Guards against a fleet view that hides silent processes or differing views.
+#[test]
+fn hosts_lists_processes_disagreements_and_silent_addresses() {
+    let mut entry = status("e1", "entry");
+    entry.hosts = vec![status::Host { host: "h1".to_owned(), ..status::Host::default() }];
+    let mut agent = status("h1", "agent");
+    agent.leaving = true;
+    agent.queued = BTreeMap::from([(0, 2), (2, 5)]);
+    agent.revisions.insert("accounts".to_owned(), 8);
+    let (entry, agent) = (serve_status(&[entry]), serve_status(&[agent]));
+    let at = ["hosts", "--at", &agent, "--at", &entry, "--at", SILENT];
+
+    let text = run(&at);
+    text.assert_error(3, &["1 of 3 processes", SILENT]);
+    let rows: Vec<Vec<&str>> =
+        text.stdout.lines().map(|line| line.split_whitespace().collect()).collect();
+    assert_eq!(rows[1][..6], ["e1", "entry", "z1", "yes", "no", "no"]);
+    assert_eq!(rows[2][..6], ["h1", "agent", "z1", "yes", "yes", "no"]);
+    assert_eq!(rows[2][7..], ["0:2,2:5", "0"]);
+    for line in ["branch accounts  revision 8   h1/agent", "host h1          not leaving"] {
+        assert!(text.stdout.contains(line), "{line:?} is not in {text:?}");
+    }
+
+    let json = run(&[&at[..], &["--json"]].concat());
+    assert_eq!(json.code, 3);
+    assert_eq!(json.json()["unreachable"][0]["address"], SILENT);
+    assert_eq!(json.json()["disagreements"]["leaving"][0]["leaving_by"][0], "h1/agent");
+}
+
+/// Guards against a run that hangs on a process that accepts connections and never answers,
+/// and against taking another service for a process.
+#[test]
+fn unusable_answers_are_failures() {
+    let frozen = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = frozen.local_addr().unwrap().to_string();
+    run(&["hosts", "--at", &address, "--timeout-ms", "50"])
+        .assert_error(3, &["no answer within 50 ms", "--timeout-ms"]);
+    for body in ["<html>", "{}"] {
+        let other = serve(BTreeMap::from([("/status", vec![body.to_owned()])]));
+        run(&["hosts", "--at", &other]).assert_error(3, &["not an operator address"]);
+    }
+}
+
+/// Guards against a trace that lacks a process or that treats a process without it as silent.
+#[test]
+fn explain_merges_traces_and_accepts_processes_without_one() {
+    let trace = |host: &str, at_us| {
+        let host = host.to_owned();
+        serde_json::to_string(&[status::Trace { at_us, host, ..status::Trace::default() }])
+    };
+    let path = "/requests/000000000000001f-2a";
+    let entry = serve(BTreeMap::from([(path, vec![trace("h2", 1500).unwrap()])]));
+    let agent = serve(BTreeMap::from([(path, vec![trace("h1", 9000).unwrap()])]));
+    let other = serve(BTreeMap::new());
+    let found = run(&["explain", "--at", &entry, "--at", &agent, "--at", &other, "1f-2a"]);
+    assert_eq!(found.code, 0, "{found:?}");
+    let hosts: Vec<_> =
+        found.stdout.lines().skip(1).map(|line| &line[..line.find("  ").unwrap()]).collect();
+    assert_eq!(hosts, ["h1", "h2"]);
+    run(&["explain", "--at", &other, "1f-2a"]).assert_error(1, &["000000000000001f-2a"]);
+}
+
+/// Guards against a filter that shows other accounts or tiers.
+#[test]
+fn histograms_are_filtered() {
+    let histogram = |account: &str, tier: &str| status::Histogram {
+        name: "total_ms".to_owned(),
+        account: account.to_owned(),
+        tier: tier.to_owned(),
+        count: 1,
+        ..status::Histogram::default()
+    };
+    let all = [histogram("a", "urgent"), histogram("a", "batch"), histogram("b", "urgent")];
+    let address =
+        serve(BTreeMap::from([("/histograms", vec![serde_json::to_string(&all).unwrap()])]));
+    let count = |args: &[&str]| {
+        let run = run(&[&["histograms", "--json", "--at", &address], args].concat());
+        run.json()["histograms"].as_array().unwrap().len()
+    };
+    assert_eq!(count(&[]), 3);
+    assert_eq!(count(&["--account", "a"]), 2);
+    assert_eq!(count(&["--account", "a", "--tier", "urgent"]), 1);
+}
+
+/// Guards against wrong exit codes of a watch: scripts take down the host on code 0.
+#[test]
+fn watches_end_with_0_when_met_and_1_at_the_time_limit() {
+    let mut leaving = status("h1", "agent");
+    leaving.leaving = true;
+    let mut busy = leaving.clone();
+    busy.running = 1;
+    let polls = [status("h1", "agent"), busy.clone(), leaving];
+    let drain = ["watch-drain", "--interval-ms", "1", "h1", "--at"];
+    let met = run(&[&drain[..], &[&serve_status(&polls)]].concat());
+    assert_eq!((met.code, met.stdout.as_str()), (0, "h1: drained\n"), "{met:?}");
+    let address = serve_status(&[busy]);
+    run(&[&drain[..], &[&address, "--within", "0"]].concat())
+        .assert_error(1, &["leaving, 0 queued, 1 running"]);
+    run(&["watch-drain", "h9", "--at", &address]).assert_error(3, &["\"h9\"", "--at"]);
+    let revision = |revision| run(&["watch-revision", "accounts", revision, "--at", &address]);
+    assert_eq!(revision("7").code, 0);
+    run(&["watch-revision", "accounts", "8", "--within", "0", "--at", &address])
+        .assert_error(1, &["0 of 1 processes", "h1/agent"]);
+}
+
+/// Guards against a check that reads the wrong kind of path.
+#[test]
+fn check_refuses_paths_of_the_wrong_kind() {
+    let world = World::new("check-paths");
+    let file = world.file("tree/a.txt", "");
+    run(&["check", &file]).assert_error(2, &["a.txt", "is a file"]);
+    run(&["check", &world.path("tree")]).assert_error(2, &["no *.ini file"]);
+    run(&["check", "--process", &world.path("tree")]).assert_error(2, &["is a directory"]);
+    run(&["check", &world.path("none")]).assert_error(4, &["none"]);
+}
