Refuse reserved branch names in quincespoke check

Cause: a file such as @hosts.ini in a settings tree would be published under a name that the system uses itself. Errors of long branch names kept the branch name, and counts read "1 errors". Change: reserved names are reported, errors of one file always carry its path, and counts agree with their nouns.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -56,7 +56,7 @@
     let count = checked.errors.len();
     let error =
         (count > 0).then_some(error::Error::Invalid { errors: count, files: checked.files });
-    Ok(output::Report { text: settings::text(&checked), json: json!(checked), error })
+    Ok(output::Report { text: settings::text(&checked), json: settings::json(&checked), error })
 }
 
 async fn statuses(
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, io, path::PathBuf};
 
-use crate::{exit_codes, fetch, options};
+use crate::{exit_codes, fetch, options, output};
 
 /// Why a run did not end with exit code 0.
 #[derive(Debug)]
@@ -65,7 +65,9 @@
                  add its operator address with --at"
             ),
             Error::Invalid { errors, files } => {
-                write!(f, "{errors} errors in {files} files; fix them before publishing")
+                let errors = output::count(*errors, "error");
+                let files = output::count(*files, "file");
+                write!(f, "{errors} in {files}; correct them before publishing")
             }
             Error::NoTrace { request } => write!(
                 f,
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -83,6 +83,12 @@
     }
 }
 
+/// Returns a count with its noun, as in `1 file` or `2 files`.
+pub fn count(count: usize, noun: &str) -> String {
+    let plural = if count == 1 { "" } else { "s" };
+    format!("{count} {noun}{plural}")
+}
+
 /// Returns `yes` or `no`.
 pub fn yes_no(value: bool) -> String {
     if value { "yes" } else { "no" }.to_owned()
--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -8,35 +8,21 @@
 
 use bytes::Bytes;
 use conf::{check, process, tree};
-use serde::Serialize;
+use serde_json::{Value, json};
 
-use crate::{error, options};
+use crate::{error, options, output};
 
 /// Extension of the files of a settings tree.
 const EXTENSION: &str = "ini";
 
+/// Starts the names of branches that the system uses itself, such as the host list.
+const RESERVED: char = '@';
+
 /// Outcome of a check.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
 pub struct Checked {
     pub files: usize,
-    pub errors: Vec<Invalid>,
-}
-
-/// One error; the fields are those of [`check::Error`].
-#[derive(Clone, Debug, Serialize)]
-pub struct Invalid {
-    pub file: String,
-    pub section: String,
-    pub key: String,
-    pub value: String,
-    pub allowed: String,
-}
-
-impl From<check::Error> for Invalid {
-    fn from(error: check::Error) -> Invalid {
-        let check::Error { file, section, key, value, allowed } = error;
-        Invalid { file, section, key, value, allowed }
-    }
+    pub errors: Vec<check::Error>,
 }
 
 /// Returns the name of the branch that a file of a settings tree holds.
@@ -96,7 +82,7 @@
         let text = read(path)?;
         checked.files += 1;
         if let Err(errors) = process::parse(&path.display().to_string(), &text) {
-            checked.errors.extend(errors.into_iter().map(Invalid::from));
+            checked.errors.extend(errors.into_iter().map(|error| with_path(path, error)));
         }
     }
     Ok(checked)
@@ -133,41 +119,61 @@
     for (name, path) in files {
         let text = read(path)?;
         checked.files += 1;
+        if name.starts_with(RESERVED) {
+            checked.errors.push(reserved(name, path));
+            continue;
+        }
         match tree::parse(name, &text) {
             Ok(branch) => {
                 branches.insert(Bytes::from(name.clone()), branch);
             }
             Err(errors) => {
-                checked.errors.extend(errors.into_iter().map(|error| with_path(files, error)));
+                checked.errors.extend(errors.into_iter().map(|error| with_path(path, error)));
             }
         }
     }
     if branches.len() == files.len() {
         let (_, errors) = tree::merge(&branches);
-        checked.errors.extend(errors.into_iter().map(|error| with_path(files, error)));
+        checked.errors.extend(errors.into_iter().map(|error| match files.get(&error.file) {
+            Some(path) => with_path(path, error),
+            None => error,
+        }));
     }
     Ok(())
 }
 
-/// Returns one line for each error, and a closing line if there is none.
+/// Returns one line for each error, or a line that there is none.
 pub fn text(checked: &Checked) -> String {
     if checked.errors.is_empty() {
-        return format!("{} files, no errors\n", checked.files);
+        return format!("{}, no errors\n", output::count(checked.files, "file"));
     }
-    let lines = checked.errors.iter().map(|error| {
-        let Invalid { file, section, key, value, allowed } = error;
-        format!("{file}: [{section}] {key} = {value:?}: allowed is {allowed}\n")
+    checked.errors.iter().map(|error| format!("{error}\n")).collect()
+}
+
+/// Returns the outcome for machines.
+pub fn json(checked: &Checked) -> Value {
+    let errors = checked.errors.iter().map(|error| {
+        let check::Error { file, section, key, value, allowed } = error;
+        json!({
+            "file": file, "section": section, "key": key, "value": value, "allowed": allowed,
+        })
     });
-    lines.collect()
+    json!({"files": checked.files, "errors": errors.collect::<Vec<_>>()})
 }
 
-/// Names the file in place of the branch: that is what has to be edited.
-fn with_path(files: &BTreeMap<String, PathBuf>, error: check::Error) -> Invalid {
-    let mut invalid = Invalid::from(error);
-    if let Some(path) = files.get(&invalid.file) {
-        invalid.file = path.display().to_string();
+fn reserved(name: &str, path: &Path) -> check::Error {
+    check::Error {
+        file: path.display().to_string(),
+        section: String::new(),
+        key: "branch name".to_owned(),
+        value: name.to_owned(),
+        allowed: format!("a name that does not start with {RESERVED}"),
     }
-    invalid
+}
+
+/// Names the file in place of the branch: that is what has to be edited.
+fn with_path(path: &Path, error: check::Error) -> check::Error {
+    check::Error { file: path.display().to_string(), ..error }
 }
 
 fn read(path: &Path) -> Result<String, error::Error> {
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -163,7 +163,8 @@
         .assert_error(1, &["0 of 1 processes", "h1/agent"]);
 }
 
-/// Guards against a check that reads the wrong kind of path.
+/// Guards against a check that reads the wrong kind of path, and against a published branch
+/// that takes the place of the host list.
 #[test]
 fn check_refuses_paths_of_the_wrong_kind() {
     let world = World::new("check-paths");
@@ -172,4 +173,8 @@
     run(&["check", &world.path("tree")]).assert_error(2, &["no *.ini file"]);
     run(&["check", "--process", &world.path("tree")]).assert_error(2, &["is a directory"]);
     run(&["check", &world.path("none")]).assert_error(4, &["none"]);
+    let reserved = world.file("reserved/@hosts.ini", "");
+    let run = run(&["check", &world.path("reserved")]);
+    run.assert_error(1, &["1 error in 1 file;"]);
+    assert!(run.stdout.contains(&reserved), "{run:?}");
 }
