Replace control characters in the progress of a watch

Cause: a refusal reason from a process reached the terminal as it was. Change: the progress message passes through the same filter as table cells. Result: 18 tests pass; on a pseudo-terminal the progress of a drain is shown and cleared at its end.

--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -65,7 +65,7 @@
 
 /// Replaces control characters, so that text from processes can't steer the terminal, and
 /// shows empty text as `-`, so that scripts that split columns at blanks don't miscount.
-fn printable(text: &str) -> String {
+pub fn printable(text: &str) -> String {
     if text.is_empty() {
         return "-".to_owned();
     }
--- a/crates/cli/src/watch.rs
+++ b/crates/cli/src/watch.rs
@@ -47,7 +47,7 @@
             State::Hopeless(error) => return failed(&progress, error),
             State::Waiting(text) => text,
         };
-        progress.set_message(waiting.clone());
+        progress.set_message(output::printable(&waiting));
         progress.tick();
         let mut pause = options.interval;
         if let Some(within) = options.within {
