Implement the agent's state machine

Cause: the agent's machine was an interface without behaviour. Timers are one ordered set; each entry is disarmed with its owner.

--- /dev/null
+++ b/crates/agent/src/admission.rs
@@ -0,0 +1,74 @@
+//! Filters that an arriving offer passes before it is queued.
+
+use std::{fmt, time::Duration};
+
+use wire::{outcome, request, time::Instant};
+
+use crate::{drain, limit, suspects};
+
+/// Wait recommended to a caller who met an agent that takes no work.
+const UNAVAILABLE_RETRY: Duration = Duration::from_secs(1);
+
+/// What filters may look at.
+pub(crate) struct View<'a> {
+    pub(crate) now: Instant,
+    pub(crate) drain: &'a drain::Drain,
+    pub(crate) has_settings: bool,
+    pub(crate) limit: &'a limit::Limit,
+    pub(crate) suspects: &'a suspects::Suspects,
+}
+
+/// Why an offer is refused, and when to retry.
+pub(crate) type Rejection = (outcome::Reason, Duration);
+
+/// One test of an arriving offer.
+pub(crate) trait Filter: fmt::Debug {
+    /// Returns why the offer is refused, if it is.
+    fn check(&self, view: &View<'_>, head: &request::Head) -> Option<Rejection>;
+}
+
+/// Returns the filters in their order.
+pub(crate) fn filters() -> Vec<Box<dyn Filter>> {
+    vec![Box::new(Ready), Box::new(Leaving), Box::new(Poison), Box::new(Deadline)]
+}
+
+#[derive(Debug)]
+struct Ready;
+
+impl Filter for Ready {
+    fn check(&self, view: &View<'_>, _head: &request::Head) -> Option<Rejection> {
+        let ready = view.drain.ready && view.has_settings;
+        (!ready).then_some((outcome::Reason::NotReady, UNAVAILABLE_RETRY))
+    }
+}
+
+#[derive(Debug)]
+struct Leaving;
+
+impl Filter for Leaving {
+    fn check(&self, view: &View<'_>, _head: &request::Head) -> Option<Rejection> {
+        view.drain.is_leaving().then_some((outcome::Reason::Leaving, UNAVAILABLE_RETRY))
+    }
+}
+
+#[derive(Debug)]
+struct Poison;
+
+impl Filter for Poison {
+    fn check(&self, view: &View<'_>, head: &request::Head) -> Option<Rejection> {
+        match view.suspects.verdict(view.now, head.fingerprint) {
+            suspects::Verdict::Quarantined(left) => Some((outcome::Reason::Poison, left)),
+            _ => None,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Deadline;
+
+impl Filter for Deadline {
+    fn check(&self, view: &View<'_>, head: &request::Head) -> Option<Rejection> {
+        let needed = view.limit.prefill_time(u64::from(head.prompt_tokens));
+        (head.remaining < needed).then_some((outcome::Reason::Deadline, needed))
+    }
+}
--- /dev/null
+++ b/crates/agent/src/backend.rs
@@ -0,0 +1,360 @@
+//! What the backend server reports, and how streams resume and end.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use wire::{
+    frame, id,
+    outcome::{Outcome, Reason, Step},
+    request, sync,
+};
+
+use crate::{Action, Progress, engine, event::Context, machine::Machine, streams, timers::Timer};
+
+/// Wait before the first attempt to resume; it doubles up to the maximum.
+const MIN_BACKOFF: Duration = Duration::from_millis(10);
+const MAX_BACKOFF: Duration = Duration::from_millis(500);
+
+impl Machine {
+    pub(crate) fn progress(&mut self, cx: &mut Context<'_>, grant: id::Grant, progress: Progress) {
+        match progress {
+            Progress::Started { status, content_type, instance } => {
+                self.started(cx, grant, (status, content_type), &instance);
+            }
+            Progress::Data(bytes) => self.data(cx, grant, bytes),
+            Progress::End => self.end(cx, grant),
+            Progress::Unreachable => self.unreachable(cx, grant),
+            Progress::Lost => self.lost(cx, grant),
+            Progress::NoStream { instance } => self.no_stream(cx, grant, &instance),
+        }
+    }
+
+    pub(crate) fn probe(&mut self, cx: &mut Context<'_>, instance: Option<Bytes>) {
+        match instance {
+            None => self.engine.probe_unanswered(),
+            Some(instance) => {
+                self.engine.probe_answered();
+                self.observe(cx, &instance);
+            }
+        }
+    }
+
+    /// Takes note of the backend server's run. A new one means that the last one crashed:
+    /// all that ran in it become suspects.
+    fn observe(&mut self, cx: &mut Context<'_>, instance: &Bytes) {
+        match self.engine.observe(instance) {
+            engine::Run::Unnamed => {}
+            engine::Run::Known => {
+                let outlived = self.engine.drop_victims(cx.now, true);
+                self.unpark(&outlived);
+            }
+            engine::Run::First => {
+                for grant in self.streams.live().clone() {
+                    if let Some(stream) = self.streams.live_mut(grant)
+                        && stream.instance.is_none()
+                        && !stream.adopted
+                    {
+                        stream.instance = Some(instance.clone());
+                    }
+                }
+            }
+            engine::Run::Changed => self.crash(cx, instance),
+        }
+    }
+
+    fn crash(&mut self, cx: &mut Context<'_>, instance: &Bytes) {
+        self.count("backend_crashes");
+        let ended = self.engine.take_victims();
+        let mut fingerprints = ended.clone();
+        for grant in self.streams.live().clone() {
+            let Some(stream) = self.streams.live_mut(grant) else { continue };
+            let survivor = stream.instance.as_ref() == Some(instance);
+            if !survivor && !stream.crashed && !stream.adopted {
+                stream.crashed = true;
+                fingerprints.push(stream.fingerprint);
+            }
+        }
+        fingerprints.sort_unstable();
+        fingerprints.dedup();
+        fingerprints.retain(|fingerprint| *fingerprint != 0);
+        let ttl = self.quarantine();
+        let suspects: Vec<sync::Suspect> = fingerprints
+            .into_iter()
+            .map(|fingerprint| {
+                let crashes = self.suspects.crash(cx.now, fingerprint, ttl);
+                sync::Suspect { fingerprint, crashes, cleared: false }
+            })
+            .collect();
+        if !suspects.is_empty() {
+            cx.push(Action::Suspects(suspects));
+        }
+        self.unpark(&ended);
+    }
+
+    fn started(
+        &mut self,
+        cx: &mut Context<'_>,
+        grant: id::Grant,
+        answer: (u16, Bytes),
+        instance: &Bytes,
+    ) {
+        self.engine.probe_answered();
+        let Some(stream) = self.streams.live_mut(grant) else { return self.observe(cx, instance) };
+        let moved = !instance.is_empty() && stream.instance.as_ref() != Some(instance);
+        if moved && stream.started.is_some() {
+            // The first part came from another run, so the parts need not fit together.
+            self.observe(cx, instance);
+            return self.abort(cx, grant, Reason::BackendCrashed);
+        }
+        if moved {
+            stream.instance = Some(instance.clone());
+        }
+        stream.last_progress = cx.now;
+        if let Some(resume) = &mut stream.resume {
+            resume.connected = true;
+            resume.next = None;
+        }
+        let first = stream.started.is_none();
+        if first {
+            stream.started = Some(answer.clone());
+            let (elapsed, ahead) = (cx.now.since(stream.dispatched), stream.ahead);
+            self.limit.end_prefill(&mut stream.slot);
+            if stream.kind == request::Kind::Model && !stream.adopted && stream.resume.is_none() {
+                self.limit.learn(cx.now, elapsed, ahead);
+            }
+            let owner = stream.owner;
+            self.trace(cx, owner, Step::MidStream, "started");
+            self.send_started(cx, grant, answer);
+        }
+        self.observe(cx, instance);
+        self.rearm(grant);
+    }
+
+    fn send_started(&mut self, cx: &mut Context<'_>, grant: id::Grant, answer: (u16, Bytes)) {
+        let Some(stream) = self.streams.get(grant) else { return };
+        let (status, content_type) = answer;
+        for reader in stream.readers.iter().filter(|reader| reader.offset == 0) {
+            let body = frame::Body::Started { status, content_type: content_type.clone() };
+            let frame = wire::Frame { request: reader.request, grant, body };
+            cx.push(Action::Frame { link: reader.link, frame });
+        }
+    }
+
+    fn data(&mut self, cx: &mut Context<'_>, grant: id::Grant, bytes: Bytes) {
+        let Some(stream) = self.streams.live_mut(grant) else { return };
+        stream.last_progress = cx.now;
+        let resumed = stream.resume.take().is_some();
+        let start = stream.kept.length();
+        let end = start + bytes.len() as u64;
+        for reader in stream.readers.iter_mut().filter(|reader| reader.offset < end) {
+            let skip = reader.offset.saturating_sub(start) as usize;
+            let body = frame::Body::Data { offset: reader.offset, bytes: bytes.slice(skip..) };
+            reader.offset = end;
+            let frame = wire::Frame { request: reader.request, grant, body };
+            cx.push(Action::Frame { link: reader.link, frame });
+        }
+        self.streams.keep(grant, &bytes);
+        if resumed {
+            self.rearm(grant);
+        }
+        self.forget_over_bound();
+    }
+
+    fn end(&mut self, cx: &mut Context<'_>, grant: id::Grant) {
+        let Some(stream) = self.streams.live_mut(grant) else { return };
+        let body = frame::Body::End { length: stream.kept.length(), crc32: stream.kept.crc32() };
+        let (fingerprint, owner) = (stream.fingerprint, stream.owner);
+        self.count("ended");
+        self.trace(cx, owner, Step::Answered, "ended");
+        self.finish(cx, grant, body);
+        if self.suspects.clear(fingerprint) {
+            let suspect = sync::Suspect { fingerprint, crashes: 0, cleared: true };
+            cx.push(Action::Suspects(vec![suspect]));
+        }
+    }
+
+    fn unreachable(&mut self, cx: &mut Context<'_>, grant: id::Grant) {
+        let until = self.engine.pause(cx.now);
+        self.timers.arm(until, Timer::Engine);
+        let Some(stream) = self.streams.live_mut(grant) else { return };
+        if stream.resume.is_some() || stream.started.is_some() {
+            return self.schedule_resume(cx, grant);
+        }
+        let (key, kind) = (stream.key, stream.kind);
+        let retry = Some(self.queue_time());
+        let reason = Reason::BackendUnreachable;
+        let refusal = self.refusal(Outcome::NotRun, Step::Dispatched, reason, retry);
+        tracing::debug!(grant = %grant, kind = ?kind, "backend unreachable");
+        self.finish(cx, grant, frame::Body::Refused(refusal));
+        if let Some(seq) = key {
+            self.free_key(cx, seq);
+        }
+    }
+
+    fn lost(&mut self, cx: &mut Context<'_>, grant: id::Grant) {
+        let until = self.engine.pause(cx.now);
+        self.timers.arm(until, Timer::Engine);
+        let Some(stream) = self.streams.live_mut(grant) else { return };
+        match stream.kind {
+            request::Kind::Model => self.schedule_resume(cx, grant),
+            request::Kind::Service => self.abort(cx, grant, Reason::BackendSilent),
+        }
+    }
+
+    /// Plans the next attempt to resume, with jitter so that the streams of one engine don't
+    /// return to it all at once.
+    fn schedule_resume(&mut self, cx: &mut Context<'_>, grant: id::Grant) {
+        let Some(stream) = self.streams.live_mut(grant) else { return };
+        let fresh = streams::Resume { since: cx.now, attempts: 0, next: None, connected: false };
+        let resume = stream.resume.get_or_insert(fresh);
+        let backoff = (MIN_BACKOFF * 2u32.saturating_pow(resume.attempts)).min(MAX_BACKOFF);
+        let jittered = backoff * self.rng.u32(50..150) / 100;
+        resume.next = Some(cx.now + jittered);
+        resume.connected = false;
+        self.rearm(grant);
+    }
+
+    fn resume(&mut self, cx: &mut Context<'_>, grant: id::Grant) {
+        let Some(stream) = self.streams.live_mut(grant) else { return };
+        let fresh = streams::Resume { since: cx.now, attempts: 0, next: None, connected: false };
+        let resume = stream.resume.get_or_insert(fresh);
+        resume.attempts = resume.attempts.saturating_add(1).min(16);
+        resume.next = None;
+        let offset = stream.kept.length();
+        self.count("resumes");
+        cx.push(Action::Resume { grant, offset });
+        self.rearm(grant);
+    }
+
+    fn no_stream(&mut self, cx: &mut Context<'_>, grant: id::Grant, instance: &Bytes) {
+        self.engine.probe_answered();
+        let Some(stream) = self.streams.live_mut(grant) else { return self.observe(cx, instance) };
+        let unknown = stream.instance.is_none() || instance.is_empty();
+        let restarted = !unknown && stream.instance.as_ref() != Some(instance);
+        let adopted = stream.adopted && stream.started.is_none();
+        self.observe(cx, instance);
+        if adopted {
+            self.abort(cx, grant, Reason::AgentReplaced);
+        } else if restarted {
+            self.abort(cx, grant, Reason::BackendCrashed);
+        } else {
+            self.abort(cx, grant, Reason::BackendSilent);
+        }
+    }
+
+    /// Ends a stream that may have run and is not whole.
+    pub(crate) fn abort(&mut self, cx: &mut Context<'_>, grant: id::Grant, reason: Reason) {
+        let Some(stream) = self.streams.live_mut(grant) else { return };
+        let began = stream.started.is_some() || stream.kept.length() > 0;
+        let ran = began || reason == Reason::BackendCrashed;
+        let outcome = if ran { Outcome::Incomplete } else { Outcome::Unknown };
+        let step = if began { Step::MidStream } else { Step::Dispatched };
+        let (owner, fingerprint) = (stream.owner, stream.fingerprint);
+        let counted = stream.crashed || stream.adopted;
+        if matches!(reason, Reason::CallerGone | Reason::BackendSilent) {
+            cx.push(Action::Cancel { grant });
+        }
+        let refusal = self.refusal(outcome, step, reason, None);
+        self.trace(cx, owner, step, "aborted");
+        // Noted before the slot is released, so that no equal request slips in between.
+        if !counted && fingerprint != 0 {
+            let until = self.engine.add_victim(cx.now, fingerprint);
+            self.timers.arm(until, Timer::Engine);
+        }
+        self.finish(cx, grant, frame::Body::Refused(refusal));
+    }
+
+    /// Sends the last frame to all readers and frees what the stream held.
+    fn finish(&mut self, cx: &mut Context<'_>, grant: id::Grant, body: frame::Body) {
+        let Some(stream) = self.streams.live_mut(grant) else { return };
+        stream.end = Some((cx.now, body.clone()));
+        stream.orphan_since = None;
+        let readers = std::mem::take(&mut stream.readers);
+        let (slot, isolated) = (stream.slot, stream.isolated);
+        let (kind, fingerprint, adopted) = (stream.kind, stream.fingerprint, stream.adopted);
+        for reader in readers {
+            self.send_end(cx, grant, reader, &body);
+        }
+        self.streams.finish(grant);
+        self.release_slot(slot, isolated);
+        if !adopted {
+            self.free_fingerprint(kind, fingerprint);
+        }
+        self.rearm(grant);
+        self.forget_over_bound();
+    }
+
+    /// Sends the last frame to one reader. One that has received part of the answer is told
+    /// `incomplete` in place of `unknown`.
+    pub(crate) fn send_end(
+        &mut self,
+        cx: &mut Context<'_>,
+        grant: id::Grant,
+        reader: streams::Reader,
+        body: &frame::Body,
+    ) {
+        let mut body = body.clone();
+        match &mut body {
+            frame::Body::Refused(refusal)
+                if reader.offset > 0 && refusal.outcome == Outcome::Unknown =>
+            {
+                refusal.outcome = Outcome::Incomplete;
+            }
+            frame::Body::End { length, .. } if reader.offset > *length => {
+                let (outcome, reason) = (Outcome::Incomplete, Reason::Corrupt);
+                let refusal = self.refusal(outcome, Step::MidStream, reason, None);
+                body = frame::Body::Refused(refusal);
+            }
+            _ => {}
+        }
+        self.links.remove(&reader.link);
+        let frame = wire::Frame { request: reader.request, grant, body };
+        cx.push(Action::Frame { link: reader.link, frame });
+        cx.push(Action::Close { link: reader.link });
+    }
+
+    /// Arms a stream's timer anew.
+    pub(crate) fn rearm(&mut self, grant: id::Grant) {
+        let bounds = self.bounds();
+        let Some(stream) = self.streams.get_mut(grant) else { return };
+        self.timers.disarm(stream.due, Timer::Stream(grant));
+        stream.due = stream.due_at(bounds);
+        self.timers.arm(stream.due, Timer::Stream(grant));
+    }
+
+    /// Does what is due for a stream.
+    pub(crate) fn check_stream(&mut self, cx: &mut Context<'_>, grant: id::Grant) {
+        let bounds = self.bounds();
+        let Some(stream) = self.streams.get(grant) else { return };
+        if stream.due_at(bounds) > cx.now {
+            return self.rearm(grant);
+        }
+        if stream.end.is_some() {
+            return self.forget(grant);
+        }
+        if stream.orphan_at(bounds).is_some_and(|at| at <= cx.now) {
+            return self.abort(cx, grant, Reason::CallerGone);
+        }
+        let resumable = stream.kind == request::Kind::Model;
+        match stream.resume {
+            Some(resume) if resume.since + bounds.resume_limit <= cx.now => {
+                self.abort(cx, grant, Reason::BackendSilent);
+            }
+            None if !resumable => self.abort(cx, grant, Reason::BackendSilent),
+            _ => self.resume(cx, grant),
+        }
+    }
+
+    fn forget(&mut self, grant: id::Grant) {
+        if let Some(stream) = self.streams.remove(grant) {
+            self.timers.disarm(stream.due, Timer::Stream(grant));
+            self.grants.forget(grant);
+        }
+    }
+
+    fn forget_over_bound(&mut self) {
+        while let Some(oldest) = self.streams.over_bound() {
+            self.forget(oldest);
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/keys.rs
@@ -0,0 +1,107 @@
+//! Idempotency keys issued by this process.
+
+use std::collections::HashMap;
+
+use bytes::Bytes;
+use wire::{id, key, request, time::Instant};
+
+use crate::Link;
+
+/// Keys remembered at once. A full table refuses new keys, since dropping one early would
+/// break its promised life.
+const MAX_KEYS: usize = 65_536;
+/// Offers that wait for the outcome of another one with the same key.
+const MAX_WAITERS: usize = 16;
+
+/// An offer that waits for the outcome of another one with the same key.
+#[derive(Debug)]
+pub(crate) struct Waiter {
+    pub(crate) link: Link,
+    pub(crate) head: request::Head,
+    pub(crate) deadline: Instant,
+}
+
+/// What became of a key.
+#[derive(Debug)]
+pub(crate) enum State {
+    Unused,
+    /// An offer with it is queued or has a reserved slot.
+    Pending(Vec<Waiter>),
+    /// Burned by a commitment.
+    Used(id::Grant),
+}
+
+/// One issued key.
+#[derive(Debug)]
+pub(crate) struct Record {
+    pub(crate) expires: Instant,
+    pub(crate) route: Bytes,
+    /// Fingerprint of the first request that was offered with it.
+    pub(crate) fingerprint: Option<u64>,
+    pub(crate) state: State,
+    /// When its timer is armed.
+    pub(crate) due: Instant,
+}
+
+impl Record {
+    /// Returns when it expires or the first waiter's deadline passes.
+    pub(crate) fn due_at(&self) -> Instant {
+        match &self.state {
+            State::Pending(waiters) => {
+                let first = waiters.iter().map(|waiter| waiter.deadline).min();
+                first.map_or(self.expires, |deadline| deadline.min(self.expires))
+            }
+            _ => self.expires,
+        }
+    }
+
+    /// Returns the list to add a waiter to, unless there are too many.
+    pub(crate) fn waiters(&mut self) -> Option<&mut Vec<Waiter>> {
+        match &mut self.state {
+            State::Pending(waiters) if waiters.len() < MAX_WAITERS => Some(waiters),
+            _ => None,
+        }
+    }
+
+    /// Sets the state and returns the waiters of the previous one.
+    pub(crate) fn replace(&mut self, state: State) -> Vec<Waiter> {
+        match std::mem::replace(&mut self.state, state) {
+            State::Pending(waiters) => waiters,
+            _ => Vec::new(),
+        }
+    }
+}
+
+/// Keys by their sequence number.
+#[derive(Debug, Default)]
+pub(crate) struct Keys {
+    records: HashMap<u64, Record>,
+    last_seq: u64,
+}
+
+impl Keys {
+    /// Issues a key, or returns `None` if too many are alive.
+    pub(crate) fn issue(&mut self, route: Bytes, expires: Instant) -> Option<u64> {
+        if self.records.len() == MAX_KEYS {
+            return None;
+        }
+        self.last_seq += 1;
+        let state = State::Unused;
+        let record = Record { expires, route, fingerprint: None, state, due: expires };
+        self.records.insert(self.last_seq, record);
+        Some(self.last_seq)
+    }
+
+    /// Returns whether a key was issued, however long ago.
+    pub(crate) fn was_issued(&self, key: &key::Key) -> bool {
+        (1..=self.last_seq).contains(&key.seq)
+    }
+
+    pub(crate) fn get_mut(&mut self, seq: u64) -> Option<&mut Record> {
+        self.records.get_mut(&seq)
+    }
+
+    pub(crate) fn remove(&mut self, seq: u64) -> Option<Record> {
+        self.records.remove(&seq)
+    }
+}
--- /dev/null
+++ b/crates/agent/src/machine.rs
@@ -0,0 +1,202 @@
+//! The agent's state and the order in which an event is handled.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use conf::tree;
+use wire::{id, outcome, request, time::Instant};
+
+use crate::{
+    Action, Event, Link, Setup, admission, drain, engine, event::Context, grants, keys, limit,
+    queue, streams, suspects, timers, timers::Timer,
+};
+
+/// Bounds of a stream that is adopted before settings arrive.
+const DEFAULT_BOUNDS: streams::Bounds = streams::Bounds {
+    retention: Duration::from_secs(30),
+    orphan_ttl: Duration::from_secs(10),
+    resume_limit: Duration::from_secs(5),
+};
+
+/// What a link is used for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Use {
+    Queued(queue::Key),
+    /// An offer that waits for another one with the same idempotency key.
+    Waiting(u64),
+    Reader(id::Grant),
+}
+
+/// Decisions of one agent process.
+#[derive(Debug)]
+pub struct Machine {
+    pub(crate) setup: Setup,
+    pub(crate) now: Instant,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) tree: Arc<tree::Tree>,
+    pub(crate) pool: Option<tree::Pool>,
+    pub(crate) filters: Vec<Box<dyn admission::Filter>>,
+    pub(crate) drain: drain::Drain,
+    pub(crate) engine: engine::Engine,
+    pub(crate) queue: queue::Queue,
+    pub(crate) limit: limit::Limit,
+    pub(crate) grants: grants::Grants,
+    pub(crate) streams: streams::Streams,
+    pub(crate) suspects: suspects::Suspects,
+    pub(crate) keys: keys::Keys,
+    pub(crate) timers: timers::Timers,
+    pub(crate) links: HashMap<Link, Use>,
+    pub(crate) counters: BTreeMap<&'static str, u64>,
+    pub(crate) refusals: BTreeMap<outcome::Reason, u64>,
+}
+
+impl Machine {
+    /// Returns a machine that refuses every offer until it is ready.
+    pub fn new(setup: Setup) -> Machine {
+        Machine {
+            now: Instant::default(),
+            rng: fastrand::Rng::with_seed(setup.seed),
+            tree: Arc::default(),
+            pool: None,
+            filters: admission::filters(),
+            drain: drain::Drain::default(),
+            engine: engine::Engine::default(),
+            queue: queue::Queue::default(),
+            limit: limit::Limit::new(),
+            grants: grants::Grants::new(setup.process),
+            streams: streams::Streams::default(),
+            suspects: suspects::Suspects::default(),
+            keys: keys::Keys::default(),
+            timers: timers::Timers::default(),
+            links: HashMap::new(),
+            counters: BTreeMap::new(),
+            refusals: BTreeMap::new(),
+            setup,
+        }
+    }
+
+    /// Handles one event and appends what has to be done.
+    ///
+    /// Deadlines that passed are handled before the event, so an event that was delayed by a
+    /// pause of the process meets the state it would have met in time.
+    pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        let now = self.now;
+        let cx = &mut Context { now, out: actions };
+        self.suspects.expire(now, self.quarantine());
+        while let Some(timer) = self.timers.pop_due(now) {
+            self.fire(cx, timer);
+        }
+        self.apply(cx, event);
+        self.serve(cx);
+        self.finish_stop(cx);
+    }
+
+    /// Returns when the next `Tick` is due.
+    pub fn next_timer(&self) -> Option<Instant> {
+        self.timers.next()
+    }
+
+    fn fire(&mut self, cx: &mut Context<'_>, timer: Timer) {
+        match timer {
+            Timer::Queued(key) => self.check_queued(cx, key),
+            Timer::Reserved(seq) => self.expire_reservation(cx, seq),
+            Timer::Stream(grant) => self.check_stream(cx, grant),
+            Timer::Key(seq) => self.check_key(cx, seq),
+            Timer::Engine => {
+                let dropped = self.engine.drop_victims(cx.now, false);
+                self.unpark(&dropped);
+            }
+        }
+    }
+
+    fn apply(&mut self, cx: &mut Context<'_>, event: Event) {
+        match event {
+            Event::Tick => {}
+            Event::Offer { link, offer } => self.offer(cx, link, offer.head),
+            Event::LinkClosed { link } => self.close_link(cx, link),
+            Event::Commit { link, commit, body } => self.commit(cx, link, commit, body),
+            Event::Attach { link, attach } => self.attach(cx, link, attach),
+            Event::Cancel { commit } => self.cancel(cx, commit),
+            Event::KeyCall { link, route } => self.issue_key(cx, link, route),
+            Event::Backend { grant, progress } => self.progress(cx, grant, progress),
+            Event::Probe { instance } => self.probe(cx, instance),
+            Event::Load { waiting, .. } => self.limit.observe_load(waiting),
+            Event::Settings(tree) => self.configure(cx, tree),
+            Event::Hosts(hosts) => {
+                self.drain.list(&hosts, &self.setup.host);
+                self.flush_if_leaving(cx);
+            }
+            Event::Ready => self.drain.ready = true,
+            Event::Suspects(suspects) => {
+                for suspect in suspects {
+                    self.suspects.learn(cx.now, suspect, self.quarantine());
+                }
+            }
+            Event::Stop => {
+                self.drain.stopping = true;
+                self.flush_if_leaving(cx);
+            }
+        }
+    }
+
+    fn configure(&mut self, cx: &mut Context<'_>, tree: Arc<tree::Tree>) {
+        if let Some(pool) = tree.pools.get(&self.setup.pool) {
+            self.limit.configure(pool);
+            self.pool = Some(pool.clone());
+        }
+        if let Some(order) = self.drain.apply(&tree, &self.setup.host) {
+            self.count("orders");
+            cx.push(Action::Order { order });
+        }
+        self.tree = tree;
+        self.flush_if_leaving(cx);
+    }
+
+    fn flush_if_leaving(&mut self, cx: &mut Context<'_>) {
+        if self.drain.is_leaving() {
+            for key in self.queue.keys() {
+                self.drop_queued(cx, key, outcome::Reason::Leaving);
+            }
+        }
+    }
+
+    fn finish_stop(&mut self, cx: &mut Context<'_>) {
+        let idle = self.streams.live().is_empty() && self.grants.len() == 0;
+        if self.drain.stopping && idle && !self.drain.stopped {
+            self.drain.stopped = true;
+            cx.push(Action::Stopped);
+        }
+    }
+
+    pub(crate) fn bounds(&self) -> streams::Bounds {
+        self.pool.as_ref().map_or(DEFAULT_BOUNDS, |pool| streams::Bounds {
+            retention: pool.retention,
+            orphan_ttl: pool.orphan_ttl,
+            resume_limit: pool.resume_limit,
+        })
+    }
+
+    pub(crate) fn quarantine(&self) -> Duration {
+        self.pool.as_ref().map_or(Duration::ZERO, |pool| pool.quarantine)
+    }
+
+    /// Returns whether streams of this pool can be resumed. Unknown before settings arrive, and
+    /// then assumed, since a plain service answers that it has no such stream.
+    pub(crate) fn serves_models(&self) -> bool {
+        let own = || self.tree.routes.values().filter(|route| route.pool == self.setup.pool);
+        own().next().is_none() || own().any(|route| route.kind == request::Kind::Model)
+    }
+
+    pub(crate) fn host(&self) -> Bytes {
+        self.setup.host.clone()
+    }
+
+    pub(crate) fn count(&mut self, counter: &'static str) {
+        *self.counters.entry(counter).or_default() += 1;
+    }
+}
--- /dev/null
+++ b/crates/agent/src/offers.rs
@@ -0,0 +1,195 @@
+//! Arriving offers, and offers that leave the queue unserved.
+
+use bytes::Bytes;
+use wire::{
+    outcome::{Outcome, Reason, Step},
+    request,
+    time::Instant,
+};
+
+use crate::{
+    Link, admission,
+    event::Context,
+    keys,
+    machine::{Machine, Use},
+    queue, suspects,
+    timers::Timer,
+};
+
+/// Offers that may wait for an isolated run. Each such run takes the whole engine.
+const MAX_ISOLATED: usize = 32;
+
+impl Machine {
+    pub(crate) fn offer(&mut self, cx: &mut Context<'_>, link: Link, head: request::Head) {
+        let deadline = cx.now + head.remaining;
+        self.admit(cx, link, head, deadline);
+    }
+
+    /// Queues an offer or refuses it.
+    pub(crate) fn admit(
+        &mut self,
+        cx: &mut Context<'_>,
+        link: Link,
+        head: request::Head,
+        deadline: Instant,
+    ) {
+        if let Some(key) = head.key.clone()
+            && !self.admit_key(cx, link, &head, &key, deadline)
+        {
+            return;
+        }
+        let view = admission::View {
+            now: cx.now,
+            drain: &self.drain,
+            has_settings: self.pool.is_some(),
+            limit: &self.limit,
+            suspects: &self.suspects,
+        };
+        if let Some((reason, retry)) = self.filters.iter().find_map(|f| f.check(&view, &head)) {
+            let refusal = self.refusal(Outcome::NotRun, Step::Offered, reason, Some(retry));
+            return self.refuse_offer(cx, link, &head, refusal);
+        }
+        let suspect = self.suspects.verdict(cx.now, head.fingerprint) != suspects::Verdict::Clean;
+        if let Err(reason) = self.make_room(cx, &head, suspect) {
+            let retry = self.queue_time();
+            let refusal = self.refusal(Outcome::NotRun, Step::Offered, reason, Some(retry));
+            return self.refuse_offer(cx, link, &head, refusal);
+        }
+        let lane = if suspect { queue::Lane::Isolated } else { self.lane(&head) };
+        self.enqueue(cx, link, head, deadline, lane);
+    }
+
+    pub(crate) fn lane(&self, head: &request::Head) -> queue::Lane {
+        let short = self.limit.is_short(head.prompt_tokens);
+        if short { queue::Lane::Short } else { queue::Lane::Long }
+    }
+
+    /// Returns the tokens that an offer counts against the queue's bound. One that is over
+    /// the whole bound counts as the bound, so that it can wait alone.
+    fn charge(&self, head: &request::Head) -> u64 {
+        let max = self.pool.as_ref().map_or(0, |pool| pool.max_queued_tokens);
+        u64::from(head.prompt_tokens).min(max)
+    }
+
+    /// Displaces offers until there is room. A suspect displaces none. Lower tiers go first,
+    /// and then, at the same tier, offers of the account that holds most of it.
+    fn make_room(
+        &mut self,
+        cx: &mut Context<'_>,
+        head: &request::Head,
+        suspect: bool,
+    ) -> Result<(), Reason> {
+        let Some(pool) = &self.pool else { return Err(Reason::NotReady) };
+        let (max, max_tokens) = (pool.max_queued as usize, pool.max_queued_tokens);
+        let charge = self.charge(head);
+        if suspect && self.queue.isolated_len() >= MAX_ISOLATED {
+            return Err(Reason::Suspect);
+        }
+        while !self.queue.has_room(charge, max, max_tokens) {
+            if suspect {
+                return Err(Reason::Suspect);
+            }
+            if let Some(key) = self.queue.newest_below(head.tier) {
+                self.drop_queued(cx, key, Reason::Displaced);
+                continue;
+            }
+            let tree = self.tree.clone();
+            let share = |name: &Bytes| tree.accounts.get(name).map_or(1, |a| a.share);
+            match self.queue.newest_of_largest(head.tier, &head.account, &share) {
+                Some(key) => self.drop_queued(cx, key, Reason::AccountLimit),
+                None => return Err(Reason::Overload),
+            }
+        }
+        Ok(())
+    }
+
+    fn enqueue(
+        &mut self,
+        cx: &mut Context<'_>,
+        link: Link,
+        head: request::Head,
+        deadline: Instant,
+        lane: queue::Lane,
+    ) {
+        if let Some(key) = &head.key
+            && let Some(record) = self.keys.get_mut(key.seq)
+        {
+            record.fingerprint = Some(head.fingerprint);
+            record.replace(keys::State::Pending(Vec::new()));
+        }
+        self.count("queued");
+        self.trace(cx, head.request, Step::QueuedAtAgent, "queued");
+        let charge = self.charge(&head);
+        let key = self.queue.push(link, head, deadline, lane, charge);
+        self.links.insert(link, Use::Queued(key));
+        self.arm_queued(cx.now, key);
+    }
+
+    /// Arms the timer at the first moment at which the deadline can no longer be met.
+    fn arm_queued(&mut self, now: Instant, key: queue::Key) {
+        let Some(entry) = self.queue.get_mut(key) else { return };
+        let needed = self.limit.prefill_time(u64::from(entry.head.prompt_tokens));
+        let latest = entry.deadline.0.saturating_sub(needed.as_micros() as u64);
+        entry.check_at = Instant(latest.max(now.0) + 1);
+        self.timers.arm(entry.check_at, Timer::Queued(key));
+    }
+
+    pub(crate) fn check_queued(&mut self, cx: &mut Context<'_>, key: queue::Key) {
+        if self.misses_deadline(cx.now, key) {
+            self.drop_queued(cx, key, Reason::Deadline);
+        } else {
+            self.arm_queued(cx.now, key);
+        }
+    }
+
+    /// Returns whether a queued offer's prompt can't be processed before its deadline.
+    pub(crate) fn misses_deadline(&self, now: Instant, key: queue::Key) -> bool {
+        self.queue.get(key).is_some_and(|entry| {
+            let tokens = u64::from(entry.head.prompt_tokens);
+            now + self.limit.prefill_time(tokens) > entry.deadline
+        })
+    }
+
+    /// Takes an offer out of the queue and refuses it.
+    pub(crate) fn drop_queued(&mut self, cx: &mut Context<'_>, key: queue::Key, reason: Reason) {
+        let Some(entry) = self.remove_queued(key) else { return };
+        let retry = match self.suspects.verdict(cx.now, entry.head.fingerprint) {
+            suspects::Verdict::Quarantined(left) if reason == Reason::Poison => left,
+            _ => self.queue_time(),
+        };
+        let refusal = self.refusal(Outcome::NotRun, Step::QueuedAtAgent, reason, Some(retry));
+        self.refuse_offer(cx, entry.link, &entry.head, refusal);
+        self.release_key(cx, &entry.head);
+    }
+
+    fn remove_queued(&mut self, key: queue::Key) -> Option<queue::Entry> {
+        let entry = self.queue.remove(key)?;
+        self.timers.disarm(entry.check_at, Timer::Queued(key));
+        self.links.remove(&entry.link);
+        // An equal request may be parked behind this one.
+        self.unpark(&[entry.head.fingerprint]);
+        Some(entry)
+    }
+
+    /// Takes a closed link's offer or reader away.
+    pub(crate) fn close_link(&mut self, cx: &mut Context<'_>, link: Link) {
+        match self.links.remove(&link) {
+            Some(Use::Queued(key)) => {
+                if let Some(entry) = self.remove_queued(key) {
+                    self.count("withdrawn");
+                    self.trace(cx, entry.head.request, Step::QueuedAtAgent, "withdrawn");
+                    self.release_key(cx, &entry.head);
+                }
+            }
+            Some(Use::Waiting(seq)) => {
+                if let Some(record) = self.keys.get_mut(seq)
+                    && let keys::State::Pending(waiters) = &mut record.state
+                {
+                    waiters.retain(|waiter| waiter.link != link);
+                }
+            }
+            Some(Use::Reader(grant)) => self.detach(cx, grant, link),
+            None => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/replies.rs
@@ -0,0 +1,67 @@
+//! Refusals and traces.
+
+use std::time::Duration;
+
+use wire::{frame, id, offer, outcome, request};
+
+use crate::{Action, Link, event::Context, machine::Machine};
+
+/// Bounds of the recommended wait after a refusal for lack of room.
+const MIN_RETRY: Duration = Duration::from_millis(100);
+const MAX_RETRY: Duration = Duration::from_secs(30);
+
+impl Machine {
+    /// Returns a refusal by this host and counts it.
+    pub(crate) fn refusal(
+        &mut self,
+        outcome: outcome::Outcome,
+        step: outcome::Step,
+        reason: outcome::Reason,
+        retry_after: Option<Duration>,
+    ) -> outcome::Refusal {
+        *self.refusals.entry(reason).or_default() += 1;
+        outcome::Refusal { outcome, step, reason, peer: self.host(), retry_after }
+    }
+
+    /// Returns the time to work through the queue, as a wait to recommend.
+    pub(crate) fn queue_time(&self) -> Duration {
+        self.limit.prefill_time(self.queue.tokens()).clamp(MIN_RETRY, MAX_RETRY)
+    }
+
+    /// Refuses an offer.
+    pub(crate) fn refuse_offer(
+        &mut self,
+        cx: &mut Context<'_>,
+        link: Link,
+        head: &request::Head,
+        refusal: outcome::Refusal,
+    ) {
+        self.trace(cx, head.request, refusal.step, "refused");
+        cx.push(Action::Reply { link, reply: offer::Reply::Refused(refusal) });
+    }
+
+    /// Answers a commit or attach with a refusal and closes its link.
+    pub(crate) fn refuse_link(
+        &mut self,
+        cx: &mut Context<'_>,
+        link: Link,
+        grant: id::Grant,
+        request: id::Request,
+        refusal: outcome::Refusal,
+    ) {
+        self.trace(cx, request, refusal.step, "refused");
+        let body = frame::Body::Refused(refusal);
+        cx.push(Action::Frame { link, frame: wire::Frame { request, grant, body } });
+        cx.push(Action::Close { link });
+    }
+
+    pub(crate) fn trace(
+        &self,
+        cx: &mut Context<'_>,
+        request: id::Request,
+        step: outcome::Step,
+        event: &'static str,
+    ) {
+        cx.push(Action::Trace { request, step, event, peer: self.host() });
+    }
+}
--- /dev/null
+++ b/crates/agent/src/streams.rs
@@ -0,0 +1,245 @@
+//! Streams of dispatched requests and the bytes kept of them.
+
+use std::{
+    collections::{BTreeSet, HashMap, VecDeque},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use wire::{frame, id, request, time::Instant};
+
+use crate::{Link, limit};
+
+/// Bytes kept of one stream; of a longer one only the end can be replayed.
+const MAX_KEPT_BYTES: usize = 4 << 20;
+/// Bytes kept of all streams; half of a host's memory budget of 128 MB.
+const MAX_TOTAL_BYTES: usize = 64 << 20;
+/// Finished streams remembered, with or without bytes.
+const MAX_FINISHED: usize = 65_536;
+/// Requests that may read the stream of another one by its idempotency key.
+const MAX_ALIASES: usize = 16;
+/// Links that read one stream.
+const MAX_READERS: usize = 16;
+
+/// Received bytes of one stream.
+#[derive(Debug, Default)]
+pub(crate) struct Kept {
+    /// Offset of the first byte kept.
+    base: u64,
+    bytes: Vec<u8>,
+    hasher: crc32fast::Hasher,
+}
+
+impl Kept {
+    fn push(&mut self, bytes: &[u8]) {
+        self.hasher.update(bytes);
+        self.bytes.extend_from_slice(bytes);
+        if self.bytes.len() > MAX_KEPT_BYTES {
+            self.drop_front(self.bytes.len() - MAX_KEPT_BYTES / 2);
+        }
+    }
+
+    fn drop_front(&mut self, count: usize) {
+        self.bytes.drain(..count);
+        self.base += count as u64;
+    }
+
+    pub(crate) fn base(&self) -> u64 {
+        self.base
+    }
+
+    /// Returns the length of the whole stream so far.
+    pub(crate) fn length(&self) -> u64 {
+        self.base + self.bytes.len() as u64
+    }
+
+    pub(crate) fn crc32(&self) -> u32 {
+        self.hasher.clone().finalize()
+    }
+
+    /// Returns a copy of the bytes from an offset on, which must not be below the base.
+    pub(crate) fn from(&self, offset: u64) -> Bytes {
+        let start = (offset - self.base).min(self.bytes.len() as u64) as usize;
+        Bytes::copy_from_slice(&self.bytes[start..])
+    }
+}
+
+/// A link that is sent the frames of a stream.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Reader {
+    pub(crate) link: Link,
+    pub(crate) request: id::Request,
+    /// Offset of the next byte it is sent.
+    pub(crate) offset: u64,
+}
+
+/// Attempts to resume a stream whose connection was lost or silent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Resume {
+    pub(crate) since: Instant,
+    pub(crate) attempts: u32,
+    /// When the next attempt is due; none while one is in progress.
+    pub(crate) next: Option<Instant>,
+    pub(crate) connected: bool,
+}
+
+/// One dispatched or adopted request.
+#[derive(Debug)]
+pub(crate) struct Stream {
+    pub(crate) owner: id::Request,
+    pub(crate) aliases: VecDeque<id::Request>,
+    pub(crate) kind: request::Kind,
+    pub(crate) fingerprint: u64,
+    pub(crate) key: Option<u64>,
+    /// Whether another process dispatched it.
+    pub(crate) adopted: bool,
+    pub(crate) isolated: bool,
+    pub(crate) slot: limit::Slot,
+    /// Run of the backend server, as of the dispatch until the answer begins.
+    pub(crate) instance: Option<Bytes>,
+    /// Whether its backend server's crash is counted.
+    pub(crate) crashed: bool,
+    pub(crate) dispatched: Instant,
+    /// Prompt tokens in the engine at dispatch, its own included.
+    pub(crate) ahead: u64,
+    pub(crate) started: Option<(u16, Bytes)>,
+    pub(crate) kept: Kept,
+    /// The last frame's body, once it is decided.
+    pub(crate) end: Option<(Instant, frame::Body)>,
+    pub(crate) readers: Vec<Reader>,
+    pub(crate) orphan_since: Option<Instant>,
+    pub(crate) last_progress: Instant,
+    /// Silence allowed before the answer begins.
+    pub(crate) patience: Duration,
+    pub(crate) resume: Option<Resume>,
+    /// When its timer is armed.
+    pub(crate) due: Instant,
+}
+
+/// Times that bound a stream's life, from the pool's settings.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Bounds {
+    pub(crate) retention: Duration,
+    pub(crate) orphan_ttl: Duration,
+    pub(crate) resume_limit: Duration,
+}
+
+impl Stream {
+    /// Returns whether a request may read this stream.
+    pub(crate) fn admits(&self, request: id::Request) -> bool {
+        self.owner == request || self.aliases.contains(&request)
+    }
+
+    pub(crate) fn add_alias(&mut self, request: id::Request) {
+        if self.admits(request) {
+            return;
+        }
+        if self.aliases.len() == MAX_ALIASES {
+            self.aliases.pop_front();
+        }
+        self.aliases.push_back(request);
+    }
+
+    /// Adds a reader and returns the one that has to make room for it.
+    pub(crate) fn add_reader(&mut self, reader: Reader) -> Option<Reader> {
+        self.orphan_since = None;
+        let evicted = (self.readers.len() == MAX_READERS).then(|| self.readers.remove(0));
+        self.readers.push(reader);
+        evicted
+    }
+
+    pub(crate) fn orphan_at(&self, bounds: Bounds) -> Option<Instant> {
+        self.orphan_since.map(|since| since + bounds.orphan_ttl)
+    }
+
+    /// Returns when the silence of the backend server becomes too long.
+    pub(crate) fn silent_at(&self, bounds: Bounds) -> Instant {
+        match self.started {
+            Some(_) => self.last_progress + bounds.resume_limit,
+            None => self.last_progress + self.patience.max(bounds.resume_limit),
+        }
+    }
+
+    /// Returns when something has to be done for it next.
+    pub(crate) fn due_at(&self, bounds: Bounds) -> Instant {
+        if let Some((at, _)) = &self.end {
+            return *at + bounds.retention;
+        }
+        let wait = match self.resume {
+            Some(resume) if !resume.connected => {
+                let limit = resume.since + bounds.resume_limit;
+                resume.next.map_or(limit, |next| next.min(limit))
+            }
+            _ => self.silent_at(bounds),
+        };
+        self.orphan_at(bounds).map_or(wait, |orphan| orphan.min(wait))
+    }
+}
+
+/// All streams by grant.
+#[derive(Debug, Default)]
+pub(crate) struct Streams {
+    map: HashMap<id::Grant, Stream>,
+    live: BTreeSet<id::Grant>,
+    /// Finished streams, the oldest first; some are already dropped.
+    finished: VecDeque<id::Grant>,
+    kept: usize,
+}
+
+impl Streams {
+    pub(crate) fn insert(&mut self, grant: id::Grant, stream: Stream) {
+        self.live.insert(grant);
+        self.map.insert(grant, stream);
+    }
+
+    pub(crate) fn get(&self, grant: id::Grant) -> Option<&Stream> {
+        self.map.get(&grant)
+    }
+
+    pub(crate) fn get_mut(&mut self, grant: id::Grant) -> Option<&mut Stream> {
+        self.map.get_mut(&grant)
+    }
+
+    /// Returns a stream that has no final frame yet.
+    pub(crate) fn live_mut(&mut self, grant: id::Grant) -> Option<&mut Stream> {
+        self.map.get_mut(&grant).filter(|stream| stream.end.is_none())
+    }
+
+    /// Returns the grants of streams that have no final frame yet.
+    pub(crate) fn live(&self) -> &BTreeSet<id::Grant> {
+        &self.live
+    }
+
+    /// Keeps received bytes of a stream.
+    pub(crate) fn keep(&mut self, grant: id::Grant, bytes: &[u8]) {
+        let Some(stream) = self.map.get_mut(&grant) else { return };
+        self.kept -= stream.kept.bytes.len();
+        stream.kept.push(bytes);
+        if self.kept + stream.kept.bytes.len() > MAX_TOTAL_BYTES && self.finished.is_empty() {
+            stream.kept.drop_front(stream.kept.bytes.len());
+        }
+        self.kept += stream.kept.bytes.len();
+    }
+
+    pub(crate) fn finish(&mut self, grant: id::Grant) {
+        if self.live.remove(&grant) {
+            self.finished.push_back(grant);
+        }
+    }
+
+    /// Returns the oldest finished stream if the bounds demand that one is dropped.
+    pub(crate) fn over_bound(&self) -> Option<id::Grant> {
+        let over = self.kept > MAX_TOTAL_BYTES || self.finished.len() > MAX_FINISHED;
+        if over { self.finished.front().copied() } else { None }
+    }
+
+    /// Drops a finished stream.
+    pub(crate) fn remove(&mut self, grant: id::Grant) -> Option<Stream> {
+        let stream = self.map.remove(&grant)?;
+        self.kept -= stream.kept.bytes.len();
+        while self.finished.front().is_some_and(|grant| !self.map.contains_key(grant)) {
+            self.finished.pop_front();
+        }
+        Some(stream)
+    }
+}
