--- a/crates/agent/src/commit.rs
+++ b/crates/agent/src/commit.rs
@@ -103,13 +103,13 @@
             ..self.stream(cx, head.request, head.kind, slot)
         };
         self.streams.insert(grant, stream);
-        if let Some(seq) = key {
-            self.burn_key(cx, seq, grant);
-        }
         self.count("dispatched");
         self.trace(cx, head.request, Step::Dispatched, "dispatched");
         let request = head.request;
         cx.push(Action::Dispatch { grant, head, body });
+        if let Some(seq) = key {
+            self.burn_key(cx, seq, grant);
+        }
         self.add_reader(cx, link, grant, request, 0);
     }
 
--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -82,16 +82,24 @@
     /// Handles one event and appends what has to be done.
     ///
     /// Deadlines that passed are handled before the event, so an event that was delayed by a
-    /// pause of the process meets the state it would have met in time.
+    /// pause of the process meets the state it would have met in time. Only progress of the
+    /// backend server comes first: a timer may order a resume from the present offset, and
+    /// bytes appended after that would arrive twice.
     pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
         let now = self.now;
         let cx = &mut Context { now, out: actions };
         self.suspects.expire(now, self.quarantine());
-        while let Some(timer) = self.timers.pop_due(now) {
-            self.fire(cx, timer);
+        match event {
+            Event::Backend { grant, progress } => {
+                self.progress(cx, grant, progress);
+                self.fire_due(cx);
+            }
+            event => {
+                self.fire_due(cx);
+                self.apply(cx, event);
+            }
         }
-        self.apply(cx, event);
         self.serve(cx);
         self.finish_stop(cx);
     }
@@ -101,6 +109,12 @@
         self.timers.next()
     }
 
+    fn fire_due(&mut self, cx: &mut Context<'_>) {
+        while let Some(timer) = self.timers.pop_due(cx.now) {
+            self.fire(cx, timer);
+        }
+    }
+
     fn fire(&mut self, cx: &mut Context<'_>, timer: Timer) {
         match timer {
             Timer::Queued(key) => self.check_queued(cx, key),
@@ -116,14 +130,13 @@
 
     fn apply(&mut self, cx: &mut Context<'_>, event: Event) {
         match event {
-            Event::Tick => {}
+            Event::Tick | Event::Backend { .. } => {}
             Event::Offer { link, offer } => self.offer(cx, link, offer.head),
             Event::LinkClosed { link } => self.close_link(cx, link),
             Event::Commit { link, commit, body } => self.commit(cx, link, commit, body),
             Event::Attach { link, attach } => self.attach(cx, link, attach),
             Event::Cancel { commit } => self.cancel(cx, commit),
             Event::KeyCall { link, route } => self.issue_key(cx, link, route),
-            Event::Backend { grant, progress } => self.progress(cx, grant, progress),
             Event::Probe { instance } => self.probe(cx, instance),
             Event::Load { waiting, .. } => self.limit.observe_load(waiting),
             Event::Settings(tree) => self.configure(cx, tree),
