--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -106,6 +106,9 @@
             self.observe(cx, instance);
             return self.abort(cx, grant, Reason::BackendCrashed);
         }
+        // It was dispatched before the crash was noticed, but to the new run.
+        let exonerated = moved && std::mem::take(&mut stream.crashed);
+        let fingerprint = stream.fingerprint;
         if moved {
             stream.instance = Some(instance.clone());
         }
@@ -126,6 +129,10 @@
             self.trace(cx, owner, Step::MidStream, "started");
             self.send_started(cx, grant, answer);
         }
+        if exonerated && self.suspects.take_back(cx.now, fingerprint, self.quarantine()) {
+            let suspect = sync::Suspect { fingerprint, crashes: 0, cleared: true };
+            cx.push(Action::Suspects(vec![suspect]));
+        }
         self.observe(cx, instance);
         self.rearm(grant);
     }
--- a/crates/agent/src/suspects.rs
+++ b/crates/agent/src/suspects.rs
@@ -45,6 +45,16 @@
         crashes
     }
 
+    /// Takes back one crash that was counted wrongly and returns whether none is left.
+    pub(crate) fn take_back(&mut self, now: Instant, fingerprint: u64, ttl: Duration) -> bool {
+        let crashes = self.records.get(&fingerprint).map_or(0, |record| record.crashes);
+        if crashes > 1 {
+            self.set(now, fingerprint, crashes - 1, ttl);
+            return false;
+        }
+        self.clear(fingerprint)
+    }
+
     /// Merges what another agent knows.
     pub(crate) fn learn(&mut self, now: Instant, suspect: sync::Suspect, ttl: Duration) {
         if suspect.cleared {
--- a/crates/agent/tests/admission.rs
+++ b/crates/agent/tests/admission.rs
@@ -310,3 +310,37 @@
     let (link, actions) = rig.offer(poison(5));
     assert_eq!(refusals(&actions), [(link, Outcome::NotRun, Reason::Poison)]);
 }
+
+/// Guards against copies of one poison request that crash the engine before it is known.
+#[test]
+fn equal_requests_run_one_after_the_other() {
+    let mut rig = Rig::new(pool());
+    let copy = |seq| request::Head { fingerprint: 666, ..head(seq) };
+    let (grant, _) = rig.run(copy(1));
+    let (second, actions) = rig.offer(copy(2));
+    assert!(readies(&actions).is_empty());
+    let (third, _) = rig.offer(copy(3));
+    rig.ready(head(4));
+    rig.started(grant, "run-1");
+    assert_eq!(readies(&rig.backend(grant, Progress::End))[0].0, second);
+    assert_eq!(readies(&rig.wait(ms(200)))[0].0, third);
+}
+
+/// Guards against a suspect that runs among others since its slot was reserved before.
+#[test]
+fn suspect_is_given_up_at_commit() {
+    let mut rig = Rig::new(pool());
+    let grant = rig.ready(head(1));
+    let suspect = |crashes| wire::sync::Suspect { fingerprint: 1001, crashes, cleared: false };
+    rig.send(Event::Suspects(vec![suspect(1)]));
+    let (link, actions) = rig.commit(1, grant);
+    assert_eq!(refusals(&actions), [(link, Outcome::NotRun, Reason::Suspect)]);
+    let grant = rig.ready(head(1));
+    assert_eq!(dispatches(&rig.commit(1, grant).1), 1);
+    rig.send(Event::Suspects(vec![suspect(2)]));
+    let (link, actions) = rig.offer(head(1));
+    assert_eq!(refusals(&actions), [(link, Outcome::NotRun, Reason::Poison)]);
+    rig.started(grant, "run-1");
+    rig.backend(grant, Progress::End);
+    rig.ready(head(1));
+}
