--- a/crates/daemon/src/distribution.rs
+++ b/crates/daemon/src/distribution.rs
@@ -26,6 +26,7 @@
     links: RefCell<HashMap<u64, oneshot::Sender<Exchange>>>,
     next_link: Cell<u64>,
     refused: RefCell<BTreeMap<String, String>>,
+    ready: Cell<bool>,
 }
 
 impl Distribution {
@@ -51,6 +52,7 @@
             links: RefCell::default(),
             next_link: Cell::new(0),
             refused: RefCell::default(),
+            ready: Cell::new(false),
         });
         distribution.feed(sync::Event::Start);
         distribution
@@ -78,7 +80,7 @@
         self.driver.read(|machine| machine.digest().hash())
     }
 
-    /// Fills in revisions.
+    /// Fills in readiness and revisions.
     pub fn report(&self, status: &mut status::Status) {
         self.driver.read(|machine| {
             for (name, revision) in &machine.digest().0 {
@@ -86,6 +88,7 @@
                 status.revisions.insert(name, *revision);
             }
         });
+        status.ready = self.ready.get();
         status.refused_revisions = self.refused.borrow().clone();
     }
 
@@ -166,6 +169,7 @@
             sync::Action::Suspects(suspects) => distribution.role.clone().suspects(suspects),
             sync::Action::Ready => {
                 tracing::info!(event = "ready");
+                distribution.ready.set(true);
                 distribution.role.clone().ready();
             }
             sync::Action::Refused { branch, revision, errors } => {
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -5,8 +5,9 @@
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use compio::time;
-use serde::{Deserialize, Serialize};
-use wire::{host, sync};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use wire::sync;
 
 use crate::error::{Error, Kind, Step};
 
@@ -33,11 +34,12 @@
     modify_index: u64,
 }
 
-/// The host list.
-#[derive(Debug, Deserialize, Serialize)]
-struct List {
+/// The host list; the text of the records is passed on as it is.
+#[derive(Debug, Deserialize)]
+struct List<'a> {
     revision: u64,
-    hosts: Vec<host::Record>,
+    #[serde(borrow)]
+    hosts: &'a RawValue,
 }
 
 impl Client {
@@ -95,9 +97,8 @@
             .await
             .map_err(|_| Error::of_kind(Step::Receive, &self.hosts, Kind::Timeout))??;
         let decode = |e| Error::new(Step::Decode, &self.hosts, e);
-        let list: List = serde_json::from_slice(&bytes).map_err(decode)?;
-        let text = serde_json::to_vec(&list.hosts).map_err(decode)?;
-        Ok((list.revision, text.into()))
+        let list: List<'_> = serde_json::from_slice(&bytes).map_err(decode)?;
+        Ok((list.revision, Bytes::copy_from_slice(list.hosts.get().as_bytes())))
     }
 
     fn branch(&self, pair: Pair) -> Result<sync::Branch, base64::DecodeError> {
