--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -178,3 +178,39 @@
     run.assert_error(1, &["1 error in 1 file;"]);
     assert!(run.stdout.contains(&reserved), "{run:?}");
 }
+
+/// Guards against errors that go unreported, name a branch in place of its file, or leave
+/// the exit code at 0; and against hidden files taken as branches.
+#[test]
+fn check_reports_every_error_of_a_tree() {
+    let world = World::new("check-tree");
+    let tree = world.path("tree");
+    world.file("tree/.old/tiers.ini", "[nonsense]\n");
+    world.file("tree/platform/tiers.ini", "[tier urgent]\nrank = 0\n");
+    let accounts = world.file("tree/accounts.ini", "[account a]\ntop_tier = urgent\n");
+    let valid = run(&["check", &tree]);
+    assert_eq!((valid.code, valid.stdout.as_str()), (0, "2 files, no errors\n"), "{valid:?}");
+
+    world.file("tree/accounts.ini", "[account a]\ntop_tier = absent\n");
+    let merged = run(&["check", &tree]);
+    merged.assert_error(1, &["1 error in 2 files"]);
+    assert!(merged.stdout.starts_with(&format!("{accounts}: [account a] top_tier = ")));
+
+    world.file("tree/accounts.ini", "[account a]\ntop_tier = absent\nshare = 0\nmax_open = x\n");
+    let json = run(&["check", "--json", &tree]);
+    assert_eq!(json.code, 1);
+    let errors = json.json()["errors"].as_array().unwrap().clone();
+    let keys: Vec<_> = errors.iter().map(|error| error["key"].as_str().unwrap()).collect();
+    assert_eq!(keys, ["share", "max_open"], "{errors:?}");
+    assert!(errors.iter().all(|error| error["file"] == accounts.as_str()));
+}
+
+/// Guards against process settings checked as a branch.
+#[test]
+fn check_reads_process_settings() {
+    let world = World::new("check-process");
+    let file = world.file("entry.ini", "[process]\nrole = both\n");
+    let run = run(&["check", "--process", &file]);
+    run.assert_error(1, &["errors in 1 file;"]);
+    assert!(run.stdout.contains(&format!("{file}: [process] role = \"both\"")), "{run:?}");
+}
