Keep an answer's stream open when the entry drops the body

Cause: the entry drops the body as soon as the answer starts; the daemon and the simulation took that as the end of the request and closed the stream, so every answer was finished by an attach 1.5 s later. Ruled out: the order of frames on one connection, which the trace shows intact. Change: dropping the body leaves the stream alone; a cancellation closes the stream of its own grant only. The simulation lets frames that were sent before a planned stop arrive, as the daemon does.

--- a/crates/daemon/examples/demo.rs
+++ b/crates/daemon/examples/demo.rs
@@ -43,7 +43,7 @@
     let first = world.bid(0, &key).await;
     let again = world.bid(1, &key).await;
     println!("{} then {}: {}", first.status, again.status, String::from_utf8_lossy(&again.body));
-    let ran: usize = world.services.iter().map(|service| service.record().len()).sum();
+    let ran = world.bids_run();
     println!("the service ran it {ran} time(s)");
 
     println!("\nstopping");
--- a/crates/daemon/src/role_entry.rs
+++ b/crates/daemon/src/role_entry.rs
@@ -59,7 +59,7 @@
     next_caller: Cell<u64>,
     bodies: RefCell<HashMap<id::Request, Bytes>>,
     offers: RefCell<HashMap<(id::Request, SocketAddr), Task>>,
-    streams: RefCell<HashMap<id::Request, Task>>,
+    streams: RefCell<HashMap<id::Request, (id::Grant, Task)>>,
     tree: RefCell<Arc<tree::Tree>>,
     settings_hash: RefCell<Box<dyn Fn() -> u64>>,
     stopped: Rc<dyn Fn()>,
@@ -179,22 +179,23 @@
     fn commit(self: &Rc<Self>, peer: SocketAddr, commit: grant::Commit) {
         let entry = self.clone();
         let body = self.bodies.borrow().get(&commit.request).cloned().unwrap_or_default();
-        self.stream(
-            commit.request,
-            peer,
-            async move { entry.peers.commit(peer, &commit, &body).await },
-        );
+        self.stream(commit.request, commit.grant, peer, async move {
+            entry.peers.commit(peer, &commit, &body).await
+        });
     }
 
     fn attach(self: &Rc<Self>, peer: SocketAddr, attach: grant::Attach) {
         let entry = self.clone();
-        self.stream(attach.request, peer, async move { entry.peers.attach(peer, &attach).await });
+        self.stream(attach.request, attach.grant, peer, async move {
+            entry.peers.attach(peer, &attach).await
+        });
     }
 
     /// Feeds the frames of a stream. A newer stream of the same request replaces an older one.
     fn stream<S: Stream<Item = Result<Frame, Error>> + 'static>(
         self: &Rc<Self>,
         request: id::Request,
+        grant: id::Grant,
         peer: SocketAddr,
         open: impl Future<Output = Result<S, Error>> + 'static,
     ) {
@@ -205,7 +206,7 @@
                 Err(error) => entry.lose_stream(request, peer, &error),
             }
         });
-        self.streams.borrow_mut().insert(request, task);
+        self.streams.borrow_mut().insert(request, (grant, task));
     }
 
     async fn read_frames(
@@ -243,12 +244,17 @@
 
     /// Releases the running task's own handle without cancelling it.
     fn forget_stream(&self, request: id::Request) {
-        if let Some(task) = self.streams.borrow_mut().remove(&request) {
+        if let Some((_, task)) = self.streams.borrow_mut().remove(&request) {
             task.detach();
         }
     }
 
     fn cancel(self: &Rc<Self>, peer: SocketAddr, commit: grant::Commit) {
+        let mut streams = self.streams.borrow_mut();
+        if streams.get(&commit.request).is_some_and(|(grant, _)| *grant == commit.grant) {
+            streams.remove(&commit.request);
+        }
+        drop(streams);
         let entry = self.clone();
         runtime::spawn(async move {
             for _ in 0..CANCEL_TRIES {
@@ -318,7 +324,6 @@
             }
             Action::Drop { request } => {
                 entry.bodies.borrow_mut().remove(&request);
-                entry.streams.borrow_mut().remove(&request);
             }
             Action::Start { caller, request, status, content_type } => {
                 entry.answer(caller, Answer::Start { request, status, content_type });
--- a/crates/daemon/tests/world/mod.rs
+++ b/crates/daemon/tests/world/mod.rs
@@ -314,6 +314,12 @@
         self.post(entry, "/bids/lot-7", Bytes::from(format!("bid under {key}")), &headers).await
     }
 
+    /// Returns how many bids the services ran, by their own record, which has probes as well.
+    pub fn bids_run(&self) -> usize {
+        let effects = self.services.iter().flat_map(|service| service.record());
+        effects.filter(|effect| effect.method == "POST").count()
+    }
+
     /// Sends any request to an entry.
     pub async fn post(
         &self,
--- a/crates/proof/src/check.rs
+++ b/crates/proof/src/check.rs
@@ -123,7 +123,7 @@
 /// Guarantee 6.
 fn leaving_gets_no_work(record: &Record, found: &mut Vec<String>) {
     for (ordered, agent) in &record.leaving {
-        let lifted = record.lifted.iter().find(|(at, lifted)| lifted == agent && at > ordered);
+        let lifted = record.lifted.iter().find(|(at, lifted)| lifted == agent && at >= ordered);
         let from = *ordered + LEAVING_BOUND;
         let until = lifted.map_or(Instant(u64::MAX), |(at, _)| *at);
         let late = record.runs.iter().filter(|run| run.engine == *agent);
--- a/crates/proof/src/fault.rs
+++ b/crates/proof/src/fault.rs
@@ -8,8 +8,9 @@
 
 use crate::world::{World, agent_host};
 
-/// Time within which every process learns settings and the host list.
-pub const SETTINGS_BOUND: Duration = Duration::from_millis(2_900);
+/// Time within which every process learns settings and the host list. With the time limit of
+/// a grant and a message delay it leaves room under the 3 s that the guarantee allows.
+pub const SETTINGS_BOUND: Duration = Duration::from_millis(2_500);
 
 /// One kind of fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -222,6 +222,17 @@
         self.close_where(|connection| connection.agent == index);
     }
 
+    /// Ends an agent's process after a planned stop: connections close behind what was sent.
+    fn exit_agent(&mut self, index: usize) {
+        self.agents[index].machine = None;
+        let open = self.connections.iter().filter(|(_, c)| c.agent == index);
+        let ends: Vec<(u64, Instant)> = open.map(|(n, c)| (*n, c.to_entry)).collect();
+        for (connection, sent) in ends {
+            let at = sent.max(self.now) + Duration::from_micros(1);
+            self.schedule(at, Delivery::Close { connection });
+        }
+    }
+
     /// Closes all connections between an entry and an agent.
     pub fn cut(&mut self, entry: usize, agent: usize) {
         self.close_where(|connection| connection.entry == entry && connection.agent == agent);
@@ -630,7 +641,6 @@
             Action::Hold { caller, request } => self.hold(index, caller, request),
             Action::Drop { request } => {
                 self.bodies.remove(&(index, request));
-                self.abandon(index, Purpose::Stream(request), None);
             }
             Action::Start { caller, .. } => {
                 if let Some(call) = self.record.calls.get_mut(&caller) {
@@ -775,7 +785,7 @@
             Action::Order { .. } | Action::Trace { .. } => {}
             Action::Stopped => {
                 if self.agents[index].stopping {
-                    self.kill_agent(index);
+                    self.exit_agent(index);
                 }
             }
         }
