Add the entry's state machine

Cause: the entry had an interface and no decisions.

Change: a chain of filters for calls and controllers for offers, grants, frames and key calls, over an arena of open requests with one ordered timer each. Choices that the design leaves open: - At the deadline a grant whose answer has not begun is refused as `unknown` and cancelled; an answer that has begun goes on while it makes progress. Waiting can't add to goodput, and `not_run` needs the agent's word. - What the entry itself refuses with a well-formed key is `unknown`, since an earlier use of the key may have run. - Idempotent routes ignore keys; common client libraries make them up. - `Suspect` and `Poison` withdraw the other offer as well, since its agent may not know the suspect and would run it beside other requests. - An end frame beyond the bytes received attaches once more before the answer counts as corrupt.

--- /dev/null
+++ b/crates/entry/src/call.rs
@@ -0,0 +1,41 @@
+//! A caller's request as it arrives, and the identity of the entry that takes it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use wire::id;
+
+/// A caller's request as the shell parsed it, before the filter chain.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Handle of the caller's connection, chosen by the shell; answers name it.
+    pub caller: u64,
+    pub method: Bytes,
+    /// Path with query.
+    pub path: Bytes,
+    pub content_type: Bytes,
+    /// `model` of a chat-completions body, empty otherwise.
+    pub model: Bytes,
+    pub account: Bytes,
+    /// Whether the bearer token matched the account's setting.
+    pub authenticated: bool,
+    pub tier: Option<Bytes>,
+    pub deadline: Option<Duration>,
+    pub key: Option<Bytes>,
+    pub prompt_tokens: u32,
+    pub output_tokens: u32,
+    pub body_len: u64,
+    /// Hash of the body.
+    pub body_hash: u64,
+    /// Hash of system prompt and the first 2 KiB of the first user message.
+    pub prefix_hash: u64,
+}
+
+/// Identity of the entry.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    pub process: id::Process,
+    pub host: Bytes,
+    pub availability_zone: Bytes,
+    pub seed: u64,
+}
--- /dev/null
+++ b/crates/entry/src/filter.rs
@@ -0,0 +1,202 @@
+//! Chain of filters that a call passes before it is held.
+
+use std::{fmt, time::Duration};
+
+use bytes::Bytes;
+use conf::tree;
+use wire::{key, outcome::Reason, tier};
+
+use crate::{call::Call, flight, route, state::State};
+
+/// What the filters found out about a call.
+#[derive(Debug)]
+pub struct Draft<'a> {
+    pub call: &'a Call,
+    pub tree: &'a tree::Tree,
+    pub route: Option<(&'a Bytes, &'a tree::Route)>,
+    pub account: Option<&'a tree::Account>,
+    pub tier: tier::Tier,
+    pub deadline: Duration,
+    pub key: Option<key::Key>,
+    /// Open requests of lower tiers that give way.
+    pub displaced: Vec<flight::Key>,
+}
+
+impl<'a> Draft<'a> {
+    /// Returns a draft with nothing found out.
+    pub fn new(call: &'a Call, tree: &'a tree::Tree) -> Draft<'a> {
+        Draft {
+            call,
+            tree,
+            route: None,
+            account: None,
+            tier: tier::Tier::default(),
+            deadline: Duration::ZERO,
+            key: None,
+            displaced: Vec::new(),
+        }
+    }
+}
+
+/// One check of a call.
+pub trait Filter: fmt::Debug + Send {
+    /// Checks a call and fills in the draft.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason to refuse the call.
+    fn check(&self, state: &State, draft: &mut Draft<'_>) -> Result<(), Reason>;
+}
+
+/// Returns the filters in their order.
+pub fn chain() -> Vec<Box<dyn Filter>> {
+    vec![
+        Box::new(Serving),
+        Box::new(Route),
+        Box::new(Account),
+        Box::new(Tier),
+        Box::new(Body),
+        Box::new(Key),
+        Box::new(Share),
+        Box::new(Room),
+    ]
+}
+
+/// Refuses calls before the machine is ready and after a planned stop was ordered.
+#[derive(Debug)]
+struct Serving;
+
+impl Filter for Serving {
+    fn check(&self, state: &State, _draft: &mut Draft<'_>) -> Result<(), Reason> {
+        if state.stopping {
+            return Err(Reason::Leaving);
+        }
+        if !state.ready {
+            return Err(Reason::NotReady);
+        }
+        Ok(())
+    }
+}
+
+/// Finds the route.
+#[derive(Debug)]
+struct Route;
+
+impl Filter for Route {
+    fn check(&self, _state: &State, draft: &mut Draft<'_>) -> Result<(), Reason> {
+        let found = route::find(draft.tree, &draft.call.path, &draft.call.model);
+        draft.route = Some(found.ok_or(Reason::NoRoute)?);
+        Ok(())
+    }
+}
+
+/// Finds the account and checks that its caller is authenticated.
+#[derive(Debug)]
+struct Account;
+
+impl Filter for Account {
+    fn check(&self, _state: &State, draft: &mut Draft<'_>) -> Result<(), Reason> {
+        let account = draft.tree.accounts.get(&draft.call.account);
+        let account = account.ok_or(Reason::UnknownAccount)?;
+        if !account.api_key_sha256.is_empty() && !draft.call.authenticated {
+            return Err(Reason::UnknownAccount);
+        }
+        draft.account = Some(account);
+        Ok(())
+    }
+}
+
+/// Finds the tier and clamps the deadline to its bounds. A route's default tier above the
+/// account's top tier is lowered to that; a named one is an error of the caller.
+#[derive(Debug)]
+struct Tier;
+
+impl Filter for Tier {
+    fn check(&self, _state: &State, draft: &mut Draft<'_>) -> Result<(), Reason> {
+        let (_, route) = draft.route.ok_or(Reason::NoRoute)?;
+        let account = draft.account.ok_or(Reason::UnknownAccount)?;
+        let tiers = &draft.tree.tiers;
+        let top = tiers.get(&account.top_tier).ok_or(Reason::NotReady)?;
+        let tier = match &draft.call.tier {
+            Some(name) => {
+                let tier = tiers.get(name).ok_or(Reason::BadRequest)?;
+                if tier.rank.outranks(top.rank) {
+                    let (account, tier) = (&draft.call.account, name);
+                    tracing::info!(?account, ?tier, top = ?top.rank, "tier above the account's top");
+                    return Err(Reason::BadRequest);
+                }
+                tier
+            }
+            None => {
+                let tier = tiers.get(&route.tier).ok_or(Reason::NotReady)?;
+                if tier.rank.outranks(top.rank) { top } else { tier }
+            }
+        };
+        draft.tier = tier.rank;
+        draft.deadline = draft.call.deadline.unwrap_or(tier.deadline).min(tier.max_deadline);
+        Ok(())
+    }
+}
+
+/// Bounds the body.
+#[derive(Debug)]
+struct Body;
+
+impl Filter for Body {
+    fn check(&self, _state: &State, draft: &mut Draft<'_>) -> Result<(), Reason> {
+        let (_, route) = draft.route.ok_or(Reason::NoRoute)?;
+        let bound = route.max_body_bytes.min(draft.tree.entry.max_held_bytes);
+        if draft.call.body_len > bound {
+            return Err(Reason::TooLarge);
+        }
+        Ok(())
+    }
+}
+
+/// Reads the idempotency key of a non-idempotent route. Idempotent routes ignore keys, which
+/// common client libraries make up and send with every call.
+#[derive(Debug)]
+struct Key;
+
+impl Filter for Key {
+    fn check(&self, _state: &State, draft: &mut Draft<'_>) -> Result<(), Reason> {
+        let (_, route) = draft.route.ok_or(Reason::NoRoute)?;
+        if route.idempotent {
+            return Ok(());
+        }
+        let Some(text) = &draft.call.key else {
+            return if route.require_key { Err(Reason::BadKey) } else { Ok(()) };
+        };
+        let text = std::str::from_utf8(text).map_err(|_| Reason::BadKey)?;
+        draft.key = Some(text.parse().map_err(|_| Reason::BadKey)?);
+        Ok(())
+    }
+}
+
+/// Bounds the open requests of one account.
+#[derive(Debug)]
+struct Share;
+
+impl Filter for Share {
+    fn check(&self, state: &State, draft: &mut Draft<'_>) -> Result<(), Reason> {
+        let account = draft.account.ok_or(Reason::UnknownAccount)?;
+        if state.room.of_account(&draft.call.account) >= account.max_open {
+            return Err(Reason::AccountLimit);
+        }
+        Ok(())
+    }
+}
+
+/// Bounds open requests and held bytes; requests of lower tiers give way.
+#[derive(Debug)]
+struct Room;
+
+impl Filter for Room {
+    fn check(&self, state: &State, draft: &mut Draft<'_>) -> Result<(), Reason> {
+        let limits = &draft.tree.entry;
+        let (max_open, max_bytes) = (limits.max_open, limits.max_held_bytes);
+        let verdict = state.room.admit(draft.tier, draft.call.body_len, max_open, max_bytes);
+        draft.displaced = verdict.displaced;
+        if verdict.fits { Ok(()) } else { Err(Reason::Overload) }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/flight.rs
@@ -0,0 +1,87 @@
+//! One open request of a caller.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use fleet::view;
+use wire::{id, outcome, request, time::Instant};
+
+use crate::{grants::Grant, room};
+
+slotmap::new_key_type! {
+    /// Names an open request within the machine.
+    pub struct Key;
+}
+
+/// Settings of the pool at the time the request was accepted.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    pub spread: u32,
+    pub hedge: Duration,
+    pub resume_limit: Duration,
+}
+
+/// An offer without an answer.
+#[derive(Clone, Debug)]
+pub struct Offer {
+    pub agent: view::Key,
+    pub host: Bytes,
+    pub peer: SocketAddr,
+    pub sent: Instant,
+}
+
+/// An open request.
+#[derive(Debug)]
+pub struct Flight {
+    pub caller: u64,
+    pub head: request::Head,
+    pub limits: Limits,
+    pub deadline: Instant,
+    pub step: outcome::Step,
+    /// Whether the shell holds the body.
+    pub held: bool,
+    pub offers: Vec<Offer>,
+    pub offers_sent: u32,
+    /// When the next candidate of the spread is offered the request.
+    pub hedge_at: Option<Instant>,
+    /// Agents that refused or could not be reached.
+    pub refused: Vec<view::Key>,
+    /// The refusal that is passed on if no candidate is left.
+    pub refusal: Option<outcome::Refusal>,
+    /// Grants that were given up by their agent.
+    pub abandoned: Vec<id::Grant>,
+    pub grant: Option<Grant>,
+    /// When the timer of this request is set.
+    pub timer: Option<Instant>,
+}
+
+impl Flight {
+    /// Returns whether the request runs only at the agent that its key names.
+    pub fn is_keyed(&self) -> bool {
+        self.head.key.is_some()
+    }
+
+    /// Returns what the entry may say of a request that it has not committed. A keyed
+    /// request may have run in an earlier use of its key.
+    pub fn uncommitted(&self) -> outcome::Outcome {
+        if self.is_keyed() { outcome::Outcome::Unknown } else { outcome::Outcome::NotRun }
+    }
+
+    /// Returns what the request occupies.
+    pub fn seat(&self, key: Key) -> room::Seat {
+        room::Seat {
+            key,
+            tier: self.head.tier,
+            seq: self.head.request.seq,
+            body_len: self.head.body_len,
+        }
+    }
+
+    /// Returns when the request next needs attention.
+    pub fn due(&self) -> Instant {
+        match &self.grant {
+            Some(grant) => grant.due(self.deadline, self.limits.resume_limit),
+            None => self.hedge_at.map_or(self.deadline, |at| at.min(self.deadline)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/keys.rs
@@ -0,0 +1,168 @@
+//! Controller of calls for idempotency keys.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use fleet::view;
+use wire::{
+    key,
+    outcome::{Outcome, Reason, Refusal, Step},
+    time::Instant,
+};
+
+use crate::{action::Action, state::State, timers::Owner};
+
+/// Bound for a key call on a route whose tier has no settings.
+const DEFAULT_WAIT: Duration = Duration::from_secs(10);
+
+/// A caller's open key call.
+#[derive(Clone, Debug)]
+struct Pending {
+    route: Bytes,
+    pool: Bytes,
+    agent: view::Key,
+    peer: SocketAddr,
+    tried: Vec<view::Key>,
+    deadline: Instant,
+}
+
+/// The open key calls, by caller.
+#[derive(Clone, Debug)]
+pub struct Keys {
+    pending: HashMap<u64, Pending>,
+    /// Position of the round robin; starts at random, so that entries differ.
+    turn: u64,
+}
+
+impl Keys {
+    /// Returns no open calls.
+    pub fn new(turn: u64) -> Keys {
+        Keys { pending: HashMap::new(), turn }
+    }
+
+    /// Returns whether no call is open.
+    pub fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    /// Returns whether the caller has an open call.
+    pub fn contains(&self, caller: u64) -> bool {
+        self.pending.contains_key(&caller)
+    }
+}
+
+impl State {
+    /// Handles a caller's call for a key.
+    pub fn key_call(&mut self, caller: u64, route: Bytes) {
+        if self.keys.contains(caller) || self.by_caller.contains_key(&caller) {
+            self.counters.count("repeated_callers");
+            return;
+        }
+        let tree = self.tree.clone();
+        let settings = tree.routes.get(&route);
+        let refused = if self.stopping {
+            Some(Reason::Leaving)
+        } else if !self.ready {
+            Some(Reason::NotReady)
+        } else {
+            settings.is_none().then_some(Reason::NoRoute)
+        };
+        let Some(settings) = settings.filter(|_| refused.is_none()) else {
+            let reason = refused.unwrap_or(Reason::NoRoute);
+            self.answer_refusal(caller, Step::Received, reason);
+            return;
+        };
+        let wait = tree.tiers.get(&settings.tier).map_or(DEFAULT_WAIT, |tier| tier.deadline);
+        let deadline = self.now + wait;
+        self.ask_agent(caller, route, settings.pool.clone(), Vec::new(), deadline);
+    }
+
+    /// Asks the next agent in turn that has not been asked.
+    fn ask_agent(
+        &mut self,
+        caller: u64,
+        route: Bytes,
+        pool: Bytes,
+        mut tried: Vec<view::Key>,
+        deadline: Instant,
+    ) {
+        let usable = |&agent: &view::Key| {
+            self.view.is_live(agent)
+                && !tried.contains(&agent)
+                && self.health.admits(self.now, agent)
+        };
+        let agents: Vec<_> = self.view.agents(&pool).iter().copied().filter(usable).collect();
+        let turn = self.keys.turn;
+        self.keys.turn = turn.wrapping_add(1);
+        let index = turn.checked_rem(agents.len() as u64).map(|index| index as usize);
+        let agent = index.map(|index| agents[index]);
+        let Some((agent, host)) = agent.and_then(|agent| Some((agent, self.view.get(agent)?)))
+        else {
+            self.answer_refusal(caller, Step::Received, Reason::NoBackend);
+            return;
+        };
+        let peer = host.record.address;
+        tried.push(agent);
+        self.health.offered(self.now, agent);
+        self.timers.set(Owner::KeyCall(caller), None, deadline);
+        self.push(Action::KeyCall { caller, peer, route: route.clone() });
+        self.keys.pending.insert(caller, Pending { route, pool, agent, peer, tried, deadline });
+    }
+
+    /// Handles an agent's answer to a key call.
+    pub fn key_reply(&mut self, caller: u64, reply: Result<key::Key, Refusal>) {
+        let Some(pending) = self.take_key_call(caller) else { return };
+        self.health.answered(self.now, pending.agent);
+        let elsewhere = |refusal: &Refusal| {
+            let reason = refusal.reason;
+            matches!(reason, Reason::NotReady | Reason::Leaving | Reason::Overload)
+        };
+        match reply {
+            Err(refusal) if elsewhere(&refusal) => {
+                let Pending { route, pool, tried, deadline, .. } = pending;
+                self.ask_agent(caller, route, pool, tried, deadline);
+            }
+            answer => {
+                if answer.is_ok() {
+                    self.counters.count("keys_issued");
+                }
+                self.push(Action::KeyAnswer { caller, answer });
+            }
+        }
+    }
+
+    /// Handles a key call that got no answer; asking another agent commits nothing.
+    pub fn key_failed(&mut self, caller: u64, peer: SocketAddr) {
+        if self.keys.pending.get(&caller).is_none_or(|pending| pending.peer != peer) {
+            return;
+        }
+        let Some(pending) = self.take_key_call(caller) else { return };
+        self.blame(pending.agent);
+        let Pending { route, pool, tried, deadline, .. } = pending;
+        self.ask_agent(caller, route, pool, tried, deadline);
+    }
+
+    /// Refuses a key call at its deadline.
+    pub fn key_timer(&mut self, caller: u64) {
+        if self.take_key_call(caller).is_some() {
+            self.answer_refusal(caller, Step::Offered, Reason::Deadline);
+        }
+    }
+
+    /// Forgets the key call of a caller that is gone.
+    pub fn take_key_caller(&mut self, caller: u64) {
+        self.take_key_call(caller);
+    }
+
+    fn take_key_call(&mut self, caller: u64) -> Option<Pending> {
+        let pending = self.keys.pending.remove(&caller)?;
+        self.timers.clear(Owner::KeyCall(caller), Some(pending.deadline));
+        Some(pending)
+    }
+
+    fn answer_refusal(&mut self, caller: u64, step: Step, reason: Reason) {
+        let refusal = self.refusal(Outcome::NotRun, step, reason);
+        self.counters.refuse(&refusal);
+        self.push(Action::KeyAnswer { caller, answer: Err(refusal) });
+    }
+}
