Pause the entry in random schedules

Cause: the schedules had no entry that resumes late, and one caller only went away.

Change: about every 600th step of a schedule starts up to 800 ms late, so that deadlines, `Ready` and frames meet in one batch; three callers go away instead of one, and a second departure can't clear the first.

--- a/crates/entry/tests/schedules.rs
+++ b/crates/entry/tests/schedules.rs
@@ -208,7 +208,7 @@
             }
             Event::CallerGone { caller } => {
                 let caller = &mut self.callers[*caller as usize];
-                caller.gone = caller.request.is_some() && caller.finals == 0;
+                caller.gone |= caller.request.is_some() && caller.finals == 0;
             }
             _ => {}
         }
@@ -292,7 +292,9 @@
             list[index].address = address(self.rng.u8(100..200));
             self.later(1500, Happening::Event(Event::Hosts(list.clone())));
         }
-        self.later(1500, Happening::Event(Event::CallerGone { caller: 3 }));
+        for caller in [3, 7, 11] {
+            self.later(1500, Happening::Event(Event::CallerGone { caller }));
+        }
         self.agenda.insert((self.bench.now + 1500, u64::MAX), Happening::Event(Event::Stop));
     }
 
@@ -303,6 +305,10 @@
             let next = self.agenda.first_key_value().map(|((at, _), _)| *at);
             let Some(at) = timer.into_iter().chain(next).min() else { return };
             self.bench.now = self.bench.now.max(at);
+            if self.rng.u32(0..600) == 0 {
+                // The entry is paused: agents see its commits late, it sees everything late.
+                self.bench.now += self.rng.u64(0..800);
+            }
             if next.is_none_or(|next| next > at) {
                 self.deliver(Event::Tick);
                 continue;
