Bound isolated runs by time instead of by turns

Cause: a suspect queued beside long streams could hold ordinary work for 2 s after every 16 grants, which is most of a busy engine's time. Change: a hold lasts at most 0.5 s, and ordinary work that waits gets four times the time of the last hold and isolated run before the next. Kept bytes, finished streams, keys and adopted streams have lower bounds, which fit the memory budget of a process.

--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -283,7 +283,7 @@
             self.send_end(cx, grant, reader, &body);
         }
         self.streams.finish(grant);
-        self.release_slot(slot, isolated);
+        self.release_slot(cx.now, slot, isolated);
         if !adopted {
             self.free_fingerprint(kind, fingerprint);
         }
--- a/crates/agent/src/commit.rs
+++ b/crates/agent/src/commit.rs
@@ -20,6 +20,8 @@
 
 /// Bytes of one replayed frame, well below the bound of one message.
 const MAX_FRAME_BYTES: usize = 1 << 20;
+/// Running streams above which none is adopted. Own ones are bounded by the engine's limits.
+const MAX_LIVE: usize = 4096;
 /// Silence before the first byte that is allowed, as a multiple of the expected time.
 const PREFILL_PATIENCE: u32 = 4;
 
@@ -164,7 +166,7 @@
             return self.refuse_commit(cx, link, commit, Outcome::NotRun, Reason::GrantExpired);
         }
         match self.grants.absent(grant) {
-            grants::Absent::Foreign if resumable && self.serves_models() => {
+            grants::Absent::Foreign if resumable && self.may_adopt() => {
                 self.adopt(cx, grant, request);
                 self.add_reader(cx, link, grant, request, offset);
             }
@@ -180,6 +182,10 @@
         }
     }
 
+    fn may_adopt(&self) -> bool {
+        self.serves_models() && self.streams.live().len() < MAX_LIVE
+    }
+
     /// Resumes the stream of a replaced process from its start, so that the checksum covers
     /// the whole.
     fn adopt(&mut self, cx: &mut Context<'_>, grant: id::Grant, request: id::Request) {
--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -14,10 +14,12 @@
 const PAUSE: Duration = Duration::from_millis(250);
 /// Earlier runs remembered, so that a late message of one is not taken for a restart.
 const MAX_RETIRED: usize = 8;
-/// Ordinary requests served between two isolated runs while both kinds wait.
-pub(crate) const ISOLATION_INTERVAL: u32 = 16;
-/// Time that ordinary work is held up while the engine empties for an isolated run.
-const ISOLATION_HOLD: Duration = Duration::from_secs(2);
+/// Time that ordinary work is held up while the engine empties for an isolated run. Streams
+/// that are nearly done end within it; longer ones are not worth an idle engine.
+const ISOLATION_HOLD: Duration = Duration::from_millis(500);
+/// Ordinary work that waits gets at least this multiple of the time that the last isolated
+/// run and the hold before it took.
+const ORDINARY_SHARE: u32 = 4;
 /// A request that ended without a whole answer counts as running this long, since the crash
 /// it may have caused is noticed later.
 const VICTIM_TTL: Duration = Duration::from_secs(5);
@@ -50,8 +52,9 @@
     busy: HashMap<u64, u32>,
     /// Whether a request runs alone.
     pub(crate) isolated: bool,
-    pub(crate) since_isolation: u32,
-    hold_until: Option<Instant>,
+    /// When an isolated run may take the engine from ordinary work again.
+    next_isolation: Instant,
+    hold_since: Option<Instant>,
 }
 
 impl Engine {
@@ -150,39 +153,43 @@
     }
 
     /// Returns whether an isolated run is due while ordinary work waits too.
-    pub(crate) fn isolation_due(&self) -> bool {
-        self.since_isolation >= ISOLATION_INTERVAL
+    pub(crate) fn isolation_due(&self, now: Instant) -> bool {
+        now >= self.next_isolation
     }
 
     /// Begins to hold ordinary work so that the engine empties; returns until when, once.
     pub(crate) fn hold(&mut self, now: Instant) -> Option<Instant> {
-        if self.hold_until.is_some() {
+        if self.hold_since.is_some() {
             return None;
         }
-        self.hold_until = Some(now + ISOLATION_HOLD);
-        self.hold_until
+        self.hold_since = Some(now);
+        Some(now + ISOLATION_HOLD)
     }
 
-    /// Returns whether ordinary work is held. A hold that ran out counts as an isolated turn.
+    /// Returns whether ordinary work is held, and ends a hold that ran out.
     pub(crate) fn holds(&mut self, now: Instant) -> bool {
-        match self.hold_until {
-            Some(until) if until > now => true,
-            Some(_) => {
-                self.end_isolation();
-                false
-            }
-            None => false,
+        let held = self.hold_since.is_some_and(|since| now < since + ISOLATION_HOLD);
+        if !held && self.hold_since.is_some() {
+            self.end_isolation(now);
         }
+        held
     }
 
     /// Ends a hold for which no request waits any more.
     pub(crate) fn cancel_hold(&mut self) {
-        self.hold_until = None;
+        self.hold_since = None;
+    }
+
+    pub(crate) fn begin_isolation(&mut self, now: Instant) {
+        self.isolated = true;
+        self.hold_since.get_or_insert(now);
     }
 
-    pub(crate) fn end_isolation(&mut self) {
-        self.hold_until = None;
-        self.since_isolation = 0;
+    /// Ends a hold or an isolated run and returns when the next one may begin.
+    pub(crate) fn end_isolation(&mut self, now: Instant) -> Instant {
         self.isolated = false;
+        let taken = self.hold_since.take().map_or(Duration::ZERO, |since| now.since(since));
+        self.next_isolation = now + taken * ORDINARY_SHARE;
+        self.next_isolation
     }
 }
--- a/crates/agent/src/grants.rs
+++ b/crates/agent/src/grants.rs
@@ -55,6 +55,11 @@
         own.then(|| self.reserved.get(&grant.seq)).flatten()
     }
 
+    /// Returns the request that a slot is reserved for.
+    pub(crate) fn request(&self, seq: u64) -> Option<id::Request> {
+        self.reserved.get(&seq).map(|reservation| reservation.head.request)
+    }
+
     /// Removes a reservation. Its number is abandoned unless a stream takes it over.
     pub(crate) fn take(&mut self, seq: u64) -> Option<Reservation> {
         self.reserved.remove(&seq)
--- a/crates/agent/src/keys.rs
+++ b/crates/agent/src/keys.rs
@@ -9,7 +9,7 @@
 
 /// Keys remembered at once. A full table refuses new keys, since dropping one early would
 /// break its promised life.
-const MAX_KEYS: usize = 65_536;
+const MAX_KEYS: usize = 32_768;
 /// Offers that wait for the outcome of another one with the same key.
 const MAX_WAITERS: usize = 16;
 
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -101,7 +101,7 @@
     }
 
     fn start_alone(&mut self, cx: &mut Context<'_>, key: queue::Key, fingerprint: u64) -> bool {
-        let due = self.engine.isolation_due();
+        let due = self.engine.isolation_due(cx.now);
         let idle = self.limit.in_engine() == 0;
         if idle && (due || !self.queue.has_ordinary()) && !self.engine.is_busy(fingerprint) {
             self.grant(cx, key, true);
@@ -127,9 +127,7 @@
         self.limit.reserve(slot);
         self.hold_fingerprint(head.kind, head.fingerprint);
         if isolated {
-            self.engine.isolated = true;
-        } else {
-            self.engine.since_isolation = self.engine.since_isolation.saturating_add(1);
+            self.engine.begin_isolation(cx.now);
         }
         self.count("ready");
         self.trace(cx, head.request, Step::Granted, "ready");
@@ -142,6 +140,9 @@
 
     pub(crate) fn expire_reservation(&mut self, cx: &mut Context<'_>, seq: u64) {
         self.count("grants_expired");
+        if let Some(request) = self.grants.request(seq) {
+            self.trace(cx, request, Step::Granted, "expired");
+        }
         self.dissolve(cx, seq);
     }
 
@@ -150,15 +151,16 @@
         let Some(reservation) = self.grants.take(seq) else { return };
         self.timers.disarm(reservation.expires, Timer::Reserved(seq));
         let grants::Reservation { head, slot, isolated, .. } = reservation;
-        self.release_slot(slot, isolated);
+        self.release_slot(cx.now, slot, isolated);
         self.free_fingerprint(head.kind, head.fingerprint);
         self.release_key(cx, &head);
     }
 
-    pub(crate) fn release_slot(&mut self, slot: limit::Slot, isolated: bool) {
+    pub(crate) fn release_slot(&mut self, now: Instant, slot: limit::Slot, isolated: bool) {
         self.limit.release(slot);
         if isolated {
-            self.engine.end_isolation();
+            let next = self.engine.end_isolation(now);
+            self.timers.arm(next, Timer::Engine);
         }
     }
 
--- a/crates/agent/src/streams.rs
+++ b/crates/agent/src/streams.rs
@@ -12,10 +12,10 @@
 
 /// Bytes kept of one stream; of a longer one only the end can be replayed.
 const MAX_KEPT_BYTES: usize = 4 << 20;
-/// Bytes kept of all streams; half of a host's memory budget of 128 MB.
-const MAX_TOTAL_BYTES: usize = 64 << 20;
+/// Bytes kept of all streams; a quarter of a process's memory budget of 128 MB.
+const MAX_TOTAL_BYTES: usize = 32 << 20;
 /// Finished streams remembered, with or without bytes.
-const MAX_FINISHED: usize = 65_536;
+const MAX_FINISHED: usize = 16_384;
 /// Requests that may read the stream of another one by its idempotency key.
 const MAX_ALIASES: usize = 16;
 /// Links that read one stream.
@@ -224,6 +224,9 @@
     pub(crate) fn finish(&mut self, grant: id::Grant) {
         if self.live.remove(&grant) {
             self.finished.push_back(grant);
+            if let Some(stream) = self.map.get_mut(&grant) {
+                stream.kept.bytes.shrink_to_fit();
+            }
         }
     }
 
--- a/crates/agent/tests/admission.rs
+++ b/crates/agent/tests/admission.rs
@@ -298,6 +298,7 @@
     let (alone, _) = rig.run(head(2));
     assert!(readies(&rig.offer(poison(3)).1).is_empty());
     assert!(readies(&rig.offer(head(4)).1).is_empty());
+    rig.wait(ms(100));
     rig.started(alone, "run-2");
     let actions = rig.backend(alone, Progress::End);
     assert!(actions.iter().any(|a| matches!(a, Action::Suspects(list) if list[0].cleared)));
@@ -344,3 +345,26 @@
     rig.backend(grant, Progress::End);
     rig.ready(head(1));
 }
+
+/// Guards against a suspect that waits for ever beside ordinary work, and against ordinary work
+/// that is held up for it without bound.
+#[test]
+fn isolated_run_gets_a_bounded_hold() {
+    let mut rig = Rig::new(pool());
+    let (running, _) = rig.run(head(1));
+    let suspect = wire::sync::Suspect { fingerprint: 666, crashes: 1, cleared: false };
+    rig.send(Event::Suspects(vec![suspect]));
+    let (alone, _) = rig.offer(request::Head { fingerprint: 666, ..head(2) });
+    let (ordinary, actions) = rig.offer(head(3));
+    assert!(readies(&actions).is_empty());
+    assert_eq!(readies(&rig.wait(ms(500)))[0].0, ordinary);
+    rig.wait(ms(300));
+    rig.ready(head(4));
+    rig.started(running, "run-1");
+    for _ in 0..3 {
+        rig.wait(ms(600));
+        rig.data(running, "part");
+    }
+    assert!(readies(&rig.offer(head(5)).1).is_empty());
+    assert_eq!(readies(&rig.backend(running, Progress::End))[0].0, alone);
+}
