Test the mechanisms that no test guarded

Cause: five mechanisms of the distribution could be removed without a failing test.

Change: adds tests for the answer of a starting process, a branch that a reading lacks, a hanging read, the memory of suspects and the rule for what counts as an exchange.

With each mechanism removed in turn, the new test fails.

--- a/crates/sync/tests/distribution.rs
+++ b/crates/sync/tests/distribution.rs
@@ -204,12 +204,17 @@
     let mut net = Net::new(17, 60, 4, 3);
     net.run_for(4 * SECOND);
     let suspect = Suspect { fingerprint: 9, crashes: 1, cleared: false };
+    net.partition(|node| u8::from(node == 59));
     net.act(30, Event::Suspects(vec![suspect, suspect]));
     net.run_for(100 * MS);
     let informed = net.nodes.iter().filter(|node| node.suspects == [suspect]).count();
-    assert_eq!(informed, 59);
+    assert_eq!(informed, 58);
+    // The last process still shares it when the others no longer do.
+    net.run_for(8 * SECOND);
+    net.partition(|_| 0);
     net.run_for(150 * SECOND);
-    assert!(net.nodes.iter().all(|node| node.suspects.len() <= 1));
+    let times = |node: usize| net.nodes[node].suspects.len();
+    assert!((0..60).all(|node| times(node) == usize::from(node != 30)));
     net.act(2, Event::Suspects(vec![Suspect { cleared: true, ..suspect }]));
     net.run_for(100 * MS);
     assert!(net.nodes[30].suspects.iter().any(|suspect| suspect.cleared));
--- a/crates/sync/tests/machine.rs
+++ b/crates/sync/tests/machine.rs
@@ -1,5 +1,7 @@
 //! One machine against peers that send what they should not.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use sync::{Action, Event, Machine, Setup, limit};
 use wire::{
@@ -58,7 +60,9 @@
     }
     assert_eq!(machine.digest().0.len(), limit::MAX_BRANCHES);
     let text = format!(";{}\n", "x".repeat(limit::MAX_BRANCH_BYTES));
-    assert_eq!(refusals(&send(&mut machine, exchange(vec![branch("b1", 2, &text)]))), 1);
+    let large = || exchange(vec![branch("b1", 2, &text)]);
+    assert_eq!(refusals(&send(&mut machine, large())), 1);
+    assert_eq!(refusals(&send(&mut machine, large())), 0);
     let text = &text[..limit::MAX_BRANCH_BYTES / 2];
     let large = (0..100).map(|n| branch(&format!("b{n}"), 2, text)).collect();
     send(&mut machine, exchange(large));
@@ -133,6 +137,25 @@
     assert!(step(&mut machine, 2_001, Event::Tick));
 }
 
+/// Guards against a seed that is starting itself, with a stale service, and whose answer
+/// makes others serve old settings.
+#[test]
+fn a_starting_process_does_not_say_what_it_holds() {
+    let mut machine = machine();
+    let reply_entries = |machine: &mut Machine| {
+        let find = |action| match action {
+            Action::Reply { exchange, .. } => Some(exchange.digest.0.len()),
+            _ => None,
+        };
+        send(machine, exchange(Vec::new())).into_iter().find_map(find)
+    };
+    let branches = vec![branch("b", 1, "[entry]")];
+    machine.handle(Instant(2), Event::Read { branches, index: 1 }, &mut Vec::new());
+    assert_eq!(reply_entries(&mut machine), Some(0));
+    machine.handle(Instant(3_000_000), Event::Tick, &mut Vec::new());
+    assert_eq!(reply_entries(&mut machine), Some(1));
+}
+
 /// Guards against a digest hash of another process that is ignored or answered in a loop.
 #[test]
 fn a_differing_hash_causes_one_exchange() {
@@ -148,6 +171,83 @@
     assert_eq!([sends(11, 1), sends(12, 1), sends(99, 1)], [1, 0, 1]);
 }
 
+/// Guards against a deleted branch that comes back from a peer until the next reading.
+#[test]
+fn a_branch_missing_from_the_last_reading_is_deleted() {
+    let mut machine = machine();
+    let branches = vec![branch("a", 3, "[entry]")];
+    machine.handle(Instant(2), Event::Read { branches, index: 9 }, &mut Vec::new());
+    let old = exchange(vec![branch("b", 5, "[pool p]"), branch("c", 10, "[pool q]")]);
+    let actions = send(&mut machine, old);
+    let revisions: Vec<u64> = machine.digest().0.iter().map(|(_, revision)| *revision).collect();
+    assert_eq!(revisions, [3, 9, 10]);
+    let settings = |action: &Action| match action {
+        Action::Settings(tree) => Some(tree.pools.keys().cloned().collect::<Vec<_>>()),
+        _ => None,
+    };
+    assert_eq!(actions.iter().find_map(settings), Some(vec![Bytes::from_static(b"q")]));
+}
+
+/// Runs the timers for `seconds` with a peer that sends `message` every 500 ms, and a service
+/// that answers backup reads only. Returns the number of blocking reads.
+fn blocking_reads(machine: &mut Machine, seconds: u64, message: Option<&Exchange>) -> usize {
+    let mut count = 0;
+    for step in 1..=seconds * 20 {
+        let now = Instant(1_000_000 + step * 50_000);
+        let mut actions = Vec::new();
+        machine.handle(now, Event::Tick, &mut actions);
+        if let Some(exchange) = message.filter(|_| step % 10 == 0) {
+            let exchange = exchange.clone();
+            machine.handle(now, Event::Received { link: 1, exchange }, &mut actions);
+        }
+        for action in actions {
+            match action {
+                Action::Read { wait, .. } if wait > Duration::ZERO => count += 1,
+                Action::Read { .. } => {
+                    let branches = vec![branch("a", 3, "[entry]")];
+                    machine.handle(now, Event::Read { branches, index: 9 }, &mut Vec::new());
+                }
+                _ => {}
+            }
+        }
+    }
+    count
+}
+
+fn machine_with_hosts(address: &str) -> Machine {
+    let mut machine = machine();
+    let text = format!(
+        r#"[{{"host":"h","role":"entry","address":"{address}","availability_zone":"z1","state":"live"}}]"#
+    );
+    let event = Event::Hosts { revision: 1, text: Bytes::from(text) };
+    machine.handle(Instant(3), event, &mut Vec::new());
+    let branches = vec![branch("a", 3, "[entry]")];
+    machine.handle(Instant(4), Event::Read { branches, index: 9 }, &mut Vec::new());
+    machine
+}
+
+/// Guards against a blocking read that hangs and is never issued again, because the replies
+/// to backup reads are taken for signs of life.
+#[test]
+fn a_hanging_read_is_issued_again() {
+    let count = blocking_reads(&mut machine_with_hosts("10.0.0.1:7000"), 60, None);
+    assert!((4..=6).contains(&count), "{count}");
+}
+
+/// Guards against a process that takes messages for exchanges although they leave it behind
+/// their sender, and so never asks the service.
+#[test]
+fn an_exchange_that_leaves_a_process_behind_does_not_count() {
+    let mut machine = machine_with_hosts("10.0.0.9:7000");
+    let digest = machine.digest().clone();
+    let equal = Exchange { digest, ..exchange(Vec::new()) };
+    assert_eq!(blocking_reads(&mut machine, 10, Some(&equal)), 0);
+    let mut machine = machine_with_hosts("10.0.0.9:7000");
+    let mut ahead = equal;
+    ahead.digest.0.push((Bytes::from_static(b"z"), 12));
+    assert_eq!(blocking_reads(&mut machine, 10, Some(&ahead)), 1);
+}
+
 quickcheck::quickcheck! {
     /// Guards against arbitrary messages that panic the machine or lower a revision.
     fn arbitrary_messages_do_no_harm(messages: Vec<(u8, u64, Vec<u8>)>) -> bool {
--- a/crates/sync/tests/net/mod.rs
+++ b/crates/sync/tests/net/mod.rs
@@ -45,6 +45,7 @@
     Check { layout: u64, holders: Vec<(usize, u64)>, floors: BTreeMap<u8, Revisions> },
 }
 
+#[derive(Default)]
 pub struct Net {
     pub now: u64,
     pub nodes: Vec<Node>,
@@ -58,7 +59,6 @@
     pub ready_checks: u64,
     pub reads: u64,
     pub host_reads: u64,
-    pub messages: u64,
     seeds: usize,
     zones: usize,
     layout: u64,
@@ -81,27 +81,8 @@
 impl Net {
     /// Returns a network of `count` processes, the first `seeds` of which are seeds.
     pub fn new(seed: u64, count: usize, zones: usize, seeds: usize) -> Net {
-        let mut net = Net {
-            now: SECOND,
-            nodes: Vec::new(),
-            rng: fastrand::Rng::with_seed(seed),
-            drop_percent: 0,
-            service: service::Service::default(),
-            hosts: (1, Bytes::new()),
-            hosts_up: true,
-            checks: 0,
-            ready_checks: 0,
-            reads: 0,
-            host_reads: 0,
-            messages: 0,
-            seeds,
-            zones,
-            layout: 0,
-            seen: Revisions::new(),
-            sequence: 0,
-            queue: BinaryHeap::new(),
-            items: BTreeMap::new(),
-        };
+        let rng = fastrand::Rng::with_seed(seed);
+        let mut net = Net { now: SECOND, rng, hosts_up: true, seeds, zones, ..Net::default() };
         net.write("base", "[entry]\n");
         net.service.save();
         for node in 0..count {
@@ -244,7 +225,6 @@
             Action::Read { index, .. } => self.read(node, index),
             Action::ReadHosts => self.read_hosts(node),
             Action::Send { peer, exchange } => {
-                self.messages += 1;
                 let item = Item::Request { from: node, to: index(peer), exchange };
                 let delay = self.delay();
                 self.post(delay, item);
