Close gaps that removing a rule at a time showed in the tests

Cause: with one rule of the agent removed at a time, four removals passed all tests: isolation of a queued suspect, taking a crash back, no resume for plain services, and the drain's check in turns. Change: three tests are added or sharpened, and one more for the bound of kept bytes.

--- a/crates/agent/tests/admission.rs
+++ b/crates/agent/tests/admission.rs
@@ -346,6 +346,33 @@
     rig.ready(head(1));
 }
 
+/// Guards against a queued request that becomes a suspect and still runs among others.
+#[test]
+fn queued_suspect_waits_for_an_isolated_run() {
+    let mut rig = Rig::new(tree::Pool { max_running: 2, short_share_percent: 0, ..pool() });
+    let (first, _) = rig.run(head(1));
+    let (second, _) = rig.run(head(2));
+    let (queued, _) = rig.offer(head(3));
+    let suspect = wire::sync::Suspect { fingerprint: 1003, crashes: 1, cleared: false };
+    rig.send(Event::Suspects(vec![suspect]));
+    rig.started(first, "run-1");
+    assert!(readies(&rig.backend(first, Progress::End)).is_empty());
+    rig.started(second, "run-1");
+    assert_eq!(readies(&rig.backend(second, Progress::End))[0].0, queued);
+}
+
+/// Guards against suspicion of a request that was sent to the new run before the crash of the
+/// old one was noticed.
+#[test]
+fn crash_of_an_earlier_run_is_taken_back() {
+    let mut rig = Rig::new(pool());
+    let (grant, _) = rig.run(head(1));
+    let counted = rig.probe("run-2");
+    assert!(matches!(&counted[..], [Action::Suspects(list)] if list[0].crashes == 1));
+    rig.started(grant, "run-2");
+    assert!(rig.status().quarantined.is_empty());
+}
+
 /// Guards against a suspect that waits for ever beside ordinary work, and against ordinary work
 /// that is held up for it without bound.
 #[test]
--- a/crates/agent/tests/streams.rs
+++ b/crates/agent/tests/streams.rs
@@ -134,6 +134,7 @@
                 rig.started(grant, "run-1");
             }
             let mut actions = rig.backend(grant, Progress::Lost);
+            assert_eq!(refusals(&actions).len(), usize::from(seq == 1), "only services end here");
             if seq == 2 {
                 actions.extend(rig.backend(grant, no_stream("run-1")));
             } else if seq == 3 {
@@ -182,6 +183,27 @@
     }
 }
 
+/// Guards against memory that grows with an answer, and against a replay with a hole.
+#[test]
+fn long_stream_keeps_its_end_only() {
+    let mut rig = Rig::new(pool());
+    let (grant, link) = rig.run(head(1));
+    rig.started(grant, "run-1");
+    let part = bytes::Bytes::from(vec![7; 1 << 20]);
+    for _ in 0..6 {
+        rig.backend(grant, Progress::Data(part.clone()));
+    }
+    let (_, actions) = rig.attach(1, grant, 0);
+    assert_eq!(refusals(&actions)[0].1, Outcome::Incomplete);
+    let (late, actions) = rig.attach(1, grant, 5 << 20);
+    let bytes = part.clone();
+    assert_eq!(frames(&actions, late), [frame::Body::Data { offset: 5 << 20, bytes }]);
+    let actions = rig.backend(grant, Progress::End);
+    let end = frame::Body::End { length: 6 << 20, crc32: crc32fast::hash(&part.repeat(6)) };
+    assert_eq!(frames(&actions, link), std::slice::from_ref(&end));
+    assert_eq!(frames(&actions, late), [end]);
+}
+
 /// Guards against an engine that is kept overfull although it answers late.
 #[test]
 fn count_limit_follows_first_token_times() {
