Compare hashes before full digests

Cause: each message carried the full digest, about 20 bytes for each branch, several times per second in each process.

Change: periodic exchanges and pushes carry a summary, the hash of the digest as an entry with a reserved name after the entries that changed. The full digest follows only if the hashes differ. The cap on branches rises to 4,096, and the digest is updated in place.

--- a/crates/sync/src/exchange.rs
+++ b/crates/sync/src/exchange.rs
@@ -5,29 +5,40 @@
 use bytes::Bytes;
 use wire::{sync, time::Instant};
 
-use crate::{Action, Machine, limit, store};
+use crate::{Action, Machine, limit, store, summary};
 
 impl Machine {
-    fn message(&self, now: Instant) -> sync::Exchange {
+    fn message(&self, now: Instant, digest: sync::Digest) -> sync::Exchange {
         sync::Exchange {
             process: self.setup.process,
             host: self.setup.host.clone(),
-            digest: self.store.digest().clone(),
+            digest,
             branches: Vec::new(),
             wanted: Vec::new(),
             suspects: self.suspects.shared(now),
         }
     }
 
-    pub(crate) fn exchange_with(&self, now: Instant, peer: SocketAddr, actions: &mut Vec<Action>) {
-        actions.push(Action::Send { peer, exchange: self.message(now) });
+    /// Returns a message with all revisions in force.
+    pub(crate) fn full(&self, now: Instant) -> sync::Exchange {
+        self.message(now, self.store.digest().clone())
     }
 
-    /// Exchanges digests with one random peer.
+    /// Returns a message that names some branches and carries the small ones of them.
+    pub(crate) fn brief(&self, now: Instant, names: &[Bytes]) -> sync::Exchange {
+        let names = &names[..names.len().min(limit::MAX_WANTED)];
+        let mut exchange =
+            self.message(now, summary::of(self.store.digest(), self.store.hash(), names));
+        exchange.branches = self.store.named(names.iter());
+        exchange.branches.retain(|branch| branch.text.len() <= limit::PUSH_BYTES);
+        exchange
+    }
+
+    /// Compares digests with one random peer.
     pub(crate) fn exchange_with_any(&mut self, now: Instant, actions: &mut Vec<Action>) {
         for peer in self.peers.choose(&mut self.rng, 1, b"") {
             self.partner = Some(peer);
-            self.exchange_with(now, peer, actions);
+            actions.push(Action::Send { peer, exchange: self.brief(now, &[]) });
         }
     }
 
@@ -42,9 +53,7 @@
         if changed.is_empty() {
             return;
         }
-        let mut exchange = self.message(now);
-        exchange.branches = self.store.named(changed.iter());
-        exchange.branches.retain(|branch| branch.text.len() <= limit::PUSH_BYTES);
+        let exchange = self.brief(now, changed);
         for peer in self.peers.choose(&mut self.rng, limit::FANOUT, except) {
             actions.push(Action::Send { peer, exchange: exchange.clone() });
         }
@@ -61,8 +70,14 @@
         let digest = exchange.digest.clone();
         let host = exchange.host.clone();
         let changed = self.absorb(now, exchange, actions);
-        let mut reply = self.message(now);
-        reply.branches = self.store.ahead(&digest);
+        let hash = summary::hash(&digest);
+        // Branches that the sender named are on their way, from it or from another peer.
+        let is_settled = hash == Some(self.store.hash())
+            || hash.is_some() && !self.store.behind(&digest).is_empty();
+        let mut reply = if is_settled { self.brief(now, &[]) } else { self.full(now) };
+        if hash.is_none() {
+            reply.branches = self.store.ahead(&digest);
+        }
         reply.wanted = self.wanted(now, &digest);
         // A process that is starting may hold settings of a stale service only. Its reply
         // must not count as a seed's answer, so it doesn't say what it holds.
@@ -85,21 +100,51 @@
         let host = exchange.host.clone();
         let wanted = exchange.wanted.clone();
         let changed = self.absorb(now, exchange, actions);
-        let is_behind = !self.store.behind(&digest).is_empty();
-        if !digest.0.is_empty() && !is_behind {
+        if self.is_level(&digest) {
             self.join.answered(peer);
         }
-        // The rest of a difference that exceeds one message follows in the next.
-        let is_partial = is_behind && !changed.is_empty();
-        if (is_partial || !wanted.is_empty()) && self.follow_ups < limit::MAX_FOLLOW_UPS {
+        if self.follow_ups < limit::MAX_FOLLOW_UPS
+            && let Some(exchange) = self.follow_up(now, &digest, &wanted)
+        {
             self.follow_ups += 1;
-            let mut exchange = self.message(now);
-            exchange.branches = self.store.named(wanted.iter());
             actions.push(Action::Send { peer, exchange });
         }
         self.push(now, &changed, &host, actions);
     }
 
+    /// Returns the message that continues an exchange after a reply, if one is needed.
+    fn follow_up(
+        &self,
+        now: Instant,
+        digest: &sync::Digest,
+        wanted: &[Bytes],
+    ) -> Option<sync::Exchange> {
+        if !wanted.is_empty() {
+            let mut exchange = self.brief(now, &[]);
+            exchange.branches = self.store.named(wanted.iter());
+            return Some(exchange);
+        }
+        // An empty digest comes from a process that is starting and asks by itself.
+        if digest.0.is_empty() || summary::hash(digest).is_some() {
+            return None;
+        }
+        if !self.store.behind(digest).is_empty() {
+            return Some(self.full(now));
+        }
+        let lacking: Vec<Bytes> =
+            self.store.ahead(digest).into_iter().map(|branch| branch.name).collect();
+        (!lacking.is_empty()).then(|| self.brief(now, &lacking))
+    }
+
+    /// Returns whether the holder of `digest` has nothing that this process lacks. An empty
+    /// digest comes from a process that is starting and says nothing about the fleet.
+    fn is_level(&self, digest: &sync::Digest) -> bool {
+        match summary::hash(digest) {
+            Some(hash) => !self.store.digest().0.is_empty() && hash == self.store.hash(),
+            None => !digest.0.is_empty() && self.store.behind(digest).is_empty(),
+        }
+    }
+
     /// Takes what a message carries and returns the names of branches that changed.
     fn absorb(
         &mut self,
@@ -113,10 +158,8 @@
         }
         let branches = exchange.branches.into_iter().take(limit::MAX_BRANCHES);
         let changed = self.take(store::Source::Peer, branches, actions);
-        // A message that leaves this process behind its sender is no complete exchange, and
-        // one from a process that is starting says nothing about the fleet.
-        let digest = &exchange.digest;
-        if !digest.0.is_empty() && self.store.behind(digest).is_empty() {
+        // A message that may leave this process behind its sender is no complete exchange.
+        if self.is_level(&exchange.digest) {
             self.contact = now;
             self.is_orphan = false;
         }
--- a/crates/sync/src/lib.rs
+++ b/crates/sync/src/lib.rs
@@ -14,6 +14,7 @@
 mod peer;
 mod read;
 mod store;
+mod summary;
 mod suspect;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
@@ -202,6 +203,7 @@
     }
 
     fn start(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.store.rehash();
         let setup = &self.setup;
         let others = |seed: &SocketAddr| *seed != setup.address;
         let seeds: Vec<SocketAddr> = setup.seeds.iter().copied().filter(others).collect();
@@ -216,7 +218,7 @@
             return;
         }
         for peer in self.join.due(now) {
-            self.exchange_with(now, peer, actions);
+            actions.push(Action::Send { peer, exchange: self.full(now) });
         }
         if now >= self.next_exchange {
             self.next_exchange = now + limit::EXCHANGE_PERIOD;
@@ -279,6 +281,9 @@
             let deleted = self.store.find_deleted();
             self.accept(store::Source::Service, deleted, &mut changed, actions);
         }
+        if !changed.is_empty() {
+            self.store.rehash();
+        }
         if changed.iter().any(|name| name == sync::HOSTS_BRANCH) {
             self.peers.update(&self.setup, self.store.hosts());
             actions.push(Action::Hosts(self.store.hosts().to_vec()));
@@ -328,9 +333,9 @@
     }
 
     fn seen(&mut self, now: Instant, peer: SocketAddr, hash: u64, actions: &mut Vec<Action>) {
-        if hash != self.store.digest().hash() && now >= self.next_seen {
+        if hash != self.store.hash() && now >= self.next_seen {
             self.next_seen = now + limit::SEEN_GAP;
-            self.exchange_with(now, peer, actions);
+            actions.push(Action::Send { peer, exchange: self.full(now) });
         }
     }
 
@@ -344,7 +349,7 @@
             return;
         }
         for peer in self.peers.choose(&mut self.rng, limit::SUSPECT_FANOUT, b"") {
-            self.exchange_with(now, peer, actions);
+            actions.push(Action::Send { peer, exchange: self.brief(now, &[]) });
         }
     }
 }
--- a/crates/sync/src/limit.rs
+++ b/crates/sync/src/limit.rs
@@ -6,7 +6,7 @@
 pub const MAX_BRANCH_BYTES: usize = conf::document::MAX_BYTES;
 
 /// Most branches held, tombstones included.
-pub const MAX_BRANCHES: usize = 1_024;
+pub const MAX_BRANCHES: usize = 4_096;
 
 /// Most bytes of branch text held.
 pub const MAX_TOTAL_BYTES: usize = 32 << 20;
--- a/crates/sync/src/store.rs
+++ b/crates/sync/src/store.rs
@@ -47,6 +47,8 @@
     parsed: BTreeMap<Bytes, tree::Branch>,
     hosts: Vec<host::Record>,
     digest: sync::Digest,
+    /// Hash of `digest` as of the last `rehash`.
+    hash: u64,
     total_bytes: usize,
     refused: VecDeque<Refusal>,
     /// Index and names of the latest reading of the service.
@@ -116,12 +118,15 @@
             let parsed = parse_branch(&branch)?;
             self.parsed.insert(branch.name.clone(), parsed);
         }
+        let entry = (branch.name.clone(), branch.revision);
+        match self.digest.0.binary_search_by(|(name, _)| name.cmp(&branch.name)) {
+            Ok(at) => self.digest.0[at] = entry,
+            Err(at) => self.digest.0.insert(at, entry),
+        }
         self.total_bytes += branch.text.len();
         if let Some(old) = self.held.insert(branch.name.clone(), branch) {
             self.total_bytes -= old.text.len();
         }
-        let entries = self.held.values().map(|held| (held.name.clone(), held.revision));
-        self.digest = sync::Digest(entries.collect());
         Ok(())
     }
 
@@ -177,6 +182,16 @@
         &self.digest
     }
 
+    /// Returns the hash of the digest, which each offer is compared with.
+    pub(crate) fn hash(&self) -> u64 {
+        self.hash
+    }
+
+    /// Updates the hash after branches were applied.
+    pub(crate) fn rehash(&mut self) {
+        self.hash = self.digest.hash();
+    }
+
     /// Returns the names and revisions that `digest` has ahead of this process, leaving out
     /// revisions that were refused here.
     pub(crate) fn behind(&self, digest: &sync::Digest) -> Vec<(Bytes, u64)> {
@@ -186,16 +201,16 @@
         let is_ahead = |(name, revision): &&(Bytes, u64)| {
             let held = self.held.get(name);
             held.is_none_or(|held| held.revision < *revision)
-                && name.len() <= limit::MAX_NAME_BYTES
+                && (is_branch_name(name) || name == sync::HOSTS_BRANCH)
                 && !refused(name, *revision)
         };
-        let entries = digest.0.iter().take(limit::MAX_BRANCHES);
+        let entries = digest.0.iter().take(limit::MAX_BRANCHES + 1);
         entries.filter(is_ahead).take(limit::MAX_WANTED).cloned().collect()
     }
 
     /// Returns branches that the holder of `digest` lacks, up to the size of one exchange.
     pub(crate) fn ahead(&self, digest: &sync::Digest) -> Vec<sync::Branch> {
-        let entries = digest.0.iter().take(limit::MAX_BRANCHES);
+        let entries = digest.0.iter().take(limit::MAX_BRANCHES + 1);
         let theirs: HashMap<&Bytes, u64> =
             entries.map(|(name, revision)| (name, *revision)).collect();
         let newer = |held: &&sync::Branch| {
--- a/crates/sync/tests/machine.rs
+++ b/crates/sync/tests/machine.rs
@@ -54,7 +54,8 @@
 #[test]
 fn branches_are_bounded() {
     let mut machine = machine();
-    let small: Vec<Branch> = (0..2_000).map(|n| branch(&format!("b{n}"), 1, "[entry]")).collect();
+    let small: Vec<Branch> =
+        (0..limit::MAX_BRANCHES + 100).map(|n| branch(&format!("b{n}"), 1, "[entry]")).collect();
     for part in small.chunks(500) {
         send(&mut machine, exchange(part.to_vec()));
     }
