Count a crash once and hold its suspects at the agent that saw it

Cause: reports carried a count of crashes and the larger count won, so the crashes of two engines did not add up; a clearing report with a lower count was never passed on; and an agent ran a suspect again while the other agent of its spread was still running it. Traces of poison_requests_cost_two_engines_at_most showed three crashes. Change: a report names its crash; reports of one crash count once, a cleared one stays cleared. An agent does not run a request again for 10 s after its own engine crashed with it; the entry then asks the other agent of the spread and no agent beyond it.

--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -58,6 +58,7 @@
     fn check(&self, view: &View<'_>, head: &request::Head) -> Option<Rejection> {
         match view.suspects.verdict(view.now, head.fingerprint) {
             suspects::Verdict::Quarantined(left) => Some((outcome::Reason::Poison, left)),
+            suspects::Verdict::Held(left) => Some((outcome::Reason::Suspect, left)),
             _ => None,
         }
     }
--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -62,29 +62,33 @@
         }
     }
 
+    /// Returns an identifier for a crash that differs from those of other processes.
+    fn next_crash(&self) -> u64 {
+        let seen = self.counters.get("backend_crashes").copied().unwrap_or_default();
+        self.setup.process.0.wrapping_add(seen)
+    }
+
     fn crash(&mut self, cx: &mut Context<'_>, instance: &Bytes) {
         self.count("backend_crashes");
+        let crash = self.next_crash();
         let ended = self.engine.take_victims();
         let mut fingerprints = ended.clone();
         for grant in self.streams.live().clone() {
             let Some(stream) = self.streams.live_mut(grant) else { continue };
             let survivor = stream.instance.as_ref() == Some(instance);
-            if !survivor && !stream.crashed && !stream.adopted {
-                stream.crashed = true;
+            if !survivor && stream.crashed.is_none() && !stream.adopted {
+                stream.crashed = Some(crash);
                 fingerprints.push(stream.fingerprint);
             }
         }
         fingerprints.sort_unstable();
         fingerprints.dedup();
         fingerprints.retain(|fingerprint| *fingerprint != 0);
-        let ttl = self.quarantine();
-        let suspects: Vec<sync::Suspect> = fingerprints
-            .into_iter()
-            .map(|fingerprint| {
-                let crashes = self.suspects.crash(cx.now, fingerprint, ttl);
-                sync::Suspect { fingerprint, crashes, cleared: false }
-            })
-            .collect();
+        let suspect = |fingerprint| sync::Suspect { fingerprint, crash, cleared: false };
+        let suspects: Vec<sync::Suspect> = fingerprints.into_iter().map(suspect).collect();
+        for suspect in &suspects {
+            self.suspects.crash(cx.now, *suspect, self.quarantine());
+        }
         if !suspects.is_empty() {
             cx.push(Action::Suspects(suspects));
         }
@@ -107,7 +111,7 @@
             return self.abort(cx, grant, Reason::BackendCrashed);
         }
         // It was dispatched before the crash was noticed, but to the new run.
-        let exonerated = moved && std::mem::take(&mut stream.crashed);
+        let exonerated = if moved { stream.crashed.take() } else { None };
         let fingerprint = stream.fingerprint;
         if moved {
             stream.instance = Some(instance.clone());
@@ -129,8 +133,9 @@
             self.trace(cx, owner, Step::MidStream, "started");
             self.send_started(cx, grant, answer);
         }
-        if exonerated && self.suspects.take_back(cx.now, fingerprint, self.quarantine()) {
-            let suspect = sync::Suspect { fingerprint, crashes: 0, cleared: true };
+        if let Some(crash) = exonerated {
+            let suspect = sync::Suspect { fingerprint, crash, cleared: true };
+            self.suspects.learn(cx.now, suspect, self.quarantine());
             cx.push(Action::Suspects(vec![suspect]));
         }
         self.observe(cx, instance);
@@ -174,9 +179,10 @@
         self.count("ended");
         self.trace(cx, owner, Step::Answered, "ended");
         self.finish(cx, grant, body);
-        if self.suspects.clear(fingerprint) {
-            let suspect = sync::Suspect { fingerprint, crashes: 0, cleared: true };
-            cx.push(Action::Suspects(vec![suspect]));
+        let crashes = self.suspects.clear(fingerprint);
+        if !crashes.is_empty() {
+            let cleared = |crash| sync::Suspect { fingerprint, crash, cleared: true };
+            cx.push(Action::Suspects(crashes.into_iter().map(cleared).collect()));
         }
     }
 
@@ -257,7 +263,7 @@
         let outcome = if ran { Outcome::Incomplete } else { Outcome::Unknown };
         let step = if began { Step::MidStream } else { Step::Dispatched };
         let (owner, fingerprint) = (stream.owner, stream.fingerprint);
-        let counted = stream.crashed || stream.adopted;
+        let counted = stream.crashed.is_some() || stream.adopted;
         if matches!(reason, Reason::CallerGone | Reason::BackendSilent) {
             cx.push(Action::Cancel { grant });
         }
--- a/crates/agent/src/commit.rs
+++ b/crates/agent/src/commit.rs
@@ -79,6 +79,7 @@
         let reservation = self.grants.get(grant)?;
         match self.suspects.verdict(cx.now, reservation.head.fingerprint) {
             suspects::Verdict::Quarantined(_) => Some(Reason::Poison),
+            suspects::Verdict::Held(_) => Some(Reason::Suspect),
             suspects::Verdict::Suspect if !reservation.isolated => Some(Reason::Suspect),
             _ => None,
         }
@@ -132,7 +133,7 @@
             isolated: false,
             slot,
             instance: self.engine.instance.clone(),
-            crashed: false,
+            crashed: None,
             dispatched: cx.now,
             ahead: 0,
             started: None,
--- a/crates/agent/src/offers.rs
+++ b/crates/agent/src/offers.rs
@@ -155,6 +155,7 @@
         let Some(entry) = self.remove_queued(key) else { return };
         let retry = match self.suspects.verdict(cx.now, entry.head.fingerprint) {
             suspects::Verdict::Quarantined(left) if reason == Reason::Poison => left,
+            suspects::Verdict::Held(left) if reason == Reason::Suspect => left,
             _ => self.queue_time(),
         };
         let refusal = self.refusal(Outcome::NotRun, Step::QueuedAtAgent, reason, Some(retry));
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -59,6 +59,10 @@
                 self.drop_queued(cx, key, Reason::Poison);
                 return false;
             }
+            suspects::Verdict::Held(_) => {
+                self.drop_queued(cx, key, Reason::Suspect);
+                return false;
+            }
             suspects::Verdict::Suspect => {
                 self.queue.set_lane(key, queue::Lane::Isolated);
                 return false;
@@ -84,6 +88,10 @@
                     self.drop_queued(cx, key, Reason::Poison);
                     continue;
                 }
+                suspects::Verdict::Held(_) => {
+                    self.drop_queued(cx, key, Reason::Suspect);
+                    continue;
+                }
                 suspects::Verdict::Clean => {
                     self.queue.set_lane(key, lane);
                     continue;
--- a/crates/agent/src/streams.rs
+++ b/crates/agent/src/streams.rs
@@ -97,8 +97,8 @@
     pub(crate) slot: limit::Slot,
     /// Run of the backend server, as of the dispatch until the answer begins.
     pub(crate) instance: Option<Bytes>,
-    /// Whether its backend server's crash is counted.
-    pub(crate) crashed: bool,
+    /// The crash of its backend server that counts against it.
+    pub(crate) crashed: Option<u64>,
     pub(crate) dispatched: Instant,
     /// Prompt tokens in the engine at dispatch, its own included.
     pub(crate) ahead: u64,
--- a/crates/agent/src/suspects.rs
+++ b/crates/agent/src/suspects.rs
@@ -10,7 +10,12 @@
 /// Fingerprints remembered; the one that expires first makes room.
 const MAX_SUSPECTS: usize = 4096;
 /// Crashes after which a fingerprint is quarantined.
-const QUARANTINE_CRASHES: u8 = 2;
+const QUARANTINE_CRASHES: usize = 2;
+
+/// Time after a crash of this agent's engine in which it does not run the request again. The
+/// same request may still be running at the other agent of its spread, whose crash must be
+/// known here before a second run, or one request could cost three engines.
+const OWN_CRASH_HOLD: Duration = Duration::from_secs(10);
 
 /// What may be done with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,14 +23,19 @@
     Clean,
     /// Runs only alone.
     Suspect,
+    /// Is refused here for the time given; the other agent of its spread may run it alone.
+    Held(Duration),
     /// Is refused for the time given.
     Quarantined(Duration),
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Record {
-    crashes: u8,
+    /// The crashes that count, oldest first; no more than quarantine needs.
+    crashes: Vec<u64>,
     until: Instant,
+    /// End of the hold after a crash of this agent's engine.
+    held: Instant,
 }
 
 /// Bounded table of suspects.
@@ -36,57 +46,57 @@
 }
 
 impl Suspects {
-    /// Counts one crash against a fingerprint and returns the new count.
-    pub(crate) fn crash(&mut self, now: Instant, fingerprint: u64, ttl: Duration) -> u8 {
-        self.expire(now, ttl);
-        let crashes = self.records.get(&fingerprint).map_or(0, |record| record.crashes);
-        let crashes = crashes.saturating_add(1).min(QUARANTINE_CRASHES);
-        self.set(now, fingerprint, crashes, ttl);
-        crashes
+    /// Counts a crash of this agent's engine.
+    pub(crate) fn crash(&mut self, now: Instant, suspect: sync::Suspect, ttl: Duration) {
+        self.learn(now, suspect, ttl);
+        if let Some(record) = self.records.get_mut(&suspect.fingerprint) {
+            record.held = now + OWN_CRASH_HOLD;
+        }
     }
 
-    /// Takes back one crash that was counted wrongly and returns whether none is left.
-    pub(crate) fn take_back(&mut self, now: Instant, fingerprint: u64, ttl: Duration) -> bool {
-        let crashes = self.records.get(&fingerprint).map_or(0, |record| record.crashes);
-        if crashes > 1 {
-            self.set(now, fingerprint, crashes - 1, ttl);
+    /// Merges what another agent knows. Returns whether it was new.
+    pub(crate) fn learn(&mut self, now: Instant, suspect: sync::Suspect, ttl: Duration) -> bool {
+        self.expire(now, ttl);
+        let sync::Suspect { fingerprint, crash, cleared } = suspect;
+        let known = self.records.get(&fingerprint);
+        let mut crashes = known.map(|record| record.crashes.clone()).unwrap_or_default();
+        if crashes.contains(&crash) != cleared {
             return false;
         }
-        self.clear(fingerprint)
-    }
-
-    /// Merges what another agent knows.
-    pub(crate) fn learn(&mut self, now: Instant, suspect: sync::Suspect, ttl: Duration) {
-        if suspect.cleared {
-            self.clear(suspect.fingerprint);
-            return;
+        if cleared {
+            crashes.retain(|known| *known != crash);
+            let until = known.map_or(now, |record| record.until);
+            let held = known.map_or(now, |record| record.held);
+            self.set(fingerprint, crashes, until, held);
+            return true;
         }
-        self.expire(now, ttl);
-        let known = self.records.get(&suspect.fingerprint).map_or(0, |record| record.crashes);
-        let crashes = suspect.crashes.min(QUARANTINE_CRASHES);
-        // A repeat of what is known must not prolong it, or gossip would keep it for ever.
-        if crashes > known {
-            self.set(now, suspect.fingerprint, crashes, ttl);
+        if crashes.len() == QUARANTINE_CRASHES {
+            return false;
         }
+        crashes.push(crash);
+        let held = known.map_or(now, |record| record.held);
+        self.set(fingerprint, crashes, now + ttl, held);
+        true
     }
 
-    /// Forgets a fingerprint and returns whether it was known.
-    pub(crate) fn clear(&mut self, fingerprint: u64) -> bool {
-        match self.records.remove(&fingerprint) {
-            Some(record) => self.by_expiry.remove(&(record.until, fingerprint)),
-            None => false,
-        }
+    /// Forgets a fingerprint and returns the crashes that counted.
+    pub(crate) fn clear(&mut self, fingerprint: u64) -> Vec<u64> {
+        let Some(record) = self.records.remove(&fingerprint) else { return Vec::new() };
+        self.by_expiry.remove(&(record.until, fingerprint));
+        record.crashes
     }
 
-    fn set(&mut self, now: Instant, fingerprint: u64, crashes: u8, ttl: Duration) {
+    fn set(&mut self, fingerprint: u64, crashes: Vec<u64>, until: Instant, held: Instant) {
         self.clear(fingerprint);
+        if crashes.is_empty() {
+            return;
+        }
         if self.records.len() == MAX_SUSPECTS
             && let Some((_, oldest)) = self.by_expiry.pop_first()
         {
             self.records.remove(&oldest);
         }
-        let until = now + ttl;
-        self.records.insert(fingerprint, Record { crashes, until });
+        self.records.insert(fingerprint, Record { crashes, until, held });
         self.by_expiry.insert((until, fingerprint));
     }
 
@@ -96,18 +106,19 @@
             if until > now {
                 return;
             }
-            let crashes = self.records.get(&fingerprint).map_or(0, |record| record.crashes);
-            self.clear(fingerprint);
-            if crashes > 1 {
-                self.set(now, fingerprint, crashes - 1, ttl);
-            }
+            let mut crashes = self.clear(fingerprint);
+            crashes.remove(0);
+            self.set(fingerprint, crashes, now + ttl, now);
         }
     }
 
     pub(crate) fn verdict(&self, now: Instant, fingerprint: u64) -> Verdict {
         match self.records.get(&fingerprint) {
             None => Verdict::Clean,
-            Some(record) if record.crashes < QUARANTINE_CRASHES => Verdict::Suspect,
+            Some(record) if record.crashes.len() < QUARANTINE_CRASHES => match record.held {
+                held if held > now => Verdict::Held(held.since(now)),
+                _ => Verdict::Suspect,
+            },
             Some(record) if record.until > now => Verdict::Quarantined(record.until.since(now)),
             Some(_) => Verdict::Suspect,
         }
@@ -116,7 +127,8 @@
     /// Returns fingerprint, crashes and time left of each suspect, the first to expire first.
     pub(crate) fn list(&self, now: Instant) -> impl Iterator<Item = (u64, u8, Duration)> + '_ {
         self.by_expiry.iter().map(move |(until, fingerprint)| {
-            (*fingerprint, self.records[fingerprint].crashes, until.since(now))
+            let crashes = self.records[fingerprint].crashes.len() as u8;
+            (*fingerprint, crashes, until.since(now))
         })
     }
 }
--- a/crates/entry/src/flight.rs
+++ b/crates/entry/src/flight.rs
@@ -42,6 +42,9 @@
     pub held: bool,
     pub offers: Vec<Offer>,
     pub offers_sent: u32,
+    /// Whether an agent of the spread refused it as a suspect: no agent beyond the spread is
+    /// asked then, or a poison request could cost a third engine.
+    pub confined: bool,
     /// When the next candidate of the spread is offered the request.
     pub hedge_at: Option<Instant>,
     /// Agents that refused or could not be reached.
--- a/crates/entry/src/offers.rs
+++ b/crates/entry/src/offers.rs
@@ -41,7 +41,8 @@
         | Reason::BackendSilent
         | Reason::AgentLost
         | Reason::AgentReplaced => Scope::Agent,
-        Reason::Deadline | Reason::AccountLimit => Scope::Spread,
+        // A suspect goes no further than the two agents of its spread.
+        Reason::Deadline | Reason::AccountLimit | Reason::Suspect => Scope::Spread,
         _ => Scope::Request,
     }
 }
@@ -78,7 +79,7 @@
     pub fn offer_next(&mut self, key: flight::Key) -> bool {
         let Some(flight) = self.flights.get(key) else { return false };
         let paid = flight.offers_sent >= flight.limits.spread.max(1);
-        if flight.is_keyed() || paid && !self.budget.allows() {
+        if flight.is_keyed() || paid && (flight.confined || !self.budget.allows()) {
             return false;
         }
         let skip = |agent: view::Key| {
@@ -207,6 +208,7 @@
         if refusal.reason != Reason::GrantExpired {
             flight.refused.push(agent);
         }
+        flight.confined |= refusal.reason == Reason::Suspect;
         let scope = if flight.is_keyed() { Scope::Request } else { scope(&refusal) };
         if scope == Scope::Request {
             self.refuse(key, refusal);
--- a/crates/sync/src/suspect.rs
+++ b/crates/sync/src/suspect.rs
@@ -12,29 +12,32 @@
     learned: Instant,
 }
 
+/// Fingerprint and crash.
+type Key = (u64, u64);
+
 /// The suspects known, without duplicates.
 #[derive(Debug, Default)]
 pub(crate) struct Set {
-    known: HashMap<u64, Known>,
-    /// Fingerprints in the order in which they were last learned; an entry whose time
-    /// differs from that in `known` is obsolete.
-    order: VecDeque<(u64, Instant)>,
+    known: HashMap<Key, Known>,
+    /// Keys in the order in which they were last learned; an entry whose time differs from
+    /// that in `known` is obsolete.
+    order: VecDeque<(Key, Instant)>,
 }
 
 impl Set {
-    /// Adds suspects and returns those that say more than what was known. More crashes
-    /// prevail over fewer, and with equal crashes a cleared suspect prevails.
+    /// Adds suspects and returns those that say more than what was known. A cleared crash
+    /// stays cleared.
     pub(crate) fn learn(&mut self, now: Instant, suspects: &[sync::Suspect]) -> Vec<sync::Suspect> {
         self.expire(now);
         let mut new = Vec::new();
         for suspect in suspects.iter().take(limit::MAX_SUSPECTS_SENT) {
-            let rank = |suspect: &sync::Suspect| (suspect.crashes, suspect.cleared);
-            let known = self.known.get(&suspect.fingerprint);
-            if known.is_some_and(|known| rank(&known.suspect) >= rank(suspect)) {
+            let key = (suspect.fingerprint, suspect.crash);
+            let known = self.known.get(&key);
+            if known.is_some_and(|known| known.suspect.cleared || !suspect.cleared) {
                 continue;
             }
-            self.known.insert(suspect.fingerprint, Known { suspect: *suspect, learned: now });
-            self.order.push_back((suspect.fingerprint, now));
+            self.known.insert(key, Known { suspect: *suspect, learned: now });
+            self.order.push_back((key, now));
             new.push(*suspect);
         }
         self.bound();
@@ -43,10 +46,10 @@
 
     /// Returns the suspects learned last that exchanges still include.
     pub(crate) fn shared(&self, now: Instant) -> Vec<sync::Suspect> {
-        let recent = |entry: &&(u64, Instant)| now.since(entry.1) < limit::SUSPECT_SHARED;
+        let recent = |entry: &&(Key, Instant)| now.since(entry.1) < limit::SUSPECT_SHARED;
         let mut shared = Vec::new();
-        for (fingerprint, learned) in self.order.iter().rev().take_while(recent) {
-            let known = self.known.get(fingerprint).filter(|known| known.learned == *learned);
+        for (key, learned) in self.order.iter().rev().take_while(recent) {
+            let known = self.known.get(key).filter(|known| known.learned == *learned);
             shared.extend(known.map(|known| known.suspect));
             if shared.len() >= limit::MAX_SUSPECTS_SENT {
                 break;
@@ -68,10 +71,10 @@
     }
 
     fn forget_oldest(&mut self) {
-        if let Some((fingerprint, learned)) = self.order.pop_front()
-            && self.known.get(&fingerprint).is_some_and(|known| known.learned == learned)
+        if let Some((key, learned)) = self.order.pop_front()
+            && self.known.get(&key).is_some_and(|known| known.learned == learned)
         {
-            self.known.remove(&fingerprint);
+            self.known.remove(&key);
         }
     }
 }
--- a/crates/wire/src/sync.rs
+++ b/crates/wire/src/sync.rs
@@ -39,9 +39,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspect {
     pub fingerprint: u64,
-    /// Engines that crashed while they ran it.
-    pub crashes: u8,
-    /// Whether it completed on its own since; clears the suspicion.
+    /// Identifies the crash, so that reports of one crash count once and reports of two
+    /// engines add up in whatever order they arrive.
+    pub crash: u64,
+    /// Whether this crash no longer counts, since the request completed on its own.
     pub cleared: bool,
 }
 
