Keep a request within its spread when an agent is ejected

Ruled out: the hold after an own crash, which the trace shows at work. Change: the spread is the first live agents in placement order, ejected or not; hedges and suspects stay within it, and an offer beyond it is paid for from the retry budget unless no agent of the spread could be asked.

--- a/crates/entry/src/flight.rs
+++ b/crates/entry/src/flight.rs
@@ -42,6 +42,9 @@
     pub held: bool,
     pub offers: Vec<Offer>,
     pub offers_sent: u32,
+    /// The first live agents of its placement order, ejected or not, as of its first offer. An
+    /// ejection must not widen them, or a poison request could cost a third engine.
+    pub spread: Vec<view::Key>,
     /// Whether an agent of the spread refused it as a suspect: no agent beyond the spread is
     /// asked then, or a poison request could cost a third engine.
     pub confined: bool,
--- a/crates/entry/src/machine.rs
+++ b/crates/entry/src/machine.rs
@@ -135,6 +135,7 @@
             held: true,
             offers: Vec::new(),
             offers_sent: 0,
+            spread: Vec::new(),
             confined: false,
             hedge_at: None,
             refused: Vec::new(),
--- a/crates/entry/src/offers.rs
+++ b/crates/entry/src/offers.rs
@@ -74,26 +74,55 @@
         }
     }
 
-    /// Offers a request to its next candidate; returns whether there was one. Beyond the
-    /// spread each offer is paid for from the retry budget.
+    /// Offers a request to its next candidate; returns whether there was one.
     pub fn offer_next(&mut self, key: flight::Key) -> bool {
-        let Some(flight) = self.flights.get(key) else { return false };
+        self.offer_within_spread(key) || self.offer_beyond_spread(key)
+    }
+
+    fn offer_within_spread(&mut self, key: flight::Key) -> bool {
+        let Some(flight) = self.flights.get_mut(key) else { return false };
+        if flight.is_keyed() {
+            return false;
+        }
+        if flight.offers_sent == 0 {
+            let (head, zone) = (&flight.head, &self.setup.availability_zone);
+            let count = flight.limits.spread.max(1) as usize;
+            flight.spread = placement::top(&self.view, &head.pool, head.affinity, zone, count);
+        }
+        let free = flight.spread.iter().find(|&&agent| {
+            self.view.is_live(agent)
+                && !flight.has_asked(agent)
+                && self.health.admits(self.now, agent)
+        });
+        let Some(agent) = free.copied() else { return false };
+        // An agent is asked again after a grant that expired.
         let paid = flight.offers_sent >= flight.limits.spread.max(1);
-        if flight.is_keyed() || paid && (flight.confined || !self.budget.allows()) {
+        self.send_paid(key, agent, paid)
+    }
+
+    /// Offers a request to an agent beyond its spread. That is paid for from the retry budget,
+    /// unless no agent of the spread could be asked.
+    fn offer_beyond_spread(&mut self, key: flight::Key) -> bool {
+        let Some(flight) = self.flights.get(key) else { return false };
+        if flight.is_keyed() || flight.confined {
             return false;
         }
-        let skip = |agent: view::Key| {
-            flight.refused.contains(&agent)
-                || flight.offers.iter().any(|offer| offer.agent == agent)
-                || !self.health.admits(self.now, agent)
-        };
-        let zone = &self.setup.availability_zone;
-        let head = &flight.head;
+        let paid = flight.offers_sent > 0;
+        let skip = |agent| flight.has_asked(agent) || !self.health.admits(self.now, agent);
+        let (head, zone) = (&flight.head, &self.setup.availability_zone);
         let Some(agent) = placement::first(&self.view, &head.pool, head.affinity, zone, skip)
         else {
             return false;
         };
+        self.send_paid(key, agent, paid)
+    }
+
+    /// Sends an offer if the retry budget allows it or it is free; returns whether it did.
+    fn send_paid(&mut self, key: flight::Key, agent: view::Key, paid: bool) -> bool {
         if paid {
+            if !self.budget.allows() {
+                return false;
+            }
             self.budget.spend();
             self.counters.count("retries");
         }
@@ -219,9 +248,10 @@
             self.refuse_uncommitted(key, Reason::Deadline);
             return;
         }
-        if scope == Scope::Agent || flight.offers_sent < flight.limits.spread {
-            self.offer_next(key);
-        }
+        match scope {
+            Scope::Agent => self.offer_next(key),
+            _ => self.offer_within_spread(key),
+        };
         let waits = self.flights.get(key).is_some_and(|flight| !flight.offers.is_empty());
         if !waits {
             self.refuse_unplaced(key);
@@ -297,12 +327,17 @@
             return;
         }
         if flight.hedge_at.take_if(|at| *at <= self.now).is_some() {
-            self.offer_next(key);
+            self.offer_within_spread(key);
         }
     }
 }
 
 impl flight::Flight {
+    /// Returns whether an agent has refused the request or holds an offer of it.
+    fn has_asked(&self, agent: view::Key) -> bool {
+        self.refused.contains(&agent) || self.offers.iter().any(|offer| offer.agent == agent)
+    }
+
     /// Keeps the refusal that tells the caller most: lack of room before anything else, since
     /// it says when to come back.
     fn keep_refusal(&mut self, refusal: Refusal) {
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -34,6 +34,18 @@
     ranked.into_iter().map(|(key, _)| key).collect()
 }
 
+/// Returns the first `count` candidates in order. Few are asked for, so one pass for each costs
+/// less than sorting the pool.
+pub fn top(view: &View, pool: &[u8], affinity: u64, zone: &[u8], count: usize) -> Vec<Key> {
+    let mut chosen = Vec::with_capacity(count);
+    while chosen.len() < count
+        && let Some(next) = first(view, pool, affinity, zone, |key| chosen.contains(&key))
+    {
+        chosen.push(next);
+    }
+    chosen
+}
+
 /// Returns the best candidate for which `skip` returns false. One pass over the pool and no
 /// allocation, since most requests need one or two candidates.
 pub fn first(
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -103,6 +103,8 @@
     pub record: Record,
     pub tree: Arc<tree::Tree>,
     pub hosts: Vec<host::Record>,
+    /// Whether steps of requests are printed, to examine one plan.
+    pub trace: bool,
     queue: BTreeMap<(Instant, u64), Delivery>,
     next: u64,
     connections: BTreeMap<u64, Connection>,
@@ -151,6 +153,7 @@
             record: Record::default(),
             tree: Arc::new(tree),
             hosts,
+            trace: std::env::var_os("PROOF_TRACE").is_some(),
             queue: BTreeMap::new(),
             next: 0,
             connections: BTreeMap::new(),
@@ -654,7 +657,9 @@
             }
             Action::Finish { caller } => self.finish(caller),
             Action::Refuse { caller, refusal, .. } => self.refuse(index, caller, refusal),
-            Action::Trace { .. } => {}
+            Action::Trace { request, step, event, .. } => {
+                self.print_step("entry", index, request, step, event);
+            }
             Action::Stopped => {
                 if self.entries[index].stopping {
                     self.kill_entry(index);
@@ -782,7 +787,10 @@
                 self.schedule(at, Delivery::CancelStream { index, grant });
             }
             Action::Suspects(suspects) => self.spread_suspects(index, &suspects),
-            Action::Order { .. } | Action::Trace { .. } => {}
+            Action::Trace { request, step, event, .. } => {
+                self.print_step("agent", index, request, step, event);
+            }
+            Action::Order { .. } => {}
             Action::Stopped => {
                 if self.agents[index].stopping {
                     self.exit_agent(index);
@@ -791,7 +799,24 @@
         }
     }
 
+    fn print_step(
+        &self,
+        role: &str,
+        index: usize,
+        request: id::Request,
+        step: outcome::Step,
+        event: &str,
+    ) {
+        if self.trace {
+            let at = self.now.0;
+            eprintln!("at_us={at} {role}={index} request={request} step={step} event={event}");
+        }
+    }
+
     fn spread_suspects(&mut self, from: usize, suspects: &[wire::sync::Suspect]) {
+        if self.trace {
+            eprintln!("at_us={} agent={from} suspects={suspects:?}", self.now.0);
+        }
         for index in (0..self.agents.len()).filter(|index| *index != from) {
             let at = self.now + self.delay();
             let generation = self.agents[index].generation;
