Confine every request to its spread and suspect what lost its agent and engine

Ruled out: a check too strict for the copies that several callers send at once; the caller now sends each copy after the answer to the one before. Change: refusals for room stay within the spread; an attach carries the fingerprint, and a replacement agent whose engine does not know the stream counts a crash.

--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -76,7 +76,8 @@
         for grant in self.streams.live().clone() {
             let Some(stream) = self.streams.live_mut(grant) else { continue };
             let survivor = stream.instance.as_ref() == Some(instance);
-            if !survivor && stream.crashed.is_none() && !stream.adopted {
+            let unseen = stream.adopted && stream.started.is_none();
+            if !survivor && stream.crashed.is_none() && !unseen {
                 stream.crashed = Some(crash);
                 fingerprints.push(stream.fingerprint);
             }
@@ -247,6 +248,7 @@
         let adopted = stream.adopted && stream.started.is_none();
         self.observe(cx, instance);
         if adopted {
+            self.suspect_lost(cx, grant);
             self.abort(cx, grant, Reason::AgentReplaced);
         } else if restarted {
             self.abort(cx, grant, Reason::BackendCrashed);
@@ -255,6 +257,21 @@
         }
     }
 
+    /// Counts a crash against a request whose agent and engine were both lost while it ran. The
+    /// replaced agent can't have told anyone.
+    fn suspect_lost(&mut self, cx: &mut Context<'_>, grant: id::Grant) {
+        let Some(stream) = self.streams.live_mut(grant) else { return };
+        let fingerprint = stream.fingerprint;
+        if fingerprint == 0 {
+            return;
+        }
+        // The complement keeps it apart from the crashes that the replaced process counted.
+        let crash = !grant.process.0.wrapping_add(grant.seq);
+        let suspect = sync::Suspect { fingerprint, crash, cleared: false };
+        self.suspects.crash(cx.now, suspect, self.quarantine());
+        cx.push(Action::Suspects(vec![suspect]));
+    }
+
     /// Ends a stream that may have run and is not whole.
     pub(crate) fn abort(&mut self, cx: &mut Context<'_>, grant: id::Grant, reason: Reason) {
         let Some(stream) = self.streams.live_mut(grant) else { return };
--- a/crates/agent/src/commit.rs
+++ b/crates/agent/src/commit.rs
@@ -150,7 +150,7 @@
 
     /// Attaches a reader to a stream, adopting it from a replaced process if need be.
     pub(crate) fn attach(&mut self, cx: &mut Context<'_>, link: Link, attach: grant::Attach) {
-        let grant::Attach { grant, request, offset, resumable } = attach;
+        let grant::Attach { grant, request, offset, fingerprint, resumable } = attach;
         let commit = grant::Commit { grant, request };
         let partial = if offset > 0 { Outcome::Incomplete } else { Outcome::Unknown };
         if let Some(stream) = self.streams.get(grant) {
@@ -168,7 +168,7 @@
         }
         match self.grants.absent(grant) {
             grants::Absent::Foreign if resumable && self.may_adopt() => {
-                self.adopt(cx, grant, request);
+                self.adopt(cx, grant, request, fingerprint);
                 self.add_reader(cx, link, grant, request, offset);
             }
             grants::Absent::Foreign => {
@@ -189,12 +189,19 @@
 
     /// Resumes the stream of a replaced process from its start, so that the checksum covers
     /// the whole.
-    fn adopt(&mut self, cx: &mut Context<'_>, grant: id::Grant, request: id::Request) {
+    fn adopt(
+        &mut self,
+        cx: &mut Context<'_>,
+        grant: id::Grant,
+        request: id::Request,
+        fingerprint: u64,
+    ) {
         let slot = self.limit.slot(0);
         self.limit.reserve(slot);
         let resume = streams::Resume { since: cx.now, attempts: 1, next: None, connected: false };
         let stream = streams::Stream {
             adopted: true,
+            fingerprint,
             instance: None,
             resume: Some(resume),
             ..self.stream(cx, request, request::Kind::Model, slot)
--- a/crates/entry/src/grants.rs
+++ b/crates/entry/src/grants.rs
@@ -188,7 +188,9 @@
     /// Attaches to a grant at its host's current address.
     fn attach(&mut self, key: flight::Key) {
         let Some(flight) = self.flights.get_mut(key) else { return };
-        let (request, resumable) = (flight.head.request, flight.head.kind == request::Kind::Model);
+        let head = &flight.head;
+        let (request, fingerprint) = (head.request, head.fingerprint);
+        let resumable = head.kind == request::Kind::Model;
         let Some(grant) = flight.grant.as_mut() else { return };
         let host = self.view.by_name(&grant.host).and_then(|agent| self.view.get(agent));
         if let Some(host) = host {
@@ -198,7 +200,7 @@
         grant.attempts += 1;
         grant.attached = self.now;
         let (id, offset, peer) = (grant.id, grant.offset, grant.peer);
-        let attach = grant::Attach { grant: id, request, offset, resumable };
+        let attach = grant::Attach { grant: id, request, offset, fingerprint, resumable };
         self.counters.count("attaches");
         self.push(Action::Attach { peer, attach });
         self.arm(key);
--- a/crates/entry/src/offers.rs
+++ b/crates/entry/src/offers.rs
@@ -31,8 +31,6 @@
     }
     match refusal.reason {
         Reason::NotReady
-        | Reason::Overload
-        | Reason::Displaced
         | Reason::Leaving
         | Reason::NoBackend
         | Reason::GrantExpired
@@ -41,8 +39,13 @@
         | Reason::BackendSilent
         | Reason::AgentLost
         | Reason::AgentReplaced => Scope::Agent,
-        // A suspect goes no further than the two agents of its spread.
-        Reason::Deadline | Reason::AccountLimit | Reason::Suspect => Scope::Spread,
+        // Lack of room must not widen the spread: copies of a poison request that arrive together
+        // could then cost a third engine.
+        Reason::Overload
+        | Reason::Displaced
+        | Reason::Deadline
+        | Reason::AccountLimit
+        | Reason::Suspect => Scope::Spread,
         _ => Scope::Request,
     }
 }
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -10,17 +10,24 @@
 use bytes::Bytes;
 use conf::tree;
 use wire::{
-    Frame, frame, grant, host, id, offer, outcome, request, status::Status, tier, time::Instant,
+    Frame, frame, grant, host, id, offer, outcome, request, status::Status, sync, tier,
+    time::Instant,
 };
 
 use crate::{
     engine::Engine,
+    fault,
     node::Node,
     record::{Answer, Call, Record, Run, Shed},
 };
 
 /// Upper bound of the delay of one message, in microseconds.
 const MAX_DELAY_US: u64 = 3_000;
+/// Time for which exchanges of settings distribution carry a suspect.
+const SUSPECT_SHARED: Duration = Duration::from_secs(10);
+
+/// Time that the caller of the poison request waits before it looks for its answer.
+const POISON_PAUSE: Duration = Duration::from_millis(8);
 
 /// What a connection carries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -74,6 +81,10 @@
     EngineTick {
         index: usize,
     },
+    /// The caller of the poison request sends it again, this many times.
+    Poison {
+        copies: u32,
+    },
     Dispatch {
         index: usize,
         generation: u32,
@@ -112,6 +123,9 @@
     partitions: BTreeSet<(usize, usize)>,
     held: Vec<Delivery>,
     bodies: BTreeMap<(usize, id::Request), Bytes>,
+    /// Suspects with the time of their report, which processes pass on for a while.
+    suspects: Vec<(Instant, sync::Suspect)>,
+    poison_caller: Option<u64>,
     callers: BTreeMap<id::Request, u64>,
 }
 
@@ -160,6 +174,8 @@
             partitions: BTreeSet::new(),
             held: Vec::new(),
             bodies: BTreeMap::new(),
+            suspects: Vec::new(),
+            poison_caller: None,
             callers: BTreeMap::new(),
         };
         for index in 0..agents {
@@ -201,6 +217,9 @@
         self.agent_event(index, agent::Event::Hosts(self.hosts.clone()));
         let instance = (!self.engines[index].down).then(|| self.engines[index].instance());
         self.agent_event(index, agent::Event::Probe { instance });
+        let recent = self.suspects.iter().filter(|(at, _)| self.now.since(*at) < SUSPECT_SHARED);
+        let suspects = recent.map(|(_, suspect)| *suspect).collect();
+        self.agent_event(index, agent::Event::Suspects(suspects));
         self.agent_event(index, agent::Event::Ready);
     }
 
@@ -377,6 +396,27 @@
         self.entry_event(index, entry::Event::CallerGone { caller });
     }
 
+    /// Lets the caller of the poison request send it from `at` on, each copy after the answer to
+    /// the one before.
+    pub fn schedule_poison(&mut self, at: Instant, copies: u32) {
+        self.schedule(at, Delivery::Poison { copies });
+    }
+
+    fn send_poison(&mut self, copies: u32) {
+        let open = self.poison_caller.and_then(|caller| self.record.calls.get(&caller));
+        let waits = open.is_some_and(|call| !call.lost && call.answers.is_empty());
+        let entry = self.rng.usize(0..self.entries.len());
+        let sent = !waits && self.entries[entry].machine.is_some();
+        if sent {
+            self.poison_caller = Some(fault::send_poison(self, entry));
+        }
+        let left = copies - u32::from(sent);
+        if left > 0 {
+            let at = self.now + POISON_PAUSE;
+            self.schedule_poison(at, left);
+        }
+    }
+
     /// Asks an entry for an idempotency key.
     pub fn ask_key(&mut self, index: usize, caller: u64, route: Bytes) {
         self.entry_event(index, entry::Event::KeyCall { caller, route });
@@ -468,6 +508,7 @@
             }
             Delivery::Close { connection } => self.close(connection),
             Delivery::EngineTick { index } => self.engine_tick(index),
+            Delivery::Poison { copies } => self.send_poison(copies),
             Delivery::Dispatch { index, generation, grant, head, body } => {
                 self.engine_dispatch(index, generation, grant, head, &body);
             }
@@ -813,7 +854,8 @@
         }
     }
 
-    fn spread_suspects(&mut self, from: usize, suspects: &[wire::sync::Suspect]) {
+    fn spread_suspects(&mut self, from: usize, suspects: &[sync::Suspect]) {
+        self.suspects.extend(suspects.iter().map(|suspect| (self.now, *suspect)));
         if self.trace {
             eprintln!("at_us={} agent={from} suspects={suspects:?}", self.now.0);
         }
--- a/crates/wire/src/grant.rs
+++ b/crates/wire/src/grant.rs
@@ -17,6 +17,9 @@
     pub grant: id::Grant,
     pub request: id::Request,
     pub offset: u64,
+    /// Of the request, so that a replacement agent that finds its engine without the stream
+    /// can suspect it.
+    pub fingerprint: u64,
     /// Whether a replacement agent may resume the engine's stream by the grant number.
     pub resumable: bool,
 }
