Tell not_run when a commitment reached a replaced agent

Cause: an agent answered a commitment for a number of the process it replaced with unknown, though an entry sends a commitment once, so the replaced process never had it. Ruled out: a repeat by the HTTP client, which repeats only requests it has not begun to send. Change: the answer is not_run, and the entry asks the next agent. For a keyed request it stays unknown, since the replaced process may have run the key for an earlier call; a new case of a_key_binds_its_request_to_one_agent fails without that (left NotRun, right Unknown).

--- a/crates/agent/src/commit.rs
+++ b/crates/agent/src/commit.rs
@@ -53,7 +53,9 @@
         }
         let (outcome, reason) = match self.grants.absent(grant) {
             _ if reserved.is_some() => (Outcome::NotRun, Reason::GrantExpired),
-            grants::Absent::Foreign => (Outcome::Unknown, Reason::AgentReplaced),
+            // An entry sends a commitment once, so what arrives here never reached the process
+            // that issued the number.
+            grants::Absent::Foreign => (Outcome::NotRun, Reason::AgentReplaced),
             grants::Absent::Forgotten => (Outcome::Unknown, Reason::GrantExpired),
             grants::Absent::Abandoned => (Outcome::NotRun, Reason::GrantExpired),
         };
--- a/crates/entry/src/frames.rs
+++ b/crates/entry/src/frames.rs
@@ -117,6 +117,11 @@
         if grant.started {
             refusal.outcome = Outcome::Incomplete;
         }
+        let replaced = refusal.reason == Reason::AgentReplaced;
+        if flight.is_keyed() && replaced && refusal.outcome == Outcome::NotRun {
+            // The replaced process may have run the key for an earlier call.
+            refusal.outcome = Outcome::Unknown;
+        }
         let failed = matches!(
             refusal.reason,
             Reason::BackendUnreachable | Reason::BackendCrashed | Reason::BackendSilent
--- a/crates/entry/tests/offers.rs
+++ b/crates/entry/tests/offers.rs
@@ -2,10 +2,10 @@
 
 mod common;
 
-use common::{Bench, Sent, address, call, grant, hosts, offered, refusal, service, tree};
+use common::{Bench, Sent, address, call, grant, hosts, offered, refusal, refused, service, tree};
 use entry::{Action, Call, Event};
 use wire::{
-    host,
+    frame, host,
     outcome::{Outcome::*, Reason},
 };
 
@@ -126,13 +126,21 @@
 #[test]
 fn a_key_binds_its_request_to_one_agent() {
     type Turn = fn(&mut Bench, Sent) -> Vec<Action>;
-    let turns: [(Turn, _); 6] = [
+    let turns: [(Turn, _); 7] = [
         (|bench, to| bench.refuse(to, Unknown, Reason::KeyInUse), (Unknown, Reason::KeyInUse)),
         (|bench, to| bench.refuse(to, NotRun, Reason::Overload), (NotRun, Reason::Overload)),
         (
             |bench, (request, peer)| bench.send(Event::OfferFailed { request, peer }),
             (Unknown, Reason::AgentLost),
         ),
+        (
+            |bench, to| {
+                bench.ready(to, grant(1));
+                let replaced = refused(NotRun, Reason::AgentReplaced);
+                bench.frame(to, grant(1), frame::Body::Refused(replaced))
+            },
+            (Unknown, Reason::AgentReplaced),
+        ),
         (|bench, _| bench.tick(2000), (Unknown, Reason::Deadline)),
         (|bench, _| bench.call(keyed(2, "replica-77")), (Unknown, Reason::AgentLost)),
         (
