Let the error event leave before a stream is aborted

Cause: a streamed answer that ends early sends an error event and then fails the body. The HTTP library discards what it has not sent when a body fails, so a caller whose engine crashed mid-stream saw the connection end without the event, and could not tell an incomplete answer from an unknown one.

Change: the abort follows the event after 100 ms, time enough for the event to be written to the socket.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -30,6 +30,10 @@
 /// Bound on an answer that is held until it is whole.
 const MAX_WHOLE_BYTES: usize = 64 << 20;
 
+/// Time between the error event of a stream and the abort of its connection. The HTTP library
+/// discards bytes that it has not sent yet when a body fails.
+const ABORT_DELAY: Duration = Duration::from_millis(100);
+
 /// Serves callers of one entry.
 pub struct Callers {
     entry: Rc<Entry>,
@@ -300,6 +304,7 @@
                 let text = refusal::text(&refusal, &request.to_string());
                 let event = format!("event: error\ndata: {text}\n\n");
                 let _ = sender.unbounded_send(Ok(event.into()));
+                compio::time::sleep(ABORT_DELAY).await;
                 break;
             }
             Answer::Start { .. } => {}
