Read and discard the rest of an oversized body

Cause: a body over the limit was refused without reading it, and the server closed the connection with unread bytes. The caller's next write then failed before it read the answer: a 5 MB body against a limit of 1 MB gave a client error and no answer instead of 413.

Change: the rest is read and discarded, up to 64 MB and 5 s, while the answer is sent at once.

--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -27,6 +27,10 @@
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time a client may take to send its body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(60);
+/// Bytes of a refused body that are read and discarded.
+const MAX_DISCARDED_BYTES: usize = 64 << 20;
+/// Time for which a refused body is read and discarded.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Bound on the bytes buffered for one connection's headers.
 const MAX_HEADER_BYTES: usize = 64 << 10;
 /// Wait after a failed accept.
@@ -170,13 +174,16 @@
     Broken,
 }
 
-/// Reads a whole body of at most `limit` bytes.
+/// Reads a whole body of at most `limit` bytes. The rest of a larger one is read and discarded
+/// for a bounded time, while the answer is sent: if the server closed the connection instead,
+/// the client's next write would fail before it has read the answer.
 ///
 /// # Errors
 ///
 /// Returns an error if the body is over the limit, too slow, or cut.
 pub async fn read_body(mut body: body::Incoming, limit: u64) -> Result<Bytes, BodyError> {
     if body::Body::size_hint(&body).lower() > limit {
+        runtime::spawn(discard(body)).detach();
         return Err(BodyError::TooLarge);
     }
     let read = async {
@@ -190,7 +197,24 @@
         }
         Ok(whole.freeze())
     };
-    compio::time::timeout(BODY_TIMEOUT, read).await.map_err(|_| BodyError::Timeout)?
+    let read = compio::time::timeout(BODY_TIMEOUT, read).await.map_err(|_| BodyError::Timeout)?;
+    if read == Err(BodyError::TooLarge) {
+        runtime::spawn(discard(body)).detach();
+    }
+    read
+}
+
+/// Reads the rest of a refused body within its bounds.
+async fn discard(mut body: body::Incoming) {
+    let read = async {
+        let mut left = MAX_DISCARDED_BYTES;
+        while let Some(Ok(frame)) = body.frame().await {
+            let len = frame.data_ref().map_or(0, Bytes::len);
+            let Some(rest) = left.checked_sub(len) else { return };
+            left = rest;
+        }
+    };
+    let _ = compio::time::timeout(DISCARD_TIMEOUT, read).await;
 }
 
 /// Returns an answer with a whole body.
