Test real processes under faults and hostile input

Cause: the daemon had no tests; only the demonstration ran its processes.

Change: tests of the whole path, refusals, the operators' interface, malformed input, killed, stopped and paused processes, lost connections and crashed engines.

--- a/crates/daemon/tests/world/mod.rs
+++ b/crates/daemon/tests/world/mod.rs
@@ -7,7 +7,11 @@
     io::Read,
     net::{SocketAddr, TcpListener},
     path::PathBuf,
-    process::{Child, Command, Stdio},
+    process::{self, Child, Command, Stdio},
+    sync::{
+        Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -16,6 +20,10 @@
 use stand::{configuration, engine, hosts, proxy, service};
 use wire::{host, status::Status};
 
+mod reply;
+
+pub use reply::Reply;
+
 /// A slow machine needs this much for what takes a second here.
 pub const DEADLINE: Duration = Duration::from_secs(60);
 /// Time between looks at a condition.
@@ -83,6 +91,8 @@
     program: Vec<String>,
     pub configuration: configuration::Service,
     pub hosts: hosts::Hosts,
+    /// Where processes started from now on read the host list.
+    pub hosts_address: SocketAddr,
     pub engines: Vec<engine::Engine>,
     pub services: Vec<service::Service>,
     /// Between each agent and its backend server.
@@ -94,14 +104,36 @@
     pub client: cyper::Client,
 }
 
-fn loopback() -> SocketAddr {
+pub fn loopback() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-/// Returns an address that was free a moment ago.
+/// Held while an address is probed and while a process is started: a process that another test
+/// starts at the same time would hold the probing socket open until it runs its own program.
+static SPAWN: Mutex<()> = Mutex::new(());
+
+/// Returns an address that was free a moment ago. Its port lies below those that the system
+/// gives to outgoing connections, one of which could take it before the daemon binds it.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(loopback()).expect("loopback has free ports");
-    listener.local_addr().expect("a bound listener has an address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let _held = SPAWN.lock();
+    loop {
+        let count = process::id().wrapping_mul(613) + NEXT.fetch_add(1, Ordering::Relaxed);
+        let address = SocketAddr::from(([127, 0, 0, 1], 10_000 + (count % 20_000) as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+/// Runs a test of the daemon against a fleet of real processes.
+pub fn run(entries: usize, engines: usize, services: usize, test: impl AsyncFnOnce(&mut World)) {
+    let program = option_env!("CARGO_BIN_EXE_quincespoked").unwrap_or_default();
+    let runtime = compio::runtime::Runtime::new().expect("the runtime starts");
+    runtime.block_on(async {
+        let mut world = World::start(&[program], entries, engines, services).await;
+        test(&mut world).await;
+    });
 }
 
 impl World {
@@ -113,11 +145,13 @@
         for (branch, text) in BRANCHES {
             configuration.publish(&format!("quincespoke/{branch}"), text);
         }
+        let hosts = hosts::spawn(loopback(), Duration::ZERO).expect("bind");
         let mut world = World {
             directory,
             program: program.iter().map(ToString::to_string).collect(),
             configuration,
-            hosts: hosts::spawn(loopback(), Duration::ZERO).expect("bind"),
+            hosts_address: hosts.address(),
+            hosts,
             engines: Vec::new(),
             services: Vec::new(),
             backend_proxies: Vec::new(),
@@ -227,7 +261,7 @@
              {seeds}{section}[log]\nlevel = debug\n",
             callers_line.unwrap_or_default(),
             self.configuration.address(),
-            self.hosts.address(),
+            self.hosts_address,
         );
         let settings = self.directory.join(format!("{host}.ini"));
         fs::write(&settings, text).expect("the temporary directory is writable");
@@ -236,6 +270,7 @@
             .append(true)
             .open(self.directory.join(format!("{host}.log")))
             .expect("the temporary directory is writable");
+        let held = SPAWN.lock();
         let child = Command::new(&self.program[0])
             .args(&self.program[1..])
             .arg("--settings")
@@ -245,6 +280,7 @@
             .stderr(log)
             .spawn()
             .expect("the daemon's program exists");
+        drop(held);
         Daemon { child, host: host.into(), callers, peers, operators, settings }
     }
 
@@ -294,10 +330,62 @@
         text.get(start..).unwrap_or_default().to_owned()
     }
 
+    /// Waits until a condition of the stand-ins holds.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not hold within the deadline.
+    pub async fn until<T>(&self, what: &str, mut holds: impl FnMut() -> Option<T>) -> T {
+        let started = Instant::now();
+        while started.elapsed() < DEADLINE {
+            if let Some(value) = holds() {
+                return value;
+            }
+            compio::time::sleep(POLL).await;
+        }
+        panic!("not {what}");
+    }
+
+    /// Returns the engines' records of a chat body, with the engines' numbers.
+    pub fn runs(&self, body: &[u8]) -> Vec<(usize, engine::Entry)> {
+        let request = stand::answer::Request::parse(body).expect("a valid body");
+        let mut runs = self.all_runs();
+        runs.retain(|(_, entry)| entry.run.fingerprint == request.fingerprint);
+        runs
+    }
+
+    /// Returns everything that engines were given.
+    pub fn all_runs(&self) -> Vec<(usize, engine::Entry)> {
+        let engines = self.engines.iter().enumerate();
+        engines.flat_map(|(at, e)| e.record().into_iter().map(move |run| (at, run))).collect()
+    }
+
+    /// Waits until an engine has generated a few tokens for a body, and returns its number.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the run has ended by then, because the test would miss its fault.
+    pub async fn mid_stream(&self, body: &[u8]) -> usize {
+        let running = || self.runs(body).pop().filter(|(_, entry)| entry.run.tokens >= 5);
+        let (engine, entry) = self.until("mid-stream", running).await;
+        assert_eq!(entry.run.end, None, "the stream ended before the fault");
+        engine
+    }
+
     /// Sends a chat completion to an entry.
-    pub async fn chat(&self, entry: usize, prompt: &str, max_tokens: u32, stream: bool) -> Reply {
-        let body = chat_body(prompt, max_tokens, stream);
-        self.post(entry, "/v1/chat/completions", body, &[("x-account", "casa")]).await
+    pub fn chat(
+        &self,
+        entry: usize,
+        prompt: &str,
+        max_tokens: u32,
+        stream: bool,
+    ) -> impl Future<Output = Reply> + use<> {
+        self.complete(entry, chat_body(prompt, max_tokens, stream))
+    }
+
+    /// Sends a chat-completions body to an entry.
+    pub fn complete(&self, entry: usize, body: Bytes) -> impl Future<Output = Reply> + use<> {
+        self.post(entry, "/v1/chat/completions", body, &[("x-account", "casa")])
     }
 
     /// Gets an idempotency key for bids from an entry.
@@ -321,34 +409,23 @@
     }
 
     /// Sends any request to an entry.
-    pub async fn post(
+    pub fn post(
         &self,
         entry: usize,
         path: &str,
         body: Bytes,
         headers: &[(&str, &str)],
-    ) -> Reply {
+    ) -> impl Future<Output = Reply> + use<> {
         let callers = self.entries[entry].callers.expect("an entry serves callers");
         let mut request = self.client.post(format!("http://{callers}{path}")).expect("valid URL");
         for (name, value) in headers {
             request = request.header(*name, *value).expect("valid header");
         }
-        let response = match request.body(body).send().await {
-            Ok(response) => response,
-            Err(error) => return Reply::broken(&error),
-        };
-        let text = |name: &str| {
-            let value = response.headers().get(name)?;
-            Some(value.to_str().ok()?.to_owned())
-        };
-        let status = response.status().as_u16();
-        let outcome = text("x-outcome");
-        let request_id = text("x-request-id");
-        match response.bytes().await {
-            Ok(body) => Reply { status, outcome, request_id, body, broken: None },
-            Err(error) => {
-                let broken = Reply::broken(&error);
-                Reply { status, outcome, request_id, ..broken }
+        let sent = request.body(body).send();
+        async move {
+            match sent.await {
+                Ok(response) => Reply::read(response).await,
+                Err(error) => Reply::broken(&error),
             }
         }
     }
@@ -364,34 +441,6 @@
     }
 }
 
-/// What a caller saw.
-#[derive(Clone, Debug)]
-pub struct Reply {
-    pub status: u16,
-    pub outcome: Option<String>,
-    pub request_id: Option<String>,
-    pub body: Bytes,
-    /// Why the answer is not whole.
-    pub broken: Option<String>,
-}
-
-impl Reply {
-    fn broken(error: &cyper::Error) -> Reply {
-        Reply {
-            status: 0,
-            outcome: None,
-            request_id: None,
-            body: Bytes::new(),
-            broken: Some(error.to_string()),
-        }
-    }
-
-    /// Returns whether the answer is whole and successful.
-    pub fn is_whole(&self) -> bool {
-        self.status == 200 && self.broken.is_none()
-    }
-}
-
 /// Returns a chat-completions body.
 pub fn chat_body(prompt: &str, max_tokens: u32, stream: bool) -> Bytes {
     let body = json!({
