--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -38,18 +38,18 @@
     world::run(1, 2, 0, async |world| {
         survive(world, "killed agent", async |world, engine, _| world.replace_agent(engine)).await;
 
-        // Slots of one agent are taken, so that further work waits at the agents.
-        let pool = "quincespoke/auction/pools";
-        let revision = world.configuration.publish(pool, "[pool appraisal]\nmax_running = 1\n");
-        let _ = revision;
+        // One request runs at each agent and the others wait there.
+        world.configure("auction/pools", "[pool appraisal]\nmax_running = 1\n").await;
         let bodies: Vec<Bytes> =
             (0..8).map(|n| chat_body(&format!("queued {n}"), 60, n % 2 == 0)).collect();
         let calls: Vec<_> = bodies
             .iter()
             .map(|body| compio::runtime::spawn(world.complete(0, body.clone())))
             .collect();
-        let engine = world.mid_stream(&bodies[0]).await;
-        world.replace_agent(engine);
+        let agent = &world.agents[0];
+        let waits = |status: &wire::status::Status| status.queued.values().sum::<u64>() > 0;
+        world.wait_for(agent, "with queued work", waits).await;
+        world.replace_agent(0);
         for (reply, body) in future::join_all(calls).await.into_iter().zip(&bodies) {
             assert_whole(&reply.expect("the call does not panic"), body);
             assert_eq!(world.runs(body).len(), 1);
--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -46,13 +46,7 @@
 type Case<'a> = (&'a str, Bytes, Vec<(&'a str, &'a str)>, u16, &'a str);
 
 async fn refuse_bad_calls(world: &World) {
-    world.configuration.publish("quincespoke/auction/small", SMALL);
-    for entry in &world.entries {
-        let known = |status: &wire::status::Status| {
-            status.revisions.keys().any(|name| name.ends_with("small"))
-        };
-        world.wait_for(entry, "configured", known).await;
-    }
+    world.configure("auction/small", SMALL).await;
     let chat = "/v1/chat/completions";
     let good = chat_body("refused", 3, false);
     let mut other_model: Value = serde_json::from_slice(&good).unwrap();
--- a/crates/daemon/tests/world/mod.rs
+++ b/crates/daemon/tests/world/mod.rs
@@ -90,6 +90,8 @@
     directory: PathBuf,
     program: Vec<String>,
     pub configuration: configuration::Service,
+    /// Where processes started from now on read the configuration service.
+    pub configuration_address: SocketAddr,
     pub hosts: hosts::Hosts,
     /// Where processes started from now on read the host list.
     pub hosts_address: SocketAddr,
@@ -126,6 +128,10 @@
     }
 }
 
+fn zone(index: usize) -> String {
+    format!("zone-{}", index % 4)
+}
+
 /// Runs a test of the daemon against a fleet of real processes.
 pub fn run(entries: usize, engines: usize, services: usize, test: impl AsyncFnOnce(&mut World)) {
     let program = option_env!("CARGO_BIN_EXE_quincespoked").unwrap_or_default();
@@ -149,6 +155,7 @@
         let mut world = World {
             directory,
             program: program.iter().map(ToString::to_string).collect(),
+            configuration_address: configuration.address(),
             configuration,
             hosts_address: hosts.address(),
             hosts,
@@ -207,7 +214,7 @@
             host: format!("backend-{index}").into(),
             role: host::Role::Agent,
             address: self.peer_proxies[index].address(),
-            availability_zone: format!("zone-{}", index % 4).into(),
+            availability_zone: zone(index).into(),
             pool: Bytes::from_static(self.pool(index).as_bytes()),
             speed: 100,
             state: match leaving.contains(&index) {
@@ -222,7 +229,7 @@
     pub fn spawn_agent(&self, index: usize, peers: SocketAddr) -> Daemon {
         let backend = self.backend_proxies[index].address();
         let section = format!("[agent]\npool = {}\nbackend = {backend}\n", self.pool(index));
-        self.spawn(&format!("backend-{index}"), "agent", peers, None, &section)
+        self.spawn(&format!("backend-{index}"), index, peers, None, &section)
     }
 
     /// Replaces an agent by a new process with empty memory at the same address.
@@ -236,18 +243,20 @@
     /// Starts an entry process.
     pub fn spawn_entry(&self, index: usize) -> Daemon {
         let callers = free_address();
-        self.spawn(&format!("entry-{index}"), "entry", free_address(), Some(callers), "")
+        self.spawn(&format!("entry-{index}"), index, free_address(), Some(callers), "")
     }
 
     fn spawn(
         &self,
         host: &str,
-        role: &str,
+        index: usize,
         peers: SocketAddr,
         callers: Option<SocketAddr>,
         section: &str,
     ) -> Daemon {
         let operators = free_address();
+        let role = if callers.is_some() { "entry" } else { "agent" };
+        let zone = zone(index);
         let callers_line = callers.map(|address| format!("callers = {address}\n"));
         let seeds: Vec<String> = self.agents.iter().map(|a| a.peers.to_string()).collect();
         let seeds = match seeds.is_empty() {
@@ -255,12 +264,12 @@
             false => format!("[seeds]\npeers = {}\n", seeds.join(", ")),
         };
         let text = format!(
-            "[process]\nrole = {role}\nhost = {host}\navailability_zone = zone-0\n\
+            "[process]\nrole = {role}\nhost = {host}\navailability_zone = {zone}\n\
              [listen]\n{}peers = {peers}\noperators = {operators}\n\
              [platform]\nconfiguration = http://{}\nhosts = http://{}/hosts\n\
              {seeds}{section}[log]\nlevel = debug\n",
             callers_line.unwrap_or_default(),
-            self.configuration.address(),
+            self.configuration_address,
             self.hosts_address,
         );
         let settings = self.directory.join(format!("{host}.ini"));
@@ -330,6 +339,23 @@
         text.get(start..).unwrap_or_default().to_owned()
     }
 
+    /// Publishes a branch and waits until it is in force in every process.
+    pub async fn configure(&self, branch: &str, text: &str) -> u64 {
+        let revision =
+            self.configuration.publish(&format!("quincespoke/{branch}"), text.to_owned());
+        self.wait_for_revision(branch, revision).await;
+        revision
+    }
+
+    /// Waits until a branch is in force in every process.
+    pub async fn wait_for_revision(&self, branch: &str, revision: u64) {
+        for daemon in self.entries.iter().chain(&self.agents) {
+            let what = format!("at revision {revision} of {branch}");
+            let at = |status: &Status| status.revisions.get(branch) == Some(&revision);
+            self.wait_for(daemon, &what, at).await;
+        }
+    }
+
     /// Waits until a condition of the stand-ins holds.
     ///
     /// # Panics
@@ -397,9 +423,17 @@
     }
 
     /// Sends a bid with a key to an entry.
-    pub async fn bid(&self, entry: usize, key: &str) -> Reply {
+    pub fn bid(&self, entry: usize, key: &str) -> impl Future<Output = Reply> + use<> {
         let headers = [("x-account", "casa"), ("idempotency-key", key)];
-        self.post(entry, "/bids/lot-7", Bytes::from(format!("bid under {key}")), &headers).await
+        self.post(entry, "/bids/lot-7", Bytes::from(format!("bid under {key}")), &headers)
+    }
+
+    /// Returns the time by the clock of an engine's record, at the cost of one run there.
+    pub async fn engine_now(&self, engine: usize) -> wire::time::Instant {
+        let url = format!("http://{}/v1/chat/completions", self.engines[engine].address());
+        let probe = self.client.post(url).expect("valid URL").body(chat_body("clock", 1, false));
+        probe.send().await.expect("the engine answers");
+        self.engines[engine].record().last().expect("the run just made").run.arrival
     }
 
     /// Returns how many bids the services ran, by their own record, which has probes as well.
