Bound the bytes that a reader of a stream may be behind

Cause: a streamed body was an unbounded queue. The frames for an entry that stands still, or the answer to a caller that does not read, grew in memory for as long as the engine produced, past the agent's bound on kept bytes.

An entry beyond that loses its link without the end of the stream and attaches again from its own offset; a caller beyond that has its body cut and its request cancelled.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -16,9 +16,10 @@
 
 use crate::{
     chat, clock,
-    http::{self, Aborted, BodyError},
+    http::{self, BodyError},
     refusal,
     role_entry::{Answer, Entry},
+    stream,
 };
 
 /// Path of model calls.
@@ -246,9 +247,10 @@
         match answers.next().await {
             Some(Answer::Start { request, status, content_type }) => {
                 self.record("first_token_ms", &series);
-                let (sender, receiver) = mpsc::unbounded();
+                let (sender, receiver) = stream::channel();
                 let entry = self.entry.clone();
-                let copy = copy_answers(answers, sender, entry, series, request);
+                let caller = guard.caller;
+                let copy = copy_answers(answers, sender, entry, series, (caller, request));
                 // Dropped with the body, which ends the copy and reports the caller as gone.
                 let copy = compio::runtime::spawn(copy);
                 let response = http::streamed(status, &content_type, receiver, (guard, copy));
@@ -280,10 +282,10 @@
 
 async fn copy_answers(
     mut answers: mpsc::UnboundedReceiver<Answer>,
-    sender: http::Sender,
+    sender: stream::Sender,
     entry: Rc<Entry>,
     series: Series,
-    request: id::Request,
+    (caller, request): (u64, id::Request),
 ) {
     let mut last = clock::now();
     while let Some(answer) = answers.next().await {
@@ -293,7 +295,11 @@
                 let between = now.since(last);
                 entry.metrics.record("between_tokens_ms", &series.account, &series.tier, between);
                 last = now;
-                let _ = sender.unbounded_send(Ok(bytes));
+                if !sender.send(bytes) {
+                    tracing::warn!(event = "caller_too_slow", %request);
+                    entry.close(caller);
+                    break;
+                }
             }
             Answer::Finish => {
                 let total = now.since(series.started);
@@ -303,7 +309,7 @@
             Answer::Refuse { refusal, .. } => {
                 let text = refusal::text(&refusal, &request.to_string());
                 let event = format!("event: error\ndata: {text}\n\n");
-                let _ = sender.unbounded_send(Ok(event.into()));
+                let _ = sender.send(event.into());
                 compio::time::sleep(ABORT_DELAY).await;
                 break;
             }
@@ -311,7 +317,7 @@
         }
     }
     // Without the last chunk, a client library can't take a cut answer for a whole one.
-    let _ = sender.unbounded_send(Err(Aborted));
+    sender.abort();
 }
 
 fn plain_summary(body_len: usize) -> chat::Summary {
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -12,7 +12,7 @@
 use bytes::{Bytes, BytesMut};
 use compio::{net, runtime};
 use cyper_core::{CompioTimer, HyperStream};
-use futures_channel::{mpsc, oneshot};
+use futures_channel::oneshot;
 use futures_util::{
     FutureExt, StreamExt,
     future::{self, Either, LocalBoxFuture, Shared},
@@ -21,7 +21,10 @@
 use hyper::{Request, Response, body, header, server::conn::http1, service};
 use serde::Serialize;
 
-use crate::error::{Error, Step};
+use crate::{
+    error::{Error, Step},
+    stream,
+};
 
 /// Time a client may take to send its headers.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -54,8 +57,6 @@
 
 /// Body of an answer.
 pub type Body = Pin<Box<dyn body::Body<Data = Bytes, Error = Aborted>>>;
-/// Sender of a streamed body; an error ends the connection without the last chunk.
-pub type Sender = mpsc::UnboundedSender<Result<Bytes, Aborted>>;
 
 /// Serves requests of one listener.
 pub trait Handler {
@@ -97,7 +98,7 @@
         handler: Rc<impl Handler + 'static>,
     ) {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
+            let Ok((connection, _)) = listener.accept().await else {
                 // Out of file descriptors: wait for connections to close.
                 compio::time::sleep(ACCEPT_RETRY).await;
                 continue;
@@ -105,11 +106,11 @@
             if self.open.get() >= MAX_CONNECTIONS {
                 continue;
             }
-            let _ = stream.set_nodelay(true);
+            let _ = connection.set_nodelay(true);
             let handler = handler.clone();
             let active = Active::new(self.clone());
             runtime::spawn(async move {
-                active.0.connection(stream, handler).await;
+                active.0.connection(connection, handler).await;
                 drop(active);
             })
             .detach();
@@ -246,7 +247,7 @@
 pub fn streamed<G: 'static>(
     status: u16,
     content_type: &[u8],
-    receiver: mpsc::UnboundedReceiver<Result<Bytes, Aborted>>,
+    receiver: stream::Receiver,
     guard: G,
 ) -> Response<Body> {
     let frames = receiver.map(move |part| {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod role_agent;
 pub mod role_entry;
 pub mod run;
+pub mod stream;
 pub mod trace;
 
 pub use error::Error;
--- a/crates/daemon/src/role_agent.rs
+++ b/crates/daemon/src/role_agent.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use compio::runtime;
 use conf::tree;
-use futures_channel::{mpsc, oneshot};
+use futures_channel::oneshot;
 use futures_util::future::LocalBoxFuture;
 use hyper::{Request, Response, body};
 use serde::{Serialize, de::DeserializeOwned};
@@ -26,7 +26,7 @@
     metrics::Metrics,
     peer,
     role::{Identity, Role},
-    trace,
+    stream, trace,
 };
 
 /// Time between probes of the backend server.
@@ -40,7 +40,7 @@
 enum Slot {
     Offer(oneshot::Sender<offer::Reply>),
     Key(oneshot::Sender<Result<key::Key, outcome::Refusal>>),
-    Stream(http::Sender),
+    Stream(stream::Sender),
 }
 
 /// The agent role of a process.
@@ -172,7 +172,7 @@
     }
 
     fn stream(self: &Rc<Self>, event: impl FnOnce(Link) -> Event) -> Response<http::Body> {
-        let (sender, receiver) = mpsc::unbounded();
+        let (sender, receiver) = stream::channel();
         let guard = self.link(Slot::Stream(sender));
         self.feed(event(guard.link));
         http::streamed(200, peer::CONTENT_TYPE.as_bytes(), receiver, guard)
@@ -222,9 +222,15 @@
         }
     }
 
+    /// Sends a frame. A reader that is too far behind loses its link without the end of the
+    /// stream, and attaches again from its own offset.
     fn send(&self, link: Link, frame: &wire::Frame) {
-        if let Some(Slot::Stream(sender)) = self.links.borrow().get(&link) {
-            let _ = sender.unbounded_send(Ok(frame::encode_delimited(frame)));
+        let mut links = self.links.borrow_mut();
+        if let Some(Slot::Stream(sender)) = links.get(&link)
+            && !sender.send(frame::encode_delimited(frame))
+        {
+            tracing::warn!(event = "reader_too_slow", request = %frame.request);
+            links.remove(&link);
         }
     }
 
