--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -12,7 +12,7 @@
 use bytes::{Bytes, BytesMut};
 use compio::{net, runtime};
 use cyper_core::{CompioTimer, HyperStream};
-use futures_channel::{mpsc, oneshot};
+use futures_channel::oneshot;
 use futures_util::{
     FutureExt, StreamExt,
     future::{self, Either, LocalBoxFuture, Shared},
@@ -21,12 +21,19 @@
 use hyper::{Request, Response, body, header, server::conn::http1, service};
 use serde::Serialize;
 
-use crate::error::{Error, Step};
+use crate::{
+    error::{Error, Step},
+    stream,
+};
 
 /// Time a client may take to send its headers.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time a client may take to send its body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(60);
+/// Bytes of a refused body that are read and discarded.
+const MAX_DISCARDED_BYTES: usize = 64 << 20;
+/// Time for which a refused body is read and discarded.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Bound on the bytes buffered for one connection's headers.
 const MAX_HEADER_BYTES: usize = 64 << 10;
 /// Wait after a failed accept.
@@ -50,8 +57,6 @@
 
 /// Body of an answer.
 pub type Body = Pin<Box<dyn body::Body<Data = Bytes, Error = Aborted>>>;
-/// Sender of a streamed body; an error ends the connection without the last chunk.
-pub type Sender = mpsc::UnboundedSender<Result<Bytes, Aborted>>;
 
 /// Serves requests of one listener.
 pub trait Handler {
@@ -93,7 +98,7 @@
         handler: Rc<impl Handler + 'static>,
     ) {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
+            let Ok((connection, _)) = listener.accept().await else {
                 // Out of file descriptors: wait for connections to close.
                 compio::time::sleep(ACCEPT_RETRY).await;
                 continue;
@@ -101,11 +106,11 @@
             if self.open.get() >= MAX_CONNECTIONS {
                 continue;
             }
-            let _ = stream.set_nodelay(true);
+            let _ = connection.set_nodelay(true);
             let handler = handler.clone();
             let active = Active::new(self.clone());
             runtime::spawn(async move {
-                active.0.connection(stream, handler).await;
+                active.0.connection(connection, handler).await;
                 drop(active);
             })
             .detach();
@@ -170,13 +175,16 @@
     Broken,
 }
 
-/// Reads a whole body of at most `limit` bytes.
+/// Reads a whole body of at most `limit` bytes. The rest of a larger one is read and discarded
+/// for a bounded time, while the answer is sent: if the server closed the connection instead,
+/// the client's next write would fail before it has read the answer.
 ///
 /// # Errors
 ///
 /// Returns an error if the body is over the limit, too slow, or cut.
 pub async fn read_body(mut body: body::Incoming, limit: u64) -> Result<Bytes, BodyError> {
     if body::Body::size_hint(&body).lower() > limit {
+        runtime::spawn(discard(body)).detach();
         return Err(BodyError::TooLarge);
     }
     let read = async {
@@ -190,7 +198,24 @@
         }
         Ok(whole.freeze())
     };
-    compio::time::timeout(BODY_TIMEOUT, read).await.map_err(|_| BodyError::Timeout)?
+    let read = compio::time::timeout(BODY_TIMEOUT, read).await.map_err(|_| BodyError::Timeout)?;
+    if read == Err(BodyError::TooLarge) {
+        runtime::spawn(discard(body)).detach();
+    }
+    read
+}
+
+/// Reads the rest of a refused body within its bounds.
+async fn discard(mut body: body::Incoming) {
+    let read = async {
+        let mut left = MAX_DISCARDED_BYTES;
+        while let Some(Ok(frame)) = body.frame().await {
+            let len = frame.data_ref().map_or(0, Bytes::len);
+            let Some(rest) = left.checked_sub(len) else { return };
+            left = rest;
+        }
+    };
+    let _ = compio::time::timeout(DISCARD_TIMEOUT, read).await;
 }
 
 /// Returns an answer with a whole body.
@@ -222,7 +247,7 @@
 pub fn streamed<G: 'static>(
     status: u16,
     content_type: &[u8],
-    receiver: mpsc::UnboundedReceiver<Result<Bytes, Aborted>>,
+    receiver: stream::Receiver,
     guard: G,
 ) -> Response<Body> {
     let frames = receiver.map(move |part| {
