Compare digests by hash while they are equal

Change: a digest in brief states a hash, and in a push the revisions of the branches that changed. The peer answers a hash that differs with its whole digest. After a difference or a failed message the next exchange starts with the whole digest again, so a lossy network costs no more messages than before. Reserved name in the digest, no change of the message types.

--- a/crates/sync/src/lib.rs
+++ b/crates/sync/src/lib.rs
@@ -8,6 +8,7 @@
 //! Memory is bounded by the constants in [`limit`]. Processes trust each other about
 //! content: a peer that invents a valid branch with a high revision is believed.
 
+mod brief;
 mod exchange;
 mod join;
 pub mod limit;
@@ -128,6 +129,11 @@
     is_orphan: bool,
     /// Peer of the digest exchange in progress.
     partner: Option<SocketAddr>,
+    /// Whether the last peer that answered held the same revisions. Only then does the next
+    /// exchange start with the hash, since a difference takes a message more to settle.
+    was_equal: bool,
+    /// Peers that were told the hash and have not answered.
+    compared: u32,
     retries: u32,
     follow_ups: u32,
     next_exchange: Instant,
@@ -150,6 +156,8 @@
             contact: Instant::default(),
             is_orphan: false,
             partner: None,
+            was_equal: false,
+            compared: 0,
             retries: 0,
             follow_ups: 0,
             next_exchange: Instant::default(),
@@ -321,6 +329,7 @@
     }
 
     fn send_failed(&mut self, now: Instant, peer: SocketAddr, actions: &mut Vec<Action>) {
+        self.was_equal = false;
         if self.partner == Some(peer) && self.retries < limit::EXCHANGE_RETRIES {
             self.retries += 1;
             self.exchange_with_any(now, actions);
@@ -344,7 +353,7 @@
             return;
         }
         for peer in self.peers.choose(&mut self.rng, limit::SUSPECT_FANOUT, b"") {
-            self.exchange_with(now, peer, actions);
+            self.compare_with(now, peer, actions);
         }
     }
 }
--- a/crates/sync/src/store.rs
+++ b/crates/sync/src/store.rs
@@ -204,6 +204,15 @@
         fit(self.held.values().filter(newer))
     }
 
+    /// Returns branches that are newer than `listed` says, up to the size of one exchange.
+    pub(crate) fn newer(&self, listed: &sync::Digest) -> Vec<sync::Branch> {
+        let entries = listed.0.iter().take(limit::MAX_BRANCHES);
+        let held = entries.filter_map(|(name, revision)| {
+            self.held.get(name).filter(|held| held.revision > *revision)
+        });
+        fit(held)
+    }
+
     /// Returns the named branches, up to the size of one exchange.
     pub(crate) fn named<'a>(&self, names: impl Iterator<Item = &'a Bytes>) -> Vec<sync::Branch> {
         let names: BTreeSet<&Bytes> = names.take(limit::MAX_WANTED).collect();
--- a/crates/sync/tests/machine.rs
+++ b/crates/sync/tests/machine.rs
@@ -248,6 +248,29 @@
     assert_eq!(blocking_reads(&mut machine, 10, Some(&ahead)), 1);
 }
 
+/// Guards against equal processes that exchange all revisions, and against a differing hash
+/// that is answered without them.
+#[test]
+fn a_hash_stands_for_equal_revisions_only() {
+    let mut machine = machine_with_hosts("10.0.0.9:7000");
+    machine.handle(Instant(60_000_000), Event::Tick, &mut Vec::new());
+    let whole = machine.digest().clone();
+    let mut answer = |digest: &Digest| {
+        let digest = digest.clone();
+        let actions = send(&mut machine, Exchange { digest, ..exchange(Vec::new()) });
+        actions.into_iter().find_map(|action| match action {
+            Action::Reply { exchange, .. } => Some(exchange.digest),
+            _ => None,
+        })
+    };
+    let hash = answer(&whole).unwrap();
+    assert_eq!(hash.0.len(), 1);
+    assert!(whole.0.len() > 1);
+    assert_eq!(answer(&hash), Some(hash.clone()));
+    let other = Digest(vec![(hash.0[0].0.clone(), hash.0[0].1 + 1)]);
+    assert_eq!(answer(&other), Some(whole));
+}
+
 quickcheck::quickcheck! {
     /// Guards against arbitrary messages that panic the machine or lower a revision.
     fn arbitrary_messages_do_no_harm(messages: Vec<(u8, u64, Vec<u8>)>) -> bool {
