Accept a host list of the target size

Cause: the bound of 1 MiB for a settings branch also held for the host list. A list of 12,600 records has 1.7 MB and was refused by every process, so a fleet of the target size had no peers but its seeds. Change: the host list has its own bound of 3 MiB, below that of an exchange.

--- a/crates/sync/src/limit.rs
+++ b/crates/sync/src/limit.rs
@@ -5,6 +5,10 @@
 /// Longest text of a branch in bytes, the largest value of the configuration service.
 pub const MAX_BRANCH_BYTES: usize = conf::document::MAX_BYTES;
 
+/// Longest text of the host list in bytes: 12,610 records take 1.8 MB, and the list has to fit
+/// in one exchange.
+pub const MAX_HOSTS_BYTES: usize = 3 << 20;
+
 /// Most branches held, tombstones included.
 pub const MAX_BRANCHES: usize = 1_024;
 
--- a/crates/sync/src/store.rs
+++ b/crates/sync/src/store.rs
@@ -87,8 +87,12 @@
         let size = branch.text.len();
         let held = self.held.get(&branch.name);
         let total = self.total_bytes - held.map_or(0, |held| held.text.len()) + size;
-        let allowed = if size > limit::MAX_BRANCH_BYTES {
-            format!("at most {} bytes", limit::MAX_BRANCH_BYTES)
+        let longest = match branch.name == sync::HOSTS_BRANCH {
+            true => limit::MAX_HOSTS_BYTES,
+            false => limit::MAX_BRANCH_BYTES,
+        };
+        let allowed = if size > longest {
+            format!("at most {longest} bytes")
         } else if total > limit::MAX_TOTAL_BYTES {
             format!("at most {} bytes in all branches", limit::MAX_TOTAL_BYTES)
         } else if held.is_none() && self.held.len() >= limit::MAX_BRANCHES {
--- a/crates/sync/tests/machine.rs
+++ b/crates/sync/tests/machine.rs
@@ -248,6 +248,25 @@
     assert_eq!(blocking_reads(&mut machine, 10, Some(&ahead)), 1);
 }
 
+/// Guards against a host list of the largest fleet that is refused for its size.
+#[test]
+fn a_host_list_of_the_largest_fleet_is_accepted() {
+    let record = |n: u32| {
+        format!(
+            r#"{{"host":"backend-{n:05}","role":"agent","address":"10.0.{}.{}:7000",
+            "availability_zone":"zone-{:02}","pool":"assistant","speed":100,"state":"live"}}"#,
+            n / 250,
+            n % 250,
+            n % 25
+        )
+    };
+    let list: Vec<String> = (0..12_610).map(record).collect();
+    let text = Bytes::from(format!("[{}]", list.join(",")));
+    let mut actions = Vec::new();
+    machine().handle(Instant(2), Event::Hosts { revision: 1, text }, &mut actions);
+    assert!(actions.iter().any(|a| matches!(a, Action::Hosts(hosts) if hosts.len() == 12_610)));
+}
+
 /// Guards against equal processes that exchange all revisions, and against a differing hash
 /// that is answered without them.
 #[test]
