Add the load tool with baselines in virtual time

Cause: policy changes to the entry and agent need figures from repeatable runs, compared with common policies on the same engines and arrivals.

Change: quincespoke-load joins the entry and agent state machines with engine models by an in-memory network with fixed latencies, and runs round robin, least outstanding and two choices on the same calls.

--- /dev/null
+++ b/crates/load/src/matrix.rs
@@ -0,0 +1,85 @@
+//! All runs of a comparison, on a few threads.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+};
+
+use crate::{
+    baseline,
+    deployment::Deployment,
+    ledger::Ledger,
+    policy::Policy,
+    scenario::Scenario,
+    summary::{self, Summary},
+    system,
+    workload::{self, Call},
+};
+
+/// What is to be run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub deployment: Deployment,
+    pub scenarios: Vec<Scenario>,
+    pub policies: Vec<Policy>,
+    pub seeds: u64,
+    pub jobs: usize,
+}
+
+/// Figures by scenario and policy, one for each seed.
+pub type Results = BTreeMap<(usize, Policy), Vec<Summary>>;
+
+/// Runs one scenario under one policy with one seed.
+pub fn run_one(
+    deployment: &Deployment,
+    scenario: &Scenario,
+    policy: Policy,
+    seed: u64,
+) -> (Vec<Call>, Ledger, Summary) {
+    let calls = workload::calls(deployment, scenario, seed);
+    let (ledger, runs) = match policy {
+        Policy::Quincespoke => system::run(deployment, scenario, &calls, seed),
+        _ => baseline::run(deployment, scenario, &calls, policy, seed),
+    };
+    let summary = summary::of(scenario, &calls, &ledger, &runs);
+    (calls, ledger, summary)
+}
+
+/// Runs everything.
+///
+/// # Panics
+///
+/// Panics if a run panics.
+pub fn run(plan: &Plan) -> Results {
+    let mut tasks = Vec::new();
+    for index in 0..plan.scenarios.len() {
+        for &policy in &plan.policies {
+            tasks.extend((1..=plan.seeds).map(|seed| (index, policy, seed)));
+        }
+    }
+    let next = AtomicUsize::new(0);
+    let results = Mutex::new(BTreeMap::new());
+    thread::scope(|scope| {
+        for _ in 0..plan.jobs.max(1) {
+            scope.spawn(|| {
+                while let Some(&(index, policy, seed)) =
+                    tasks.get(next.fetch_add(1, Ordering::Relaxed))
+                {
+                    let scenario = &plan.scenarios[index];
+                    let (_, _, summary) = run_one(&plan.deployment, scenario, policy, seed);
+                    let mut results = results.lock().expect("no run panics");
+                    results.insert((index, policy, seed), summary);
+                }
+            });
+        }
+    });
+    let mut grouped = Results::new();
+    for ((index, policy, _), summary) in results.into_inner().expect("no run panics") {
+        grouped.entry((index, policy)).or_default().push(summary);
+    }
+    grouped
+}
