Print the policy targets after each comparison

Change: the load tool computes every target from the medians and prints the figure, its bound and whether it is met.

--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod summary;
 mod system;
 pub mod table;
+pub mod target;
 pub mod workload;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -10,7 +10,7 @@
     plot,
     policy::Policy,
     scenario::Scenario,
-    table, workload,
+    table, target, workload,
 };
 
 fn main() -> process::ExitCode {
@@ -37,6 +37,7 @@
             println!("{name}: capacity {rate:.1} model calls/s, {} seeds\n", plan.seeds);
             let results = matrix::run(&plan);
             print!("{}", table::render(&plan, &results));
+            print!("\n{}", target::render(&plan, &results));
             if counters {
                 print!("\n{}", table::counters(&plan, &results));
             }
--- a/crates/load/src/scenario.rs
+++ b/crates/load/src/scenario.rs
@@ -12,7 +12,7 @@
 /// Load of the scenarios with a fault, so that what is left of the fleet can carry it.
 const FAULT_LOAD: f64 = 0.6;
 /// Index of the account that sends ten times its share; one of the large ones.
-const LARGE_ACCOUNT: usize = 1;
+pub(crate) const LARGE_ACCOUNT: usize = 1;
 
 /// A time in which more calls arrive.
 #[derive(Clone, Debug)]
--- a/crates/load/src/summary.rs
+++ b/crates/load/src/summary.rs
@@ -8,7 +8,7 @@
 use crate::{
     agenda,
     ledger::{Answer, Ledger},
-    scenario::{Scenario, WARM_UP},
+    scenario::{LARGE_ACCOUNT, Scenario, WARM_UP},
     workload::{Call, Class},
 };
 
@@ -44,6 +44,16 @@
     pub counters: BTreeMap<String, u64>,
 }
 
+impl Summary {
+    /// Returns the mean goodput of the accounts that never send ten times their share.
+    pub fn others(&self, class: Class) -> f64 {
+        let own = self.accounts.iter().filter(|((other, _), _)| *other == class);
+        let others = own.filter(|((_, account), _)| *account != LARGE_ACCOUNT);
+        let (sum, count) = others.fold((0.0, 0.0), |(sum, n), (_, part)| (sum + part, n + 1.0));
+        sum / f64::max(count, 1.0)
+    }
+}
+
 /// Computes the figures of one run.
 pub fn of(scenario: &Scenario, calls: &[Call], ledger: &Ledger, runs: &[Run]) -> Summary {
     let counted = |call: &Call| call.sent >= agenda::at(WARM_UP);
