Keep requests at the agent while the engine has prefill ahead

Cause: the prompt budget let several long prompts into the engine at once.

Ruled out: the queue order at the agent (strict by tier already) and the count limit (engines had free batch slots).

The first token of short requests still waits for long prompts on both candidates.

--- a/crates/agent/src/limit.rs
+++ b/crates/agent/src/limit.rs
@@ -20,6 +20,11 @@
 /// The learned speed stays within this factor of the configured one.
 const SPEED_RANGE: f64 = 64.0;
 
+/// An engine computes prompts in order of arrival. What enters behind much prefill waits in
+/// the engine, where no other agent can serve it and no higher tier can pass it.
+/// Several engine steps are kept ahead, since the next grant takes a round trip.
+const MAX_BACKLOG: Duration = Duration::from_millis(100);
+
 /// The part of the limits that one request holds.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Slot {
@@ -121,6 +126,9 @@
         if passing {
             return slot.short && short_share_fits && self.short.count < self.short_count();
         }
+        if self.prefill_time(self.prefilling()) > MAX_BACKLOG {
+            return false;
+        }
         let total_fits = self.prefilling() + slot.tokens <= self.max_tokens;
         if slot.short {
             return total_fits || short_share_fits || self.prefilling() == 0;
