Split the simulated world by what it simulates

Cause: one file of a thousand lines held connections, entries, agents, engines and faults. Change: a module for each; no behaviour changes.

--- /dev/null
+++ b/crates/proof/src/agents.rs
@@ -0,0 +1,142 @@
+//! Carries out the actions of agents.
+
+use std::{net::SocketAddr, time::Duration};
+
+use wire::{Frame, frame, id, offer, outcome, status::Status, sync};
+
+use crate::{
+    record::Shed,
+    world::{Connection, Delivery, Purpose, World, agent_address, agent_host},
+};
+
+impl World {
+    pub(crate) fn agent_event(&mut self, index: usize, event: agent::Event) {
+        let node = &mut self.agents[index];
+        if node.frozen {
+            node.backlog.push(event);
+            return;
+        }
+        let Some(machine) = &mut node.machine else { return };
+        let mut actions = Vec::new();
+        machine.handle(self.now, event, &mut actions);
+        node.timer = machine.next_timer();
+        for action in actions {
+            self.agent_action(index, action);
+        }
+    }
+
+    pub(crate) fn agent_action(&mut self, index: usize, action: agent::Action) {
+        use agent::Action;
+        let generation = self.agents[index].generation;
+        let peer = agent_address(index);
+        match action {
+            Action::Reply { link, reply } => {
+                self.note_shed(index, link, &reply);
+                self.reply(link, true, |connection| match connection.purpose {
+                    Purpose::Offer(request) | Purpose::Stream(request) => {
+                        entry::Event::OfferReply { request, peer, reply }
+                    }
+                    Purpose::Key(caller) => entry::Event::KeyFailed { caller, peer },
+                });
+            }
+            Action::Frame { link, frame } => self.send_frame(link, peer, frame),
+            Action::Close { link } => {
+                let connection = link.0;
+                if let Some(open) = self.connections.get(&connection) {
+                    let at = open.to_entry.max(self.now) + Duration::from_micros(1);
+                    self.schedule(at, Delivery::Close { connection });
+                }
+            }
+            Action::KeyReply { link, reply } => {
+                self.reply(link, true, |connection| match connection.purpose {
+                    Purpose::Key(caller) => entry::Event::KeyReply { caller, reply },
+                    Purpose::Offer(request) | Purpose::Stream(request) => {
+                        entry::Event::StreamLost { request, peer }
+                    }
+                });
+            }
+            Action::Dispatch { grant, head, body } => {
+                let at = self.now + self.delay();
+                let delivery = Delivery::Dispatch { index, generation, grant, head, body };
+                self.schedule(at, delivery);
+            }
+            Action::Resume { grant, offset } => {
+                let at = self.now + self.delay();
+                self.schedule(at, Delivery::Resume { index, generation, grant, offset });
+            }
+            Action::Cancel { grant } => {
+                if let Some(stream) = self.engines[index].streams.get_mut(&grant) {
+                    stream.reader = None;
+                }
+                let at = self.now + self.delay();
+                self.schedule(at, Delivery::CancelStream { index, grant });
+            }
+            Action::Suspects(suspects) => self.spread_suspects(index, &suspects),
+            Action::Trace { request, step, event, .. } => {
+                self.print_step("agent", index, request, step, event);
+            }
+            Action::Order { .. } => {}
+            Action::Stopped => {
+                if self.agents[index].stopping {
+                    self.exit_agent(index);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn print_step(
+        &self,
+        role: &str,
+        index: usize,
+        request: id::Request,
+        step: outcome::Step,
+        event: &str,
+    ) {
+        if self.trace {
+            let at = self.now.0;
+            eprintln!("at_us={at} {role}={index} request={request} step={step} event={event}");
+        }
+    }
+
+    pub(crate) fn spread_suspects(&mut self, from: usize, suspects: &[sync::Suspect]) {
+        self.suspects.extend(suspects.iter().map(|suspect| (self.now, *suspect)));
+        if self.trace {
+            eprintln!("at_us={} agent={from} suspects={suspects:?}", self.now.0);
+        }
+        for index in (0..self.agents.len()).filter(|index| *index != from) {
+            let at = self.now + self.delay();
+            let generation = self.agents[index].generation;
+            let event = agent::Event::Suspects(suspects.to_vec());
+            self.schedule(at, Delivery::Agent { index, generation, event });
+        }
+    }
+
+    /// Records a refusal for lack of room with the queue that the agent keeps.
+    pub(crate) fn note_shed(&mut self, index: usize, link: agent::Link, reply: &offer::Reply) {
+        let offer::Reply::Refused(refusal) = reply else { return };
+        if !matches!(refusal.reason, outcome::Reason::Overload | outcome::Reason::Displaced) {
+            return;
+        }
+        let Some(Connection { purpose: Purpose::Offer(request), .. }) =
+            self.connections.get(&link.0)
+        else {
+            return;
+        };
+        let tier = self.record.heads[request].tier;
+        let Some(machine) = &self.agents[index].machine else { return };
+        let mut status = Status::default();
+        machine.report(self.now, &mut status);
+        let host = agent_host(index);
+        self.record.sheds.push(Shed { at: self.now, host, tier, queued: status.queued });
+    }
+
+    pub(crate) fn send_frame(&mut self, link: agent::Link, peer: SocketAddr, frame: Frame) {
+        let last = matches!(frame.body, frame::Body::End { .. } | frame::Body::Refused(_));
+        self.reply(link, last, |connection| match connection.purpose {
+            Purpose::Offer(request) | Purpose::Stream(request) => {
+                entry::Event::Frame { request, peer, frame }
+            }
+            Purpose::Key(caller) => entry::Event::KeyFailed { caller, peer },
+        });
+    }
+}
--- /dev/null
+++ b/crates/proof/src/control.rs
@@ -0,0 +1,150 @@
+//! Brings faults about: kills, cuts, partitions, pauses, stops and changes of settings.
+
+use std::time::Duration;
+
+use wire::{id, time::Instant};
+
+use crate::world::{Delivery, World};
+
+impl World {
+    /// Kills an entry; its callers' connections are lost.
+    pub fn kill_entry(&mut self, index: usize) {
+        self.entries[index].machine = None;
+        for call in self.record.calls.values_mut() {
+            if call.entry == index && call.answers.is_empty() {
+                call.lost = true;
+            }
+        }
+        self.bodies.retain(|(entry, _), _| *entry != index);
+        self.close_where(|connection| connection.entry == index);
+    }
+
+    /// Kills an agent; its engine runs on.
+    pub fn kill_agent(&mut self, index: usize) {
+        self.agents[index].machine = None;
+        for stream in self.engines[index].streams.values_mut() {
+            stream.reader = None;
+        }
+        self.close_where(|connection| connection.agent == index);
+    }
+
+    /// Ends an agent's process after a planned stop: connections close behind what was sent.
+    pub(crate) fn exit_agent(&mut self, index: usize) {
+        self.agents[index].machine = None;
+        let open = self.connections.iter().filter(|(_, c)| c.agent == index);
+        let ends: Vec<(u64, Instant)> = open.map(|(n, c)| (*n, c.to_entry)).collect();
+        for (connection, sent) in ends {
+            let at = sent.max(self.now) + Duration::from_micros(1);
+            self.schedule(at, Delivery::Close { connection });
+        }
+    }
+
+    /// Closes all connections between an entry and an agent.
+    pub fn cut(&mut self, entry: usize, agent: usize) {
+        self.close_where(|connection| connection.entry == entry && connection.agent == agent);
+    }
+
+    /// Stops all messages between an entry and an agent until `heal`.
+    pub fn partition(&mut self, entry: usize, agent: usize) {
+        self.partitions.insert((entry, agent));
+    }
+
+    /// Ends all partitions; held messages arrive late.
+    pub fn heal(&mut self) {
+        self.partitions.clear();
+        for delivery in std::mem::take(&mut self.held) {
+            let at = self.now + Duration::from_micros(1);
+            self.schedule(at, delivery);
+        }
+    }
+
+    /// Cuts the connections between an agent and its engine; the engine runs on.
+    pub fn cut_engine(&mut self, index: usize) {
+        let grants: Vec<id::Grant> = self.engines[index]
+            .streams
+            .iter_mut()
+            .filter_map(|(grant, stream)| stream.reader.take().map(|_| *grant))
+            .collect();
+        for grant in grants {
+            self.progress(index, grant, agent::Progress::Lost);
+        }
+    }
+
+    /// Crashes an engine: all streams are lost and it stays down until `restart_engine`.
+    pub fn crash_engine(&mut self, index: usize) {
+        self.record.crashes.push((self.now, index));
+        self.cut_engine(index);
+        let engine = &mut self.engines[index];
+        engine.streams.clear();
+        engine.down = true;
+        engine.instance += 1;
+    }
+
+    /// Brings a crashed engine back.
+    pub fn restart_engine(&mut self, index: usize) {
+        self.engines[index].down = false;
+    }
+
+    /// Lets processes learn new settings and a new host list, each after its own delay.
+    pub fn publish(&mut self, max_delay: Duration) {
+        for index in 0..self.entries.len() {
+            let at = self.now + self.delay_up_to(max_delay);
+            let generation = self.entries[index].generation;
+            let settings = entry::Event::Settings(self.tree.clone());
+            let hosts = entry::Event::Hosts(self.hosts.clone());
+            for event in [settings, hosts] {
+                self.schedule(at, Delivery::Entry { index, generation, event });
+            }
+        }
+        for index in 0..self.agents.len() {
+            let at = self.now + self.delay_up_to(max_delay);
+            let generation = self.agents[index].generation;
+            let settings = agent::Event::Settings(self.tree.clone());
+            let hosts = agent::Event::Hosts(self.hosts.clone());
+            for event in [settings, hosts] {
+                self.schedule(at, Delivery::Agent { index, generation, event });
+            }
+        }
+    }
+
+    /// Makes a process unresponsive until `wake`.
+    pub fn freeze_entry(&mut self, index: usize) {
+        self.entries[index].frozen = true;
+    }
+
+    /// Makes a process unresponsive until `wake`.
+    pub fn freeze_agent(&mut self, index: usize) {
+        self.agents[index].frozen = true;
+    }
+
+    /// Wakes all frozen processes, which then see everything that they missed.
+    pub fn wake(&mut self) {
+        for index in 0..self.entries.len() {
+            self.entries[index].frozen = false;
+            for event in std::mem::take(&mut self.entries[index].backlog) {
+                self.entry_event(index, event);
+            }
+        }
+        for index in 0..self.agents.len() {
+            self.agents[index].frozen = false;
+            for event in std::mem::take(&mut self.agents[index].backlog) {
+                self.agent_event(index, event);
+            }
+        }
+    }
+
+    /// Orders a planned stop of an agent.
+    pub fn stop_agent(&mut self, index: usize) {
+        self.agents[index].stopping = true;
+        let running = self.engines[index].streams.values().filter(|s| s.reader.is_some());
+        let requests = running.map(|stream| stream.head.request).collect();
+        self.record.stopped.push((self.now, requests));
+        self.agent_event(index, agent::Event::Stop);
+    }
+
+    /// Orders a planned stop of an entry.
+    pub fn stop_entry(&mut self, index: usize) {
+        self.entries[index].stopping = true;
+        self.entry_event(index, entry::Event::Stop);
+    }
+}
