--- /dev/null
+++ b/crates/proof/tests/lifecycle.rs
@@ -0,0 +1,108 @@
+//! The fault matrix of a drain and of planned stops: every fault at every step of each.
+
+use std::time::Duration;
+
+use proof::{
+    check,
+    fault::{self, Fault},
+    plan::Runner,
+    scenario,
+    world::World,
+};
+use wire::status::Status;
+
+/// How far a drain or stop of the first agent or entry has come.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Ordered,
+    /// The process knows of the order.
+    Known,
+    /// Nothing waits at the process.
+    QueueReturned,
+    /// Nothing runs at the process.
+    Idle,
+}
+
+const STEPS: [Step; 4] = [Step::Ordered, Step::Known, Step::QueueReturned, Step::Idle];
+const OPERATIONS: [Fault; 3] = [Fault::Drain, Fault::StopAgent, Fault::StopEntry];
+/// Time for a step to be reached.
+const STEP_LIMIT: Duration = Duration::from_secs(40);
+/// Time for which the operation and the fault last.
+const OPERATION_TIME: Duration = Duration::from_secs(60);
+const FAULT_TIME: Duration = Duration::from_millis(1_500);
+
+/// Returns the report of the process that the operation concerns; `None` once it has ended.
+fn report(world: &World, operation: Fault) -> Option<Status> {
+    let mut status = Status::default();
+    match operation {
+        Fault::StopEntry => world.entries[0].machine.as_ref()?.report(world.now, &mut status),
+        _ => world.agents[0].machine.as_ref()?.report(world.now, &mut status),
+    }
+    Some(status)
+}
+
+fn is_reached(world: &World, operation: Fault, step: Step) -> bool {
+    let Some(status) = report(world, operation) else { return true };
+    let is_known = status.leaving || status.stopping;
+    let waits = status.queued.values().any(|count| *count > 0);
+    match step {
+        Step::Ordered => true,
+        Step::Known => is_known,
+        Step::QueueReturned => is_known && !waits,
+        Step::Idle => is_known && !waits && status.running == 0,
+    }
+}
+
+/// Runs one cell and returns whether its step was reached.
+fn run_cell(
+    seed: u64,
+    operation: Fault,
+    step: Step,
+    fault: Option<Fault>,
+) -> Result<bool, Vec<String>> {
+    let tree = scenario::tree(200, 1_000);
+    let mut runner = Runner::new(World::new(seed, tree, scenario::POOL, 2, 3));
+    for n in 0..30 {
+        runner.call(n % 2, n % 3);
+    }
+    runner.advance(Duration::from_millis(30));
+    runner.inject(operation, 0, 0, OPERATION_TIME);
+    let end = runner.world.now + STEP_LIMIT;
+    while !is_reached(&runner.world, operation, step) {
+        if !runner.step(end) {
+            return Ok(false);
+        }
+    }
+    if let Some(fault) = fault {
+        runner.inject(fault, 0, 0, FAULT_TIME);
+    }
+    for n in 0..6 {
+        runner.call(n % 2, n % 3);
+    }
+    runner.rest();
+    let mut violations = check::violations(&runner.world.record);
+    if fault.is_none() {
+        violations.extend(check::cut_by_stop(&runner.world.record));
+    }
+    if violations.is_empty() { Ok(true) } else { Err(violations) }
+}
+
+/// Guards against a drain or stop that breaks a guarantee when a fault meets it.
+#[test]
+fn drains_and_stops_under_each_fault() {
+    let faults = fault::ALL.map(Some).into_iter().chain([None]);
+    let mut failures = Vec::new();
+    let mut cells = 0;
+    for fault in faults {
+        for (operation, step) in OPERATIONS.into_iter().flat_map(|o| STEPS.map(|s| (o, s))) {
+            cells += 1;
+            match run_cell(cells, operation, step, fault) {
+                Ok(true) => {}
+                Ok(false) => failures.push(format!("{operation:?} {step:?} {fault:?} not covered")),
+                Err(found) => failures.push(format!("{operation:?} {step:?} {fault:?}: {found:?}")),
+            }
+        }
+    }
+    println!("{cells} cells, {} failed", failures.len());
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
--- a/crates/sync/tests/net/mod.rs
+++ b/crates/sync/tests/net/mod.rs
@@ -1,5 +1,7 @@
 //! Simulated network, configuration service and host list in virtual time.
 
+#![allow(dead_code, reason = "each test file uses a part of the network")]
+
 mod service;
 
 use std::{
