--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use base64::{Engine, engine::general_purpose::STANDARD};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use compio::time;
+use futures_util::StreamExt;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use wire::sync;
@@ -127,10 +128,15 @@
             404 if index > 0 => return Ok((Bytes::from_static(b"[]"), index)),
             _ => return Err(Error::of_kind(Step::Receive, url, Kind::Status(status))),
         }
-        let bytes = response.bytes().await.map_err(|e| Error::new(Step::Receive, url, e))?;
-        if bytes.len() > MAX_ANSWER_BYTES {
-            return Err(Error::of_kind(Step::Receive, url, Kind::TooLarge));
+        let mut whole = BytesMut::new();
+        let mut parts = response.bytes_stream();
+        while let Some(part) = parts.next().await {
+            let part = part.map_err(|e| Error::new(Step::Receive, url, e))?;
+            if whole.len() + part.len() > MAX_ANSWER_BYTES {
+                return Err(Error::of_kind(Step::Receive, url, Kind::TooLarge));
+            }
+            whole.extend_from_slice(&part);
         }
-        Ok((bytes, index))
+        Ok((whole.freeze(), index))
     }
 }
