Refuse a commitment whose body has another length

Cause: the agent dispatched whatever body came with a commitment, and an entry that no longer held the body committed an empty one. Nothing compared the body with the length in the request's head.

Change: a body of another length is not sent to the backend server, and the grant is given up as not_run.

--- a/crates/daemon/src/role_agent.rs
+++ b/crates/daemon/src/role_agent.rs
@@ -196,10 +196,16 @@
     }
 
     fn dispatch(self: &Rc<Self>, grant: id::Grant, head: request::Head, body: Bytes) {
-        self.metrics.count("dispatched");
         let backend = self.backend;
         let report = self.reporter(grant);
-        let task = runtime::spawn(backend.dispatch(grant, head, body, report));
+        let task = if body.len() as u64 == head.body_len {
+            self.metrics.count("dispatched");
+            runtime::spawn(backend.dispatch(grant, head, body, report))
+        } else {
+            // Not what the caller sent, whatever it is: nothing is sent to the backend server.
+            tracing::warn!(event = "bad_body_length", %grant, offered = head.body_len, len = body.len());
+            runtime::spawn(async move { report(Progress::Unreachable) })
+        };
         self.dispatches.borrow_mut().insert(grant, task);
     }
 
