--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -219,3 +219,33 @@
         assert_eq!(world.entries[0].wait().await, Some(0), "{}", world.log("entry-0"));
     });
 }
+
+/// Guards against work that goes on, or places that stay taken, for a caller that is gone.
+#[test]
+fn an_abandoned_call_frees_its_place() {
+    world::run(1, 1, 0, async |world| {
+        world.configure("auction/pools", "[pool appraisal]\nmax_running = 1\n").await;
+        for stream in [true, false] {
+            let body = chat_body(&format!("abandoned {stream}"), 20 * LONG, stream);
+            let running = compio::runtime::spawn(world.complete(0, body.clone()));
+            world.mid_stream(&body).await;
+            let waiting = chat_body(&format!("waits {stream}"), 5, stream);
+            let queued = compio::runtime::spawn(world.complete(0, waiting.clone()));
+            let waits = |status: &wire::status::Status| status.queued.values().sum::<u64>() == 1;
+            world.wait_for(&world.agents[0], "with queued work", waits).await;
+            // Dropping a call closes its connection.
+            drop(queued);
+            let empty = |status: &wire::status::Status| status.queued.values().sum::<u64>() == 0;
+            for daemon in [&world.agents[0], &world.entries[0]] {
+                world.wait_for(daemon, "without queued work", empty).await;
+            }
+            drop(running);
+            for daemon in [&world.entries[0], &world.agents[0]] {
+                world.wait_for(daemon, "idle", |status| status.running == 0).await;
+            }
+            let end = world.until("ended", || world.runs(&body)[0].1.run.end).await;
+            assert_eq!(end, End::Cancelled);
+            assert!(world.runs(&waiting).is_empty(), "a withdrawn request ran");
+        }
+    });
+}
--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -15,6 +15,9 @@
 use wire::status::{Histogram, Trace};
 use world::{World, chat_body, expected};
 
+/// Routes of plain calls that may be repeated.
+const LOOK: &str = "[route look]\nkind = service\npath = /look\npool = floor\ntier = floor\n";
+
 const SMALL: &str = "[route small]\nkind = service\npath = /small\npool = floor\ntier = floor\n\
                      max_body_bytes = 1000\n";
 
@@ -78,6 +81,40 @@
     assert_eq!((world.all_runs().len(), world.bids_run()), before);
 }
 
+/// Guards against plain calls that lose their method, path or query, or that fail without a
+/// body.
+#[test]
+fn plain_calls_keep_their_method_and_path() {
+    world::run(1, 0, 1, async |world| {
+        world.configure("auction/look", LOOK).await;
+        let callers = world.entries[0].callers.unwrap();
+        for method in ["GET", "HEAD", "DELETE", "PUT", "OPTIONS"] {
+            let url = format!("http://{callers}/look/lot-1?page=2");
+            let request = world.client.request(method.parse().unwrap(), url).unwrap();
+            let response = request.header("x-account", "casa").unwrap().send().await.unwrap();
+            assert_eq!(response.status().as_u16(), 200, "{method}");
+            let body = response.bytes().await.unwrap();
+            let ran = looks(world);
+            let last = ran.last().expect("an effect");
+            assert_eq!((last.method.as_str(), last.path.as_str()), (method, "/look/lot-1"));
+            if method == "HEAD" {
+                assert!(body.is_empty());
+            } else {
+                let answer: Value = serde_json::from_slice(&body).unwrap();
+                assert_eq!(answer["method"], method);
+            }
+        }
+        assert_eq!(looks(world).len(), 5);
+    });
+}
+
+/// Returns the plain calls that the service ran; its record has the agent's probes as well.
+fn looks(world: &World) -> Vec<stand::service::Effect> {
+    let mut effects = world.services[0].record();
+    effects.retain(|effect| effect.path.starts_with("/look"));
+    effects
+}
+
 /// Guards against reports that miss a request just answered.
 #[test]
 fn operators_see_a_request() {
