Test expired grants of a sleeping entry and vanished offers

Cause: no test stopped an entry that had queued work, dropped one direction of a connection before an offer was answered, or watched the revisions of entries that started during an outage.

Change: tests of the first two; the watch of revisions follows new entries.

--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -86,6 +86,29 @@
     });
 }
 
+/// Guards against requests that are lost, or granted twice, when offers or their replies vanish.
+#[test]
+fn vanished_offers_move_on() {
+    world::run(1, 2, 0, async |world| {
+        for agent in 0..2 {
+            for direction in [proxy::Direction::ToTarget, proxy::Direction::ToClient] {
+                let drop = proxy::Faults { drop: Some(direction), ..proxy::Faults::default() };
+                world.peer_proxies[agent].set(drop);
+                let name = |n| format!("vanished {agent} {direction:?} {n}");
+                let bodies: Vec<Bytes> =
+                    (0..6).map(|n| chat_body(&name(n), 5, n % 2 == 0)).collect();
+                let calls = bodies.iter().map(|body| world.complete(0, body.clone()));
+                for (reply, body) in future::join_all(calls).await.iter().zip(&bodies) {
+                    assert_whole(reply, body);
+                    assert_eq!(world.runs(body).len(), 1);
+                }
+                world.peer_proxies[agent].set(proxy::Faults::default());
+                world.peer_proxies[agent].cut();
+            }
+        }
+    });
+}
+
 /// Guards against a second run or an untrue refusal when the agent's connection to its engine
 /// is cut mid-stream or refused before dispatch.
 #[test]
@@ -189,6 +212,37 @@
     }
 }
 
+/// Guards against a grant that is taken from an entry which slept past its time, and against
+/// queued work that is lost or runs twice by such a sleep.
+#[test]
+fn grants_expire_while_an_entry_sleeps() {
+    world::run(2, 1, 0, async |world| {
+        world.configure("auction/pools", "[pool appraisal]\nmax_running = 1\n").await;
+        let long = chat_body("holds the engine", LONG, true);
+        let running = compio::runtime::spawn(world.complete(1, long.clone()));
+        world.mid_stream(&long).await;
+        let bodies: Vec<Bytes> =
+            (0..3).map(|n| chat_body(&format!("slept on {n}"), 5, n % 2 == 0)).collect();
+        let calls: Vec<_> = bodies
+            .iter()
+            .map(|body| compio::runtime::spawn(world.complete(0, body.clone())))
+            .collect();
+        let waits = |status: &wire::status::Status| status.queued.values().sum::<u64>() == 3;
+        world.wait_for(&world.agents[0], "with queued work", waits).await;
+        world.entries[0].signal("STOP");
+        assert_whole(&running.await.expect("the call does not panic"), &long);
+        // Each reservation for the sleeping entry has to expire before this one runs.
+        let body = chat_body("behind the sleeper", 5, false);
+        assert_whole(&world.complete(1, body.clone()).await, &body);
+        assert!(bodies.iter().all(|body| world.runs(body).is_empty()));
+        world.entries[0].signal("CONT");
+        for (reply, body) in future::join_all(calls).await.into_iter().zip(&bodies) {
+            assert_whole(&reply.expect("the call does not panic"), body);
+            assert_eq!(world.runs(body).len(), 1);
+        }
+    });
+}
+
 /// Guards against a planned stop that cuts answers, takes new work or ends with an error.
 #[test]
 fn a_planned_stop_finishes_what_runs() {
--- a/crates/daemon/tests/orders.rs
+++ b/crates/daemon/tests/orders.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
@@ -82,11 +82,16 @@
 }
 
 /// Watches the reports of processes and fails when a revision goes back.
-async fn watch(client: cyper::Client, operators: Vec<SocketAddr>, done: Rc<Cell<bool>>) -> usize {
+async fn watch(
+    client: cyper::Client,
+    operators: Rc<RefCell<Vec<SocketAddr>>>,
+    done: Rc<Cell<bool>>,
+) -> usize {
     let mut highest: BTreeMap<(SocketAddr, String), u64> = BTreeMap::new();
     let mut reports = 0;
     while !done.get() {
-        for address in &operators {
+        let now = operators.borrow().clone();
+        for address in &now {
             let Ok(request) = client.get(format!("http://{address}/status")) else { continue };
             let Ok(response) = request.send().await else { continue };
             let Ok(bytes) = response.bytes().await else { continue };
@@ -110,9 +115,11 @@
 fn settings_arrive_everywhere_and_never_revert() {
     world::run(2, 2, 0, async |world| {
         let every = world.entries.iter().chain(&world.agents);
-        let operators = every.map(|daemon| daemon.operators).collect();
+        let operators: Vec<_> = every.map(|daemon| daemon.operators).collect();
+        let operators = Rc::new(RefCell::new(operators));
         let done = Rc::new(Cell::new(false));
-        let watch = compio::runtime::spawn(watch(world.client.clone(), operators, done.clone()));
+        let watch =
+            compio::runtime::spawn(watch(world.client.clone(), operators.clone(), done.clone()));
 
         // Entries that can't reach the service learn from the agents.
         let service = world.configuration.address();
@@ -122,6 +129,7 @@
         world.configuration_address = place;
         world.entries.push(world.spawn_entry(2));
         world.wait_until_ready().await;
+        operators.borrow_mut().push(world.entries[2].operators);
         let first = world.configure("auction/limits", TIGHT).await;
 
         // An old state of the service, at lower revisions.
@@ -130,7 +138,7 @@
         drop(link);
         let link = proxy::spawn(place, old.address()).unwrap();
         world.configuration.set_down(true);
-        cold_start(world, 3, first).await;
+        cold_start(world, 3, first, &operators).await;
         let reads = old.calls();
         let read_again = || (old.calls() > reads).then_some(());
         world.until("read again from the old state", read_again).await;
@@ -139,7 +147,7 @@
         // A start from nothing with no service at all.
         link.set(proxy::Faults { refuse: true, ..proxy::Faults::default() });
         link.cut();
-        cold_start(world, 4, first).await;
+        cold_start(world, 4, first, &operators).await;
 
         world.configuration.set_down(false);
         drop(link);
@@ -151,8 +159,14 @@
 }
 
 /// Starts an entry and checks that it holds a revision as soon as it is ready.
-async fn cold_start(world: &mut World, index: usize, revision: u64) {
+async fn cold_start(
+    world: &mut World,
+    index: usize,
+    revision: u64,
+    operators: &RefCell<Vec<SocketAddr>>,
+) {
     let entry = world.spawn_entry(index);
+    operators.borrow_mut().push(entry.operators);
     world.wait_for(&entry, "ready", |status| status.ready).await;
     let status = world.status(&entry).await.expect("a status");
     assert_eq!(status.revisions.get("auction/limits"), Some(&revision), "{status:?}");
