--- a/crates/daemon/tests/containment.rs
+++ b/crates/daemon/tests/containment.rs
@@ -51,15 +51,17 @@
     });
 }
 
+/// Returns how often engines crashed since they had these instances.
+fn crashes(world: &World, started: &[u64]) -> u64 {
+    let engines = world.engines.iter().zip(started);
+    engines.map(|(engine, start)| engine.instance().wrapping_sub(*start)).sum()
+}
+
 /// Guards against a request that crashes engine after engine while its caller retries.
 #[test]
 fn a_poison_request_crashes_two_engines_at_most() {
     world::run(2, 4, 0, async |world| {
         let started: Vec<u64> = world.engines.iter().map(|engine| engine.instance()).collect();
-        let crashes = |world: &World| -> u64 {
-            let engines = world.engines.iter().zip(&started);
-            engines.map(|(engine, start)| engine.instance().wrapping_sub(*start)).sum()
-        };
         let mut last = None;
         for round in 0..8 {
             let poison = world.chat(round % 2, POISON, 5, true);
@@ -74,7 +76,8 @@
             assert_eq!(after.body, expected(&body));
             last = Some(poison);
         }
-        assert!((1..=2).contains(&crashes(world)), "{} crashes", crashes(world));
+        let crashes = crashes(world, &started);
+        assert!((1..=2).contains(&crashes), "{crashes} crashes");
         let last = last.expect("a reply");
         assert_eq!(last.error()["outcome"], "not_run", "{last:?}");
     });
@@ -116,3 +119,50 @@
         assert!(low.iter().all(|body| world.runs(body).is_empty()), "displaced work ran");
     });
 }
+
+/// Guards against more crashes when copies of a poison request arrive at once, before any
+/// process knows of a crash.
+#[test]
+fn copies_of_a_poison_request_crash_two_engines_at_most() {
+    world::run(2, 4, 0, async |world| {
+        let started: Vec<u64> = world.engines.iter().map(|engine| engine.instance()).collect();
+        for _ in 0..3 {
+            let copies = (0..8).map(|n| world.chat(n % 2, POISON, 5, true));
+            let replies = future::join_all(copies).await;
+            assert!(replies.iter().all(|reply| !reply.is_whole()), "{replies:?}");
+        }
+        assert!((1..=2).contains(&crashes(world, &started)));
+        let body = chat_body("after the copies", 5, true);
+        assert_eq!(world.complete(0, body.clone()).await.body, expected(&body));
+    });
+}
+
+/// Guards against a second run of a call that must not be repeated when its service, or a
+/// connection on its way, is lost while it runs.
+#[test]
+fn a_key_runs_at_most_once_through_lost_connections() {
+    world::run(2, 0, 1, async |world| {
+        for (round, fault) in ["peer", "backend", "service"].into_iter().enumerate() {
+            let key = world.key(0).await;
+            world.services[0].set_latency(Duration::from_secs(1));
+            let call = compio::runtime::spawn(world.bid(0, &key));
+            world.until("run", || (world.bids_run() == round + 1).then_some(())).await;
+            match fault {
+                "peer" => world.peer_proxies[0].cut(),
+                "backend" => world.backend_proxies[0].cut(),
+                _ => world.services[0].crash(),
+            }
+            let reply = call.await.expect("the call does not panic");
+            world.services[0].set_latency(Duration::ZERO);
+            for retry in [world.bid(1, &key).await, world.bid(0, &key).await] {
+                assert_eq!(retry.is_whole(), reply.is_whole(), "{fault}: {reply:?} {retry:?}");
+            }
+            let outcome = reply.outcome.as_deref();
+            match fault {
+                "peer" => assert!(reply.is_whole(), "{reply:?}"),
+                _ => assert!(matches!(outcome, Some("unknown" | "incomplete")), "{reply:?}"),
+            }
+            assert_eq!(world.bids_run(), round + 1, "{fault}");
+        }
+    });
+}
--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -58,7 +58,7 @@
 }
 
 /// Guards against cut, repeated or mixed-up answers when connections between entry and agent
-/// are cut, stand still or lose one direction.
+/// are cut or stand still.
 #[test]
 fn a_lost_connection_to_an_agent_is_replaced() {
     world::run(1, 2, 0, async |world| {
@@ -71,6 +71,14 @@
             world.peer_proxies[engine].set(proxy::Faults::default());
         })
         .await;
+    });
+}
+
+/// Guards against an answer that waits for ever, is cut or runs twice when the bytes of one
+/// direction vanish mid-stream.
+#[test]
+fn a_connection_that_loses_one_direction_is_replaced() {
+    world::run(1, 2, 0, async |world| {
         for direction in [proxy::Direction::ToClient, proxy::Direction::ToTarget] {
             survive(world, &format!("{direction:?}"), async |world, engine, body| {
                 let drop = proxy::Faults { drop: Some(direction), ..proxy::Faults::default() };
