Keep connections to the backend server

Cause: the agent opened a connection for each dispatch and load report. Change: a connection whose answer was read to its end is used again within 1 s. A request that a kept connection gives back was not written, so the agent sends it on a new one; one that it does not give back has an unknown outcome, as before. The probe still opens a connection.

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -1,6 +1,6 @@
 //! Client of the backend server beside an agent: dispatch, resume, cancel, probe, orders.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use agent::Progress;
 use bytes::Bytes;
@@ -12,12 +12,19 @@
 use hyper::{Method, Request, Response, body, client::conn::http1, header};
 use serde::Deserialize;
 use serde_json::json;
-use wire::{header as names, id, request};
+use wire::{header as names, id, request, time::Instant};
+
+use crate::clock;
 
 /// Time for a connection on the same host.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for a probe, load report, cancellation or order.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Idle time after which a connection is not used again. Servers close idle connections after
+/// some seconds, and a request sent just then would have an unknown outcome.
+const KEPT_TIME: Duration = Duration::from_secs(1);
+/// Idle connections kept.
+const MAX_KEPT: usize = 64;
 
 /// Load as the engine reports it, with a lag.
 #[derive(Clone, Copy, Debug, Deserialize)]
@@ -26,14 +33,23 @@
     pub waiting: u32,
 }
 
-/// The backend server's address. Every call opens its own connection, so that a failure to
-/// connect proves that nothing was sent.
-#[derive(Clone, Copy, Debug)]
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+/// Client of one backend server. A failure to connect proves that nothing was sent, and so does
+/// a kept connection that gives the request back because it closed before the first byte.
+#[derive(Clone)]
 pub struct Client {
-    pub address: SocketAddr,
+    address: SocketAddr,
+    /// Idle connections with the time since when, the latest last.
+    kept: Rc<RefCell<Vec<(Sender, Instant)>>>,
 }
 
 impl Client {
+    /// Returns a client without connections.
+    pub fn new(address: SocketAddr) -> Client {
+        Client { address, kept: Rc::default() }
+    }
+
     /// Sends a request once and reports its progress.
     pub async fn dispatch(
         self,
@@ -52,12 +68,13 @@
             .header(names::REQUEST_ID, grant.to_string())
             .body(Full::new(body));
         let Ok(request) = request else { return report(Progress::Unreachable) };
-        let Some(connection) = self.connect().await else {
-            return report(Progress::Unreachable);
-        };
-        match send(connection, request).await {
-            Some(response) => relay(response, &report).await,
-            None => report(Progress::Lost),
+        match self.send(request).await {
+            Ok((response, sender)) => {
+                if relay(response, &report).await {
+                    self.keep(sender);
+                }
+            }
+            Err(progress) => report(progress),
         }
     }
 
@@ -68,7 +85,9 @@
             Some(response) if response.status() == 404 => {
                 report(Progress::NoStream { instance: instance(&response) });
             }
-            Some(response) if response.status().is_success() => relay(response, &report).await,
+            Some(response) if response.status().is_success() => {
+                relay(response, &report).await;
+            }
             _ => report(Progress::Lost),
         }
     }
@@ -80,19 +99,32 @@
         let _ = time::timeout(CONTROL_TIMEOUT, call).await;
     }
 
-    /// Returns the run of the backend server, or `None` if it does not answer.
+    /// Returns the run of the backend server, or `None` if it does not answer. Opens a
+    /// connection, since a kept one would not show that the server still accepts any.
     pub async fn probe(self) -> Option<Bytes> {
-        let call = self.call(Method::GET, "/health", None, Bytes::new());
-        let response = time::timeout(CONTROL_TIMEOUT, call).await.ok()??;
-        response.status().is_success().then(|| instance(&response))
+        let probe = async {
+            let request = self.request(Method::GET, "/health", None, Bytes::new())?;
+            let mut sender = self.connect().await?;
+            let response = sender.send_request(request).await.ok()?;
+            let instance = response.status().is_success().then(|| instance(&response))?;
+            if response.into_body().collect().await.is_ok() {
+                self.keep(sender);
+            }
+            Some(instance)
+        };
+        time::timeout(CONTROL_TIMEOUT, probe).await.ok()?
     }
 
     /// Returns the engine's load report.
     pub async fn load(self) -> Option<Load> {
-        let call = self.call(Method::GET, "/v1/load", None, Bytes::new());
-        let response = time::timeout(CONTROL_TIMEOUT, call).await.ok()??;
-        let body = response.into_body().collect().await.ok()?.to_bytes();
-        serde_json::from_slice(&body).ok()
+        let load = async {
+            let request = self.request(Method::GET, "/v1/load", None, Bytes::new())?;
+            let (response, sender) = self.send(request).await.ok()?;
+            let body = response.into_body().collect().await.ok()?.to_bytes();
+            self.keep(sender);
+            serde_json::from_slice(&body).ok()
+        };
+        time::timeout(CONTROL_TIMEOUT, load).await.ok()?
     }
 
     /// Gives an order. Returns the HTTP status, or `None` if there was no answer.
@@ -113,6 +145,17 @@
         header: Option<(&str, &str)>,
         body: Bytes,
     ) -> Option<Response<body::Incoming>> {
+        let request = self.request(method, path, header, body)?;
+        self.connect().await?.send_request(request).await.ok()
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        header: Option<(&str, &str)>,
+        body: Bytes,
+    ) -> Option<Request<Full<Bytes>>> {
         let mut request = Request::builder()
             .method(method)
             .uri(path)
@@ -120,28 +163,58 @@
         if let Some((name, value)) = header {
             request = request.header(name, value);
         }
-        let request = request.body(Full::new(body)).ok()?;
-        send(self.connect().await?, request).await
+        request.body(Full::new(body)).ok()
+    }
+
+    /// Sends a request once, on a kept connection or a new one.
+    async fn send(
+        &self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(Response<body::Incoming>, Sender), Progress> {
+        while let Some(mut sender) = self.take() {
+            match sender.try_send_request(request).await {
+                Ok(response) => return Ok((response, sender)),
+                // The request comes back only if none of it was written.
+                Err(mut error) => request = error.take_message().ok_or(Progress::Lost)?,
+            }
+        }
+        let mut sender = self.connect().await.ok_or(Progress::Unreachable)?;
+        match sender.send_request(request).await {
+            Ok(response) => Ok((response, sender)),
+            Err(_) => Err(Progress::Lost),
+        }
     }
 
-    async fn connect(self) -> Option<net::TcpStream> {
+    /// Returns the connection that was used last and is still open.
+    fn take(&self) -> Option<Sender> {
+        let now = clock::now();
+        let mut kept = self.kept.borrow_mut();
+        kept.retain(|(sender, since)| sender.is_ready() && now.since(*since) < KEPT_TIME);
+        kept.pop().map(|(sender, _)| sender)
+    }
+
+    /// Keeps a connection whose answer was read to its end.
+    fn keep(&self, sender: Sender) {
+        let now = clock::now();
+        let mut kept = self.kept.borrow_mut();
+        kept.retain(|(_, since)| now.since(*since) < KEPT_TIME);
+        if kept.len() < MAX_KEPT {
+            kept.push((sender, now));
+        }
+    }
+
+    async fn connect(&self) -> Option<Sender> {
         let connect = net::TcpStream::connect(self.address);
         let stream = time::timeout(CONNECT_TIMEOUT, connect).await.ok()?.ok()?;
         let _ = stream.set_nodelay(true);
-        Some(stream)
+        let (sender, connection) = http1::handshake(HyperStream::new_plain(stream)).await.ok()?;
+        runtime::spawn(connection.map(drop)).detach();
+        Some(sender)
     }
 }
 
-async fn send(
-    stream: net::TcpStream,
-    request: Request<Full<Bytes>>,
-) -> Option<Response<body::Incoming>> {
-    let (mut sender, connection) = http1::handshake(HyperStream::new_plain(stream)).await.ok()?;
-    runtime::spawn(connection.map(drop)).detach();
-    sender.send_request(request).await.ok()
-}
-
-async fn relay(response: Response<body::Incoming>, report: &impl Fn(Progress)) {
+/// Reports an answer as it comes and returns whether it is whole.
+async fn relay(response: Response<body::Incoming>, report: &impl Fn(Progress)) -> bool {
     let content_type = response.headers().get(header::CONTENT_TYPE);
     let content_type = content_type.map(|value| Bytes::copy_from_slice(value.as_bytes()));
     report(Progress::Started {
@@ -154,10 +227,14 @@
         match frame.map(body::Frame::into_data) {
             Ok(Ok(data)) => report(Progress::Data(data)),
             Ok(Err(_trailers)) => {}
-            Err(_) => return report(Progress::Lost),
+            Err(_) => {
+                report(Progress::Lost);
+                return false;
+            }
         }
     }
     report(Progress::End);
+    true
 }
 
 fn instance(response: &Response<body::Incoming>) -> Bytes {
--- a/crates/daemon/src/role_agent.rs
+++ b/crates/daemon/src/role_agent.rs
@@ -197,14 +197,14 @@
 
     fn dispatch(self: &Rc<Self>, grant: id::Grant, head: request::Head, body: Bytes) {
         self.metrics.count("dispatched");
-        let backend = self.backend;
+        let backend = self.backend.clone();
         let report = self.reporter(grant);
         let task = runtime::spawn(backend.dispatch(grant, head, body, report));
         self.dispatches.borrow_mut().insert(grant, task);
     }
 
     fn resume(self: &Rc<Self>, grant: id::Grant, offset: u64) {
-        let backend = self.backend;
+        let backend = self.backend.clone();
         let report = self.reporter(grant);
         let task = runtime::spawn(backend.resume(grant, offset, report));
         self.dispatches.borrow_mut().insert(grant, task);
@@ -229,7 +229,7 @@
     }
 
     fn order(&self, order: tree::Order) {
-        let backend = self.backend;
+        let backend = self.backend.clone();
         runtime::spawn(async move {
             let action = String::from_utf8_lossy(&order.action).into_owned();
             let status = backend.order(&order).await;
@@ -243,10 +243,10 @@
 /// the first request is noticed.
 async fn probe(agent: Rc<Agent>) {
     loop {
-        let instance = agent.backend.probe().await;
+        let instance = agent.backend.clone().probe().await;
         let alive = instance.is_some();
         agent.feed(Event::Probe { instance });
-        if alive && let Some(load) = agent.backend.load().await {
+        if alive && let Some(load) = agent.backend.clone().load().await {
             agent.feed(Event::Load { running: load.running, waiting: load.waiting });
         }
         compio::time::sleep(PROBE_PERIOD).await;
@@ -289,7 +289,7 @@
             Action::Resume { grant, offset } => agent.resume(grant, offset),
             Action::Cancel { grant } => {
                 agent.dispatches.borrow_mut().remove(&grant);
-                runtime::spawn(agent.backend.cancel(grant)).detach();
+                runtime::spawn(agent.backend.clone().cancel(grant)).detach();
             }
             Action::Order { order } => agent.order(order),
             Action::Suspects(suspects) => {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -186,7 +186,7 @@
     let agent = Agent::start(
         &parts.identity,
         settings.pool.clone(),
-        backend::Client { address: settings.backend.unwrap_or(settings.peers) },
+        backend::Client::new(settings.backend.unwrap_or(settings.peers)),
         parts.metrics.clone(),
         parts.traces.clone(),
         parts.stopped.clone(),
