Refuse requests that can't be answered in full by their deadline

Cause: the estimate before prefill covered the prompt alone.

Change: the agent learns the time from first to last byte for each estimated output token, and the deadline check adds it to the prefill time.

--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -68,7 +68,7 @@
 
 impl Filter for Deadline {
     fn check(&self, view: &View<'_>, head: &request::Head) -> Option<Rejection> {
-        let needed = view.limit.prefill_time(u64::from(head.prompt_tokens));
+        let needed = view.limit.response_time(head);
         (head.remaining < needed).then_some((outcome::Reason::Deadline, needed))
     }
 }
--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -120,6 +120,7 @@
         let first = stream.started.is_none();
         if first {
             stream.started = Some(answer.clone());
+            stream.began = Some(cx.now);
             let (elapsed, ahead) = (cx.now.since(stream.dispatched), stream.ahead);
             self.limit.end_prefill(&mut stream.slot);
             if stream.kind == request::Kind::Model && !stream.adopted && stream.resume.is_none() {
@@ -171,6 +172,10 @@
         let Some(stream) = self.streams.live_mut(grant) else { return };
         let body = frame::Body::End { length: stream.kept.length(), crc32: stream.kept.crc32() };
         let (fingerprint, owner) = (stream.fingerprint, stream.owner);
+        let (began, output_tokens) = (stream.began, stream.output_tokens);
+        if let Some(began) = began.filter(|_| stream.kind == request::Kind::Model) {
+            self.limit.learn_output(cx.now.since(began), output_tokens);
+        }
         self.count("ended");
         self.trace(cx, owner, Step::Answered, "ended");
         self.finish(cx, grant, body);
--- a/crates/agent/src/commit.rs
+++ b/crates/agent/src/commit.rs
@@ -101,6 +101,7 @@
             key,
             isolated,
             ahead,
+            output_tokens: head.output_tokens,
             patience,
             ..self.stream(cx, head.request, head.kind, slot)
         };
@@ -135,6 +136,8 @@
             crashed: false,
             dispatched: cx.now,
             ahead: 0,
+            output_tokens: 0,
+            began: None,
             started: None,
             kept: streams::Kept::default(),
             end: None,
--- a/crates/agent/src/limit.rs
+++ b/crates/agent/src/limit.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use conf::tree;
-use wire::time::Instant;
+use wire::{request, time::Instant};
 
 /// Smallest learned count limit; one long and one short request can always run together.
 const MIN_LIMIT: f64 = 2.0;
@@ -15,6 +15,8 @@
 const FIXED_COST: Duration = Duration::from_millis(100);
 /// Weight of one sample in the learned prefill speed.
 const SPEED_WEIGHT: f64 = 0.1;
+/// Weight of one sample in the learned time for an output token.
+const OUTPUT_WEIGHT: f64 = 0.02;
 /// Smaller prompts say more about fixed costs than about prefill speed.
 const MIN_SAMPLE_TOKENS: u64 = 256;
 /// The learned speed stays within this factor of the configured one.
@@ -57,6 +59,8 @@
     count_limit: f64,
     configured_speed: f64,
     speed: f64,
+    /// Learned seconds for each output token that a request estimates.
+    token_seconds: f64,
     last_decrease: Instant,
     engine_waits: bool,
 }
@@ -74,6 +78,7 @@
             count_limit: 0.0,
             configured_speed: 0.0,
             speed: 1.0,
+            token_seconds: 0.0,
             last_decrease: Instant::default(),
             engine_waits: false,
         }
@@ -191,6 +196,21 @@
         Duration::from_secs_f64(tokens as f64 / self.speed)
     }
 
+    /// Returns the time from dispatch to the last byte in an engine without other prefill.
+    pub(crate) fn response_time(&self, head: &request::Head) -> Duration {
+        let output = f64::from(head.output_tokens) * self.token_seconds;
+        self.prefill_time(u64::from(head.prompt_tokens)) + Duration::from_secs_f64(output)
+    }
+
+    /// Learns from the time between first and last byte. Callers estimate output by an upper
+    /// bound, so the time for each estimated token is learned, not that for each real one.
+    pub(crate) fn learn_output(&mut self, elapsed: Duration, output_tokens: u32) {
+        if output_tokens > 0 {
+            let sample = elapsed.as_secs_f64() / f64::from(output_tokens);
+            self.token_seconds += OUTPUT_WEIGHT * (sample - self.token_seconds);
+        }
+    }
+
     pub(crate) fn speed(&self) -> f64 {
         self.speed
     }
--- a/crates/agent/src/offers.rs
+++ b/crates/agent/src/offers.rs
@@ -128,7 +128,7 @@
     /// Arms the timer at the first moment at which the deadline can no longer be met.
     fn arm_queued(&mut self, now: Instant, key: queue::Key) {
         let Some(entry) = self.queue.get_mut(key) else { return };
-        let needed = self.limit.prefill_time(u64::from(entry.head.prompt_tokens));
+        let needed = self.limit.response_time(&entry.head);
         let latest = entry.deadline.0.saturating_sub(needed.as_micros() as u64);
         entry.check_at = Instant(latest.max(now.0) + 1);
         self.timers.arm(entry.check_at, Timer::Queued(key));
@@ -142,12 +142,11 @@
         }
     }
 
-    /// Returns whether a queued offer's prompt can't be processed before its deadline.
+    /// Returns whether a queued offer can't be answered in full before its deadline.
     pub(crate) fn misses_deadline(&self, now: Instant, key: queue::Key) -> bool {
-        self.queue.get(key).is_some_and(|entry| {
-            let tokens = u64::from(entry.head.prompt_tokens);
-            now + self.limit.prefill_time(tokens) > entry.deadline
-        })
+        self.queue
+            .get(key)
+            .is_some_and(|entry| now + self.limit.response_time(&entry.head) > entry.deadline)
     }
 
     /// Takes an offer out of the queue and refuses it.
--- a/crates/agent/src/streams.rs
+++ b/crates/agent/src/streams.rs
@@ -102,6 +102,9 @@
     pub(crate) dispatched: Instant,
     /// Prompt tokens in the engine at dispatch, its own included.
     pub(crate) ahead: u64,
+    /// Estimated output, and when the answer began.
+    pub(crate) output_tokens: u32,
+    pub(crate) began: Option<Instant>,
     pub(crate) started: Option<(u16, Bytes)>,
     pub(crate) kept: Kept,
     /// The last frame's body, once it is decided.
