--- a/crates/agent/src/commit.rs
+++ b/crates/agent/src/commit.rs
@@ -104,6 +104,7 @@
             key,
             isolated,
             ahead,
+            output_tokens: head.output_tokens,
             patience,
             ..self.stream(cx, head.request, head.kind, slot)
         };
@@ -138,6 +139,8 @@
             crashed: None,
             dispatched: cx.now,
             ahead: 0,
+            output_tokens: 0,
+            began: None,
             started: None,
             kept: streams::Kept::default(),
             end: None,
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -97,8 +97,13 @@
             assert!(matches!(last, Body::End { .. }), "{last:?}");
             assert_eq!(bytes, expected(&body));
         }
-        let attach =
-            Attach { grant: commit.grant, request: commit.request, offset: 10, resumable: true };
+        let attach = Attach {
+            grant: commit.grant,
+            request: commit.request,
+            offset: 10,
+            fingerprint: 0,
+            resumable: true,
+        };
         let frames = peer.client.attach(agent, &attach).await.expect("a stream");
         assert_eq!(read(frames).await.1, expected(&body)[10..]);
         assert_eq!(world.runs(&body).len(), 1);
--- a/crates/entry/src/offers.rs
+++ b/crates/entry/src/offers.rs
@@ -6,6 +6,7 @@
 use wire::{
     id, offer,
     outcome::{Outcome, Reason, Refusal, Step},
+    request,
 };
 
 use crate::{
@@ -83,15 +84,15 @@
     }
 
     fn offer_within_spread(&mut self, key: flight::Key) -> bool {
-        let Some(flight) = self.flights.get_mut(key) else { return false };
+        let Some(flight) = self.flights.get(key) else { return false };
         if flight.is_keyed() {
             return false;
         }
         if flight.offers_sent == 0 {
-            let (head, zone) = (&flight.head, &self.setup.availability_zone);
-            let count = flight.limits.spread.max(1) as usize;
-            flight.spread = placement::top(&self.view, &head.pool, head.affinity, zone, count);
+            let spread = self.choose_spread(key);
+            self.flights[key].spread = spread;
         }
+        let Some(flight) = self.flights.get(key) else { return false };
         let free = flight.spread.iter().find(|&&agent| {
             self.view.is_live(agent)
                 && !flight.has_asked(agent)
@@ -112,9 +113,9 @@
         }
         let paid = flight.offers_sent > 0;
         let skip = |agent| flight.has_asked(agent) || !self.health.admits(self.now, agent);
-        let (head, zone) = (&flight.head, &self.setup.availability_zone);
-        let Some(agent) = placement::first(&self.view, &head.pool, head.affinity, zone, skip)
-        else {
+        let ordinary =
+            self.candidate(&flight.head, |agent| skip(agent) || self.kept.contains(&agent));
+        let Some(agent) = ordinary.or_else(|| self.candidate(&flight.head, skip)) else {
             return false;
         };
         self.send_paid(key, agent, paid)
@@ -133,6 +134,36 @@
         true
     }
 
+    /// Returns the first live agents in placement order. A short request has an agent that is
+    /// kept free of long prompts in the first place and others behind it, so that it doesn't
+    /// wait behind long prompts and can still use the whole pool. A long one has kept agents
+    /// only if there are no others.
+    fn choose_spread(&self, key: flight::Key) -> Vec<view::Key> {
+        let Some(flight) = self.flights.get(key) else { return Vec::new() };
+        let count = flight.limits.spread.max(1) as usize;
+        let short = flight.head.prompt_tokens <= flight.limits.short_tokens;
+        let mut chosen = Vec::with_capacity(count);
+        while chosen.len() < count {
+            let wants_kept = short && chosen.is_empty();
+            let preferred = self.candidate(&flight.head, |agent| {
+                chosen.contains(&agent) || self.kept.contains(&agent) != wants_kept
+            });
+            let any = || self.candidate(&flight.head, |agent| chosen.contains(&agent));
+            let Some(agent) = preferred.or_else(any) else { break };
+            chosen.push(agent);
+        }
+        chosen
+    }
+
+    fn candidate(
+        &self,
+        head: &request::Head,
+        skip: impl FnMut(view::Key) -> bool,
+    ) -> Option<view::Key> {
+        let zone = &self.setup.availability_zone;
+        placement::first(&self.view, &head.pool, head.affinity, zone, skip)
+    }
+
     fn send_offer(&mut self, key: flight::Key, agent: view::Key) {
         let Some(host) = self.view.get(agent) else { return };
         let Some(flight) = self.flights.get_mut(key) else { return };
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -34,18 +34,6 @@
     ranked.into_iter().map(|(key, _)| key).collect()
 }
 
-/// Returns the first `count` candidates in order. Few are asked for, so one pass for each costs
-/// less than sorting the pool.
-pub fn top(view: &View, pool: &[u8], affinity: u64, zone: &[u8], count: usize) -> Vec<Key> {
-    let mut chosen = Vec::with_capacity(count);
-    while chosen.len() < count
-        && let Some(next) = first(view, pool, affinity, zone, |key| chosen.contains(&key))
-    {
-        chosen.push(next);
-    }
-    chosen
-}
-
 /// Returns the best candidate for which `skip` returns false. One pass over the pool and no
 /// allocation, since most requests need one or two candidates.
 pub fn first(
@@ -61,6 +49,14 @@
         .map(|(key, _)| key)
 }
 
+/// Returns the live agents of a pool that are kept free of long prompts: `percent` of them,
+/// rounded down, in a rendezvous order that depends on the pool alone.
+pub fn kept_for_short(view: &View, pool: &[u8], percent: u32) -> Vec<Key> {
+    let mut kept = order(view, pool, xxh3::xxh3_64(pool), &[]);
+    kept.truncate(kept.len() * percent.min(100) as usize / 100);
+    kept
+}
+
 fn ranks<'a>(
     view: &'a View,
     pool: &[u8],
