Record times under the tier that a call runs at

Cause: histograms were kept under the tier that the caller's header names. A call without the header, the usual case, was recorded under an empty tier, so the reports by tier missed it.

Change: without the header the tier is that of the route, lowered to the account's top tier, as the filters do. The entry's route selection is public for it.

Result: the histograms of such a call had tier "" before; they have its route's tier now, and the top tier of an account that is below it.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -3,6 +3,8 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use conf::tree;
+use entry::route;
 use futures_channel::mpsc;
 use futures_util::{StreamExt, future::LocalBoxFuture};
 use hyper::{Method, Request, Response, body, header};
@@ -131,7 +133,7 @@
         let call = self.parse(&parts, &body, summary)?;
         let series = Series {
             account: call.account.clone(),
-            tier: call.tier.clone().unwrap_or_default(),
+            tier: tier(&self.entry.tree(), &call),
             started: clock::now(),
         };
         let (caller, answers) = self.entry.open(body, |caller| entry::Call { caller, ..call });
@@ -328,6 +330,21 @@
     sender.abort();
 }
 
+/// Returns the name of the tier that a call runs at: the one it names, or its route's, lowered
+/// to the account's top tier.
+fn tier(tree: &tree::Tree, call: &entry::Call) -> Bytes {
+    if let Some(named) = &call.tier {
+        return named.clone();
+    }
+    let Some((_, route)) = route::find(tree, &call.path, &call.model) else { return Bytes::new() };
+    let top = tree.accounts.get(&call.account).map(|account| &account.top_tier);
+    let rank = |name: &Bytes| tree.tiers.get(name).map(|tier| tier.rank);
+    match (rank(&route.tier), top.and_then(rank), top) {
+        (Some(own), Some(highest), Some(top)) if own.outranks(highest) => top.clone(),
+        _ => route.tier.clone(),
+    }
+}
+
 fn plain_summary(body_len: usize) -> chat::Summary {
     chat::Summary {
         model: String::new(),
--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -119,6 +119,8 @@
 #[test]
 fn operators_see_a_request() {
     world::run(1, 1, 0, async |world| {
+        let accounts = "[account museo]\ntop_tier = catalogue\n[account casa]\ntop_tier = floor\n";
+        world.configure("auction/accounts", accounts).await;
         let reply = world.chat(0, "traced", 10, true).await;
         assert!(reply.is_whole(), "{reply:?}");
         let id = reply.request_id.expect("an answer names its request");
@@ -133,14 +135,23 @@
             assert_eq!(get(world, daemon, "/requests/none").await.0, 404);
             assert_eq!(get(world, daemon, "/none").await.0, 404);
         }
+        // The account's top tier is below the one that this call's route names.
+        let headers = [("x-account", "museo")];
+        let body = chat_body("lowered", 3, false);
+        let reply = world.post(0, "/v1/chat/completions", body, &headers).await;
+        assert!(reply.is_whole(), "{reply:?}");
         let (_, histograms) = get(world, &world.entries[0], "/histograms").await;
         let histograms: Vec<Histogram> = serde_json::from_slice(&histograms).unwrap();
         let count = |name: &str| {
-            let mut of_account = histograms.iter().filter(|h| h.account == "casa");
+            let of_account = histograms.iter().filter(|h| h.account == "casa");
+            let mut of_account = of_account.filter(|h| h.tier == "desk");
             of_account.find(|h| h.name == name).map_or(0, |h| h.count)
         };
         assert_eq!((count("first_token_ms"), count("total_ms")), (1, 1), "{histograms:?}");
         assert!(count("between_tokens_ms") > 0);
+        let lowered = histograms.iter().filter(|h| h.account == "museo").map(|h| h.tier.as_str());
+        let lowered: Vec<_> = lowered.collect();
+        assert_eq!(lowered, ["catalogue"; 2], "{histograms:?}");
     });
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,7 +14,7 @@
 mod offers;
 mod pace;
 mod room;
-mod route;
+pub mod route;
 mod state;
 mod timers;
 
