Test an entry that is killed with a stream in progress

Cause: the table of failures names the case and no test of processes had it.

Change: the entry is killed mid-stream, streamed and held.

Result: the caller's answer is cut, the engine's run is cancelled once no reader came back within orphan_ttl, and it is not run again.

--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -323,3 +323,26 @@
         }
     });
 }
+
+/// Guards against an engine that goes on for a caller whose entry was killed, and against a
+/// cut answer that looks whole.
+#[test]
+fn a_killed_entry_leaves_no_run_behind() {
+    world::run(2, 1, 0, async |world| {
+        world.configure("auction/pools", "[pool appraisal]\norphan_ttl_ms = 200\n").await;
+        for stream in [true, false] {
+            let body = chat_body(&format!("killed entry {stream}"), 20 * LONG, stream);
+            let call = compio::runtime::spawn(world.complete(0, body.clone()));
+            world.mid_stream(&body).await;
+            world.entries[0].signal("KILL");
+            let reply = call.await.expect("the call does not panic");
+            assert!(reply.broken.is_some(), "{reply:?}");
+            let end = world.until("ended", || world.runs(&body)[0].1.run.end).await;
+            assert_eq!((end, world.runs(&body).len()), (End::Cancelled, 1));
+            let after = chat_body(&format!("after the kill {stream}"), 5, stream);
+            assert_whole(&world.complete(1, after.clone()).await, &after);
+            world.entries[0] = world.spawn_entry(0);
+            world.wait_until_ready().await;
+        }
+    });
+}
