Measure processor time for each streamed token

Cause: tokens, not requests, are most of the data an entry moves at the target size, and their cost was not measured. Change: the cost example has a mode that streams answers of 400 tokens.

--- a/crates/daemon/examples/cost/client.rs
+++ b/crates/daemon/examples/cost/client.rs
@@ -59,6 +59,42 @@
     }
 }
 
+/// Reads `answers` streamed answers with `width` callers and returns how many parts came.
+pub async fn stream(address: SocketAddr, width: usize, answers: usize) -> usize {
+    let parts = Rc::new(Cell::new(0));
+    let mut tasks = Vec::new();
+    for caller in 0..width {
+        let mut client = Client::connect(address).await;
+        let parts = parts.clone();
+        tasks.push(runtime::spawn(async move {
+            for answer in 0..answers / width {
+                let request = chat(caller * answers + answer);
+                let response = client.sender.send_request(request).await.expect("an answer");
+                assert!(response.status().is_success(), "refused: {}", response.status());
+                let mut body = response.into_body();
+                while let Some(Ok(_)) = body.frame().await {
+                    parts.set(parts.get() + 1);
+                }
+            }
+        }));
+    }
+    for task in tasks {
+        let _ = task.await;
+    }
+    parts.get()
+}
+
+fn chat(number: usize) -> Request<Full<Bytes>> {
+    let body = format!(
+        r#"{{"model":"assistant","messages":[{{"role":"user","content":"lot {number}"}}],"max_tokens":400,"stream":true}}"#
+    );
+    let request = Request::post("/v1/chat/completions")
+        .header("host", "127.0.0.1")
+        .header("x-account", format!("account-{:04}", number % ACCOUNTS))
+        .header("content-type", "application/json");
+    request.body(Full::new(body.into())).expect("a valid request")
+}
+
 /// Opens a call that is answered late; it ends when the task is dropped.
 pub async fn open(address: SocketAddr) -> runtime::JoinHandle<()> {
     let mut client = Client::connect(address).await;
--- a/crates/daemon/examples/cost/fleet.rs
+++ b/crates/daemon/examples/cost/fleet.rs
@@ -11,13 +11,15 @@
 
 use bytes::Bytes;
 use compio::time::sleep;
-use stand::{configuration, hosts, service};
+use stand::{configuration, engine, hosts, service};
 use wire::{host, status::Status};
 
 /// Argument with which the program starts itself as the daemon.
 pub const AS_DAEMON: &str = "as-daemon";
 /// Argument with which the program starts itself as the backend server.
 pub const AS_SERVICE: &str = "as-service";
+/// Argument with which the program starts itself as a model engine.
+pub const AS_ENGINE: &str = "as-engine";
 /// Accounts in one settings branch.
 const ACCOUNTS_IN_BRANCH: usize = 23;
 /// Ports of hosts that are only listed; below those that the system hands out.
@@ -27,6 +29,7 @@
 const SETTINGS: &str = "\
 [tier desk]\nrank = 0\ndeadline_ms = 900000\nmax_deadline_ms = 1800000\n\
 [pool quotes]\nmax_running = 256\nmax_queued = 20000\n\
+[pool assist]\n[route assist]\nkind = model\nmodel = assistant\npool = assist\ntier = desk\n\
 [route quotes]\nkind = service\npath = /quotes\npool = quotes\ntier = desk\n\
 [entry]\nmax_open = 20000\n";
 
@@ -58,6 +61,7 @@
     hosts: hosts::Hosts,
     http: cyper::Client,
     pub service_latency_ms: u64,
+    pub serves_models: bool,
     pub services: Vec<Process>,
     pub agents: Vec<Process>,
     pub entries: Vec<Process>,
@@ -73,6 +77,18 @@
     std::future::pending::<()>().await;
 }
 
+/// Runs a model engine until the process is ended. Its steps are short, so that many tokens
+/// leave it.
+pub async fn serve_model() {
+    let mut settings = engine::Settings::default();
+    settings.model.step_base = Duration::from_millis(5);
+    settings.model.step_per_job = Duration::ZERO;
+    let engine = engine::spawn(loopback(0), settings).expect("loopback has free ports");
+    println!("{}", engine.address());
+    let _ = std::io::stdout().flush();
+    std::future::pending::<()>().await;
+}
+
 fn loopback(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
 }
@@ -103,6 +119,7 @@
             hosts: hosts::spawn(loopback(0), Duration::ZERO).expect("loopback has free ports"),
             http: cyper::Client::builder().no_proxy().build().expect("client without TLS"),
             service_latency_ms: 0,
+            serves_models: false,
             services: Vec::new(),
             agents: Vec::new(),
             entries: Vec::new(),
@@ -116,12 +133,13 @@
                 self.services.push(self.spawn_service());
             }
             let backend = self.services[number % self.services.len()].address;
-            let section = format!("[agent]\npool = quotes\nbackend = {backend}\n");
+            let pool = self.pool();
+            let section = format!("[agent]\npool = {pool}\nbackend = {backend}\n");
             let agent = self.spawn(&format!("backend-{number}"), "agent", None, &section);
             self.agents.push(agent);
         }
         let real = self.agents.iter().enumerate().map(|(number, agent)| {
-            record(format!("backend-{number}"), number, "quotes", agent.address)
+            record(format!("backend-{number}"), number, self.pool(), agent.address)
         });
         let others = (0..listed).map(|number| {
             let address = loopback(FIRST_LISTED_PORT + number as u16);
@@ -142,11 +160,15 @@
         sleep(10 * POLL).await;
     }
 
+    fn pool(&self) -> &'static str {
+        if self.serves_models { "assist" } else { "quotes" }
+    }
+
     fn spawn_service(&self) -> Process {
         let program = env::current_exe().expect("the program has a path");
         let latency = self.service_latency_ms.to_string();
         let mut child = Command::new(program)
-            .args([AS_SERVICE, &latency])
+            .args([if self.serves_models { AS_ENGINE } else { AS_SERVICE }, &latency])
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()
--- a/crates/daemon/examples/cost/main.rs
+++ b/crates/daemon/examples/cost/main.rs
@@ -1,7 +1,7 @@
 //! Measures what the daemon costs on loopback: latency, processor time and memory.
 //!
 //! `cargo run --release -p daemon --example cost -- MODE` with MODE
-//! `latency`, `rate`, `open`, `hosts`, `accounts`, `idle AGENTS` or `machines`.
+//! `latency`, `rate`, `stream`, `open`, `hosts`, `accounts`, `idle AGENTS` or `machines`.
 
 mod client;
 mod fleet;
@@ -23,6 +23,8 @@
 const PAIRS: usize = 4_000;
 /// Calls in one measurement of the rate.
 const CALLS: usize = 30_000;
+/// Streamed answers for each caller.
+const STREAMS: usize = 5;
 /// Agents in one measurement at most.
 const MAX_AGENTS: usize = 60;
 /// Time for a process to settle before it is measured.
@@ -43,7 +45,9 @@
     runtime.block_on(async {
         match mode.as_str() {
             fleet::AS_SERVICE => fleet::serve(number).await,
+            fleet::AS_ENGINE => fleet::serve_model().await,
             "latency" => latency().await,
+            "stream" => stream().await,
             "rate" => rate().await,
             "open" => open().await,
             "hosts" => hosts().await,
@@ -122,6 +126,28 @@
     }
 }
 
+/// Measures processor time of entry and agents for each generated token of streamed answers.
+async fn stream() {
+    let mut fleet = Fleet::start(23).await;
+    fleet.serves_models = true;
+    fleet.start_agents(3, 0).await;
+    fleet.start_entry().await;
+    for width in [8, 48] {
+        let entry = usage::Usage::of(fleet.entries[0].pid());
+        let agents: Vec<_> = fleet.agents.iter().map(|a| usage::Usage::of(a.pid())).collect();
+        let started = Instant::now();
+        let frames = client::stream(fleet.entries[0].address, width, STREAMS * width).await;
+        let (wall, entry) = (started.elapsed().as_secs_f64(), entry.spent());
+        let agent: f64 = agents.iter().map(usage::Usage::spent).sum();
+        println!(
+            "streams={width} frames={frames} frames_per_s={:.0} entry_us={:.1} agent_us={:.1}",
+            frames as f64 / wall,
+            entry * 1e6 / frames as f64,
+            agent * 1e6 / frames as f64
+        );
+    }
+}
+
 /// Measures memory of entry and agent for open requests that wait.
 async fn open() {
     let mut fleet = Fleet::start(23).await;
