Count watches in large simulated fleets in full

Cause: the first read of a watcher was taken for a backup read, most of which are not answered in a fleet with sampled lists, so at 12,610 processes 27 of 50 watchers watched; reads in flight were answered across a cut. Change: reads without a wait are backup reads; a read in flight across a cut fails.

--- a/crates/sync/examples/fleet/net.rs
+++ b/crates/sync/examples/fleet/net.rs
@@ -246,7 +246,7 @@
 
     fn perform(&mut self, node: usize, action: Action) {
         match action {
-            Action::Read { index, .. } => self.read(node, index),
+            Action::Read { index, wait } => self.read(node, index, wait.is_zero()),
             Action::ReadHosts => {
                 self.counts.host_reads += 1;
                 let text = self.nodes[node].list.clone();
@@ -289,19 +289,23 @@
             }
             Item::Event { node, event } => self.act(node, event),
             Item::ReadLimit { node, number } => {
-                if self.waiting.remove(&number).is_some() {
-                    self.answer(node);
+                if self.waiting.remove(&number).is_none() {
+                    return;
+                }
+                match self.half(node) {
+                    true => self.post(0, Item::Event { node, event: Event::ReadFailed }),
+                    false => self.answer(node),
                 }
             }
         }
     }
 
-    fn read(&mut self, node: usize, index: Option<u64>) {
+    fn read(&mut self, node: usize, index: Option<u64>, is_backup: bool) {
         if self.half(node) {
             self.counts.other_reads += 1;
             return self.post(2 * SECOND, Item::Event { node, event: Event::ReadFailed });
         }
-        let Some(index) = index else {
+        if is_backup {
             // A process with a sampled list makes more backup reads than one that knows the
             // size of the fleet, so only the right part of them is counted and answered.
             if self.rng.usize(..self.count()) < setup::listed(self.count()) {
@@ -309,9 +313,9 @@
                 return self.answer(node);
             }
             return self.post(MS, Item::Event { node, event: Event::ReadFailed });
-        };
+        }
         self.counts.watches += 1;
-        if index < self.index {
+        if index.is_none_or(|index| index < self.index) {
             return self.answer(node);
         }
         self.sequence += 1;
