Close a stream only for a cancel to its own agent

Cause: when two agents were ready at once, the entry declined the later grant by a cancel, and the runner of the load tool then dropped the stream of the grant that was in use. Answers that had been made were counted as missed deadlines.

Change: a cancel closes the stream only if it goes to the stream's agent.

--- a/crates/load/src/system.rs
+++ b/crates/load/src/system.rs
@@ -294,8 +294,12 @@
     }
 
     fn cancel(&mut self, entry: usize, peer: SocketAddr, commit: grant::Commit) {
-        self.drop_stream(commit.request);
         let agent = deployment::agent_at(peer);
+        // The grant may be a late one of another agent than the one that answers.
+        let stream = self.streams.get(&commit.request).and_then(|link| self.links.get(link));
+        if stream.is_some_and(|link| link.agent == agent) {
+            self.drop_stream(commit.request);
+        }
         let at = self.now + self.deployment.link(entry, agent);
         self.agenda.add(at, Event::ToAgent(agent, agent::Event::Cancel { commit }));
     }
