Never move refused long prompts to agents kept for short ones

Cause: a long prompt that every other candidate had refused went on to a kept agent within the retry budget. With one account at ten times its share of catalogue requests, floor first token p95 was 739 ms.

Ruled out: the share of kept agents (108 ms at the same load without the loud account).

Change: a long prompt uses a kept agent only if no other agent of the pool is live and admitted.

--- a/crates/entry/src/offers.rs
+++ b/crates/entry/src/offers.rs
@@ -107,6 +107,14 @@
         let preferred = placement::first(&self.view, pool, affinity, zone, |agent| {
             skip(agent) || self.kept.contains(&agent) != wants_kept
         });
+        // A refusal by the others is no reason to put a long prompt on a kept agent.
+        let others = self.view.agents(pool).iter().copied().any(|agent| {
+            let usable = self.view.is_live(agent) && self.health.admits(self.now, agent);
+            usable && !self.kept.contains(&agent)
+        });
+        if preferred.is_none() && !short && others {
+            return None;
+        }
         preferred.or_else(|| placement::first(&self.view, pool, affinity, zone, skip))
     }
 
