--- a/crates/agent/tests/admission.rs
+++ b/crates/agent/tests/admission.rs
@@ -368,3 +368,27 @@
     assert!(readies(&rig.offer(head(5)).1).is_empty());
     assert_eq!(readies(&rig.backend(running, Progress::End))[0].0, alone);
 }
+
+/// Guards against short requests that wait inside the engine, where no other agent can serve
+/// them, behind prompts that take longer than the bound.
+#[test]
+fn waits_at_the_agent_while_the_engine_has_prefill_ahead() {
+    let mut rig = Rig::new(pool());
+    let (grant, _) = rig.run(sized(1, "a", 1500));
+    let (link, actions) = rig.offer(sized(2, "a", 60));
+    assert!(readies(&actions).is_empty());
+    assert_eq!(readies(&rig.started(grant, "run-1")).first().map(|ready| ready.0), Some(link));
+}
+
+/// Guards against prefill of a prompt whose output can't end before the deadline.
+#[test]
+fn refuses_output_that_takes_too_long() {
+    let mut rig = Rig::new(pool());
+    let (grant, _) = rig.run(request::Head { output_tokens: 1, ..head(1) });
+    rig.started(grant, "run-1");
+    rig.wait(ms(400));
+    rig.backend(grant, Progress::End);
+    let (remaining, output_tokens) = (ms(500), 1000);
+    let (link, actions) = rig.offer(request::Head { remaining, output_tokens, ..head(2) });
+    assert_eq!(refusals(&actions), [(link, Outcome::NotRun, Reason::Deadline)]);
+}
--- a/crates/entry/tests/offers.rs
+++ b/crates/entry/tests/offers.rs
@@ -168,3 +168,22 @@
     bench.send(Event::KeyCall { caller: 2, route: "bids".into() });
     assert!(has!(bench.tick(2000), Action::KeyAnswer { caller: 2, answer: Err(_) }));
 }
+
+/// Guards against long prompts on agents kept for short requests, also after refusals, and
+/// against short requests that use those agents alone.
+#[test]
+fn long_prompts_stay_off_kept_agents() {
+    let walk = |prompt_tokens| {
+        let mut bench = Bench::new(tree(), 10);
+        let mut next = Some(bench.open(Call { prompt_tokens, ..call(1) }));
+        let mut asked = Vec::new();
+        while let Some(to) = next {
+            asked.push(to.1);
+            next = offered(&bench.refuse(to, NotRun, Reason::Overload));
+        }
+        asked
+    };
+    let (short, long) = (walk(500), walk(501));
+    assert_eq!((short.len(), long.len()), (10, 8), "two of ten agents are kept");
+    assert!(!long.contains(&short[0]) && long.contains(&short[1]));
+}
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -115,3 +115,19 @@
     view.set_hosts(&hosts[1..]);
     assert!(view.get(key).is_none() && view.by_name(b"replica-1").is_none());
 }
+
+/// Guards against processes that keep different agents for short requests, and against a
+/// small pool that loses its only agents to them.
+#[test]
+fn kept_agents_are_a_fixed_part_of_the_pool() {
+    let all = records(&[(50, false); 18]);
+    let mut reversed = all.clone();
+    reversed.reverse();
+    let kept = |records: &[host::Record]| {
+        let view = view_of(records);
+        names(&view, &placement::kept_for_short(&view, b"appraisal", 25))
+    };
+    assert_eq!(kept(&all).len(), 4);
+    assert_eq!(kept(&all), kept(&reversed));
+    assert!(kept(&all[..3]).is_empty());
+}
