--- a/crates/entry/src/offers.rs
+++ b/crates/entry/src/offers.rs
@@ -115,9 +115,10 @@
         let skip = |agent| flight.has_asked(agent) || !self.health.admits(self.now, agent);
         let ordinary =
             self.candidate(&flight.head, |agent| skip(agent) || self.kept.contains(&agent));
-        let Some(agent) = ordinary.or_else(|| self.candidate(&flight.head, skip)) else {
-            return false;
-        };
+        // A refusal by the others is no reason to put a long prompt on a kept agent.
+        let may_use_kept = flight.is_short() || !self.has_ordinary(&flight.head.pool);
+        let kept = || may_use_kept.then(|| self.candidate(&flight.head, skip)).flatten();
+        let Some(agent) = ordinary.or_else(kept) else { return false };
         self.send_paid(key, agent, paid)
     }
 
@@ -141,7 +142,7 @@
     fn choose_spread(&self, key: flight::Key) -> Vec<view::Key> {
         let Some(flight) = self.flights.get(key) else { return Vec::new() };
         let count = flight.limits.spread.max(1) as usize;
-        let short = flight.head.prompt_tokens <= flight.limits.short_tokens;
+        let short = flight.is_short();
         let mut chosen = Vec::with_capacity(count);
         while chosen.len() < count {
             let wants_kept = short && chosen.is_empty();
@@ -149,12 +150,22 @@
                 chosen.contains(&agent) || self.kept.contains(&agent) != wants_kept
             });
             let any = || self.candidate(&flight.head, |agent| chosen.contains(&agent));
+            let may_use_any = short || chosen.is_empty();
+            let any = || may_use_any.then(any).flatten();
             let Some(agent) = preferred.or_else(any) else { break };
             chosen.push(agent);
         }
         chosen
     }
 
+    /// Returns whether an agent that takes long prompts is live and admitted.
+    fn has_ordinary(&self, pool: &[u8]) -> bool {
+        self.view.agents(pool).iter().any(|&agent| {
+            let usable = self.view.is_live(agent) && self.health.admits(self.now, agent);
+            usable && !self.kept.contains(&agent)
+        })
+    }
+
     fn candidate(
         &self,
         head: &request::Head,
@@ -367,6 +378,10 @@
 }
 
 impl flight::Flight {
+    fn is_short(&self) -> bool {
+        self.head.prompt_tokens <= self.limits.short_tokens
+    }
+
     /// Returns whether an agent has refused the request or holds an offer of it.
     fn has_asked(&self, agent: view::Key) -> bool {
         self.refused.contains(&agent) || self.offers.iter().any(|offer| offer.agent == agent)
