--- a/crates/sync/src/exchange.rs
+++ b/crates/sync/src/exchange.rs
@@ -131,11 +131,12 @@
         }
         let is_whole = !digest.0.is_empty() && brief::split(&digest).is_none();
         self.was_equal = is_complete && !is_whole;
-        let was_compared = self.compared > 0;
-        self.compared = self.compared.saturating_sub(1);
+        // Answers to pushes are in brief, so only a whole one can be that to a comparison.
+        let was_compared = is_whole && self.compared > 0;
+        self.compared -= u32::from(was_compared);
         // The rest of a difference that exceeds one message follows in the next.
         let is_partial = is_whole && !is_complete && !changed.is_empty();
-        let differs = is_whole && was_compared && digest != *self.store.digest();
+        let differs = was_compared && digest != *self.store.digest();
         if self.follow_ups >= limit::MAX_FOLLOW_UPS {
             // The next digest exchange goes on.
         } else if is_partial || differs {
