Test kept connections that the server closes

Cause: nothing tested that a kept connection neither runs a request twice nor reports one as not sent that ran. Change: a test closes connections between and during requests, and compares what the client reports with what the service ran.

--- /dev/null
+++ b/crates/daemon/tests/backend.rs
@@ -0,0 +1,89 @@
+//! The client of the backend server, with kept connections that the server closes.
+
+use std::{cell::RefCell, net::SocketAddr, time::Duration};
+
+use agent::Progress;
+use bytes::Bytes;
+use daemon::backend::Client;
+use futures_util::future;
+use stand::service;
+use wire::{id, request, tier};
+
+const ROUNDS: u64 = 40;
+/// Probes during which a request must begin to run.
+const PROBES: usize = 50;
+/// Leaves time for a crash while a request runs.
+const LATENCY: Duration = Duration::from_millis(20);
+
+fn head() -> request::Head {
+    request::Head {
+        request: id::Request { process: id::Process(1), seq: 1 },
+        kind: request::Kind::Service,
+        route: "bids".into(),
+        pool: "floor".into(),
+        account: "casa".into(),
+        tier: tier::Tier(0),
+        remaining: Duration::from_secs(30),
+        prompt_tokens: 1,
+        output_tokens: 1,
+        fingerprint: 1,
+        affinity: 1,
+        idempotent: false,
+        key: None,
+        body_len: 3,
+        method: "POST".into(),
+        path: "/bids/lot-7".into(),
+        content_type: "text/plain".into(),
+    }
+}
+
+async fn dispatch(client: &Client, grant: id::Grant) -> Option<Progress> {
+    let last = RefCell::new(None);
+    let report = |progress| *last.borrow_mut() = Some(progress);
+    client.clone().dispatch(grant, head(), Bytes::from_static(b"bid"), report).await;
+    last.into_inner()
+}
+
+/// Guards against a request that runs twice, or is reported as not sent although it ran, when
+/// the server closes kept connections before, at or after the moment of sending.
+#[compio::test]
+async fn a_kept_connection_that_closes_never_runs_a_request_twice() {
+    let settings = service::Settings { latency: LATENCY, restart: Duration::ZERO };
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let service = service::spawn(address, settings).expect("loopback has free ports");
+    let client = Client::new(service.address());
+    let mut whole = 0;
+    for round in 0..ROUNDS {
+        let grant = id::Grant { process: id::Process(9), seq: round };
+        let name = grant.to_string();
+        let runs = || service.record().iter().filter(|effect| effect.request_id == name).count();
+        // In every third round the server closes the connection while it runs the request.
+        let crash = async {
+            for _ in 0..PROBES {
+                if round % 3 == 2 && runs() == 0 {
+                    client.clone().probe().await;
+                }
+            }
+            if round % 3 == 2 {
+                service.crash();
+            }
+        };
+        let (last, ()) = future::join(dispatch(&client, grant), crash).await;
+        let ran = runs();
+        match last {
+            Some(Progress::End) => assert_eq!(ran, 1, "round {round}"),
+            Some(Progress::Unreachable) => assert_eq!(ran, 0, "round {round}"),
+            Some(Progress::Lost) => assert!(ran <= 1, "round {round}"),
+            other => panic!("round {round}: {other:?}"),
+        }
+        whole += u64::from(last == Some(Progress::End));
+        if round % 3 == 1 {
+            service.crash();
+        }
+        // The server and the connections get a different number of turns in each round.
+        for _ in 0..round % 5 {
+            client.clone().probe().await;
+        }
+    }
+    assert!(whole >= ROUNDS / 4, "only {whole} of {ROUNDS} requests were answered");
+}
