Share the times of plain calls between the runners

Cause: both runners of the load tool had the same constant.

Change: it is defined once, with the deployments.

--- a/crates/load/src/baseline.rs
+++ b/crates/load/src/baseline.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     agenda::{self, Agenda},
-    deployment::{CALLER_LATENCY, Deployment},
+    deployment::{CALLER_LATENCY, Deployment, SERVICE_US},
     engines::{self, Engines},
     ledger::{Answer, Ledger},
     policy::Policy,
@@ -25,7 +25,6 @@
 const ATTEMPTS: u32 = 2;
 /// Connections that an entry tries for one attempt.
 const CONNECTS: usize = 8;
-const SERVICE_US: (u64, u64) = (4_000, 12_000);
 
 #[derive(Clone, Copy, Debug)]
 enum Event {
--- a/crates/load/src/deployment.rs
+++ b/crates/load/src/deployment.rs
@@ -11,6 +11,8 @@
 
 /// One-way time between a caller and an entry.
 pub const CALLER_LATENCY: Duration = Duration::from_millis(3);
+/// Shortest and longest time of a plain call, in microseconds.
+pub(crate) const SERVICE_US: (u64, u64) = (4_000, 12_000);
 /// One-way time within a zone.
 const ZONE_LATENCY: Duration = Duration::from_micros(50);
 const ZONES: usize = 4;
--- a/crates/load/src/system.rs
+++ b/crates/load/src/system.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     agenda::{self, Agenda},
-    deployment::{self, CALLER_LATENCY, Deployment},
+    deployment::{self, CALLER_LATENCY, Deployment, SERVICE_US},
     engines::{self, Engines},
     ledger::{Answer, Ledger},
     scenario::{Fault, Scenario},
@@ -28,8 +28,6 @@
 const DELISTED: Duration = Duration::from_secs(2);
 /// Bytes that stand for one token of an answer.
 const TOKEN: &[u8] = b"tag ";
-/// Shortest and longest time of a plain call, in microseconds.
-const SERVICE_US: (u64, u64) = (4_000, 12_000);
 
 #[derive(Debug)]
 enum Event {
