Issue keys to known accounts only and ask no plain service for its load

Cause: anyone could fill an agent's bounded table of idempotency keys; agents asked plain services for a load report four times a second; idle connections were closed after 10 s, which a load balancer with a longer idle time can race; and an answer over the held size was refused without its request's identifier. Change: a key needs an account that the settings know, loads are read for pools of model routes only, the header timeout exceeds the usual 60 s, and the refusal names request and step.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -81,7 +81,7 @@
     async fn answer(&self, request: Request<body::Incoming>) -> Response<http::Body> {
         match (request.method(), request.uri().path()) {
             (&Method::GET, HEALTH_PATH) => http::empty(self.health()),
-            (&Method::POST, KEY_PATH) => self.issue_key(request.uri().query()).await,
+            (&Method::POST, KEY_PATH) => self.issue_key(&request).await,
             _ => match self.call(request).await {
                 Ok(response) => response,
                 Err(refusal) => refusal::response(&refusal, ""),
@@ -95,8 +95,17 @@
         if self.entry.is_serving() { 200 } else { 503 }
     }
 
-    async fn issue_key(&self, query: Option<&str>) -> Response<http::Body> {
-        let route = query
+    async fn issue_key(&self, request: &Request<body::Incoming>) -> Response<http::Body> {
+        let named = request.headers().get(names::ACCOUNT);
+        let named = named.map(|value| Bytes::copy_from_slice(value.as_bytes()));
+        let (account, authenticated) = self.account(request.headers(), named);
+        // Agents keep a bounded number of keys, so only known accounts get them.
+        if self.entry.is_serving() && !self.is_admitted(&account, authenticated) {
+            return refusal::response(&self.refuse(Reason::UnknownAccount), "");
+        }
+        let route = request
+            .uri()
+            .query()
             .unwrap_or_default()
             .split('&')
             .find_map(|pair| pair.strip_prefix("route="))
@@ -109,6 +118,12 @@
         }
     }
 
+    fn is_admitted(&self, account: &Bytes, authenticated: bool) -> bool {
+        let tree = self.entry.tree();
+        let account = tree.accounts.get(account);
+        account.is_some_and(|account| authenticated || account.api_key_sha256.is_empty())
+    }
+
     async fn call(
         &self,
         request: Request<body::Incoming>,
@@ -243,8 +258,10 @@
                 }
             }
         }
-        let outcome = Outcome::Incomplete;
-        refusal::response(&Refusal { outcome, ..self.refuse(Reason::TooLarge) }, "")
+        let id = head.map(|(request, ..)| request.to_string()).unwrap_or_default();
+        let (outcome, step) = (Outcome::Incomplete, Step::MidStream);
+        let refusal = Refusal { outcome, step, ..self.refuse(Reason::TooLarge) };
+        refusal::response(&refusal, &id)
     }
 
     /// Answers with a stream from the first bytes on; a refusal before them is a plain answer.
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -26,8 +26,10 @@
     stream,
 };
 
-/// Time a client may take to send its headers.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time a client may take to send its headers, also after an answer on the same connection. It
+/// exceeds the 60 s for which load balancers commonly keep idle connections, so that they close
+/// first and no request meets a closing connection.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(75);
 /// Time a client may take to send its body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(60);
 /// Bytes of a refused body that are read and discarded.
--- a/crates/daemon/src/role_agent.rs
+++ b/crates/daemon/src/role_agent.rs
@@ -47,6 +47,8 @@
 pub struct Agent {
     driver: Rc<Driver<agent::Machine>>,
     backend: backend::Client,
+    pool: Bytes,
+    serves_models: Cell<bool>,
     links: RefCell<HashMap<Link, Slot>>,
     next_link: Cell<u64>,
     dispatches: RefCell<HashMap<id::Grant, runtime::JoinHandle<()>>>,
@@ -88,12 +90,14 @@
         let setup = agent::Setup {
             process: identity.process,
             host: identity.host.clone(),
-            pool,
+            pool: pool.clone(),
             seed: identity.seed,
         };
         let agent = Rc::new(Agent {
             driver: Driver::new(agent::Machine::new(setup)),
             backend,
+            pool,
+            serves_models: Cell::new(false),
             links: RefCell::default(),
             next_link: Cell::new(1),
             dispatches: RefCell::default(),
@@ -258,7 +262,9 @@
         let instance = agent.backend.clone().probe().await;
         let alive = instance.is_some();
         agent.feed(Event::Probe { instance });
-        if alive && let Some(load) = agent.backend.clone().load().await {
+        // A plain service has no load report.
+        let asks = alive && agent.serves_models.get();
+        if asks && let Some(load) = agent.backend.clone().load().await {
             agent.feed(Event::Load { running: load.running, waiting: load.waiting });
         }
         compio::time::sleep(PROBE_PERIOD).await;
@@ -319,6 +325,9 @@
 
 impl Role for Agent {
     fn settings(self: Rc<Self>, tree: Arc<tree::Tree>) {
+        let serves =
+            |route: &tree::Route| route.pool == self.pool && route.kind == request::Kind::Model;
+        self.serves_models.set(tree.routes.values().any(serves));
         self.feed(Event::Settings(tree));
     }
 
--- a/crates/daemon/tests/containment.rs
+++ b/crates/daemon/tests/containment.rs
@@ -14,6 +14,9 @@
 #[test]
 fn a_key_runs_at_most_once() {
     world::run(2, 1, 1, async |world| {
+        let path = "/v1/idempotency-keys?route=bids";
+        let nobody = world.post(0, path, Default::default(), &[("x-account", "nobody")]).await;
+        assert_eq!((nobody.status, &nobody.error()["code"]), (401, &"unknown_account".into()));
         let key = world.key(0).await;
         let (first, second) = future::join(world.bid(0, &key), world.bid(1, &key)).await;
         let third = world.bid(0, &key).await;
