--- a/crates/load/src/plot.rs
+++ b/crates/load/src/plot.rs
@@ -1,6 +1,6 @@
 //! Plots of goodput and wasted prefill by load, as SVG.
 
-use std::path::Path;
+use std::{fs, path::Path};
 
 use plotters::prelude::*;
 
@@ -24,6 +24,8 @@
 /// Returns an error if a file can't be written.
 pub fn write(dir: &Path, plan: &Plan, results: &Results) -> Result<(), Error> {
     let name = plan.deployment.name;
+    fs::create_dir_all(dir)
+        .map_err(|error| Error::Plot { path: dir.into(), reason: error.to_string() })?;
     let plots: [(&str, &str, Figure); 2] = [
         ("goodput", "goodput (part of offered calls)", |run| run.total),
         ("wasted", "wasted prefill (part of prompt tokens)", |run| run.wasted),
