Let two operators race in the test of settings with real processes

Cause: operator races were met by the state machines' schedules only. Change: two operators publish one branch twenty times in turns; every process must end at the last revision and none may report a lower one on the way.

--- a/crates/daemon/tests/orders.rs
+++ b/crates/daemon/tests/orders.rs
@@ -110,7 +110,8 @@
 const TIGHT: &str = "[entry]\nretry_percent = 20\n";
 
 /// Guards against settings that don't reach a process, go back, or take effect when invalid,
-/// with the service down for some processes, down for all, or answering from an old state.
+/// with the service down for some processes, down for all, or answering from an old state, or
+/// with two operators who publish the same branch at the same time.
 #[test]
 fn settings_arrive_everywhere_and_never_revert() {
     world::run(2, 2, 0, async |world| {
@@ -152,6 +153,7 @@
         world.configuration.set_down(false);
         drop(link);
         let _link = proxy::spawn(place, service).unwrap();
+        let first = race_operators(world).await;
         refuse_bad_settings(world, first).await;
         done.set(true);
         assert!(watch.await.expect("no revision goes back") > 0);
@@ -175,6 +177,22 @@
     load(world, index, &format!("cold start {index}")).await;
 }
 
+/// Lets two operators publish one branch in turns without waiting for each other. Returns the
+/// last revision, which every process must hold in the end.
+async fn race_operators(world: &World) -> u64 {
+    let mut last = 0;
+    for round in 0..10 {
+        for operator in [10, 20] {
+            let text = format!("[entry]\nretry_percent = {}\n", operator + round % 5);
+            last = world.configuration.publish("quincespoke/auction/limits", text);
+            // Reads that wait for a change may be answered between two publications.
+            world.status(&world.agents[0]).await;
+        }
+    }
+    world.wait_for_revision("auction/limits", last).await;
+    last
+}
+
 async fn refuse_bad_settings(world: &World, held: u64) {
     let branch = "auction/limits";
     let bad = "[entry]\nretry_percent = 30\nretry_percnt = 40\n";
