Read derived state from where it is kept

Cause: each offer hashed the whole settings digest again, although sync keeps the hash; each health check and key call built the operators' report, with every host, to read two flags; the rule that admits a caller to an account stood in the entry's filter and in the callers' interface; one function of the simulation had no caller. Change: sync::Machine::hash, entry::Machine::is_serving and tree::Account::admits serve these places; the unused function is gone. Behaviour is unchanged.

--- a/crates/conf/src/tree.rs
+++ b/crates/conf/src/tree.rs
@@ -69,6 +69,13 @@
     }
 }
 
+impl Account {
+    /// Returns whether a caller may use the account, given whether its token matched.
+    pub fn admits(&self, authenticated: bool) -> bool {
+        authenticated || self.api_key_sha256.is_empty()
+    }
+}
+
 /// A route from callers to a pool.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Route {
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -121,7 +121,7 @@
     fn is_admitted(&self, account: &Bytes, authenticated: bool) -> bool {
         let tree = self.entry.tree();
         let account = tree.accounts.get(account);
-        account.is_some_and(|account| authenticated || account.api_key_sha256.is_empty())
+        account.is_some_and(|account| account.admits(authenticated))
     }
 
     async fn call(
--- a/crates/daemon/src/distribution.rs
+++ b/crates/daemon/src/distribution.rs
@@ -77,7 +77,7 @@
 
     /// Returns the hash of the digest in force.
     pub fn hash(&self) -> u64 {
-        self.driver.read(|machine| machine.digest().hash())
+        self.driver.read(sync::Machine::hash)
     }
 
     /// Fills in readiness and revisions.
--- a/crates/daemon/src/role_entry.rs
+++ b/crates/daemon/src/role_entry.rs
@@ -116,9 +116,7 @@
 
     /// Returns whether new calls are taken.
     pub fn is_serving(&self) -> bool {
-        let mut status = status::Status::default();
-        self.report(&mut status);
-        status.ready && !status.stopping
+        self.driver.read(entry::Machine::is_serving)
     }
 
     /// Opens a call and returns its number and its answers.
--- a/crates/entry/src/filter.rs
+++ b/crates/entry/src/filter.rs
@@ -98,7 +98,7 @@
     fn check(&self, _state: &State, draft: &mut Draft<'_>) -> Result<(), Reason> {
         let account = draft.tree.accounts.get(&draft.call.account);
         let account = account.ok_or(Reason::UnknownAccount)?;
-        if !account.api_key_sha256.is_empty() && !draft.call.authenticated {
+        if !account.admits(draft.call.authenticated) {
             return Err(Reason::UnknownAccount);
         }
         draft.account = Some(account);
--- a/crates/entry/src/machine.rs
+++ b/crates/entry/src/machine.rs
@@ -104,6 +104,11 @@
         self.state.timers.next()
     }
 
+    /// Returns whether new calls are taken.
+    pub fn is_serving(&self) -> bool {
+        self.state.ready && !self.state.stopping
+    }
+
     /// Fills in queues, hosts and counters for operators.
     pub fn report(&self, now: Instant, status: &mut status::Status) {
         let _ = now;
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -278,12 +278,6 @@
         self.entry_event(index, entry::Event::KeyCall { caller, route });
     }
 
-    /// Runs until a time.
-    pub fn run_until(&mut self, end: Instant) {
-        while self.step(end) {}
-        self.now = self.now.max(end);
-    }
-
     /// Handles the next event up to `end`. Returns whether there was one.
     pub fn step(&mut self, end: Instant) -> bool {
         let timer = self.next_timer();
--- a/crates/sync/src/lib.rs
+++ b/crates/sync/src/lib.rs
@@ -202,6 +202,11 @@
         self.store.digest()
     }
 
+    /// Returns the hash of the digest, kept up to date with it.
+    pub fn hash(&self) -> u64 {
+        self.store.hash()
+    }
+
     fn start(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.store.rehash();
         let setup = &self.setup;
