--- /dev/null
+++ b/crates/conf/src/gateway.rs
@@ -0,0 +1,198 @@
+//! Settings of one gateway process, read at its start and again on request from an INI file.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+
+use crate::{check, document, process, section};
+
+/// Value of `[process] role` in a gateway's settings.
+pub const ROLE: &str = "gateway";
+
+const ROLE_ALLOWED: &str = "gateway";
+const RATIO: &str = "a number from 0 to 10";
+
+/// Settings of one gateway.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Gateway {
+    /// `[process] host`: name of the host.
+    pub host: Bytes,
+    /// `[process] availability_zone`.
+    pub availability_zone: Bytes,
+    /// `[listen] callers`: where callers are served.
+    pub callers: SocketAddr,
+    /// `[listen] readiness`: where the balancer asks whether to send new connections.
+    pub readiness: SocketAddr,
+    /// `[listen] peers`: where gateways exchange their load; the port is the same on all hosts.
+    pub peers: SocketAddr,
+    /// `[listen] operators`: metrics and status, read only.
+    pub operators: SocketAddr,
+    /// `[store] address`: store of the configuration and of the replicas' records.
+    pub store: SocketAddr,
+    /// `[seeds] hosts`: hosts of other gateways; their ports are not used.
+    pub seeds: Vec<SocketAddr>,
+    /// `[bounds] revoke_ms`: time after which a withdrawn key may not run.
+    pub revoke: Duration,
+    /// `[bounds] drain_ms`: time after which a leaving replica may get no new work.
+    pub drain: Duration,
+    /// `[bounds] grace_s`: time for a planned stop.
+    pub grace: Duration,
+    /// `[bounds] retry_ratio`: arrivals beyond the first of a call, as a share of calls.
+    pub retry_ratio: f64,
+    /// `[bounds] retry_slack`: arrivals beyond that share, of all gateways together.
+    pub retry_slack: f64,
+    /// `[bounds] retry_window_s`: time over which these are counted.
+    pub retry_window: Duration,
+    /// `[log] level`: error, warn, info, debug or trace.
+    pub log_level: String,
+}
+
+/// Parses and checks a gateway's settings file; `file` names it in errors.
+///
+/// # Errors
+///
+/// Returns every error of the file.
+pub fn parse(file: &str, text: &str) -> Result<Gateway, Vec<check::Error>> {
+    let mut report = check::Report::new(file);
+    let sections = document::split(text, &mut report);
+    let mut fields = Fields::default();
+    for section in &sections {
+        fields.read(section, &mut report);
+    }
+    for kind in ["process", "listen", "store"] {
+        if !sections.iter().any(|section| section.kind == kind) {
+            report.add(kind, "", "", "the section is required");
+        }
+    }
+    let gateway = fields.build();
+    report.finish(gateway)
+}
+
+/// Returns whether a settings file is a gateway's.
+pub fn is_gateway(text: &str) -> bool {
+    let mut report = check::Report::new("");
+    let sections = document::split(text, &mut report);
+    let process = sections.iter().find(|section| section.kind == "process");
+    process.and_then(|section| section.properties.get("role")).is_some_and(|r| r.trim() == ROLE)
+}
+
+#[derive(Default)]
+struct Fields {
+    host: Option<Bytes>,
+    availability_zone: Option<Bytes>,
+    callers: Option<SocketAddr>,
+    readiness: Option<SocketAddr>,
+    peers: Option<SocketAddr>,
+    operators: Option<SocketAddr>,
+    store: Option<SocketAddr>,
+    seeds: Vec<SocketAddr>,
+    bounds: Option<Bounds>,
+    log_level: Option<String>,
+}
+
+struct Bounds {
+    revoke: Duration,
+    drain: Duration,
+    grace: Duration,
+    retry_ratio: f64,
+    retry_slack: f64,
+    retry_window: Duration,
+}
+
+impl Default for Bounds {
+    fn default() -> Bounds {
+        Bounds {
+            revoke: Duration::from_secs(5),
+            drain: Duration::from_secs(2),
+            grace: Duration::from_secs(8),
+            retry_ratio: 0.2,
+            retry_slack: 50.0,
+            retry_window: Duration::from_secs(10),
+        }
+    }
+}
+
+impl Fields {
+    fn read(&mut self, section: &document::Section, report: &mut check::Report) {
+        if !section.name.is_empty() {
+            report.add(&section.header, "", "", "a section without a name");
+            return;
+        }
+        let mut reader = section::Reader::new(section, report);
+        match section.kind.as_str() {
+            "process" => {
+                reader.required("role", ROLE_ALLOWED, |text| (text == ROLE).then_some(()));
+                self.host = reader.name("host");
+                self.availability_zone = reader.name("availability_zone");
+            }
+            "listen" => {
+                self.callers = reader.address("callers");
+                self.readiness = reader.address("readiness");
+                self.peers = reader.address("peers");
+                self.operators = reader.address("operators");
+            }
+            "store" => self.store = reader.address("address"),
+            "seeds" => {
+                let seeds = reader.optional("hosts", process::SEEDS, process::parse_seeds);
+                self.seeds = seeds.unwrap_or_default();
+            }
+            "bounds" => self.bounds = Some(Bounds::read(&mut reader)),
+            "log" => {
+                self.log_level = reader.optional("level", process::LEVEL, process::parse_level);
+            }
+            _ => {
+                let allowed = "process, listen, store, seeds, bounds or log";
+                report.add(&section.header, "", "", allowed);
+                return;
+            }
+        }
+        reader.finish();
+    }
+
+    fn build(self) -> Option<Gateway> {
+        let bounds = self.bounds.unwrap_or_default();
+        Some(Gateway {
+            host: self.host?,
+            availability_zone: self.availability_zone?,
+            callers: self.callers?,
+            readiness: self.readiness?,
+            peers: self.peers?,
+            operators: self.operators?,
+            store: self.store?,
+            seeds: self.seeds,
+            revoke: bounds.revoke,
+            drain: bounds.drain,
+            grace: bounds.grace,
+            retry_ratio: bounds.retry_ratio,
+            retry_slack: bounds.retry_slack,
+            retry_window: bounds.retry_window,
+            log_level: self.log_level.unwrap_or_else(|| "info".to_owned()),
+        })
+    }
+}
+
+impl Bounds {
+    fn read(reader: &mut section::Reader<'_>) -> Bounds {
+        let default = Bounds::default();
+        let seconds = |reader: &mut section::Reader<'_>, key, default: Duration| {
+            Duration::from_secs(reader.number(key, default.as_secs(), 1..=3600, "s"))
+        };
+        Bounds {
+            revoke: reader.duration("revoke_ms", default.revoke, 500..=3_600_000),
+            drain: reader.duration("drain_ms", default.drain, 100..=3_600_000),
+            grace: seconds(reader, "grace_s", default.grace),
+            retry_ratio: reader
+                .optional("retry_ratio", RATIO, parse_ratio)
+                .unwrap_or(default.retry_ratio),
+            retry_slack: reader
+                .number::<u32>("retry_slack", default.retry_slack as u32, 0..=1_000_000, "arrivals")
+                .into(),
+            retry_window: seconds(reader, "retry_window_s", default.retry_window),
+        }
+    }
+}
+
+fn parse_ratio(text: &str) -> Option<f64> {
+    let ratio: f64 = text.parse().ok()?;
+    (0.0..=10.0).contains(&ratio).then_some(ratio)
+}
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -3,6 +3,7 @@
 mod branch;
 pub mod check;
 pub mod document;
+pub mod gateway;
 mod merge;
 pub mod process;
 mod section;
--- a/crates/conf/src/process.rs
+++ b/crates/conf/src/process.rs
@@ -16,8 +16,8 @@
 const ROLE: &str = "entry or agent";
 const URL: &str = "http:// followed by an IP address, an optional port and an optional path";
 const KEY_PREFIX: &str = "up to 256 visible ASCII characters that don't start with '/'";
-const SEEDS: &str = "up to 64 addresses, each IP address and port, separated by commas";
-const LEVEL: &str = "error, warn, info, debug or trace";
+pub(crate) const SEEDS: &str = "up to 64 addresses, each IP address and port, separated by commas";
+pub(crate) const LEVEL: &str = "error, warn, info, debug or trace";
 
 /// Settings of one `quincespoked` process.
 #[derive(Clone, Debug)]
@@ -213,7 +213,7 @@
     (visible && text.len() <= 256 && !text.starts_with('/')).then(|| text.to_owned())
 }
 
-fn parse_seeds(text: &str) -> Option<Vec<SocketAddr>> {
+pub(crate) fn parse_seeds(text: &str) -> Option<Vec<SocketAddr>> {
     if text.is_empty() {
         return Some(Vec::new());
     }
@@ -222,6 +222,6 @@
     seeds.filter(|seeds| seeds.len() <= MAX_SEEDS)
 }
 
-fn parse_level(text: &str) -> Option<String> {
+pub(crate) fn parse_level(text: &str) -> Option<String> {
     ["error", "warn", "info", "debug", "trace"].contains(&text).then(|| text.to_owned())
 }
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -1,20 +1,18 @@
 //! Client of the backend server beside an agent: dispatch, resume, cancel, probe, orders.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use agent::Progress;
 use bytes::Bytes;
-use compio::{net, runtime, time};
+use compio::time;
 use conf::tree;
-use cyper_core::HyperStream;
-use futures_util::FutureExt;
 use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request, Response, body, client::conn::http1, header};
+use hyper::{Method, Request, Response, body, header};
 use serde::Deserialize;
 use serde_json::json;
-use wire::{header as names, id, request, time::Instant};
+use wire::{header as names, id, request};
 
-use crate::clock;
+use crate::connection::{self, Fault};
 
 /// Time for a connection on the same host.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -23,9 +21,6 @@
 /// Idle time after which a connection is not used again. Servers close idle connections after
 /// some seconds, and a request sent just then would have an unknown outcome.
 const KEPT_TIME: Duration = Duration::from_secs(1);
-/// Idle connections kept.
-const MAX_KEPT: usize = 64;
-
 /// Load as the engine reports it, with a lag.
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub struct Load {
@@ -33,21 +28,16 @@
     pub waiting: u32,
 }
 
-type Sender = http1::SendRequest<Full<Bytes>>;
-
-/// Client of one backend server. A failure to connect proves that nothing was sent, and so does
-/// a kept connection that gives the request back because it closed before the first byte.
+/// Client of one backend server.
 #[derive(Clone)]
 pub struct Client {
-    address: SocketAddr,
-    /// Idle connections with the time since when, the latest last.
-    kept: Rc<RefCell<Vec<(Sender, Instant)>>>,
+    connections: connection::Pool,
 }
 
 impl Client {
     /// Returns a client without connections.
     pub fn new(address: SocketAddr) -> Client {
-        Client { address, kept: Rc::default() }
+        Client { connections: connection::Pool::new(address, CONNECT_TIMEOUT) }
     }
 
     /// Sends a request once and reports its progress.
@@ -63,18 +53,19 @@
         let request = Request::builder()
             .method(method)
             .uri(path)
-            .header(header::HOST, self.address.to_string())
+            .header(header::HOST, self.connections.address().to_string())
             .header(header::CONTENT_TYPE, &head.content_type[..])
             .header(names::REQUEST_ID, grant.to_string())
             .body(Full::new(body));
         let Ok(request) = request else { return report(Progress::Unreachable) };
-        match self.send(request).await {
+        match self.connections.send(request).await {
             Ok((response, sender)) => {
                 if relay(response, &report).await {
-                    self.keep(sender);
+                    self.connections.keep(sender, KEPT_TIME);
                 }
             }
-            Err(progress) => report(progress),
+            Err(Fault::Unsent) => report(Progress::Unreachable),
+            Err(Fault::Lost) => report(Progress::Lost),
         }
     }
 
@@ -104,11 +95,11 @@
     pub async fn probe(self) -> Option<Bytes> {
         let probe = async {
             let request = self.request(Method::GET, "/health", None, Bytes::new())?;
-            let mut sender = self.connect().await?;
+            let mut sender = self.connections.connect().await?;
             let response = sender.send_request(request).await.ok()?;
             let instance = response.status().is_success().then(|| instance(&response))?;
             if response.into_body().collect().await.is_ok() {
-                self.keep(sender);
+                self.connections.keep(sender, KEPT_TIME);
             }
             Some(instance)
         };
@@ -119,9 +110,9 @@
     pub async fn load(self) -> Option<Load> {
         let load = async {
             let request = self.request(Method::GET, "/v1/load", None, Bytes::new())?;
-            let (response, sender) = self.send(request).await.ok()?;
+            let (response, sender) = self.connections.send(request).await.ok()?;
             let body = response.into_body().collect().await.ok()?.to_bytes();
-            self.keep(sender);
+            self.connections.keep(sender, KEPT_TIME);
             serde_json::from_slice(&body).ok()
         };
         time::timeout(CONTROL_TIMEOUT, load).await.ok()?
@@ -146,7 +137,7 @@
         body: Bytes,
     ) -> Option<Response<body::Incoming>> {
         let request = self.request(method, path, header, body)?;
-        self.connect().await?.send_request(request).await.ok()
+        self.connections.connect().await?.send_request(request).await.ok()
     }
 
     fn request(
@@ -159,58 +150,12 @@
         let mut request = Request::builder()
             .method(method)
             .uri(path)
-            .header(header::HOST, self.address.to_string());
+            .header(header::HOST, self.connections.address().to_string());
         if let Some((name, value)) = header {
             request = request.header(name, value);
         }
         request.body(Full::new(body)).ok()
     }
-
-    /// Sends a request once, on a kept connection or a new one.
-    async fn send(
-        &self,
-        mut request: Request<Full<Bytes>>,
-    ) -> Result<(Response<body::Incoming>, Sender), Progress> {
-        while let Some(mut sender) = self.take() {
-            match sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, sender)),
-                // The request comes back only if none of it was written.
-                Err(mut error) => request = error.take_message().ok_or(Progress::Lost)?,
-            }
-        }
-        let mut sender = self.connect().await.ok_or(Progress::Unreachable)?;
-        match sender.send_request(request).await {
-            Ok(response) => Ok((response, sender)),
-            Err(_) => Err(Progress::Lost),
-        }
-    }
-
-    /// Returns the connection that was used last and is still open.
-    fn take(&self) -> Option<Sender> {
-        let now = clock::now();
-        let mut kept = self.kept.borrow_mut();
-        kept.retain(|(sender, since)| sender.is_ready() && now.since(*since) < KEPT_TIME);
-        kept.pop().map(|(sender, _)| sender)
-    }
-
-    /// Keeps a connection whose answer was read to its end.
-    fn keep(&self, sender: Sender) {
-        let now = clock::now();
-        let mut kept = self.kept.borrow_mut();
-        kept.retain(|(_, since)| now.since(*since) < KEPT_TIME);
-        if kept.len() < MAX_KEPT {
-            kept.push((sender, now));
-        }
-    }
-
-    async fn connect(&self) -> Option<Sender> {
-        let connect = net::TcpStream::connect(self.address);
-        let stream = time::timeout(CONNECT_TIMEOUT, connect).await.ok()?.ok()?;
-        let _ = stream.set_nodelay(true);
-        let (sender, connection) = http1::handshake(HyperStream::new_plain(stream)).await.ok()?;
-        runtime::spawn(connection.map(drop)).detach();
-        Some(sender)
-    }
 }
 
 /// Reports an answer as it comes and returns whether it is whole.
--- a/crates/daemon/src/distribution.rs
+++ b/crates/daemon/src/distribution.rs
@@ -13,15 +13,16 @@
 
 use crate::{
     driver::{Driver, Execute},
-    peer, platform,
+    peer,
     role::{Identity, Role},
+    sources,
 };
 
 /// Distribution of settings within one process.
 pub struct Distribution {
     driver: Rc<Driver<sync::Machine>>,
     role: Rc<dyn Role>,
-    platform: platform::Client,
+    platform: sources::Client,
     peers: peer::Client,
     links: RefCell<HashMap<u64, oneshot::Sender<Exchange>>>,
     next_link: Cell<u64>,
@@ -47,7 +48,7 @@
         let distribution = Rc::new(Distribution {
             driver: Driver::new(sync::Machine::new(setup)),
             role,
-            platform: platform::Client::new(process),
+            platform: sources::Client::new(process),
             peers: peer::Client::new(identity.address),
             links: RefCell::default(),
             next_link: Cell::new(0),
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -49,7 +49,7 @@
     )*};
 }
 
-impl_machine!(agent, entry, sync);
+impl_machine!(agent, entry, gate, sync);
 
 /// Carries out the actions of a machine. Must not feed the same driver synchronously.
 pub trait Execute<A> {
--- /dev/null
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -0,0 +1,246 @@
+//! One call from its arrival to its answer.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use compio::time;
+use futures_channel::mpsc;
+use futures_util::StreamExt;
+use gate::{
+    Event,
+    action::Dispatch,
+    call::Call,
+    event::{End, Ticket},
+    refusal::{Reason, Refusal},
+};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    HeaderMap, Request, Response, StatusCode, body, header,
+    http::{request, response},
+};
+use platform::message::{self, Reply};
+
+use crate::{
+    clock,
+    connection::{Fault, Pool, Sender},
+    gateway::{Gateway, Instruction, streamed},
+    http,
+};
+
+/// Largest answer that is held back until it is whole, in bytes.
+const MAX_WHOLE_BYTES: usize = 1 << 20;
+/// Idle time after which a connection is not used again, if the replica states none.
+const KEPT_TIME: Duration = Duration::from_secs(4);
+/// Part of the idle time that a replica states.
+const KEPT_SHARE: f64 = 0.6;
+
+/// A call between its caller and replicas.
+pub struct Exchange {
+    gateway: Rc<Gateway>,
+    ticket: Ticket,
+    instructions: mpsc::UnboundedReceiver<Instruction>,
+    parts: request::Parts,
+    body: Bytes,
+    id: Bytes,
+    /// A replica's answer that it failed; it is final if no other replica gets the call.
+    failure: Option<Response<http::Body>>,
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        self.gateway.close(self.ticket);
+    }
+}
+
+/// A replica's answer whose head was read.
+pub struct Reception {
+    pub head: response::Parts,
+    pub body: body::Incoming,
+    pub sender: Sender,
+    pub pool: Pool,
+}
+
+/// How a dispatch went.
+pub enum Attempt {
+    /// The replica answers.
+    Received(Box<Reception>),
+    /// The machine decides how it goes on.
+    Report(Event),
+    /// The call's time is over.
+    Timeout,
+}
+
+impl Exchange {
+    /// Hands a call to the machine.
+    pub fn open(gateway: Rc<Gateway>, parts: request::Parts, body: Bytes, call: Call) -> Exchange {
+        let (ticket, instructions) = gateway.open();
+        let id = call.id.clone();
+        gateway.feed(Event::Arrive { ticket, call });
+        Exchange { gateway, ticket, instructions, parts, body, id, failure: None }
+    }
+
+    /// Returns the answer once there is one.
+    pub async fn run(mut self) -> Response<http::Body> {
+        loop {
+            let dispatch = match self.next().await {
+                Instruction::Dispatch(dispatch) => dispatch,
+                Instruction::Refuse(refused) => {
+                    return self.failure.take().unwrap_or_else(|| self.refuse(&refused));
+                }
+            };
+            match self.attempt(&dispatch, None).await {
+                Attempt::Received(reception)
+                    if dispatch.stream && reception.head.status.is_success() =>
+                {
+                    match streamed::first(&mut self, &dispatch, *reception).await {
+                        Ok(begun) => return streamed::answer(self, dispatch, begun),
+                        Err(Attempt::Report(event)) => self.report(event),
+                        Err(_) => return self.refuse(&Refusal::new(Reason::Timeout)),
+                    }
+                }
+                Attempt::Received(reception) => match self.whole(&dispatch, *reception).await {
+                    Ok(response) => return response,
+                    Err(Attempt::Report(event)) => self.report(event),
+                    Err(_) => return self.refuse(&Refusal::new(Reason::Timeout)),
+                },
+                Attempt::Report(event) => self.report(event),
+                Attempt::Timeout => return self.refuse(&Refusal::new(Reason::Timeout)),
+            }
+        }
+    }
+
+    /// Returns the machine's next instruction.
+    pub async fn next(&mut self) -> Instruction {
+        let next = self.instructions.next().await;
+        // The gateway drops the sender only after this exchange.
+        next.unwrap_or(Instruction::Refuse(Refusal::new(Reason::Lost)))
+    }
+
+    /// Tells the machine how a dispatch went.
+    pub fn report(&self, event: Event) {
+        self.gateway.feed(event);
+    }
+
+    /// Returns an event that says how a dispatched call ended.
+    pub fn ended(&self, end: End) -> Event {
+        Event::Ended { ticket: self.ticket, end }
+    }
+
+    /// Returns the event of a first event.
+    pub fn began(&self) -> Event {
+        Event::Began { ticket: self.ticket }
+    }
+
+    /// Sends the call to a replica and reads the head of its answer.
+    pub async fn attempt(&self, dispatch: &Dispatch, last_event: Option<&[u8]>) -> Attempt {
+        let remaining = dispatch.deadline.since(clock::now());
+        let addition = message::Addition {
+            replica: &dispatch.id,
+            account: dispatch.account.as_ref(),
+            remaining,
+            last_event,
+        };
+        let Some(request) = self.request(&addition) else {
+            return Attempt::Report(Event::Unsent { ticket: self.ticket });
+        };
+        let pool = self.gateway.pool(dispatch);
+        let patience = dispatch.patience.map_or(remaining, |patience| patience.min(remaining));
+        let sent = match time::timeout(patience, pool.send(request)).await {
+            Ok(sent) => sent,
+            Err(_) if patience < remaining => return Attempt::Report(self.ended(End::Silent)),
+            Err(_) => return Attempt::Timeout,
+        };
+        match sent {
+            Ok((response, sender)) => self.classify(response, sender, pool),
+            Err(Fault::Unsent) => Attempt::Report(Event::Unsent { ticket: self.ticket }),
+            Err(Fault::Lost) => Attempt::Report(self.ended(End::Broken)),
+        }
+    }
+
+    fn request(&self, addition: &message::Addition<'_>) -> Option<Request<Full<Bytes>>> {
+        let target = self.parts.uri.path_and_query().map_or("/", |path| path.as_str());
+        let mut request = Request::builder()
+            .method(self.parts.method.clone())
+            .uri(target)
+            .body(Full::new(self.body.clone()))
+            .ok()?;
+        *request.headers_mut() = message::forward(&self.parts.headers, addition);
+        Some(request)
+    }
+
+    fn classify(&self, response: Response<body::Incoming>, sender: Sender, pool: Pool) -> Attempt {
+        let (head, body) = response.into_parts();
+        let ticket = self.ticket;
+        match message::reply(&head, &self.id) {
+            Reply::NotRun { retry_after } => {
+                Attempt::Report(Event::Rejected { ticket, retry_after })
+            }
+            Reply::Misdirected => Attempt::Report(Event::Misdirected { ticket }),
+            Reply::Foreign => Attempt::Report(self.ended(End::Broken)),
+            Reply::Failed | Reply::Answer => {
+                Attempt::Received(Box::new(Reception { head, body, sender, pool }))
+            }
+        }
+    }
+
+    /// Reads an answer to its end before any of it is passed on.
+    async fn whole(
+        &mut self,
+        dispatch: &Dispatch,
+        reception: Reception,
+    ) -> Result<Response<http::Body>, Attempt> {
+        let Reception { head, body, sender, pool } = reception;
+        let remaining = dispatch.deadline.since(clock::now());
+        let read = Limited::new(body, MAX_WHOLE_BYTES).collect();
+        let bytes = match time::timeout(remaining, read).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(_)) => return Err(Attempt::Report(self.ended(End::Broken))),
+            Err(_) => return Err(Attempt::Timeout),
+        };
+        pool.keep(sender, idle_time(&head.headers));
+        let mut response = http::whole(head.status.as_u16(), "", bytes);
+        *response.headers_mut() = message::answer(&head.headers);
+        if !head.status.is_success() {
+            self.failure = Some(response);
+            return Err(Attempt::Report(self.ended(End::Failed)));
+        }
+        self.report(self.ended(End::Whole));
+        Ok(response)
+    }
+
+    fn refuse(&self, refused: &Refusal) -> Response<http::Body> {
+        let id = String::from_utf8_lossy(&self.id).into_owned();
+        tracing::info!(event = "refused", id, reason = refused.reason.name());
+        refusal(refused, &self.id)
+    }
+}
+
+/// Returns the answer of a refusal.
+pub fn refusal(refused: &Refusal, id: &Bytes) -> Response<http::Body> {
+    let status = refused.reason.status();
+    let mut response = http::json(status, &serde_json::json!({ "error": refused.reason.name() }));
+    let headers = response.headers_mut();
+    for (name, value) in message::refusal(refused, id) {
+        if let Some(name) = name {
+            headers.insert(name, value);
+        }
+    }
+    response
+}
+
+/// Returns the time for which the connection of an answer may be used again.
+pub fn idle_time(headers: &HeaderMap) -> Duration {
+    let stated = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+    let seconds = stated.and_then(|text| {
+        text.split(',').find_map(|part| part.trim().strip_prefix("timeout=")?.parse::<u64>().ok())
+    });
+    seconds.map_or(KEPT_TIME, |seconds| Duration::from_secs(seconds).mul_f64(KEPT_SHARE))
+}
+
+/// Returns the status and headers of a stream's answer.
+pub fn head(parts: &response::Parts) -> (StatusCode, HeaderMap) {
+    let mut headers = message::answer(&parts.headers);
+    // The length is not known where a stream may go on at another replica.
+    headers.remove(header::CONTENT_LENGTH);
+    (parts.status, headers)
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/process.rs
@@ -0,0 +1,122 @@
+//! Start and stop of a gateway process.
+
+use std::{fs, net::SocketAddr, path::Path, rc::Rc, time::Duration};
+
+use compio::{net, runtime, signal, time};
+use conf::gateway;
+use futures_channel::mpsc;
+use futures_util::future::LocalBoxFuture;
+use gate::{Event, Machine, limits::Limits, machine::Options};
+use hyper::{Request, Response, body};
+
+use crate::{
+    clock,
+    error::{Error, Step},
+    gateway::{Gateway, calls::Calls, peers, store},
+    http,
+};
+
+const SIGHUP: i32 = 1;
+const SIGTERM: i32 = 15;
+/// Part of the grace time for which new connections are taken after a stop began, since the
+/// balancer sends some until it has asked twice.
+const LISTEN_SHARE: f64 = 0.4;
+/// Part of the grace time within which open calls may end.
+const FINISH_SHARE: f64 = 0.55;
+
+/// Runs a gateway until a planned stop is complete. `file` is read again on SIGHUP.
+///
+/// # Errors
+///
+/// Returns an error if an address can't be bound.
+pub async fn serve(settings: &gateway::Gateway, file: &Path) -> Result<(), Error> {
+    let socket = net::UdpSocket::bind(settings.peers).await;
+    let socket = socket.map_err(|error| Error::new(Step::Bind, settings.peers, error))?;
+    let callers = http::bind(settings.callers).await?;
+    let readiness = http::bind(settings.readiness).await?;
+    let operators = http::bind(settings.operators).await?;
+    let (outbox, messages) = mpsc::unbounded();
+    let gateway = Gateway::new(Machine::new(clock::now(), options(settings)), outbox);
+    let host = String::from_utf8_lossy(&settings.host).into_owned();
+    tracing::info!(event = "started", host, callers = %settings.callers, store = %settings.store);
+    peers::start(&gateway, Rc::new(socket), messages);
+    runtime::spawn(store::follow(gateway.clone(), settings.store)).detach();
+    let checks = Rc::new(http::Server::default());
+    let handler = Rc::new(Readiness { gateway: gateway.clone() });
+    runtime::spawn(checks.clone().serve(readiness, handler.clone())).detach();
+    runtime::spawn(checks.serve(operators, handler)).detach();
+    let server = Rc::new(http::Server::default());
+    let handler = Rc::new(Calls { gateway: gateway.clone() });
+    runtime::spawn(server.clone().serve(callers, handler)).detach();
+    runtime::spawn(reload(settings.clone(), file.to_owned())).detach();
+    gateway.feed(Event::Tick);
+    if let Err(error) = signal::unix::signal(SIGTERM).await {
+        tracing::error!(event = "signal_failed", %error);
+    }
+    stop(&gateway, &server, settings.grace).await;
+    Ok(())
+}
+
+fn options(settings: &gateway::Gateway) -> Options {
+    let port = settings.peers.port();
+    Options {
+        process: fastrand::u64(..),
+        own: Some(settings.peers),
+        zone: settings.availability_zone.clone(),
+        seeds: settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port)).collect(),
+        limits: Limits {
+            revoke: settings.revoke,
+            drain: settings.drain,
+            grace: settings.grace,
+            retry_ratio: settings.retry_ratio,
+            retry_slack: settings.retry_slack,
+            retry_window: settings.retry_window,
+        },
+        seed: fastrand::u64(..),
+    }
+}
+
+async fn stop(gateway: &Rc<Gateway>, server: &Rc<http::Server>, grace: Duration) {
+    let open = gateway.read(Machine::open);
+    tracing::info!(event = "stopping", open);
+    gateway.stopping.set(true);
+    gateway.feed(Event::Stop);
+    time::sleep(grace.mul_f64(LISTEN_SHARE)).await;
+    server.close(grace.mul_f64(FINISH_SHARE)).await;
+    let open = gateway.read(Machine::open);
+    tracing::info!(event = "stopped", open);
+}
+
+/// Reads the settings again at each SIGHUP. Addresses and bounds hold until the next start.
+async fn reload(settings: gateway::Gateway, file: std::path::PathBuf) {
+    while signal::unix::signal(SIGHUP).await.is_ok() {
+        let name = file.display().to_string();
+        let read = fs::read_to_string(&file).map_err(|error| error.to_string());
+        let parsed = read.and_then(|text| {
+            let joined = |errors: Vec<conf::check::Error>| {
+                let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
+                lines.join("; ")
+            };
+            gateway::parse(&name, &text).map_err(joined)
+        });
+        match parsed {
+            Ok(new) => tracing::info!(event = "settings_read", restart = new != settings),
+            Err(error) => tracing::error!(event = "settings_refused", error),
+        }
+    }
+}
+
+/// Answers the balancer's checks.
+struct Readiness {
+    gateway: Rc<Gateway>,
+}
+
+impl http::Handler for Readiness {
+    fn handle(
+        self: Rc<Self>,
+        _request: Request<body::Incoming>,
+    ) -> LocalBoxFuture<'static, Response<http::Body>> {
+        let ready = self.gateway.read(|machine| machine.is_ready(clock::now()));
+        Box::pin(async move { http::empty(if ready { 200 } else { 503 }) })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/store.rs
@@ -0,0 +1,171 @@
+//! Follows the store: one reading of everything, then a watch for changes.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use compio::time;
+use gate::Event;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, header};
+use platform::store::{self, Change, Reading};
+
+use crate::{
+    clock,
+    connection::Pool,
+    error::{Error, Kind, Step},
+    gateway::Gateway,
+};
+
+/// Time that a watch waits. A watch that returns confirms the state in force, so this bounds
+/// the age of what is believed; each return is a call that is paid for.
+const WATCH_WAIT: Duration = Duration::from_millis(1000);
+/// Time for an answer beyond the wait.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time to connect to the store.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// First wait after a failure; each further one doubles it.
+const FIRST_RETRY: Duration = Duration::from_millis(80);
+/// Longest wait after a failure.
+const MAX_RETRY: Duration = Duration::from_millis(640);
+/// Idle time after which the connection is not used again.
+const IDLE: Duration = Duration::from_secs(5);
+
+/// Reads and watches until the process ends.
+pub async fn follow(gateway: Rc<Gateway>, address: SocketAddr) {
+    let mut reader = Reader { gateway, pool: Pool::new(address, CONNECT_TIMEOUT), revision: None };
+    let mut retry = FIRST_RETRY;
+    let mut lost = true;
+    loop {
+        match reader.step().await {
+            Ok(()) => {
+                if std::mem::take(&mut lost) {
+                    tracing::info!(event = "store_reached", revision = reader.revision);
+                }
+                retry = FIRST_RETRY;
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut lost, true) {
+                    tracing::warn!(event = "store_lost", %error);
+                }
+                reader.gateway.feed(Event::StoreLost);
+                time::sleep(retry.mul_f64(0.5 + fastrand::f64())).await;
+                retry = (retry * 2).min(MAX_RETRY);
+            }
+        }
+    }
+}
+
+struct Reader {
+    gateway: Rc<Gateway>,
+    pool: Pool,
+    /// Revision up to which changes are known.
+    revision: Option<u64>,
+}
+
+impl Reader {
+    async fn step(&mut self) -> Result<(), Error> {
+        match self.revision {
+            Some(revision) => self.watch(revision).await,
+            None => self.read().await,
+        }
+    }
+
+    async fn watch(&mut self, revision: u64) -> Result<(), Error> {
+        let sent = clock::now();
+        let path = store::watch_path(revision, WATCH_WAIT);
+        let (status, text) = self.get(&path, WATCH_WAIT + ANSWER_TIMEOUT).await?;
+        if store::is_compacted(status) {
+            tracing::info!(event = "store_compacted", revision);
+            self.revision = None;
+            return Ok(());
+        }
+        let reading = self.accept(status, &text, store::decode_watch)?;
+        self.revision = Some(reading.revision.max(revision));
+        for change in reading.changes {
+            self.apply(change);
+        }
+        self.gateway.feed(Event::Confirmed { at: sent });
+        Ok(())
+    }
+
+    /// Reads everything. Pages are no snapshot, so the watch goes on from the first one's
+    /// revision.
+    async fn read(&mut self) -> Result<(), Error> {
+        let sent = clock::now();
+        let mut records = Vec::new();
+        let mut first = None;
+        let mut path = Some(store::read_path());
+        while let Some(next) = path {
+            let (status, text) = self.get(&next, ANSWER_TIMEOUT).await?;
+            let reading = self.accept(status, &text, store::decode_page)?;
+            first.get_or_insert(reading.revision);
+            for change in reading.changes {
+                match change {
+                    Change::Replica { id, record: Some(record) } => records.push((id, record)),
+                    Change::Replica { record: None, .. } => {}
+                    change => self.apply(change),
+                }
+            }
+            path = reading.next;
+        }
+        self.revision = first;
+        self.gateway.feed(Event::Records(records));
+        self.gateway.feed(Event::Confirmed { at: sent });
+        Ok(())
+    }
+
+    fn accept(
+        &self,
+        status: u16,
+        text: &Bytes,
+        decode: fn(&[u8]) -> Result<Reading, serde_json::Error>,
+    ) -> Result<Reading, Error> {
+        let address = self.pool.address();
+        if status != 200 {
+            return Err(Error::of_kind(Step::Receive, address, Kind::Status(status)));
+        }
+        decode(text).map_err(|error| Error::new(Step::Decode, address, error))
+    }
+
+    fn apply(&self, change: Change) {
+        match change {
+            Change::Catalog(catalog) => {
+                let version = catalog.version;
+                let routes = catalog.routes.len();
+                tracing::info!(event = "configuration_read", version, routes);
+                self.gateway.feed(Event::Catalog(Rc::new(catalog)));
+            }
+            Change::Replica { id, record } => {
+                let name = String::from_utf8_lossy(&id).into_owned();
+                let draining = record.as_ref().map(|record| record.draining);
+                tracing::info!(event = "replica_changed", replica = name, ?draining);
+                self.gateway.feed(Event::Record { id, record });
+            }
+            Change::Unreadable { key, error } => {
+                tracing::warn!(event = "store_value_unreadable", key, error);
+            }
+            Change::Other => {}
+        }
+    }
+
+    async fn get(&self, path: &str, limit: Duration) -> Result<(u16, Bytes), Error> {
+        let address = self.pool.address();
+        let request = Request::builder()
+            .uri(path)
+            .header(header::HOST, address.to_string())
+            .body(Full::new(Bytes::new()))
+            .map_err(|error| Error::new(Step::Send, address, error))?;
+        let answer = async {
+            let sent = self.pool.send(request).await;
+            let (response, sender) =
+                sent.map_err(|fault| Error::new(Step::Send, address, format!("{fault:?}")))?;
+            let status = response.status().as_u16();
+            let body = response.into_body().collect().await;
+            let body = body.map_err(|error| Error::new(Step::Receive, address, error))?;
+            self.pool.keep(sender, IDLE);
+            Ok((status, body.to_bytes()))
+        };
+        let answer = time::timeout(limit, answer).await;
+        answer.map_err(|_| Error::of_kind(Step::Receive, address, Kind::Timeout))?
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/streamed.rs
@@ -0,0 +1,203 @@
+//! Passes a stream's events on as they arrive.
+
+use std::{collections::VecDeque, time::Duration};
+
+use bytes::Bytes;
+use compio::time;
+use futures_util::stream;
+use gate::{action::Dispatch, event::End};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::{Response, body, http::response};
+
+use crate::{
+    clock,
+    connection::{Pool, Sender},
+    gateway::{
+        Instruction,
+        events::Events,
+        exchange::{self, Attempt, Exchange, Reception},
+    },
+    http,
+};
+
+/// Pause after which a stream that may go on elsewhere is given up at its replica.
+const GAP_PATIENCE: Duration = Duration::from_millis(900);
+
+/// A stream whose first event was read.
+pub struct Begun {
+    head: response::Parts,
+    source: Source,
+    events: Events,
+    ready: VecDeque<Bytes>,
+}
+
+/// Where a stream's bytes come from.
+struct Source {
+    body: body::Incoming,
+    sender: Sender,
+    pool: Pool,
+    idle: Duration,
+}
+
+/// What came next.
+enum Next {
+    Data(Bytes),
+    End,
+    Broken,
+    Silent,
+    Timeout,
+}
+
+impl Source {
+    async fn next(&mut self, dispatch: &Dispatch, gap: Option<Duration>) -> Next {
+        let remaining = dispatch.deadline.since(clock::now());
+        let limit = gap.map_or(remaining, |gap| gap.min(remaining));
+        loop {
+            let frame = match time::timeout(limit, self.body.frame()).await {
+                Ok(frame) => frame,
+                Err(_) if limit < remaining => return Next::Silent,
+                Err(_) => return Next::Timeout,
+            };
+            match frame.map(|frame| frame.map(body::Frame::into_data)) {
+                Some(Ok(Ok(data))) => return Next::Data(data),
+                Some(Ok(Err(_trailers))) => {}
+                Some(Err(_)) => return Next::Broken,
+                None => return Next::End,
+            }
+        }
+    }
+
+    /// Makes the connection available again after the end of the answer.
+    fn finish(self) {
+        self.pool.keep(self.sender, self.idle);
+    }
+}
+
+fn source(reception: Reception) -> (response::Parts, Source) {
+    let Reception { head, body, sender, pool } = reception;
+    let idle = exchange::idle_time(&head.headers);
+    (head, Source { body, sender, pool, idle })
+}
+
+/// Reads up to the first whole event, or to the end of a failure's answer.
+pub async fn first(
+    exchange: &mut Exchange,
+    dispatch: &Dispatch,
+    reception: Reception,
+) -> Result<Begun, Attempt> {
+    let (head, mut source) = source(reception);
+    let mut events = Events::default();
+    let mut ready = VecDeque::new();
+    loop {
+        match source.next(dispatch, dispatch.patience).await {
+            Next::Data(data) => {
+                let whole = events.push(data);
+                if !whole.is_empty() {
+                    ready.push_back(whole);
+                    exchange.report(exchange.began());
+                    return Ok(Begun { head, source, events, ready });
+                }
+            }
+            Next::End => {
+                ready.push_back(events.take_rest());
+                return Ok(Begun { head, source, events, ready });
+            }
+            Next::Broken => return Err(Attempt::Report(exchange.ended(End::Broken))),
+            Next::Silent => return Err(Attempt::Report(exchange.ended(End::Silent))),
+            Next::Timeout => return Err(Attempt::Timeout),
+        }
+    }
+}
+
+/// State of a stream's answer. Dropped with the body, which ends the call.
+struct Relay {
+    exchange: Exchange,
+    dispatch: Dispatch,
+    source: Option<Source>,
+    events: Events,
+    ready: VecDeque<Bytes>,
+}
+
+/// Returns the answer of a stream.
+pub fn answer(exchange: Exchange, dispatch: Dispatch, begun: Begun) -> Response<http::Body> {
+    let (status, headers) = exchange::head(&begun.head);
+    let Begun { source, events, ready, .. } = begun;
+    let relay = Relay { exchange, dispatch, source: Some(source), events, ready };
+    let frames = stream::unfold(relay, |mut relay| async move {
+        let frame = relay.next().await?;
+        Some((frame.map(body::Frame::data), relay))
+    });
+    let body: http::Body = Box::pin(StreamBody::new(frames));
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+impl Relay {
+    /// Returns the next bytes for the caller, an error if the stream can't be completed, or
+    /// `None` at its end.
+    async fn next(&mut self) -> Option<Result<Bytes, http::Aborted>> {
+        loop {
+            if let Some(data) = self.ready.pop_front() {
+                if data.is_empty() {
+                    continue;
+                }
+                return Some(Ok(data));
+            }
+            let Some(mut source) = self.source.take() else { return None };
+            let gap = self.dispatch.patience.map(|_| GAP_PATIENCE);
+            match source.next(&self.dispatch, gap).await {
+                Next::Data(data) => {
+                    self.ready.push_back(self.events.push(data));
+                    self.source = Some(source);
+                }
+                Next::End => {
+                    source.finish();
+                    self.exchange.report(self.exchange.ended(End::Whole));
+                    self.ready.push_back(self.events.take_rest());
+                }
+                Next::Broken => {
+                    drop(source);
+                    if !self.resume(End::Broken).await {
+                        return Some(Err(http::Aborted));
+                    }
+                }
+                Next::Silent => {
+                    drop(source);
+                    if !self.resume(End::Silent).await {
+                        return Some(Err(http::Aborted));
+                    }
+                }
+                Next::Timeout => return Some(Err(http::Aborted)),
+            }
+        }
+    }
+
+    /// Goes on after the last whole event at the replica that the machine names. Returns
+    /// whether there is one.
+    async fn resume(&mut self, end: End) -> bool {
+        // The bytes of an event that was cut come again.
+        self.events.take_rest();
+        self.exchange.report(self.exchange.ended(end));
+        loop {
+            let dispatch = match self.exchange.next().await {
+                Instruction::Dispatch(dispatch) => dispatch,
+                Instruction::Refuse(_) => return false,
+            };
+            let last = self.events.last_id().cloned();
+            match self.exchange.attempt(&dispatch, last.as_deref()).await {
+                Attempt::Received(reception) if reception.head.status.is_success() => {
+                    let (_, source) = source(*reception);
+                    self.source = Some(source);
+                    self.dispatch = dispatch;
+                    self.exchange.report(self.exchange.began());
+                    return true;
+                }
+                Attempt::Received(_) => self.exchange.report(self.exchange.ended(End::Failed)),
+                Attempt::Report(event) => self.exchange.report(event),
+                Attempt::Timeout => return false,
+            }
+        }
+    }
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, fs, io::Write, rc::Rc, time::Duration};
 
 use compio::{runtime, signal};
-use conf::process;
+use conf::{gateway as gateway_settings, process};
 use futures_channel::oneshot;
 use futures_util::future::{self, LocalBoxFuture};
 use hyper::{Request, Response, body};
@@ -15,7 +15,7 @@
     distribution::Distribution,
     error::Error,
     exit_code::ExitCode,
-    http, log,
+    gateway, http, log,
     metrics::Metrics,
     operators::Operators,
     options, peer,
@@ -51,13 +51,23 @@
     }
 }
 
+/// Settings of a process of any role.
+enum Settings {
+    Gateway(gateway_settings::Gateway),
+    Other(process::Process),
+}
+
 /// Runs the daemon until a planned stop is complete.
 pub fn run(options: &options::Options) -> ExitCode {
     let settings = match read(options) {
         Ok(settings) => settings,
         Err(code) => return code,
     };
-    log::start(&settings.log_level);
+    let level = match &settings {
+        Settings::Gateway(settings) => &settings.log_level,
+        Settings::Other(settings) => &settings.log_level,
+    };
+    log::start(level);
     let runtime = match runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(error) => {
@@ -65,7 +75,13 @@
             return ExitCode::Startup;
         }
     };
-    match runtime.block_on(serve(&settings)) {
+    let served = match &settings {
+        Settings::Gateway(settings) => {
+            runtime.block_on(gateway::serve(settings, &options.settings))
+        }
+        Settings::Other(settings) => runtime.block_on(serve(settings)),
+    };
+    match served {
         Ok(()) => ExitCode::Success,
         Err(error) => {
             eprintln!("{NAME}: {error}");
@@ -74,13 +90,17 @@
     }
 }
 
-fn read(options: &options::Options) -> Result<process::Process, ExitCode> {
+fn read(options: &options::Options) -> Result<Settings, ExitCode> {
     let file = options.settings.display().to_string();
     let text = fs::read_to_string(&options.settings).map_err(|error| {
         eprintln!("{NAME}: {file}: {error}");
         ExitCode::BadSettings
     })?;
-    process::parse(&file, &text).map_err(|errors| {
+    let parsed = match gateway_settings::is_gateway(&text) {
+        true => gateway_settings::parse(&file, &text).map(Settings::Gateway),
+        false => process::parse(&file, &text).map(Settings::Other),
+    };
+    parsed.map_err(|errors| {
         for error in errors {
             eprintln!("{NAME}: {error}");
         }
--- /dev/null
+++ b/crates/gate/src/admit.rs
@@ -0,0 +1,105 @@
+//! Filters that a call passes before it may wait for a replica.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use wire::time::Instant;
+
+use crate::{
+    call::Call,
+    catalog::{Account, Catalog, Route},
+    lease::Lease,
+    queue::Entry,
+    refusal::{Reason, Refusal},
+};
+
+/// Time that a caller waits if neither it nor the route says.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(15);
+/// Part of the objective for which a call waits for a replica.
+const HOLD_SHARE: f64 = 0.6;
+/// Earliest time to come back after a refusal.
+const MIN_RETRY: Duration = Duration::from_millis(600);
+/// Spread of the times to come back, so that callers refused together don't return together.
+const RETRY_SPREAD_MS: u64 = 1400;
+
+/// Returns a refusal that asks the caller to come back.
+pub fn come_back(reason: Reason, random: &mut fastrand::Rng) -> Refusal {
+    let spread = Duration::from_millis(random.u64(0..RETRY_SPREAD_MS));
+    Refusal { reason, retry_after: Some(MIN_RETRY + spread) }
+}
+
+/// Returns what a call may do by the configuration in force.
+///
+/// # Errors
+///
+/// Returns the refusal of a call without a route or with a key that is not in force.
+pub fn entry(
+    catalog: &Catalog,
+    lease: &Lease,
+    now: Instant,
+    call: Call,
+    random: &mut fastrand::Rng,
+) -> Result<Entry, Refusal> {
+    let deny = |reason: Reason, random: &mut fastrand::Rng| match lease.may_deny(now) {
+        true => Refusal::new(reason),
+        // A later configuration may have the route or key.
+        false => come_back(Reason::Stale, random),
+    };
+    let Some(route) = catalog.route(&call.host, &call.path) else {
+        return Err(deny(Reason::NoRoute, random));
+    };
+    let keyed = catalog.keyed && !route.public;
+    let account = match keyed {
+        true => {
+            let account = call.key.as_ref().and_then(|key| catalog.account(key));
+            let Some(account) = account else { return Err(deny(Reason::UnknownKey, random)) };
+            if !lease.is_valid(now) {
+                return Err(come_back(Reason::Stale, random));
+            }
+            Some(account)
+        }
+        false => None,
+    };
+    Ok(waiting(route, account, now, call, random))
+}
+
+fn waiting(
+    route: &Route,
+    account: Option<&Account>,
+    now: Instant,
+    call: Call,
+    random: &mut fastrand::Rng,
+) -> Entry {
+    let allowed = call.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
+    let hold = route.objective.mul_f64(HOLD_SHARE).min(allowed);
+    Entry {
+        service: pick(&route.split, random),
+        account: account.map(|account| account.name.clone()),
+        units: 0.0,
+        keyed: account.is_some(),
+        kind: route.kind,
+        repeatable: route.repeatable(),
+        max_attempts: route.max_attempts.max(1),
+        tier: account.and_then(|account| account.tier).unwrap_or(route.tier),
+        arrived: now,
+        objective: now + route.objective,
+        deadline: now + allowed,
+        give_up: now + hold,
+        attempts: 0,
+        tried: Vec::new(),
+        call,
+    }
+}
+
+/// Picks a service by weight.
+fn pick(split: &[(Bytes, u32)], random: &mut fastrand::Rng) -> Bytes {
+    let total: u32 = split.iter().map(|(_, weight)| *weight).sum();
+    let mut point = if total == 0 { 0 } else { random.u32(0..total) };
+    for (service, weight) in split {
+        if point < *weight {
+            return service.clone();
+        }
+        point -= weight;
+    }
+    split.first().map(|(service, _)| service.clone()).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/gate/src/budget.rs
@@ -0,0 +1,50 @@
+//! Budget of arrivals beyond the first of a call.
+
+use wire::time::Instant;
+
+use crate::limits::Limits;
+
+/// Part of the allowed share that one gateway uses. Calls are counted at different moments by
+/// gateways and callers, so the rest stays free.
+const USED_SHARE: f64 = 0.6;
+
+/// Budget of one service.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    level: f64,
+    refilled: Instant,
+}
+
+impl Budget {
+    /// Returns a full budget.
+    pub fn new(now: Instant, limits: &Limits, gateways: usize) -> Budget {
+        Budget { level: cap(limits, gateways), refilled: now }
+    }
+
+    /// Notes the first arrival of a call.
+    pub fn earn(&mut self, limits: &Limits, gateways: usize) {
+        let cap = cap(limits, gateways) + 1.0;
+        self.level = (self.level + limits.retry_ratio * USED_SHARE).min(cap);
+    }
+
+    /// Takes one repeat, if there is one.
+    pub fn spend(&mut self, now: Instant, limits: &Limits, gateways: usize) -> bool {
+        let cap = cap(limits, gateways);
+        let windows = now.since(self.refilled).as_secs_f64() / limits.retry_window.as_secs_f64();
+        self.refilled = now;
+        if self.level < cap {
+            self.level = (self.level + cap * windows).min(cap);
+        }
+        if self.level < 1.0 {
+            return false;
+        }
+        self.level -= 1.0;
+        true
+    }
+}
+
+/// Repeats of one gateway beyond the share of calls. A full budget and its refill may fall into
+/// one window, so each is half of the gateway's part.
+fn cap(limits: &Limits, gateways: usize) -> f64 {
+    limits.retry_slack * USED_SHARE / 2.0 / gateways.max(1) as f64
+}
--- /dev/null
+++ b/crates/gate/src/catalog.rs
@@ -0,0 +1,112 @@
+//! The published configuration: routes, services, accounts and limits.
+
+use std::{collections::HashMap, time::Duration};
+
+use bytes::Bytes;
+
+/// What may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// May run more than once.
+    Safe,
+    /// Runs once at most for each call.
+    Unsafe,
+    /// A stream of events; runs once at most unless it is resumable.
+    Stream,
+}
+
+/// Requests of one host and path prefix.
+#[derive(Clone, Debug)]
+pub struct Route {
+    pub name: Bytes,
+    /// Host as the caller names it.
+    pub host: Bytes,
+    /// Begins and ends with a slash.
+    pub prefix: Bytes,
+    pub kind: Kind,
+    /// Longest time that a call is kept waiting.
+    pub timeout: Duration,
+    /// Time within which an answer, or a stream's first event, is in time.
+    pub objective: Duration,
+    /// Urgency; 0 is the most urgent.
+    pub tier: u32,
+    /// Services with their weights; at least one.
+    pub split: Vec<(Bytes, u32)>,
+    /// Most replicas that may run one call.
+    pub max_attempts: u32,
+    /// Needs no key.
+    pub public: bool,
+    /// A broken stream may go on at another replica.
+    pub resumable: bool,
+}
+
+impl Route {
+    /// Returns whether a call may run again after it may have run.
+    pub fn repeatable(&self) -> bool {
+        match self.kind {
+            Kind::Safe => true,
+            Kind::Unsafe => false,
+            Kind::Stream => self.resumable,
+        }
+    }
+}
+
+/// Replicas that are used alike.
+#[derive(Clone, Debug, Default)]
+pub struct Service {
+    /// Most connections to one replica from all callers together.
+    pub max_connections: u32,
+    /// Whether its replicas are model engines.
+    pub engine: bool,
+}
+
+/// A client account.
+#[derive(Clone, Debug)]
+pub struct Account {
+    pub name: Bytes,
+    /// Takes precedence over the route's tier.
+    pub tier: Option<u32>,
+    /// Units a second for all gateways together; 0 means no limit.
+    pub rate: f64,
+    /// Units that may be used at once.
+    pub burst: f64,
+    /// Whether units are tokens rather than calls.
+    pub tokens: bool,
+    /// Units of a call that states no tokens.
+    pub plain_tokens: f64,
+}
+
+/// Bounds on what callers send.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    pub max_body_bytes: u64,
+}
+
+/// One published version.
+#[derive(Clone, Debug)]
+pub struct Catalog {
+    pub version: u64,
+    pub routes: Vec<Route>,
+    pub services: HashMap<Bytes, Service>,
+    pub accounts: Vec<Account>,
+    /// Whether calls to routes that are not public need a key.
+    pub keyed: bool,
+    /// Accounts by key, as indices into `accounts`.
+    pub keys: HashMap<Bytes, usize>,
+    pub limits: Limits,
+}
+
+impl Catalog {
+    /// Returns the route of the host with the longest prefix of `path`.
+    pub fn route(&self, host: &[u8], path: &[u8]) -> Option<&Route> {
+        self.routes
+            .iter()
+            .filter(|r| r.host.eq_ignore_ascii_case(host) && path.starts_with(&r.prefix))
+            .max_by_key(|r| r.prefix.len())
+    }
+
+    /// Returns the account that holds `key`.
+    pub fn account(&self, key: &[u8]) -> Option<&Account> {
+        self.keys.get(key).map(|&index| &self.accounts[index])
+    }
+}
--- /dev/null
+++ b/crates/gate/src/event.rs
@@ -0,0 +1,61 @@
+//! What the machine is told.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use wire::time::Instant;
+
+use crate::{call::Call, catalog::Catalog, roster, share};
+
+/// Number of a call within its process.
+pub type Ticket = u64;
+
+/// How a dispatched call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The answer was whole.
+    Whole,
+    /// The replica answered that it failed.
+    Failed,
+    /// The answer was cut, spoiled or not the call's own.
+    Broken,
+    /// No answer came within the patience.
+    Silent,
+}
+
+/// One event.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A call was read.
+    Arrive { ticket: Ticket, call: Call },
+    /// The caller left, or the call's time ran out.
+    Leave { ticket: Ticket },
+    /// Nothing of the call was sent, since no connection was to be had.
+    Unsent { ticket: Ticket },
+    /// The replica states that it did not run the call.
+    Rejected { ticket: Ticket, retry_after: Option<Duration> },
+    /// Another replica has the address.
+    Misdirected { ticket: Ticket },
+    /// The first event of the answer came.
+    Began { ticket: Ticket },
+    /// The dispatched call ended.
+    Ended { ticket: Ticket, end: End },
+    /// A configuration was read.
+    Catalog(Rc<Catalog>),
+    /// A replica's record was written, or removed.
+    Record { id: Bytes, record: Option<roster::Record> },
+    /// All records were read.
+    Records(Vec<(Bytes, roster::Record)>),
+    /// The state read was the published one at this time.
+    Confirmed { at: Instant },
+    /// The store did not answer.
+    StoreLost,
+    /// A peer's state came.
+    Shared(share::Message),
+    /// A probe ended.
+    Probed { replica: roster::Key, reachable: bool },
+    /// A planned stop began.
+    Stop,
+    /// A timer is due.
+    Tick,
+}
--- /dev/null
+++ b/crates/gate/src/lease.rs
@@ -0,0 +1,45 @@
+//! Freshness of what was read: how long ago the store, or a peer that read it, confirmed it.
+
+use std::time::Duration;
+
+use wire::time::Instant;
+
+/// Part of the bound on withdrawn keys for which a confirmed state may be used. The rest covers
+/// the time between the check and the replica's start of work.
+const USABLE_SHARE: f64 = 0.88;
+/// Age up to which a missing route or key counts as missing and not as not yet known.
+const DENY_AGE: Duration = Duration::from_millis(2000);
+
+/// The latest moment at which the state in force is known to have been the published one.
+#[derive(Clone, Copy, Debug)]
+pub struct Lease {
+    confirmed: Option<Instant>,
+    usable: Duration,
+}
+
+impl Lease {
+    /// Returns a lease that was never confirmed.
+    pub fn new(revoke: Duration) -> Lease {
+        Lease { confirmed: None, usable: revoke.mul_f64(USABLE_SHARE) }
+    }
+
+    /// Notes that the state in force was the published one at `at`.
+    pub fn confirm(&mut self, at: Instant) {
+        self.confirmed = self.confirmed.max(Some(at));
+    }
+
+    /// Returns the age of the confirmation.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.confirmed.map(|at| now.since(at))
+    }
+
+    /// Returns whether keys may be accepted.
+    pub fn is_valid(&self, now: Instant) -> bool {
+        self.age(now).is_some_and(|age| age < self.usable)
+    }
+
+    /// Returns whether a missing route or key may be reported as such.
+    pub fn may_deny(&self, now: Instant) -> bool {
+        self.age(now).is_some_and(|age| age < DENY_AGE)
+    }
+}
--- /dev/null
+++ b/crates/gate/src/lib.rs
@@ -0,0 +1,27 @@
+//! Decisions of a gateway: an entry that dispatches to replicas itself, where no agent stands
+//! beside them or none can be relied on.
+//!
+//! The machine holds no sockets and reads no clock. It takes `(now, event)` and appends actions.
+
+pub mod action;
+pub mod admit;
+pub mod budget;
+pub mod call;
+pub mod catalog;
+pub mod event;
+pub mod lease;
+pub mod limits;
+pub mod load;
+pub mod machine;
+pub mod peers;
+pub mod place;
+pub mod queue;
+pub mod quota;
+pub mod refusal;
+pub mod roster;
+pub mod share;
+pub mod suspects;
+
+pub use action::Action;
+pub use event::Event;
+pub use machine::Machine;
--- /dev/null
+++ b/crates/gate/src/limits.rs
@@ -0,0 +1,32 @@
+//! Bounds that a deployment sets.
+
+use std::time::Duration;
+
+/// Bounds of one gateway process.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Time after which a withdrawn key may not run anywhere.
+    pub revoke: Duration,
+    /// Time after which a leaving replica may get no new work.
+    pub drain: Duration,
+    /// Time for a planned stop.
+    pub grace: Duration,
+    /// Arrivals beyond the first of a call, as a share of calls.
+    pub retry_ratio: f64,
+    /// Arrivals beyond that share in `retry_window`, for all gateways together.
+    pub retry_slack: f64,
+    pub retry_window: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            revoke: Duration::from_secs(5),
+            drain: Duration::from_secs(2),
+            grace: Duration::from_secs(8),
+            retry_ratio: 0.2,
+            retry_slack: 54.0,
+            retry_window: Duration::from_secs(10),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/queue.rs
@@ -0,0 +1,67 @@
+//! Calls that wait for a replica, by tier and arrival.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use wire::time::Instant;
+
+use crate::{call::Call, catalog::Kind, event::Ticket, roster};
+
+/// A call with what its route and account say of it.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub call: Call,
+    pub service: Bytes,
+    pub account: Option<Bytes>,
+    /// Units taken from the account's quota.
+    pub units: f64,
+    pub keyed: bool,
+    pub kind: Kind,
+    pub repeatable: bool,
+    pub max_attempts: u32,
+    pub tier: u32,
+    pub arrived: Instant,
+    /// Time within which the first event is in time.
+    pub objective: Instant,
+    /// End of the time that the call may take.
+    pub deadline: Instant,
+    /// Time until which the call waits for a replica.
+    pub give_up: Instant,
+    /// Replicas that may have run the call.
+    pub attempts: u32,
+    /// Replicas that the call was sent to and should not be sent to again.
+    pub tried: Vec<roster::Key>,
+}
+
+/// Waiting calls of one service, the most urgent first.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    waiting: BTreeMap<(u32, Ticket), ()>,
+}
+
+impl Queue {
+    /// Adds a call.
+    pub fn push(&mut self, tier: u32, ticket: Ticket) {
+        self.waiting.insert((tier, ticket), ());
+    }
+
+    /// Removes a call.
+    pub fn remove(&mut self, tier: u32, ticket: Ticket) -> bool {
+        self.waiting.remove(&(tier, ticket)).is_some()
+    }
+
+    /// Returns the waiting calls in the order of their dispatch.
+    pub fn tickets(&self) -> impl Iterator<Item = Ticket> {
+        self.waiting.keys().map(|(_, ticket)| *ticket)
+    }
+
+    /// Returns how many calls wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns whether no call waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/gate/src/roster.rs
@@ -0,0 +1,168 @@
+//! Replicas as their records in the store describe them.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use slotmap::{SlotMap, new_key_type};
+use wire::time::Instant;
+
+use crate::{load::Load, quota, share};
+
+/// Time after the store's return within which a lapsed record of a living replica is back.
+const RETURN_GRACE: Duration = Duration::from_millis(1900);
+
+new_key_type! {
+    /// Key of a replica.
+    pub struct Key;
+}
+
+/// What a replica's record says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    pub service: Bytes,
+    pub address: SocketAddr,
+    pub zone: Bytes,
+    /// Calls that the replica processes at once.
+    pub slots: u32,
+    pub draining: bool,
+    /// Start of the process that wrote the record; a replica may start again under its
+    /// identifier.
+    pub started: Option<u64>,
+}
+
+/// A replica that may get calls.
+#[derive(Clone, Debug)]
+pub struct Replica {
+    pub id: Bytes,
+    pub hash: u64,
+    pub record: Record,
+    pub load: Load,
+    /// The record is missing after an outage of the store; the replica is dropped then.
+    lapses: Option<Instant>,
+}
+
+/// Known replicas.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    replicas: SlotMap<Key, Replica>,
+    ids: HashMap<Bytes, Key>,
+    services: HashMap<Bytes, Vec<Key>>,
+    store_lost: bool,
+}
+
+impl Roster {
+    /// Takes a record, or its removal.
+    pub fn write(&mut self, id: Bytes, record: Option<Record>) {
+        match record.filter(|record| !record.draining) {
+            Some(record) => self.put(id, record),
+            None => self.remove(&id),
+        }
+    }
+
+    /// Takes all records. After an outage of the store, replicas whose records lapsed meanwhile
+    /// get some time to write them again.
+    pub fn replace(&mut self, now: Instant, records: Vec<(Bytes, Record)>) {
+        let after_outage = std::mem::take(&mut self.store_lost);
+        let present: HashMap<Bytes, ()> = records.iter().map(|(id, _)| (id.clone(), ())).collect();
+        let missing: Vec<Bytes> =
+            self.ids.keys().filter(|id| !present.contains_key(*id)).cloned().collect();
+        for id in missing {
+            match after_outage {
+                true => self.lapse(&id, now + RETURN_GRACE),
+                false => self.remove(&id),
+            }
+        }
+        for (id, record) in records {
+            self.write(id, Some(record));
+        }
+    }
+
+    /// Notes that the store does not answer.
+    pub fn store_lost(&mut self) {
+        self.store_lost = true;
+    }
+
+    /// Drops replicas whose records did not come back in time.
+    pub fn expire(&mut self, now: Instant) {
+        let lapsed = |r: &Replica| r.lapses.is_some_and(|at| now >= at);
+        let gone: Vec<Bytes> =
+            self.replicas.values().filter(|r| lapsed(r)).map(|r| r.id.clone()).collect();
+        for id in gone {
+            self.remove(&id);
+        }
+    }
+
+    /// Returns when the next replica may have to be dropped.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.replicas.values().filter_map(|replica| replica.lapses).min()
+    }
+
+    /// Returns the replicas of a service.
+    pub fn of(&self, service: &[u8]) -> &[Key] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns a replica that is still known.
+    pub fn get(&self, key: Key) -> Option<&Replica> {
+        self.replicas.get(key)
+    }
+
+    /// Returns a replica that is still known, to change it.
+    pub fn get_mut(&mut self, key: Key) -> Option<&mut Replica> {
+        self.replicas.get_mut(key)
+    }
+
+    /// Returns all replicas.
+    pub fn iter(&self) -> impl Iterator<Item = (Key, &Replica)> {
+        self.replicas.iter()
+    }
+
+    /// Sums up what other gateways have at each replica.
+    pub fn count_others<'a>(&mut self, messages: impl Iterator<Item = &'a share::Message>) {
+        let mut sums: HashMap<u64, (u32, u32)> = HashMap::new();
+        for load in messages.flat_map(|message| &message.loads) {
+            let sum = sums.entry(load.replica).or_default();
+            sum.0 += u32::from(load.running);
+            sum.1 = sum.1.saturating_add(load.pending);
+        }
+        for replica in self.replicas.values_mut() {
+            replica.load.others = sums.get(&replica.hash).copied().unwrap_or_default();
+        }
+    }
+
+    fn put(&mut self, id: Bytes, record: Record) {
+        let known = self.ids.get(&id).and_then(|key| self.replicas.get_mut(*key));
+        if let Some(replica) = known {
+            let same = replica.record.address == record.address
+                && replica.record.service == record.service
+                && replica.record.started == record.started;
+            if same {
+                replica.record = record;
+                replica.lapses = None;
+                return;
+            }
+            self.remove(&id);
+        }
+        let hash = quota::hash(&id);
+        let service = record.service.clone();
+        let replica = Replica { id: id.clone(), hash, record, load: Load::default(), lapses: None };
+        let key = self.replicas.insert(replica);
+        self.ids.insert(id, key);
+        self.services.entry(service).or_default().push(key);
+    }
+
+    fn lapse(&mut self, id: &Bytes, at: Instant) {
+        let replica = self.ids.get(id).and_then(|key| self.replicas.get_mut(*key));
+        if let Some(replica) = replica {
+            replica.lapses.get_or_insert(at);
+        }
+    }
+
+    fn remove(&mut self, id: &Bytes) {
+        let Some(key) = self.ids.remove(id) else { return };
+        let Some(replica) = self.replicas.remove(key) else { return };
+        if let Some(keys) = self.services.get_mut(&replica.record.service) {
+            keys.retain(|other| *other != key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/share.rs
@@ -0,0 +1,34 @@
+//! State that gateways send each other: load, use of quotas and suspects.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// One gateway's state. Each message stands for itself, so a lost one costs only age.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    /// Number drawn at the process's start.
+    pub process: u64,
+    pub from: Option<SocketAddr>,
+    /// Grows with each message.
+    pub sequence: u64,
+    /// The process takes no new calls.
+    pub stopping: bool,
+    /// Work of this gateway at replicas, by the hash of their identifier.
+    pub loads: Vec<Load>,
+    /// Units admitted since the start, by the hash of the account's name.
+    pub usage: Vec<(u64, f64)>,
+    /// Crashes by fingerprint.
+    pub crashes: Vec<(u64, u32)>,
+    /// Other gateways that this one knows.
+    pub peers: Vec<SocketAddr>,
+}
+
+/// Work at one replica.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    pub replica: u64,
+    pub running: u16,
+    /// Prompt tokens of calls without a first event.
+    pub pending: u32,
+}
--- /dev/null
+++ b/crates/gate/src/suspects.rs
@@ -0,0 +1,75 @@
+//! Calls that ran at replicas that crashed.
+
+use std::{collections::HashMap, time::Duration};
+
+use wire::time::Instant;
+
+/// Crashes after which a call is refused.
+const QUARANTINE_CRASHES: u32 = 2;
+/// Time for which crashes are held against a call.
+const MEMORY: Duration = Duration::from_secs(60);
+/// Most suspects kept.
+const MAX_SUSPECTS: usize = 4096;
+/// Suspects in one message to a peer, which keeps it within one datagram.
+const MAX_SHARED: usize = 24;
+
+#[derive(Clone, Copy, Debug)]
+struct Suspect {
+    own: u32,
+    /// The largest count that one peer reported.
+    reported: u32,
+    last: Instant,
+}
+
+/// Suspects by fingerprint.
+#[derive(Clone, Debug, Default)]
+pub struct Suspects {
+    suspects: HashMap<u64, Suspect>,
+}
+
+impl Suspects {
+    /// Notes that a replica crashed while it ran the call.
+    pub fn crashed(&mut self, now: Instant, fingerprint: u64) {
+        let suspect = self.entry(now, fingerprint);
+        suspect.own += 1;
+        suspect.last = now;
+    }
+
+    /// Notes a peer's count of crashes.
+    pub fn reported(&mut self, now: Instant, fingerprint: u64, crashes: u32) {
+        let suspect = self.entry(now, fingerprint);
+        if crashes > suspect.reported {
+            suspect.reported = crashes;
+            suspect.last = now;
+        }
+    }
+
+    /// Forgets a call that completed.
+    pub fn clear(&mut self, fingerprint: u64) {
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+            suspect.own = 0;
+        }
+    }
+
+    /// Returns whether the call may not be dispatched.
+    pub fn is_quarantined(&self, now: Instant, fingerprint: u64) -> bool {
+        self.suspects.get(&fingerprint).is_some_and(|suspect| {
+            suspect.own + suspect.reported >= QUARANTINE_CRASHES && now.since(suspect.last) < MEMORY
+        })
+    }
+
+    /// Returns the own counts for peers, the latest first.
+    pub fn shared(&self, now: Instant) -> Vec<(u64, u32)> {
+        let recent = |s: &Suspect| s.own > 0 && now.since(s.last) < MEMORY;
+        let mut own: Vec<_> = self.suspects.iter().filter(|(_, s)| recent(s)).collect();
+        own.sort_by_key(|(_, suspect)| std::cmp::Reverse(suspect.last));
+        own.iter().take(MAX_SHARED).map(|(key, suspect)| (**key, suspect.own)).collect()
+    }
+
+    fn entry(&mut self, now: Instant, fingerprint: u64) -> &mut Suspect {
+        if self.suspects.len() >= MAX_SUSPECTS {
+            self.suspects.retain(|_, suspect| now.since(suspect.last) < MEMORY);
+        }
+        self.suspects.entry(fingerprint).or_insert(Suspect { own: 0, reported: 0, last: now })
+    }
+}
