--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -210,7 +210,22 @@
 
     fn refuse(&self, refused: &Refusal) -> Response<http::Body> {
         let id = String::from_utf8_lossy(&self.id).into_owned();
-        tracing::info!(event = "refused", id, reason = refused.reason.name());
+        let gate::refusal::Basis { version, gateways, heard, waiting, usable, .. } = refused.basis;
+        let age_ms = refused.basis.age.map(|age| age.as_millis() as u64);
+        let quota_left = refused.basis.quota_left.map(|left| left as i64);
+        let reason = refused.reason.name();
+        tracing::info!(
+            event = "refused",
+            id,
+            reason,
+            version,
+            age_ms,
+            gateways,
+            heard,
+            waiting,
+            usable,
+            quota_left
+        );
         refusal(refused, &self.id)
     }
 }
--- a/crates/gate/src/admit.rs
+++ b/crates/gate/src/admit.rs
@@ -25,7 +25,7 @@
 /// Returns a refusal that asks the caller to come back.
 pub fn come_back(reason: Reason, random: &mut fastrand::Rng) -> Refusal {
     let spread = Duration::from_millis(random.u64(0..RETRY_SPREAD_MS));
-    Refusal { reason, retry_after: Some(MIN_RETRY + spread) }
+    Refusal { retry_after: Some(MIN_RETRY + spread), ..Refusal::new(reason) }
 }
 
 /// Returns what a call may do by the configuration in force.
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -19,7 +19,7 @@
     place,
     queue::{Entry, Queue},
     quota::{self, Quotas},
-    refusal::{Reason, Refusal},
+    refusal::{Basis, Reason, Refusal},
     roster::{self, Roster},
     share,
     suspects::Suspects,
@@ -172,7 +172,11 @@
                 budget.or_insert_with(|| Budget::new(now, limits, gateways)).earn(limits, gateways);
                 self.wait(ticket, entry);
             }
-            Err(refusal) => actions.push(Action::Refuse { ticket, refusal }),
+            Err(mut refusal) => {
+                let left = refusal.basis.quota_left;
+                refusal.basis = Basis { quota_left: left, ..self.basis(now, &Bytes::new()) };
+                actions.push(Action::Refuse { ticket, refusal });
+            }
         }
     }
 
@@ -193,9 +197,11 @@
         {
             let scope = quota::Scope { known: self.peers.known(now), heard: self.peers.heard(now) };
             let units = quota::cost(account, &entry.call);
-            self.quotas
-                .admit(now, account, units, scope)
-                .map_err(|wait| Refusal { reason: Reason::Quota, retry_after: Some(wait) })?;
+            if let Err(wait) = self.quotas.admit(now, account, units, scope) {
+                let quota_left = self.quotas.left(&account.name);
+                let basis = Basis { quota_left, ..Basis::default() };
+                return Err(Refusal { reason: Reason::Quota, retry_after: Some(wait), basis });
+            }
             entry.units = units;
         }
         Ok(entry)
@@ -268,9 +274,16 @@
         }
     }
 
-    fn refuse(&mut self, ticket: Ticket, refusal: Refusal, actions: &mut Vec<Action>) {
+    fn refuse(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        mut refusal: Refusal,
+        actions: &mut Vec<Action>,
+    ) {
         if let Some(flight) = self.flights.remove(&ticket) {
             self.refund(&flight.entry);
+            refusal.basis = self.basis(now, &flight.entry.service);
             actions.push(Action::Refuse { ticket, refusal });
         }
     }
@@ -301,7 +314,7 @@
         }
         let mut refusal = admit::come_back(Reason::Overload, &mut self.random);
         refusal.retry_after = retry_after.or(refusal.retry_after);
-        self.refuse(ticket, refusal, actions);
+        self.refuse(now, ticket, refusal, actions);
     }
 
     fn misdirected(&mut self, now: Instant, ticket: Ticket, actions: &mut Vec<Action>) {
@@ -315,11 +328,27 @@
             true => self.requeue(ticket),
             false => {
                 let refusal = admit::come_back(Reason::NoReplica, &mut self.random);
-                self.refuse(ticket, refusal, actions);
+                self.refuse(now, ticket, refusal, actions);
             }
         }
     }
 
+    /// Returns what a refusal rests on.
+    fn basis(&self, now: Instant, service: &Bytes) -> Basis {
+        let usable = |key: &&roster::Key| {
+            self.roster.get(**key).is_some_and(|replica| replica.load.is_usable(now))
+        };
+        Basis {
+            version: self.catalog.as_ref().map_or(0, |catalog| catalog.version),
+            age: self.lease.age(now),
+            gateways: self.peers.known(now),
+            heard: self.peers.heard(now),
+            waiting: self.queues.get(service).map_or(0, Queue::len),
+            usable: self.roster.of(service).iter().filter(usable).count(),
+            quota_left: None,
+        }
+    }
+
     fn may_repeat(&mut self, now: Instant, ticket: Ticket) -> bool {
         let Some(flight) = self.flights.get(&ticket) else { return false };
         let gateways = self.peers.known(now);
@@ -386,7 +415,7 @@
             End::Silent => Reason::Timeout,
             _ => Reason::Lost,
         };
-        self.refuse(ticket, Refusal::new(reason), actions);
+        self.refuse(now, ticket, Refusal::new(reason), actions);
     }
 
     fn install(&mut self, now: Instant, catalog: Rc<Catalog>, actions: &mut Vec<Action>) {
@@ -398,7 +427,7 @@
     }
 
     /// Refuses waiting calls whose key was taken away.
-    fn recheck_keys(&mut self, _now: Instant, actions: &mut Vec<Action>) {
+    fn recheck_keys(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let Some(catalog) = self.catalog.clone() else { return };
         let withdrawn = |flight: &Flight| {
             let key = flight.entry.call.key.as_ref();
@@ -413,7 +442,7 @@
                 let entry = flight.entry.clone();
                 self.unqueue(&entry, ticket);
             }
-            self.refuse(ticket, Refusal::new(Reason::UnknownKey), actions);
+            self.refuse(now, ticket, Refusal::new(Reason::UnknownKey), actions);
         }
     }
 
@@ -522,12 +551,18 @@
         let any = self.roster.of(service).iter().any(usable);
         let reason = if any { Reason::Overload } else { Reason::NoReplica };
         for ticket in over {
-            self.refuse_waiting(ticket, reason, actions);
+            self.refuse_waiting(now, ticket, reason, actions);
         }
     }
 
     /// Refuses a waiting call. One that may have run at a replica before gets no promise.
-    fn refuse_waiting(&mut self, ticket: Ticket, reason: Reason, actions: &mut Vec<Action>) {
+    fn refuse_waiting(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        reason: Reason,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(flight) = self.flights.get(&ticket) else { return };
         let entry = flight.entry.clone();
         self.unqueue(&entry, ticket);
@@ -535,7 +570,7 @@
             0 => admit::come_back(reason, &mut self.random),
             _ => Refusal::new(Reason::Lost),
         };
-        self.refuse(ticket, refusal, actions);
+        self.refuse(now, ticket, refusal, actions);
     }
 
     /// Dispatches waiting calls while replicas have room.
@@ -545,7 +580,7 @@
         for ticket in tickets {
             let Some(flight) = self.flights.get(&ticket) else { continue };
             if flight.entry.keyed && !self.lease.is_valid(now) {
-                self.refuse_waiting(ticket, Reason::Stale, actions);
+                self.refuse_waiting(now, ticket, Reason::Stale, actions);
                 continue;
             }
             let untried = flight.entry.tried.is_empty();
--- a/crates/gate/src/quota.rs
+++ b/crates/gate/src/quota.rs
@@ -108,6 +108,11 @@
         self.reported.retain(|(from, _), _| *from != process);
     }
 
+    /// Returns the units left to an account.
+    pub fn left(&self, account: &Bytes) -> Option<f64> {
+        self.buckets.get(account).map(|bucket| bucket.level)
+    }
+
     /// Returns this process's usage for its peers.
     pub fn usage(&self) -> Vec<(u64, f64)> {
         let used = self.names.iter().filter_map(|(hash, name)| {
--- a/crates/gate/src/refusal.rs
+++ b/crates/gate/src/refusal.rs
@@ -83,16 +83,37 @@
 }
 
 /// A final answer of the gateway's own.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Refusal {
     pub reason: Reason,
     /// When the caller may come back, where the call has not run.
     pub retry_after: Option<Duration>,
+    /// What the decision rested on, for the log.
+    pub basis: Basis,
+}
+
+/// What a refusal rested on.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Basis {
+    /// Version of the configuration in force.
+    pub version: u64,
+    /// Age of its last confirmation.
+    pub age: Option<Duration>,
+    /// Gateways that may serve callers, this one included.
+    pub gateways: usize,
+    /// Those among them whose state is recent.
+    pub heard: usize,
+    /// Calls that wait for the same service.
+    pub waiting: usize,
+    /// Replicas of the service that may be used.
+    pub usable: usize,
+    /// Units left to the account at this gateway.
+    pub quota_left: Option<f64>,
 }
 
 impl Refusal {
     /// Returns a refusal without a time to come back.
     pub fn new(reason: Reason) -> Refusal {
-        Refusal { reason, retry_after: None }
+        Refusal { reason, retry_after: None, basis: Basis::default() }
     }
 }
