--- a/crates/conf/src/gateway.rs
+++ b/crates/conf/src/gateway.rs
@@ -19,6 +19,8 @@
     pub host: Bytes,
     /// `[process] availability_zone`.
     pub availability_zone: Bytes,
+    /// `[process] first_start`: the whole fleet starts for the first time.
+    pub first_start: bool,
     /// `[listen] callers`: where callers are served.
     pub callers: SocketAddr,
     /// `[listen] readiness`: where the balancer asks whether to send new connections.
@@ -43,6 +45,12 @@
     pub retry_slack: f64,
     /// `[bounds] retry_window_s`: time over which these are counted.
     pub retry_window: Duration,
+    /// `[bounds] quota_window_s`: time over which quotas of accounts are counted.
+    pub quota_window: Duration,
+    /// `[bounds] quota_overage`: share of a quota that may be exceeded.
+    pub quota_overage: f64,
+    /// `[bounds] quota_slack`: units beyond that share, of all gateways together.
+    pub quota_slack: f64,
     /// `[log] level`: error, warn, info, debug or trace.
     pub log_level: String,
 }
@@ -80,6 +88,7 @@
 struct Fields {
     host: Option<Bytes>,
     availability_zone: Option<Bytes>,
+    first_start: bool,
     callers: Option<SocketAddr>,
     readiness: Option<SocketAddr>,
     peers: Option<SocketAddr>,
@@ -97,6 +106,9 @@
     retry_ratio: f64,
     retry_slack: f64,
     retry_window: Duration,
+    quota_window: Duration,
+    quota_overage: f64,
+    quota_slack: f64,
 }
 
 impl Default for Bounds {
@@ -108,6 +120,9 @@
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window: Duration::from_secs(10),
+            quota_window: Duration::from_secs(8),
+            quota_overage: 0.0,
+            quota_slack: 0.0,
         }
     }
 }
@@ -124,6 +139,7 @@
                 reader.required("role", ROLE_ALLOWED, |text| (text == ROLE).then_some(()));
                 self.host = reader.name("host");
                 self.availability_zone = reader.name("availability_zone");
+                self.first_start = reader.flag("first_start", false);
             }
             "listen" => {
                 self.callers = reader.address("callers");
@@ -154,6 +170,7 @@
         Some(Gateway {
             host: self.host?,
             availability_zone: self.availability_zone?,
+            first_start: self.first_start,
             callers: self.callers?,
             readiness: self.readiness?,
             peers: self.peers?,
@@ -166,6 +183,9 @@
             retry_ratio: bounds.retry_ratio,
             retry_slack: bounds.retry_slack,
             retry_window: bounds.retry_window,
+            quota_window: bounds.quota_window,
+            quota_overage: bounds.quota_overage,
+            quota_slack: bounds.quota_slack,
             log_level: self.log_level.unwrap_or_else(|| "info".to_owned()),
         })
     }
@@ -177,17 +197,22 @@
         let seconds = |reader: &mut section::Reader<'_>, key, default: Duration| {
             Duration::from_secs(reader.number(key, default.as_secs(), 1..=3600, "s"))
         };
+        let ratio = |reader: &mut section::Reader<'_>, key, default| {
+            reader.optional(key, RATIO, parse_ratio).unwrap_or(default)
+        };
+        let number = |reader: &mut section::Reader<'_>, key, default: f64, unit| {
+            f64::from(reader.number(key, default as u32, 0..=u64::from(u32::MAX), unit))
+        };
         Bounds {
             revoke: reader.duration("revoke_ms", default.revoke, 500..=3_600_000),
             drain: reader.duration("drain_ms", default.drain, 100..=3_600_000),
             grace: seconds(reader, "grace_s", default.grace),
-            retry_ratio: reader
-                .optional("retry_ratio", RATIO, parse_ratio)
-                .unwrap_or(default.retry_ratio),
-            retry_slack: reader
-                .number::<u32>("retry_slack", default.retry_slack as u32, 0..=1_000_000, "arrivals")
-                .into(),
+            retry_ratio: ratio(reader, "retry_ratio", default.retry_ratio),
+            retry_slack: number(reader, "retry_slack", default.retry_slack, "arrivals"),
             retry_window: seconds(reader, "retry_window_s", default.retry_window),
+            quota_window: seconds(reader, "quota_window_s", default.quota_window),
+            quota_overage: ratio(reader, "quota_overage", default.quota_overage),
+            quota_slack: number(reader, "quota_slack", default.quota_slack, "units"),
         }
     }
 }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -1,6 +1,6 @@
 //! One call from its arrival to its answer.
 
-use std::{rc::Rc, time::Duration};
+use std::{future::Future, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use compio::time;
@@ -66,6 +66,8 @@
     Received(Box<Reception>),
     /// The machine decides how it goes on.
     Report(Event),
+    /// Nothing came, and the machine moved the call to another replica.
+    Moved(Dispatch),
     /// The call's time is over.
     Timeout,
 }
@@ -81,34 +83,65 @@
 
     /// Returns the answer once there is one.
     pub async fn run(mut self) -> Response<http::Body> {
+        let mut moved = None;
         loop {
-            let dispatch = match self.next().await {
-                Instruction::Dispatch(dispatch) => dispatch,
-                Instruction::Refuse(refused) => {
-                    return self.failure.take().unwrap_or_else(|| self.refuse(&refused));
-                }
+            let dispatch = match moved.take() {
+                Some(dispatch) => dispatch,
+                None => match self.next().await {
+                    Instruction::Dispatch(dispatch) => dispatch,
+                    Instruction::Refuse(refused) => {
+                        return self.failure.take().unwrap_or_else(|| self.refuse(&refused));
+                    }
+                },
             };
-            match self.attempt(&dispatch, None).await {
+            let attempt = match self.attempt(&dispatch, None).await {
                 Attempt::Received(reception)
                     if dispatch.stream && reception.head.status.is_success() =>
                 {
                     match streamed::first(&mut self, &dispatch, *reception).await {
                         Ok(begun) => return streamed::answer(self, dispatch, begun),
-                        Err(Attempt::Report(event)) => self.report(event),
-                        Err(_) => return self.refuse(&Refusal::new(Reason::Timeout)),
+                        Err(attempt) => attempt,
                     }
                 }
                 Attempt::Received(reception) => match self.whole(&dispatch, *reception).await {
                     Ok(response) => return response,
-                    Err(Attempt::Report(event)) => self.report(event),
-                    Err(_) => return self.refuse(&Refusal::new(Reason::Timeout)),
+                    Err(attempt) => attempt,
                 },
+                attempt => attempt,
+            };
+            match attempt {
                 Attempt::Report(event) => self.report(event),
-                Attempt::Timeout => return self.refuse(&Refusal::new(Reason::Timeout)),
+                Attempt::Moved(dispatch) => moved = Some(dispatch),
+                Attempt::Received(_) | Attempt::Timeout => {
+                    return self.refuse(&Refusal::new(Reason::Timeout));
+                }
             }
         }
     }
 
+    /// Waits for `future` up to the dispatch's deadline. If nothing comes for `patience`, the
+    /// machine may move the call to another replica.
+    pub async fn wait<T>(
+        &mut self,
+        dispatch: &Dispatch,
+        patience: Option<Duration>,
+        future: impl Future<Output = T>,
+    ) -> Result<T, Attempt> {
+        let mut future = pin!(future);
+        let remaining = dispatch.deadline.since(clock::now());
+        if let Some(patience) = patience.filter(|patience| *patience < remaining) {
+            if let Ok(output) = time::timeout(patience, future.as_mut()).await {
+                return Ok(output);
+            }
+            self.report(Event::Silent { ticket: self.ticket });
+            if let Ok(Instruction::Dispatch(dispatch)) = self.instructions.try_recv() {
+                return Err(Attempt::Moved(dispatch));
+            }
+        }
+        let remaining = dispatch.deadline.since(clock::now());
+        time::timeout(remaining, future).await.map_err(|_| Attempt::Timeout)
+    }
+
     /// Returns the machine's next instruction.
     pub async fn next(&mut self) -> Instruction {
         let next = self.instructions.next().await;
@@ -132,28 +165,22 @@
     }
 
     /// Sends the call to a replica and reads the head of its answer.
-    pub async fn attempt(&self, dispatch: &Dispatch, last_event: Option<&[u8]>) -> Attempt {
-        let remaining = dispatch.deadline.since(clock::now());
+    pub async fn attempt(&mut self, dispatch: &Dispatch, last_event: Option<&[u8]>) -> Attempt {
         let addition = message::Addition {
             replica: &dispatch.id,
             account: dispatch.account.as_ref(),
-            remaining,
+            remaining: dispatch.deadline.since(clock::now()),
             last_event,
         };
         let Some(request) = self.request(&addition) else {
             return Attempt::Report(Event::Unsent { ticket: self.ticket });
         };
         let pool = self.gateway.pool(dispatch);
-        let patience = dispatch.patience.map_or(remaining, |patience| patience.min(remaining));
-        let sent = match time::timeout(patience, pool.send(request)).await {
-            Ok(sent) => sent,
-            Err(_) if patience < remaining => return Attempt::Report(self.ended(End::Silent)),
-            Err(_) => return Attempt::Timeout,
-        };
-        match sent {
-            Ok((response, sender)) => self.classify(response, sender, pool),
-            Err(Fault::Unsent) => Attempt::Report(Event::Unsent { ticket: self.ticket }),
-            Err(Fault::Lost) => Attempt::Report(self.ended(End::Broken)),
+        match self.wait(dispatch, dispatch.patience, pool.send(request)).await {
+            Ok(Ok((response, sender))) => self.classify(response, sender, pool),
+            Ok(Err(Fault::Unsent)) => Attempt::Report(Event::Unsent { ticket: self.ticket }),
+            Ok(Err(Fault::Lost)) => Attempt::Report(self.ended(End::Broken)),
+            Err(attempt) => attempt,
         }
     }
 
@@ -190,12 +217,10 @@
         reception: Reception,
     ) -> Result<Response<http::Body>, Attempt> {
         let Reception { head, body, sender, pool } = reception;
-        let remaining = dispatch.deadline.since(clock::now());
         let read = Limited::new(body, MAX_WHOLE_BYTES).collect();
-        let bytes = match time::timeout(remaining, read).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) => return Err(Attempt::Report(self.ended(End::Broken))),
-            Err(_) => return Err(Attempt::Timeout),
+        let bytes = match self.wait(dispatch, dispatch.patience, read).await? {
+            Ok(body) => body.to_bytes(),
+            Err(_) => return Err(Attempt::Report(self.ended(End::Broken))),
         };
         pool.keep(sender, idle_time(&head.headers));
         let mut response = http::whole(head.status.as_u16(), "", bytes);
@@ -212,7 +237,7 @@
         let id = String::from_utf8_lossy(&self.id).into_owned();
         let gate::refusal::Basis { version, gateways, heard, waiting, usable, .. } = refused.basis;
         let age_ms = refused.basis.age.map(|age| age.as_millis() as u64);
-        let quota_left = refused.basis.quota_left.map(|left| left as i64);
+        let quota_used = refused.basis.quota_used.map(|used| used as i64);
         let reason = refused.reason.name();
         tracing::info!(
             event = "refused",
@@ -224,7 +249,7 @@
             heard,
             waiting,
             usable,
-            quota_left
+            quota_used
         );
         refusal(refused, &self.id)
     }
--- a/crates/daemon/src/gateway/process.rs
+++ b/crates/daemon/src/gateway/process.rs
@@ -71,7 +71,11 @@
             retry_ratio: settings.retry_ratio,
             retry_slack: settings.retry_slack,
             retry_window: settings.retry_window,
+            quota_window: settings.quota_window,
+            quota_overage: settings.quota_overage,
+            quota_slack: settings.quota_slack,
         },
+        first_start: settings.first_start,
         seed: fastrand::u64(..),
     }
 }
--- a/crates/daemon/src/gateway/streamed.rs
+++ b/crates/daemon/src/gateway/streamed.rs
@@ -3,14 +3,12 @@
 use std::{collections::VecDeque, time::Duration};
 
 use bytes::Bytes;
-use compio::time;
 use futures_util::stream;
 use gate::{action::Dispatch, event::End};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{Response, body, http::response};
 
 use crate::{
-    clock,
     connection::{Pool, Sender},
     gateway::{
         Instruction,
@@ -44,21 +42,12 @@
     Data(Bytes),
     End,
     Broken,
-    Silent,
-    Timeout,
 }
 
 impl Source {
-    async fn next(&mut self, dispatch: &Dispatch, gap: Option<Duration>) -> Next {
-        let remaining = dispatch.deadline.since(clock::now());
-        let limit = gap.map_or(remaining, |gap| gap.min(remaining));
+    async fn next(&mut self) -> Next {
         loop {
-            let frame = match time::timeout(limit, self.body.frame()).await {
-                Ok(frame) => frame,
-                Err(_) if limit < remaining => return Next::Silent,
-                Err(_) => return Next::Timeout,
-            };
-            match frame.map(|frame| frame.map(body::Frame::into_data)) {
+            match self.body.frame().await.map(|frame| frame.map(body::Frame::into_data)) {
                 Some(Ok(Ok(data))) => return Next::Data(data),
                 Some(Ok(Err(_trailers))) => {}
                 Some(Err(_)) => return Next::Broken,
@@ -89,7 +78,7 @@
     let mut events = Events::default();
     let mut ready = VecDeque::new();
     loop {
-        match source.next(dispatch, dispatch.patience).await {
+        match exchange.wait(dispatch, dispatch.patience, source.next()).await? {
             Next::Data(data) => {
                 let whole = events.push(data);
                 if !whole.is_empty() {
@@ -103,8 +92,6 @@
                 return Ok(Begun { head, source, events, ready });
             }
             Next::Broken => return Err(Attempt::Report(exchange.ended(End::Broken))),
-            Next::Silent => return Err(Attempt::Report(exchange.ended(End::Silent))),
-            Next::Timeout => return Err(Attempt::Timeout),
         }
     }
 }
@@ -147,43 +134,47 @@
             }
             let Some(mut source) = self.source.take() else { return None };
             let gap = self.dispatch.patience.map(|_| GAP_PATIENCE);
-            match source.next(&self.dispatch, gap).await {
-                Next::Data(data) => {
+            let wait = self.exchange.wait(&self.dispatch, gap, source.next());
+            match wait.await {
+                Ok(Next::Data(data)) => {
                     self.ready.push_back(self.events.push(data));
                     self.source = Some(source);
                 }
-                Next::End => {
+                Ok(Next::End) => {
                     source.finish();
                     self.exchange.report(self.exchange.ended(End::Whole));
                     self.ready.push_back(self.events.take_rest());
                 }
-                Next::Broken => {
+                Ok(Next::Broken) => {
                     drop(source);
-                    if !self.resume(End::Broken).await {
+                    self.exchange.report(self.exchange.ended(End::Broken));
+                    if !self.resume(None).await {
                         return Some(Err(http::Aborted));
                     }
                 }
-                Next::Silent => {
+                Err(Attempt::Moved(dispatch)) => {
                     drop(source);
-                    if !self.resume(End::Silent).await {
+                    if !self.resume(Some(dispatch)).await {
                         return Some(Err(http::Aborted));
                     }
                 }
-                Next::Timeout => return Some(Err(http::Aborted)),
+                Err(_) => return Some(Err(http::Aborted)),
             }
         }
     }
 
     /// Goes on after the last whole event at the replica that the machine names. Returns
     /// whether there is one.
-    async fn resume(&mut self, end: End) -> bool {
+    async fn resume(&mut self, mut moved: Option<Dispatch>) -> bool {
         // The bytes of an event that was cut come again.
         self.events.take_rest();
-        self.exchange.report(self.exchange.ended(end));
         loop {
-            let dispatch = match self.exchange.next().await {
-                Instruction::Dispatch(dispatch) => dispatch,
-                Instruction::Refuse(_) => return false,
+            let dispatch = match moved.take() {
+                Some(dispatch) => dispatch,
+                None => match self.exchange.next().await {
+                    Instruction::Dispatch(dispatch) => dispatch,
+                    Instruction::Refuse(_) => return false,
+                },
             };
             let last = self.events.last_id().cloned();
             match self.exchange.attempt(&dispatch, last.as_deref()).await {
@@ -196,6 +187,7 @@
                 }
                 Attempt::Received(_) => self.exchange.report(self.exchange.ended(End::Failed)),
                 Attempt::Report(event) => self.exchange.report(event),
+                Attempt::Moved(dispatch) => moved = Some(dispatch),
                 Attempt::Timeout => return false,
             }
         }
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -19,8 +19,6 @@
     Failed,
     /// The answer was cut, spoiled or not the call's own.
     Broken,
-    /// No answer came within the patience.
-    Silent,
 }
 
 /// One event.
@@ -38,6 +36,9 @@
     Misdirected { ticket: Ticket },
     /// The first event of the answer came.
     Began { ticket: Ticket },
+    /// Nothing came from the replica for the call's patience. The call moves to another replica
+    /// if one can take it at once; otherwise it stays.
+    Silent { ticket: Ticket },
     /// The dispatched call ended.
     Ended { ticket: Ticket, end: End },
     /// A configuration was read.
--- a/crates/gate/src/limits.rs
+++ b/crates/gate/src/limits.rs
@@ -16,6 +16,12 @@
     /// Arrivals beyond that share in `retry_window`, for all gateways together.
     pub retry_slack: f64,
     pub retry_window: Duration,
+    /// Time over which quotas are counted.
+    pub quota_window: Duration,
+    /// Share of a quota that may be exceeded.
+    pub quota_overage: f64,
+    /// Units beyond that share, of all gateways together.
+    pub quota_slack: f64,
 }
 
 impl Default for Limits {
@@ -27,6 +33,9 @@
             retry_ratio: 0.2,
             retry_slack: 54.0,
             retry_window: Duration::from_secs(10),
+            quota_window: Duration::from_secs(8),
+            quota_overage: 0.25,
+            quota_slack: 140_000.0,
         }
     }
 }
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -18,7 +18,7 @@
     peers::Peers,
     place,
     queue::{Entry, Queue},
-    quota::{self, Quotas},
+    quota::{self, Admission, Quotas},
     refusal::{Basis, Reason, Refusal},
     roster::{self, Roster},
     share,
@@ -34,6 +34,8 @@
 const PATIENCE_SHARE: f64 = 0.6;
 /// Patience for the first event of a stream that may go on elsewhere.
 const STREAM_PATIENCE: Duration = Duration::from_millis(1200);
+/// Tier of calls beyond their account's quota.
+const BEYOND_QUOTA_TIER: u32 = u32::MAX;
 /// Part of the grace time within which calls that arrive after the stop began are still served.
 const STOP_SERVE_SHARE: f64 = 0.35;
 
@@ -46,6 +48,8 @@
     pub zone: Bytes,
     pub seeds: Vec<SocketAddr>,
     pub limits: Limits,
+    /// The whole fleet starts for the first time, so nothing was admitted before.
+    pub first_start: bool,
     pub seed: u64,
 }
 
@@ -76,6 +80,7 @@
     flights: HashMap<Ticket, Flight>,
     queues: HashMap<Bytes, Queue>,
     probes: HashMap<roster::Key, Instant>,
+    started: Instant,
     stopping: Option<Instant>,
     sequence: u64,
     next_share: Instant,
@@ -89,10 +94,11 @@
             lease: Lease::new(options.limits.revoke),
             peers: Peers::new(now, options.own, &options.seeds),
             random: fastrand::Rng::with_seed(options.seed),
+            quotas: Quotas::new(now, options.first_start),
             options,
             catalog: None,
             roster: Roster::default(),
-            quotas: Quotas::default(),
+            started: now,
             budgets: HashMap::new(),
             suspects: Suspects::default(),
             flights: HashMap::new(),
@@ -140,6 +146,7 @@
             }
             Event::Misdirected { ticket } => self.misdirected(now, ticket, actions),
             Event::Began { ticket } => self.began(now, ticket),
+            Event::Silent { ticket } => self.silent(now, ticket, actions),
             Event::Ended { ticket, end } => self.ended(now, ticket, end, actions),
             Event::Catalog(catalog) => self.install(now, catalog, actions),
             Event::Record { id, record } => self.roster.write(id, record),
@@ -173,8 +180,8 @@
                 self.wait(ticket, entry);
             }
             Err(mut refusal) => {
-                let left = refusal.basis.quota_left;
-                refusal.basis = Basis { quota_left: left, ..self.basis(now, &Bytes::new()) };
+                let quota_used = refusal.basis.quota_used;
+                refusal.basis = Basis { quota_used, ..self.basis(now, &Bytes::new()) };
                 actions.push(Action::Refuse { ticket, refusal });
             }
         }
@@ -197,10 +204,14 @@
         {
             let scope = quota::Scope { known: self.peers.known(now), heard: self.peers.heard(now) };
             let units = quota::cost(account, &entry.call);
-            if let Err(wait) = self.quotas.admit(now, account, units, scope) {
-                let quota_left = self.quotas.left(&account.name);
-                let basis = Basis { quota_left, ..Basis::default() };
-                return Err(Refusal { reason: Reason::Quota, retry_after: Some(wait), basis });
+            match self.quotas.admit(now, account, units, scope, &self.options.limits) {
+                Ok(Admission::Within) => {}
+                Ok(Admission::Beyond) => entry.tier = BEYOND_QUOTA_TIER,
+                Err(wait) => {
+                    let quota_used = self.quotas.used(&account.name);
+                    let basis = Basis { quota_used, ..Basis::default() };
+                    return Err(Refusal { reason: Reason::Quota, retry_after: Some(wait), basis });
+                }
             }
             entry.units = units;
         }
@@ -217,7 +228,7 @@
         match flight.state {
             State::Waiting => {
                 self.unqueue(&flight.entry, ticket);
-                self.refund(&flight.entry);
+                self.refund(now, &flight.entry);
             }
             State::Dispatched { .. } => self.release(now, &flight),
         }
@@ -230,11 +241,11 @@
     }
 
     /// Gives back the units of a call that no replica may have run.
-    fn refund(&mut self, entry: &Entry) {
+    fn refund(&mut self, now: Instant, entry: &Entry) {
         if let Some(account) = &entry.account
             && entry.attempts == 0
         {
-            self.quotas.refund(account, entry.units);
+            self.quotas.refund(now, account, entry.units);
         }
     }
 
@@ -282,7 +293,7 @@
         actions: &mut Vec<Action>,
     ) {
         if let Some(flight) = self.flights.remove(&ticket) {
-            self.refund(&flight.entry);
+            self.refund(now, &flight.entry);
             refusal.basis = self.basis(now, &flight.entry.service);
             actions.push(Action::Refuse { ticket, refusal });
         }
@@ -345,7 +356,7 @@
             heard: self.peers.heard(now),
             waiting: self.queues.get(service).map_or(0, Queue::len),
             usable: self.roster.of(service).iter().filter(usable).count(),
-            quota_left: None,
+            quota_used: None,
         }
     }
 
@@ -373,7 +384,7 @@
     fn ended(&mut self, now: Instant, ticket: Ticket, end: End, actions: &mut Vec<Action>) {
         match end {
             End::Whole => self.completed(now, ticket),
-            End::Failed | End::Broken | End::Silent => self.failed(now, ticket, end, actions),
+            End::Failed | End::Broken => self.failed(now, ticket, end, actions),
         }
     }
 
@@ -401,27 +412,48 @@
                 self.suspects.crashed(now, fingerprint);
             }
         }
-        let Some(flight) = self.flights.get(&ticket) else { return };
-        let entry = &flight.entry;
-        let possible = entry.repeatable
-            && entry.attempts < entry.max_attempts
-            && now < entry.deadline
-            && !self.suspects.is_quarantined(now, fingerprint);
-        if possible && self.may_repeat(now, ticket) {
+        if self.may_go_on(now, ticket) && self.may_repeat(now, ticket) {
             self.requeue(ticket);
             return;
         }
-        let reason = match end {
-            End::Silent => Reason::Timeout,
-            _ => Reason::Lost,
-        };
-        self.refuse(now, ticket, Refusal::new(reason), actions);
+        self.refuse(now, ticket, Refusal::new(Reason::Lost), actions);
+    }
+
+    fn silent(&mut self, now: Instant, ticket: Ticket, actions: &mut Vec<Action>) {
+        let Some(flight) = self.flights.get(&ticket) else { return };
+        let State::Dispatched { replica, .. } = flight.state else { return };
+        let mut entry = flight.entry.clone();
+        entry.tried.push(replica);
+        let other = place::choose(&self.roster, now, &entry, &self.options.zone);
+        if other.is_none() || !self.may_go_on(now, ticket) || !self.may_repeat(now, ticket) {
+            return;
+        }
+        if let Some(key) = self.take_back(now, ticket, true)
+            && let Some(replica) = self.roster.get_mut(key)
+        {
+            replica.load.failed(now);
+        }
+        if let Some(other) = other {
+            self.dispatch(now, ticket, other, actions);
+        }
+    }
+
+    /// Returns whether a call that may have run can go on at another replica.
+    fn may_go_on(&self, now: Instant, ticket: Ticket) -> bool {
+        self.flights.get(&ticket).is_some_and(|flight| {
+            let entry = &flight.entry;
+            entry.repeatable
+                && entry.attempts < entry.max_attempts
+                && now < entry.deadline
+                && !self.suspects.is_quarantined(now, entry.call.fingerprint)
+        })
     }
 
     fn install(&mut self, now: Instant, catalog: Rc<Catalog>, actions: &mut Vec<Action>) {
         if self.catalog.as_ref().is_some_and(|old| old.version >= catalog.version) {
             return;
         }
+        self.quotas.name(catalog.accounts.iter());
         self.catalog = Some(catalog);
         self.recheck_keys(now, actions);
     }
@@ -447,16 +479,13 @@
     }
 
     fn shared(&mut self, now: Instant, message: share::Message) {
-        let usage = message.usage.clone();
-        let crashes = message.crashes.clone();
-        let process = message.process;
-        let Ok(replaced) = self.peers.hear(now, message) else { return };
+        let Ok(replaced) = self.peers.hear(now, &message) else { return };
         if let Some(replaced) = replaced {
             self.quotas.forget(replaced);
         }
-        self.quotas.reported(process, &usage);
-        for (fingerprint, count) in crashes {
-            self.suspects.reported(now, fingerprint, count);
+        self.quotas.reported(now, &message, self.options.limits.quota_window);
+        for (fingerprint, count) in &message.crashes {
+            self.suspects.reported(now, *fingerprint, *count);
         }
         self.roster.count_others(self.peers.fresh(now));
     }
@@ -512,7 +541,8 @@
         }
     }
 
-    fn message(&self, now: Instant) -> share::Message {
+    fn message(&mut self, now: Instant) -> share::Message {
+        let complete = self.quotas.is_complete(now, self.options.limits.quota_window);
         let busy = self.roster.iter().filter(|(_, r)| r.load.running > 0);
         let loads = busy.map(|(_, replica)| share::Load {
             replica: replica.hash,
@@ -525,6 +555,8 @@
             sequence: self.sequence,
             stopping: self.stopping.is_some(),
             loads: loads.collect(),
+            age: now.since(self.started),
+            complete,
             usage: self.quotas.usage(),
             crashes: self.suspects.shared(now),
             peers: self.peers.named(now),
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -65,7 +65,7 @@
     pub fn hear(
         &mut self,
         now: Instant,
-        message: share::Message,
+        message: &share::Message,
     ) -> Result<Option<u64>, Overtaken> {
         let from = message.from.ok_or(Overtaken)?;
         if Some(from) == self.own {
@@ -83,7 +83,7 @@
         }
         let replaced = (known && !same).then_some(peer.message.process);
         peer.heard = Some(now);
-        peer.message = message;
+        peer.message = message.clone();
         Ok(replaced)
     }
 
--- a/crates/gate/src/quota.rs
+++ b/crates/gate/src/quota.rs
@@ -1,16 +1,31 @@
 //! Quotas of accounts across all gateways, by usage that they tell each other.
+//!
+//! Usage is counted over a sliding window. Up to the published quota a call is admitted as it
+//! is; between that and the tolerance of the deployment it is admitted behind all other calls,
+//! so that capacity which is free serves it.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use wire::time::Instant;
 
-use crate::{call::Call, catalog::Account};
+use crate::{call::Call, catalog::Account, limits::Limits, share};
 
 /// Longest wait that a refused caller is told.
 const MAX_WAIT: Duration = Duration::from_secs(4);
 /// Shortest wait that a refused caller is told.
 const MIN_WAIT: Duration = Duration::from_millis(200);
+/// Resolution of the window.
+const SLICE: Duration = Duration::from_millis(100);
+/// Part of the tolerance that is used. The rest covers what the gateways admit before they
+/// hear of each other, and the time between admission and the replica's start of work.
+const USED_TOLERANCE: f64 = 0.55;
+/// Part of the tolerance that a process uses while it does not know what was admitted before
+/// its start.
+const USED_TOLERANCE_UNKNOWN: f64 = 0.3;
 
 /// Part of an account's quota that this gateway may use, as it hears from its peers.
 #[derive(Clone, Copy, Debug)]
@@ -28,19 +43,69 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Bucket {
-    level: f64,
-    refilled: Instant,
-    /// Units admitted by this process since its start.
-    used: f64,
+/// How a call is admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// Within the published quota.
+    Within,
+    /// Within the tolerance only.
+    Beyond,
 }
 
-/// Token buckets by account name.
+/// Usage of one account in the window.
 #[derive(Clone, Debug, Default)]
+struct Usage {
+    /// Units by the time of their slice, the oldest first.
+    slices: VecDeque<(Instant, f64)>,
+    sum: f64,
+    /// Units admitted by this process since its start.
+    own: f64,
+}
+
+impl Usage {
+    fn add(&mut self, now: Instant, units: f64) {
+        self.sum += units;
+        match self.slices.back_mut() {
+            Some((at, sum)) if now.since(*at) < SLICE => *sum += units,
+            _ => self.slices.push_back((now, units)),
+        }
+    }
+
+    fn expire(&mut self, now: Instant, window: Duration) {
+        while let Some((at, units)) = self.slices.front().copied() {
+            if now.since(at) <= window + SLICE {
+                break;
+            }
+            self.sum -= units;
+            self.slices.pop_front();
+        }
+        if self.slices.is_empty() {
+            self.sum = 0.0;
+        }
+    }
+
+    /// Returns when `excess` units will have left the window.
+    fn relief(&self, now: Instant, window: Duration, excess: f64) -> Duration {
+        let mut left = excess;
+        for (at, units) in &self.slices {
+            left -= units;
+            if left <= 0.0 {
+                return (*at + window).since(now);
+            }
+        }
+        window
+    }
+}
+
+/// Usage by account name.
+#[derive(Clone, Debug)]
 pub struct Quotas {
-    buckets: HashMap<Bytes, Bucket>,
-    /// Bucket names by the hash that peers use.
+    started: Instant,
+    /// Whether the usage of the whole window is known: this is the fleet's first start, a peer
+    /// told it, or the process is older than the window.
+    complete: bool,
+    usages: HashMap<Bytes, Usage>,
+    /// Account names by the hash that peers use.
     names: HashMap<u64, Bytes>,
     /// Usage that peers last reported, by process and account.
     reported: HashMap<(u64, u64), f64>,
@@ -58,6 +123,17 @@
 }
 
 impl Quotas {
+    /// Returns quotas without usage. `complete` says that nothing was admitted before.
+    pub fn new(now: Instant, complete: bool) -> Quotas {
+        Quotas {
+            started: now,
+            complete,
+            usages: HashMap::new(),
+            names: HashMap::new(),
+            reported: HashMap::new(),
+        }
+    }
+
     /// Takes a call's units, or returns when enough will be there.
     ///
     /// # Errors
@@ -69,38 +145,66 @@
         account: &Account,
         units: f64,
         scope: Scope,
-    ) -> Result<(), Duration> {
+        limits: &Limits,
+    ) -> Result<Admission, Duration> {
         if account.rate <= 0.0 {
-            return Ok(());
+            return Ok(Admission::Within);
         }
-        let rate = account.rate * scope.share();
-        let bucket = self.bucket(now, account, scope);
-        if bucket.level <= 0.0 {
-            let wait = Duration::from_secs_f64((units - bucket.level) / rate.max(1.0));
-            return Err(wait.clamp(MIN_WAIT, MAX_WAIT));
+        let window = limits.quota_window;
+        let share = scope.share();
+        // What was admitted before the start is taken to be the quota, spread over the window.
+        let known = match self.is_complete(now, window) {
+            true => 1.0,
+            false => now.since(self.started).as_secs_f64() / window.as_secs_f64(),
+        };
+        let used_tolerance = if known < 1.0 { USED_TOLERANCE_UNKNOWN } else { USED_TOLERANCE };
+        let full = (account.rate * window.as_secs_f64() + account.burst) * share;
+        let tolerance = (full * limits.quota_overage + limits.quota_slack * share) * used_tolerance;
+        let quota = full * known;
+        let usage = self.usage_of(&account.name);
+        usage.expire(now, window);
+        let total = usage.sum + units;
+        if total > quota + tolerance {
+            let excess = total - quota - tolerance;
+            return Err(usage.relief(now, window, excess).clamp(MIN_WAIT, MAX_WAIT));
         }
-        bucket.level -= units;
-        bucket.used += units;
-        Ok(())
+        usage.add(now, units);
+        usage.own += units;
+        Ok(if total <= quota { Admission::Within } else { Admission::Beyond })
     }
 
     /// Gives back the units of a call that has not run.
-    pub fn refund(&mut self, account: &Bytes, units: f64) {
-        if let Some(bucket) = self.buckets.get_mut(account) {
-            bucket.level += units;
-            bucket.used -= units;
+    pub fn refund(&mut self, now: Instant, account: &Bytes, units: f64) {
+        if let Some(usage) = self.usages.get_mut(account) {
+            usage.add(now, -units);
+            usage.own -= units;
         }
     }
 
+    /// Returns whether the usage of the whole window is known.
+    pub fn is_complete(&mut self, now: Instant, window: Duration) -> bool {
+        self.complete = self.complete || now.since(self.started) >= window;
+        self.complete
+    }
+
     /// Takes what a peer admitted since its last report.
-    pub fn reported(&mut self, process: u64, usage: &[(u64, f64)]) {
-        for &(account, used) in usage {
-            let last = self.reported.insert((process, account), used).unwrap_or(0.0);
-            let bucket = self.names.get(&account).and_then(|name| self.buckets.get_mut(name));
-            if let Some(bucket) = bucket {
-                bucket.level -= used - last;
+    pub fn reported(&mut self, now: Instant, peer: &share::Message, window: Duration) {
+        let adopts = !self.is_complete(now, window) && peer.complete;
+        for usage in &peer.usage {
+            let key = (peer.process, usage.account);
+            let last = self.reported.insert(key, usage.admitted);
+            let Some(name) = self.names.get(&usage.account).cloned() else { continue };
+            // The counter of a process that was not heard before includes what has left the
+            // window, unless the process is younger than that.
+            let unknown = if peer.age < window { 0.0 } else { usage.admitted };
+            let mut units = usage.admitted - last.unwrap_or(unknown);
+            let known = self.usage_of(&name);
+            if adopts {
+                units = (usage.window - known.sum).max(0.0);
             }
+            known.add(now, units);
         }
+        self.complete = self.complete || adopts;
     }
 
     /// Forgets a process that is gone.
@@ -108,36 +212,34 @@
         self.reported.retain(|(from, _), _| *from != process);
     }
 
-    /// Returns the units left to an account.
-    pub fn left(&self, account: &Bytes) -> Option<f64> {
-        self.buckets.get(account).map(|bucket| bucket.level)
+    /// Returns an account's units in the window.
+    pub fn used(&self, account: &Bytes) -> Option<f64> {
+        self.usages.get(account).map(|usage| usage.sum)
     }
 
-    /// Returns this process's usage for its peers.
-    pub fn usage(&self) -> Vec<(u64, f64)> {
+    /// Returns the usage for peers.
+    pub fn usage(&self) -> Vec<share::Usage> {
         let used = self.names.iter().filter_map(|(hash, name)| {
-            let used = self.buckets.get(name)?.used;
-            (used != 0.0).then_some((*hash, used))
+            let usage = self.usages.get(name)?;
+            let (admitted, window) = (usage.own, usage.sum);
+            (admitted != 0.0 || window > 0.0).then_some(share::Usage {
+                account: *hash,
+                admitted,
+                window,
+            })
         });
         used.collect()
     }
 
-    fn bucket(&mut self, now: Instant, account: &Account, scope: Scope) -> &mut Bucket {
-        let share = scope.share();
-        if !self.buckets.contains_key(&account.name) {
+    /// Names the accounts, so that peers' reports are understood before the first call.
+    pub fn name<'a>(&mut self, accounts: impl Iterator<Item = &'a Account>) {
+        for account in accounts {
             self.names.insert(hash(&account.name), account.name.clone());
         }
-        let full = account.burst.max(account.rate) * share;
-        let bucket = self.buckets.entry(account.name.clone()).or_insert(Bucket {
-            // A replaced process does not know what its predecessor admitted.
-            level: full / 2.0,
-            refilled: now,
-            used: 0.0,
-        });
-        let refill = now.since(bucket.refilled).as_secs_f64() * account.rate * share;
-        bucket.level = (bucket.level + refill).min(full);
-        bucket.refilled = now;
-        bucket
+    }
+
+    fn usage_of(&mut self, name: &Bytes) -> &mut Usage {
+        self.usages.entry(name.clone()).or_default()
     }
 }
 
--- a/crates/gate/src/refusal.rs
+++ b/crates/gate/src/refusal.rs
@@ -107,8 +107,8 @@
     pub waiting: usize,
     /// Replicas of the service that may be used.
     pub usable: usize,
-    /// Units left to the account at this gateway.
-    pub quota_left: Option<f64>,
+    /// Units that the account used in the window, at all gateways.
+    pub quota_used: Option<f64>,
 }
 
 impl Refusal {
--- a/crates/gate/src/share.rs
+++ b/crates/gate/src/share.rs
@@ -1,6 +1,6 @@
 //! State that gateways send each other: load, use of quotas and suspects.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -16,8 +16,11 @@
     pub stopping: bool,
     /// Work of this gateway at replicas, by the hash of their identifier.
     pub loads: Vec<Load>,
-    /// Units admitted since the start, by the hash of the account's name.
-    pub usage: Vec<(u64, f64)>,
+    /// Time since the start of the process.
+    pub age: Duration,
+    /// Whether `usage` covers the whole window of quotas.
+    pub complete: bool,
+    pub usage: Vec<Usage>,
     /// Crashes by fingerprint.
     pub crashes: Vec<(u64, u32)>,
     /// Other gateways that this one knows.
@@ -32,3 +35,14 @@
     /// Prompt tokens of calls without a first event.
     pub pending: u32,
 }
+
+/// Units that an account used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Hash of the account's name.
+    pub account: u64,
+    /// Units admitted by the sender since its start.
+    pub admitted: f64,
+    /// Units admitted by all gateways in the window, as far as the sender knows.
+    pub window: f64,
+}
