--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -164,6 +164,11 @@
         Event::Began { ticket: self.ticket }
     }
 
+    /// Returns an event that tells the pace of the answer.
+    pub fn paced(&self, events: u32, span: Duration) -> Event {
+        Event::Paced { ticket: self.ticket, events, span }
+    }
+
     /// Sends the call to a replica and reads the head of its answer.
     pub async fn attempt(&mut self, dispatch: &Dispatch, last_event: Option<&[u8]>) -> Attempt {
         let addition = message::Addition {
--- a/crates/daemon/src/gateway/streamed.rs
+++ b/crates/daemon/src/gateway/streamed.rs
@@ -8,7 +8,10 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{Response, body, http::response};
 
+use wire::time::Instant;
+
 use crate::{
+    clock,
     connection::{Pool, Sender},
     gateway::{
         Instruction,
@@ -18,6 +21,8 @@
     http,
 };
 
+/// Events between two reports of a stream's pace.
+const PACE_EVENTS: u32 = 8;
 /// Pause after which a stream that may go on elsewhere is given up at its replica.
 const GAP_PATIENCE: Duration = Duration::from_millis(900);
 
@@ -103,13 +108,27 @@
     source: Option<Source>,
     events: Events,
     ready: VecDeque<Bytes>,
+    pace: Pace,
+}
+
+/// Events since the last report.
+struct Pace {
+    events: u32,
+    since: Instant,
+}
+
+impl Pace {
+    fn new() -> Pace {
+        Pace { events: 0, since: clock::now() }
+    }
 }
 
 /// Returns the answer of a stream.
 pub fn answer(exchange: Exchange, dispatch: Dispatch, begun: Begun) -> Response<http::Body> {
     let (status, headers) = exchange::head(&begun.head);
     let Begun { source, events, ready, .. } = begun;
-    let relay = Relay { exchange, dispatch, source: Some(source), events, ready };
+    let relay =
+        Relay { exchange, dispatch, source: Some(source), events, ready, pace: Pace::new() };
     let frames = stream::unfold(relay, |mut relay| async move {
         let frame = relay.next().await?;
         Some((frame.map(body::Frame::data), relay))
@@ -139,6 +158,7 @@
                 Ok(Next::Data(data)) => {
                     self.ready.push_back(self.events.push(data));
                     self.source = Some(source);
+                    self.count();
                 }
                 Ok(Next::End) => {
                     source.finish();
@@ -163,6 +183,16 @@
         }
     }
 
+    /// Reports the pace from time to time.
+    fn count(&mut self) {
+        self.pace.events += 1;
+        if self.pace.events >= PACE_EVENTS {
+            let span = clock::now().since(self.pace.since);
+            self.exchange.report(self.exchange.paced(self.pace.events, span));
+            self.pace = Pace::new();
+        }
+    }
+
     /// Goes on after the last whole event at the replica that the machine names. Returns
     /// whether there is one.
     async fn resume(&mut self, mut moved: Option<Dispatch>) -> bool {
@@ -182,6 +212,7 @@
                     let (_, source) = source(*reception);
                     self.source = Some(source);
                     self.dispatch = dispatch;
+                    self.pace = Pace::new();
                     self.exchange.report(self.exchange.began());
                     return true;
                 }
--- a/crates/gate/src/admit.rs
+++ b/crates/gate/src/admit.rs
@@ -60,10 +60,11 @@
         }
         false => None,
     };
-    Ok(waiting(route, account, now, call, random))
+    Ok(waiting(catalog, route, account, now, call, random))
 }
 
 fn waiting(
+    catalog: &Catalog,
     route: &Route,
     account: Option<&Account>,
     now: Instant,
@@ -72,8 +73,12 @@
 ) -> Entry {
     let allowed = call.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
     let hold = route.objective.mul_f64(HOLD_SHARE).min(allowed);
+    let service = pick(&route.split, random);
+    let stride = catalog.services.get(&service).and_then(|service| service.stride);
     Entry {
-        service: pick(&route.split, random),
+        service,
+        stride: stride.unwrap_or(1),
+        max_pause: route.max_pause,
         account: account.map(|account| account.name.clone()),
         units: 0.0,
         keyed: account.is_some(),
--- a/crates/gate/src/catalog.rs
+++ b/crates/gate/src/catalog.rs
@@ -28,6 +28,8 @@
     pub timeout: Duration,
     /// Time within which an answer, or a stream's first event, is in time.
     pub objective: Duration,
+    /// Longest pause between events of a stream that is in time.
+    pub max_pause: Duration,
     /// Urgency; 0 is the most urgent.
     pub tier: u32,
     /// Services with their weights; at least one.
@@ -56,8 +58,8 @@
 pub struct Service {
     /// Most connections to one replica from all callers together.
     pub max_connections: u32,
-    /// Whether its replicas are model engines.
-    pub engine: bool,
+    /// Output tokens in one event, where the replicas are model engines.
+    pub stride: Option<u32>,
 }
 
 /// A client account.
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -39,6 +39,8 @@
     /// Nothing came from the replica for the call's patience. The call moves to another replica
     /// if one can take it at once; otherwise it stays.
     Silent { ticket: Ticket },
+    /// Events of the answer came within this time.
+    Paced { ticket: Ticket, events: u32, span: Duration },
     /// The dispatched call ended.
     Ended { ticket: Ticket, end: End },
     /// A configuration was read.
--- a/crates/gate/src/load.rs
+++ b/crates/gate/src/load.rs
@@ -4,17 +4,23 @@
 
 use wire::time::Instant;
 
-/// Time to the first event that does not depend on the prompt, before any was seen, in ms.
+use crate::share;
+
+/// Time to the first event that does not depend on the prompt, in ms.
 const FIRST_MS: f64 = 20.0;
 /// Prompt tokens read in a millisecond, before any was seen. In the order of what a current
 /// accelerator reads of a mixture-of-experts model.
 const PROMPT_TOKENS_PER_MS: f64 = 50.0;
-/// Time for one output token, before any was seen, in ms.
-const OUTPUT_TOKEN_MS: f64 = 5.0;
+/// Time between events of a stream, before any was seen, in ms.
+const EVENT_MS: f64 = 25.0;
 /// Weight of a new sample in the moving averages.
-const WEIGHT: f64 = 0.15;
+const WEIGHT: f64 = 0.25;
+/// Weight of what a peer learned since its last message.
+const PEER_WEIGHT: f64 = 0.2;
 /// Bounds of one sample's ratio to the average, so that one stall does not condemn a replica.
 const MAX_RATIO: f64 = 4.0;
+/// Smallest prompt whose first event tells the speed of reading.
+const MIN_TOKENS: u32 = 300;
 /// Failures in a row after which a replica is put aside.
 const FAILURES: u32 = 4;
 /// First time aside; each further one doubles it.
@@ -31,10 +37,7 @@
     pub pending: u32,
     /// Calls and pending tokens of other gateways.
     pub others: (u32, u32),
-    /// Milliseconds for a prompt token, learned.
-    prompt_ms: f64,
-    /// Milliseconds for an output token, learned.
-    output_ms: f64,
+    speed: share::Speed,
     failures: u32,
     asides: u32,
     aside_until: Instant,
@@ -50,8 +53,11 @@
             running: 0,
             pending: 0,
             others: (0, 0),
-            prompt_ms: 1.0 / PROMPT_TOKENS_PER_MS,
-            output_ms: OUTPUT_TOKEN_MS,
+            speed: share::Speed {
+                prompt_ms: (1.0 / PROMPT_TOKENS_PER_MS) as f32,
+                event_ms: EVENT_MS as f32,
+                samples: 0,
+            },
             failures: 0,
             asides: 0,
             aside_until: Instant::default(),
@@ -67,34 +73,58 @@
         self.running + self.others.0
     }
 
-    /// Returns the expected time to the first event of a prompt, in ms.
-    pub fn first_ms(&self, prompt_tokens: u32) -> f64 {
-        let ahead = f64::from(self.pending) + f64::from(self.others.1);
-        FIRST_MS + (ahead + f64::from(prompt_tokens)) * self.prompt_ms
+    /// Returns the prompt tokens that are still to be read.
+    pub fn backlog(&self) -> u32 {
+        self.pending.saturating_add(self.others.1)
+    }
+
+    /// Returns the learned speed.
+    pub fn speed(&self) -> share::Speed {
+        self.speed
+    }
+
+    /// Returns the expected time to the first event of a prompt behind `backlog` tokens, in ms.
+    pub fn first_ms(&self, backlog: u32, prompt_tokens: u32) -> f64 {
+        let tokens = f64::from(backlog) + f64::from(prompt_tokens);
+        FIRST_MS + tokens * f64::from(self.speed.prompt_ms)
     }
 
-    /// Returns the expected time for the output after the first event, in ms.
-    pub fn output_ms(&self, tokens: u32) -> f64 {
-        f64::from(tokens) * self.output_ms
+    /// Returns the expected time for a number of events, in ms.
+    pub fn events_ms(&self, events: f64) -> f64 {
+        events * f64::from(self.speed.event_ms)
     }
 
-    /// Learns from a first event that came `ms` after the dispatch of a prompt, with `ahead`
-    /// tokens read before it.
+    /// Returns the expected pause of the replica's streams while it reads `tokens`, in ms.
+    pub fn pause_ms(&self, tokens: u32) -> f64 {
+        f64::from(self.speed.event_ms) + f64::from(tokens) * f64::from(self.speed.prompt_ms)
+    }
+
+    /// Learns from a first event that came `ms` after the dispatch, with `tokens` read until
+    /// then.
     pub fn learn_first(&mut self, ms: f64, tokens: u32) {
-        if tokens < 200 {
-            return;
+        if tokens >= MIN_TOKENS {
+            let sample = (ms - FIRST_MS).max(0.0) / f64::from(tokens);
+            self.speed.prompt_ms = blend(self.speed.prompt_ms, sample, WEIGHT);
+            self.speed.samples = self.speed.samples.saturating_add(1);
         }
-        let sample = (ms - FIRST_MS).max(0.0) / f64::from(tokens);
-        self.prompt_ms = blend(self.prompt_ms, sample);
     }
 
-    /// Learns from an output of `tokens` that took `ms`.
-    pub fn learn_output(&mut self, ms: f64, tokens: u32) {
-        if tokens > 0 {
-            self.output_ms = blend(self.output_ms, ms / f64::from(tokens));
+    /// Learns from a number of events that took `ms`.
+    pub fn learn_events(&mut self, ms: f64, events: u32) {
+        if events > 0 {
+            let sample = ms / f64::from(events);
+            self.speed.event_ms = blend(self.speed.event_ms, sample, WEIGHT);
+            self.speed.samples = self.speed.samples.saturating_add(1);
         }
     }
 
+    /// Learns from a peer that took samples since its last message.
+    pub fn learn_from(&mut self, peer: &share::Speed) {
+        let weight = if self.speed.samples == 0 { 1.0 } else { PEER_WEIGHT };
+        self.speed.prompt_ms = blend(self.speed.prompt_ms, f64::from(peer.prompt_ms), weight);
+        self.speed.event_ms = blend(self.speed.event_ms, f64::from(peer.event_ms), weight);
+    }
+
     /// Notes an answer that was whole.
     pub fn succeeded(&mut self) {
         self.failures = 0;
@@ -125,7 +155,8 @@
     }
 }
 
-fn blend(average: f64, sample: f64) -> f64 {
+fn blend(average: f32, sample: f64, weight: f64) -> f32 {
+    let average = f64::from(average);
     let sample = sample.clamp(average / MAX_RATIO, average * MAX_RATIO);
-    average + (sample - average) * WEIGHT
+    (average + (sample - average) * weight) as f32
 }
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -1,6 +1,11 @@
 //! The gateway's state machine.
 
-use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use wire::time::Instant;
@@ -147,6 +152,10 @@
             Event::Misdirected { ticket } => self.misdirected(now, ticket, actions),
             Event::Began { ticket } => self.began(now, ticket),
             Event::Silent { ticket } => self.silent(now, ticket, actions),
+            Event::Paced { ticket, events, span } => {
+                self.paced(ticket, events, span);
+                return;
+            }
             Event::Ended { ticket, end } => self.ended(now, ticket, end, actions),
             Event::Catalog(catalog) => self.install(now, catalog, actions),
             Event::Record { id, record } => self.roster.write(id, record),
@@ -381,6 +390,14 @@
         replica.load.learn_first(waited, tokens.saturating_add(*ahead));
     }
 
+    fn paced(&mut self, ticket: Ticket, events: u32, span: Duration) {
+        let state = self.flights.get(&ticket).map(|flight| flight.state);
+        let Some(State::Dispatched { replica, .. }) = state else { return };
+        if let Some(replica) = self.roster.get_mut(replica) {
+            replica.load.learn_events(span.as_secs_f64() * 1e3, events);
+        }
+    }
+
     fn ended(&mut self, now: Instant, ticket: Ticket, end: End, actions: &mut Vec<Action>) {
         match end {
             End::Whole => self.completed(now, ticket),
@@ -392,13 +409,9 @@
         let Some(flight) = self.flights.remove(&ticket) else { return };
         self.release(now, &flight);
         self.suspects.clear(flight.entry.call.fingerprint);
-        let State::Dispatched { replica, began, .. } = flight.state else { return };
+        let State::Dispatched { replica, .. } = flight.state else { return };
         let Some(replica) = self.roster.get_mut(replica) else { return };
         replica.load.succeeded();
-        if let Some(began) = began {
-            let ms = now.since(began).as_secs_f64() * 1e3;
-            replica.load.learn_output(ms, flight.entry.call.output_tokens());
-        }
     }
 
     fn failed(&mut self, now: Instant, ticket: Ticket, end: End, actions: &mut Vec<Action>) {
@@ -424,7 +437,7 @@
         let State::Dispatched { replica, .. } = flight.state else { return };
         let mut entry = flight.entry.clone();
         entry.tried.push(replica);
-        let other = place::choose(&self.roster, now, &entry, &self.options.zone);
+        let other = self.choose(now, &entry, &HashSet::new());
         if other.is_none() || !self.may_go_on(now, ticket) || !self.may_repeat(now, ticket) {
             return;
         }
@@ -483,6 +496,7 @@
         if let Some(replaced) = replaced {
             self.quotas.forget(replaced);
         }
+        self.roster.learn_speeds(&message);
         self.quotas.reported(now, &message, self.options.limits.quota_window);
         for (fingerprint, count) in &message.crashes {
             self.suspects.reported(now, *fingerprint, *count);
@@ -548,6 +562,7 @@
             replica: replica.hash,
             running: replica.load.running.min(u32::from(u16::MAX)) as u16,
             pending: replica.load.pending,
+            speed: replica.load.speed(),
         });
         share::Message {
             process: self.options.process,
@@ -609,22 +624,38 @@
     fn pump(&mut self, now: Instant, service: &Bytes, actions: &mut Vec<Action>) {
         let Some(queue) = self.queues.get(service) else { return };
         let tickets: Vec<Ticket> = queue.tickets().collect();
+        let mut reserved = HashSet::new();
         for ticket in tickets {
+            if reserved.len() >= self.roster.of(service).len() {
+                break;
+            }
             let Some(flight) = self.flights.get(&ticket) else { continue };
-            if flight.entry.keyed && !self.lease.is_valid(now) {
+            let entry = flight.entry.clone();
+            if entry.keyed && !self.lease.is_valid(now) {
                 self.refuse_waiting(now, ticket, Reason::Stale, actions);
                 continue;
             }
-            let untried = flight.entry.tried.is_empty();
-            let zone = &self.options.zone;
-            match place::choose(&self.roster, now, &flight.entry, zone) {
+            match self.choose(now, &entry, &reserved) {
                 Some(key) => self.dispatch(now, ticket, key, actions),
-                None if untried => break,
-                None => {}
+                None => place::reserve(&self.scene(now), &entry, &mut reserved),
             }
         }
     }
 
+    fn scene(&self, now: Instant) -> place::Scene<'_> {
+        place::Scene { roster: &self.roster, now, zone: &self.options.zone }
+    }
+
+    fn choose(
+        &mut self,
+        now: Instant,
+        entry: &Entry,
+        reserved: &HashSet<roster::Key>,
+    ) -> Option<roster::Key> {
+        let scene = place::Scene { roster: &self.roster, now, zone: &self.options.zone };
+        place::choose(&scene, entry, reserved, &mut self.random)
+    }
+
     fn dispatch(
         &mut self,
         now: Instant,
@@ -635,7 +666,7 @@
         let Some(flight) = self.flights.get_mut(&ticket) else { return };
         let Some(replica) = self.roster.get_mut(key) else { return };
         let entry = &mut flight.entry;
-        let ahead = replica.load.pending.saturating_add(replica.load.others.1);
+        let ahead = replica.load.backlog();
         replica.load.running += 1;
         replica.load.pending = replica.load.pending.saturating_add(entry.call.prompt_tokens());
         entry.attempts += 1;
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -16,7 +16,7 @@
 /// Peers named in one message.
 const MAX_NAMED: usize = 32;
 /// Time between messages to one peer in a small fleet.
-const PERIOD: Duration = Duration::from_millis(250);
+const PERIOD: Duration = Duration::from_millis(100);
 /// Messages that one gateway sends a second, which bounds the cost in a large fleet.
 const MAX_RATE: f64 = 60.0;
 
--- a/crates/gate/src/place.rs
+++ b/crates/gate/src/place.rs
@@ -1,9 +1,17 @@
 //! Choice of a replica for a call.
+//!
+//! Answers the load of bursts on replicas of unlike speed: a prompt is sent only where its first
+//! event is expected in time and where reading it does not stall the streams that run there. A
+//! call for which there is no such replica waits, and less urgent ones don't take the places
+//! that it waits for.
+
+use std::collections::HashSet;
 
 use bytes::Bytes;
 use wire::time::Instant;
 
 use crate::{
+    catalog::Kind,
     queue::Entry,
     roster::{self, Replica, Roster},
 };
@@ -12,16 +20,43 @@
 const OTHER_ZONE_MS: f64 = 2.0;
 /// Cost of one call in progress at a replica of a plain service, in ms.
 const RUNNING_MS: f64 = 10.0;
+/// Part of the time left that an expected first event may take.
+const FIRST_SHARE: f64 = 0.9;
+/// Ratio to the best possible first event that is accepted for a prompt that is late anywhere.
+const LATE_RATIO: f64 = 1.5;
+/// Part of the longest pause that a replica's streams may be expected to make.
+const PAUSE_SHARE: f64 = 0.9;
+/// Most tokens that are read between two events of a stream: engines read prompts in chunks and
+/// generate a token for each running stream between two chunks.
+const MAX_PAUSE_TOKENS: u32 = 10_000;
+/// Spread of the costs, so that gateways with the same view don't all choose the same replica.
+const COST_SPREAD: f64 = 0.15;
+
+/// What a choice depends on beside the call.
+#[derive(Clone, Copy, Debug)]
+pub struct Scene<'a> {
+    pub roster: &'a Roster,
+    pub now: Instant,
+    pub zone: &'a Bytes,
+}
 
-/// Returns the replica that is expected to answer first, if one has room.
-pub fn choose(roster: &Roster, now: Instant, entry: &Entry, zone: &Bytes) -> Option<roster::Key> {
+/// Returns the replica that is expected to answer first, if one has room and is not `reserved`.
+pub fn choose(
+    scene: &Scene<'_>,
+    entry: &Entry,
+    reserved: &HashSet<roster::Key>,
+    random: &mut fastrand::Rng,
+) -> Option<roster::Key> {
+    let limits = Bound::of(scene, entry);
     let mut best = None;
-    for &key in roster.of(&entry.service) {
-        let Some(replica) = roster.get(key) else { continue };
-        if !has_room(replica, now) || entry.tried.contains(&key) {
+    for &key in scene.roster.of(&entry.service) {
+        let Some(replica) = scene.roster.get(key) else { continue };
+        let open =
+            has_room(replica, scene.now) && !entry.tried.contains(&key) && !reserved.contains(&key);
+        if !open || !limits.admits(replica, entry, replica.load.backlog()) {
             continue;
         }
-        let cost = cost(replica, entry, zone);
+        let cost = cost(replica, entry, scene.zone) * (1.0 + COST_SPREAD * random.f64());
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, key));
         }
@@ -29,6 +64,50 @@
     best.map(|(_, key)| key)
 }
 
+/// Adds the replicas that could serve a waiting call once they have less to do.
+pub fn reserve(scene: &Scene<'_>, entry: &Entry, reserved: &mut HashSet<roster::Key>) {
+    let limits = Bound::of(scene, entry);
+    for &key in scene.roster.of(&entry.service) {
+        let Some(replica) = scene.roster.get(key) else { continue };
+        if !entry.tried.contains(&key) && limits.admits(replica, entry, 0) {
+            reserved.insert(key);
+        }
+    }
+}
+
+/// Bounds on what is expected of a replica.
+struct Bound {
+    first_ms: f64,
+    pause_ms: f64,
+}
+
+impl Bound {
+    fn of(scene: &Scene<'_>, entry: &Entry) -> Bound {
+        let tokens = entry.call.prompt_tokens();
+        let usable = scene.roster.of(&entry.service).iter().filter_map(|key| {
+            let replica = scene.roster.get(*key)?;
+            replica.load.is_usable(scene.now).then(|| replica.load.first_ms(0, tokens))
+        });
+        let best = usable.fold(f64::INFINITY, f64::min);
+        let left = entry.objective.since(scene.now).as_secs_f64() * 1e3;
+        Bound {
+            first_ms: (left * FIRST_SHARE).max(best * LATE_RATIO),
+            pause_ms: entry.max_pause.as_secs_f64() * 1e3 * PAUSE_SHARE,
+        }
+    }
+
+    fn admits(&self, replica: &Replica, entry: &Entry, backlog: u32) -> bool {
+        if entry.kind != Kind::Stream || entry.call.tokens.is_none() {
+            return true;
+        }
+        let tokens = entry.call.prompt_tokens();
+        let read = backlog.saturating_add(tokens).min(MAX_PAUSE_TOKENS);
+        let alone = replica.load.total() == 0;
+        replica.load.first_ms(backlog, tokens) <= self.first_ms
+            && (alone || replica.load.pause_ms(read) <= self.pause_ms)
+    }
+}
+
 fn has_room(replica: &Replica, now: Instant) -> bool {
     replica.load.is_usable(now) && replica.load.total() < replica.record.slots
 }
@@ -38,8 +117,8 @@
     let load = &replica.load;
     match entry.call.tokens {
         Some(_) => {
-            let first = load.first_ms(entry.call.prompt_tokens());
-            away + first + load.output_ms(entry.call.output_tokens())
+            let first = load.first_ms(load.backlog(), entry.call.prompt_tokens());
+            away + first + load.events_ms(entry.expected_events())
         }
         None => away + RUNNING_MS * f64::from(load.total()),
     }
--- a/crates/gate/src/queue.rs
+++ b/crates/gate/src/queue.rs
@@ -1,6 +1,6 @@
 //! Calls that wait for a replica, by tier and arrival.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use bytes::Bytes;
 use wire::time::Instant;
@@ -23,6 +23,10 @@
     pub arrived: Instant,
     /// Time within which the first event is in time.
     pub objective: Instant,
+    /// Longest pause between events of a stream that is in time.
+    pub max_pause: Duration,
+    /// Output tokens in one event.
+    pub stride: u32,
     /// End of the time that the call may take.
     pub deadline: Instant,
     /// Time until which the call waits for a replica.
@@ -33,6 +37,13 @@
     pub tried: Vec<roster::Key>,
 }
 
+impl Entry {
+    /// Returns the expected number of events of a stream.
+    pub fn expected_events(&self) -> f64 {
+        f64::from(self.call.output_tokens()) / f64::from(self.stride.max(1))
+    }
+}
+
 /// Waiting calls of one service, the most urgent first.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
--- a/crates/gate/src/roster.rs
+++ b/crates/gate/src/roster.rs
@@ -39,6 +39,8 @@
     pub load: Load,
     /// The record is missing after an outage of the store; the replica is dropped then.
     lapses: Option<Instant>,
+    /// Samples of speed that each peer had at its last message.
+    learned: HashMap<u64, u32>,
 }
 
 /// Known replicas.
@@ -130,6 +132,18 @@
         }
     }
 
+    /// Learns the speeds for which a peer has new samples.
+    pub fn learn_speeds(&mut self, message: &share::Message) {
+        for load in &message.loads {
+            let replica = self.replicas.values_mut().find(|r| r.hash == load.replica);
+            let Some(replica) = replica else { continue };
+            let last = replica.learned.insert(message.process, load.speed.samples);
+            if load.speed.samples > last.unwrap_or(0) {
+                replica.load.learn_from(&load.speed);
+            }
+        }
+    }
+
     fn put(&mut self, id: Bytes, record: Record) {
         let known = self.ids.get(&id).and_then(|key| self.replicas.get_mut(*key));
         if let Some(replica) = known {
@@ -145,7 +159,14 @@
         }
         let hash = quota::hash(&id);
         let service = record.service.clone();
-        let replica = Replica { id: id.clone(), hash, record, load: Load::default(), lapses: None };
+        let replica = Replica {
+            id: id.clone(),
+            hash,
+            record,
+            load: Load::default(),
+            lapses: None,
+            learned: HashMap::new(),
+        };
         let key = self.replicas.insert(replica);
         self.ids.insert(id, key);
         self.services.entry(service).or_default().push(key);
--- a/crates/gate/src/share.rs
+++ b/crates/gate/src/share.rs
@@ -28,12 +28,25 @@
 }
 
 /// Work at one replica.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Load {
     pub replica: u64,
     pub running: u16,
     /// Prompt tokens of calls without a first event.
     pub pending: u32,
+    /// Speed as the sender learned it.
+    pub speed: Speed,
+}
+
+/// What a replica is learned to be capable of.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Speed {
+    /// Milliseconds for a prompt token.
+    pub prompt_ms: f32,
+    /// Milliseconds between events of a stream.
+    pub event_ms: f32,
+    /// Samples that the sender took.
+    pub samples: u32,
 }
 
 /// Units that an account used.
