--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -94,17 +94,25 @@
                     }
                 },
             };
+            let sent = clock::now();
             let attempt = match self.attempt(&dispatch, None).await {
                 Attempt::Received(reception)
                     if dispatch.stream && reception.head.status.is_success() =>
                 {
                     match streamed::first(&mut self, &dispatch, *reception).await {
-                        Ok(begun) => return streamed::answer(self, dispatch, begun),
+                        Ok(begun) => {
+                            self.log_answer(&dispatch, 200, clock::now().since(sent));
+                            return streamed::answer(self, dispatch, begun);
+                        }
                         Err(attempt) => attempt,
                     }
                 }
                 Attempt::Received(reception) => match self.whole(&dispatch, *reception).await {
-                    Ok(response) => return response,
+                    Ok(response) => {
+                        let status = response.status().as_u16();
+                        self.log_answer(&dispatch, status, clock::now().since(sent));
+                        return response;
+                    }
                     Err(attempt) => attempt,
                 },
                 attempt => attempt,
@@ -238,6 +246,25 @@
         Ok(response)
     }
 
+    /// Logs how a call went whose answer began after `first` or was whole then.
+    pub fn log_answer(&self, dispatch: &Dispatch, status: u16, first: Duration) {
+        let basis = &dispatch.basis;
+        tracing::info!(
+            event = "answered",
+            id = %String::from_utf8_lossy(&self.id),
+            replica = %String::from_utf8_lossy(&dispatch.id),
+            status,
+            tier = basis.tier,
+            attempt = basis.attempt,
+            waited_ms = basis.waited.as_millis() as u64,
+            first_ms = first.as_millis() as u64,
+            expected_ms = basis.expected.as_millis() as u64,
+            running = basis.running,
+            backlog = basis.backlog,
+            tokens = basis.tokens,
+        );
+    }
+
     fn refuse(&self, refused: &Refusal) -> Response<http::Body> {
         let id = String::from_utf8_lossy(&self.id).into_owned();
         let gate::refusal::Basis { version, gateways, heard, waiting, usable, .. } = refused.basis;
--- a/crates/gate/src/action.rs
+++ b/crates/gate/src/action.rs
@@ -34,8 +34,28 @@
     /// Time after which a replica that has not answered is given up, where the call may go on
     /// elsewhere.
     pub patience: Option<Duration>,
+    /// What the choice rested on, for the log.
+    pub basis: Basis,
     /// Whether the call's events are a stream.
     pub stream: bool,
     /// Whether the call may be repeated after it may have run.
     pub repeatable: bool,
 }
+
+/// What the choice of a replica rested on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Basis {
+    /// Time that the call waited at the gateway.
+    pub waited: Duration,
+    /// Expected time to the first event.
+    pub expected: Duration,
+    /// Calls at the replica from all gateways, this one included.
+    pub running: u32,
+    /// Prompt tokens to be read before the call's own.
+    pub backlog: u32,
+    /// Prompt tokens of the call.
+    pub tokens: u32,
+    /// Replicas that may have run the call, this one included.
+    pub attempt: u32,
+    pub tier: u32,
+}
--- a/crates/gate/src/admit.rs
+++ b/crates/gate/src/admit.rs
@@ -17,6 +17,8 @@
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(15);
 /// Part of the objective for which a call waits for a replica.
 const HOLD_SHARE: f64 = 0.6;
+/// Tiers of routes within one tier of accounts.
+const ROUTE_TIERS: u32 = 100;
 /// Earliest time to come back after a refusal.
 const MIN_RETRY: Duration = Duration::from_millis(600);
 /// Spread of the times to come back, so that callers refused together don't return together.
@@ -85,7 +87,7 @@
         kind: route.kind,
         repeatable: route.repeatable(),
         max_attempts: route.max_attempts.max(1),
-        tier: account.and_then(|account| account.tier).unwrap_or(route.tier),
+        tier: tier(account, route),
         arrived: now,
         objective: now + route.objective,
         deadline: now + allowed,
@@ -96,6 +98,12 @@
     }
 }
 
+/// Returns the rank of a call: its account's tier goes before its route's.
+fn tier(account: Option<&Account>, route: &Route) -> u32 {
+    let outer = account.and_then(|account| account.tier).unwrap_or(0);
+    outer.saturating_mul(ROUTE_TIERS).saturating_add(route.tier.min(ROUTE_TIERS - 1))
+}
+
 /// Picks a service by weight.
 fn pick(split: &[(Bytes, u32)], random: &mut fastrand::Rng) -> Bytes {
     let total: u32 = split.iter().map(|(_, weight)| *weight).sum();
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     Action, Event,
-    action::Dispatch,
+    action::{self, Dispatch},
     admit,
     budget::Budget,
     call::Call,
@@ -667,6 +667,17 @@
         let Some(replica) = self.roster.get_mut(key) else { return };
         let entry = &mut flight.entry;
         let ahead = replica.load.backlog();
+        let tokens = entry.call.prompt_tokens();
+        let expected = replica.load.first_ms(ahead, tokens).max(0.0);
+        let basis = action::Basis {
+            waited: now.since(entry.arrived),
+            expected: Duration::from_micros((expected * 1e3) as u64),
+            running: replica.load.total() + 1,
+            backlog: ahead,
+            tokens,
+            attempt: entry.attempts + 1,
+            tier: entry.tier,
+        };
         replica.load.running += 1;
         replica.load.pending = replica.load.pending.saturating_add(entry.call.prompt_tokens());
         entry.attempts += 1;
@@ -688,6 +699,7 @@
             account: entry.account.clone(),
             deadline: entry.deadline,
             patience: goes_on.then_some(patience),
+            basis,
             stream: entry.kind == Kind::Stream,
             repeatable: entry.repeatable,
         }));
