--- a/crates/gate/src/place.rs
+++ b/crates/gate/src/place.rs
@@ -22,10 +22,8 @@
 const RUNNING_MS: f64 = 10.0;
 /// Part of the time left that an expected first event may take.
 const FIRST_SHARE: f64 = 0.9;
-/// Part of the time to the deadline that the first event of a late call may take.
-const LATE_SHARE: f64 = 0.5;
-/// Cost of one call in progress at a replica that is to read a late prompt, in ms.
-const DISTURBED_MS: f64 = 400.0;
+/// Ratio to the best possible first event that is accepted for a prompt that is late anywhere.
+const LATE_RATIO: f64 = 1.5;
 /// Part of the longest pause that a replica's streams may be expected to make.
 const PAUSE_SHARE: f64 = 0.9;
 /// Most tokens that are read between two events of a stream: engines read prompts in chunks and
@@ -58,10 +56,7 @@
         if !open || !limits.admits(replica, entry, replica.load.backlog()) {
             continue;
         }
-        let cost = match limits.late {
-            true => late_cost(replica, entry),
-            false => cost(replica, entry, scene.zone) * (1.0 + COST_SPREAD * random.f64()),
-        };
+        let cost = cost(replica, entry, scene.zone) * (1.0 + COST_SPREAD * random.f64());
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, key));
         }
@@ -72,9 +67,6 @@
 /// Adds the replicas that could serve a waiting call once they have less to do.
 pub fn reserve(scene: &Scene<'_>, entry: &Entry, reserved: &mut HashSet<roster::Key>) {
     let limits = Bound::of(scene, entry);
-    if limits.late {
-        return;
-    }
     for &key in scene.roster.of(&entry.service) {
         let Some(replica) = scene.roster.get(key) else { continue };
         if !entry.tried.contains(&key) && limits.admits(replica, entry, 0) {
@@ -87,8 +79,6 @@
 struct Bound {
     first_ms: f64,
     pause_ms: f64,
-    /// The call is late wherever it goes.
-    late: bool,
 }
 
 impl Bound {
@@ -100,12 +90,9 @@
         });
         let best = usable.fold(f64::INFINITY, f64::min);
         let left = entry.objective.since(scene.now).as_secs_f64() * 1e3;
-        let late = entry.kind == Kind::Stream && best > left;
-        let deadline = entry.deadline.since(scene.now).as_secs_f64() * 1e3;
         Bound {
-            first_ms: if late { deadline * LATE_SHARE } else { left * FIRST_SHARE },
+            first_ms: (left * FIRST_SHARE).max(best * LATE_RATIO),
             pause_ms: entry.max_pause.as_secs_f64() * 1e3 * PAUSE_SHARE,
-            late,
         }
     }
 
@@ -117,7 +104,7 @@
         let read = backlog.saturating_add(tokens).min(MAX_PAUSE_TOKENS);
         let alone = replica.load.total() == 0;
         replica.load.first_ms(backlog, tokens) <= self.first_ms
-            && (alone || self.late || replica.load.pause_ms(read) <= self.pause_ms)
+            && (alone || replica.load.pause_ms(read) <= self.pause_ms)
     }
 }
 
@@ -136,10 +123,3 @@
         None => away + RUNNING_MS * f64::from(load.total()),
     }
 }
-
-/// Returns the cost of a call that is late wherever it goes: it goes where it takes the least
-/// from calls that can be in time, which is the slowest replica with the least to do.
-fn late_cost(replica: &Replica, entry: &Entry) -> f64 {
-    let disturbed = DISTURBED_MS * f64::from(replica.load.total());
-    disturbed - replica.load.first_ms(0, entry.call.prompt_tokens())
-}
