--- a/crates/gate/src/load.rs
+++ b/crates/gate/src/load.rs
@@ -37,6 +37,8 @@
     pub pending: u32,
     /// Calls and pending tokens of other gateways.
     pub others: (u32, u32),
+    /// Free places that this gateway may still take before it hears of the others again.
+    room: f64,
     speed: share::Speed,
     failures: u32,
     asides: u32,
@@ -53,6 +55,7 @@
             running: 0,
             pending: 0,
             others: (0, 0),
+            room: 0.0,
             speed: share::Speed {
                 prompt_ms: (1.0 / PROMPT_TOKENS_PER_MS) as f32,
                 event_ms: EVENT_MS as f32,
@@ -78,6 +81,44 @@
         self.pending.saturating_add(self.others.1)
     }
 
+    /// Notes what other gateways have at the replica. Where they have calls waiting too, free
+    /// places are divided: each would take all of them otherwise.
+    pub fn count_others(
+        &mut self,
+        others: (u32, u32),
+        slots: u32,
+        share: f64,
+        random: &mut fastrand::Rng,
+    ) {
+        self.others = others;
+        let free = f64::from(slots) - f64::from(self.total());
+        self.room = free;
+        if free > 0.0 && share < 1.0 {
+            let part = free * share;
+            let up = random.f64() < part.fract();
+            self.room = part.floor() + if up { 1.0 } else { 0.0 };
+        }
+    }
+
+    /// Takes a place and adds a prompt to read.
+    pub fn take(&mut self, prompt_tokens: u32) {
+        self.running += 1;
+        self.room -= 1.0;
+        self.pending = self.pending.saturating_add(prompt_tokens);
+    }
+
+    /// Gives a place back; a prompt that was not read to its end is taken off.
+    pub fn give_back(&mut self, unread_tokens: u32) {
+        self.running = self.running.saturating_sub(1);
+        self.room += 1.0;
+        self.pending = self.pending.saturating_sub(unread_tokens);
+    }
+
+    /// Returns whether this gateway may take a place.
+    pub fn has_room(&self) -> bool {
+        self.room >= 1.0
+    }
+
     /// Returns the learned speed.
     pub fn speed(&self) -> share::Speed {
         self.speed
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -158,8 +158,14 @@
             }
             Event::Ended { ticket, end } => self.ended(now, ticket, end, actions),
             Event::Catalog(catalog) => self.install(now, catalog, actions),
-            Event::Record { id, record } => self.roster.write(id, record),
-            Event::Records(records) => self.roster.replace(now, records),
+            Event::Record { id, record } => {
+                self.roster.write(id, record);
+                self.count_others(now);
+            }
+            Event::Records(records) => {
+                self.roster.replace(now, records);
+                self.count_others(now);
+            }
             Event::Confirmed { at } => self.lease.confirm(at),
             Event::StoreLost => self.roster.store_lost(),
             Event::Shared(message) => self.shared(now, message),
@@ -262,11 +268,8 @@
     fn release(&mut self, _now: Instant, flight: &Flight) {
         let State::Dispatched { replica, began, .. } = flight.state else { return };
         let Some(replica) = self.roster.get_mut(replica) else { return };
-        replica.load.running = replica.load.running.saturating_sub(1);
-        if began.is_none() {
-            let tokens = flight.entry.call.prompt_tokens();
-            replica.load.pending = replica.load.pending.saturating_sub(tokens);
-        }
+        let unread = if began.is_none() { flight.entry.call.prompt_tokens() } else { 0 };
+        replica.load.give_back(unread);
     }
 
     /// Takes a call back from its replica; `ran` says whether it may have run there.
@@ -501,7 +504,6 @@
         for (fingerprint, count) in &message.crashes {
             self.suspects.reported(now, *fingerprint, *count);
         }
-        self.roster.count_others(self.peers.fresh(now));
     }
 
     fn probed(&mut self, now: Instant, key: roster::Key, reachable: bool) {
@@ -545,7 +547,7 @@
         for process in self.peers.expire(now) {
             self.quotas.forget(process);
         }
-        self.roster.count_others(self.peers.fresh(now));
+        self.count_others(now);
         let (targets, period) = self.peers.targets();
         self.next_share = now + period;
         self.sequence += 1;
@@ -555,6 +557,18 @@
         }
     }
 
+    fn count_others(&mut self, now: Instant) {
+        let own = self.waiting();
+        let fresh: Vec<&share::Message> = self.peers.fresh(now).collect();
+        self.roster.count_others(&fresh, &own, &mut self.random);
+    }
+
+    /// Returns how many calls wait for each service.
+    fn waiting(&self) -> Vec<(u64, u32)> {
+        let busy = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
+        busy.map(|(service, queue)| (quota::hash(service), queue.len() as u32)).collect()
+    }
+
     fn message(&mut self, now: Instant) -> share::Message {
         let complete = self.quotas.is_complete(now, self.options.limits.quota_window);
         let busy = self.roster.iter().filter(|(_, r)| r.load.running > 0);
@@ -570,6 +584,7 @@
             sequence: self.sequence,
             stopping: self.stopping.is_some(),
             loads: loads.collect(),
+            waiting: self.waiting(),
             age: now.since(self.started),
             complete,
             usage: self.quotas.usage(),
@@ -678,8 +693,7 @@
             attempt: entry.attempts + 1,
             tier: entry.tier,
         };
-        replica.load.running += 1;
-        replica.load.pending = replica.load.pending.saturating_add(entry.call.prompt_tokens());
+        replica.load.take(tokens);
         entry.attempts += 1;
         flight.state = State::Dispatched { replica: key, at: now, ahead, began: None };
         if let Some(queue) = self.queues.get_mut(&entry.service) {
--- a/crates/gate/src/place.rs
+++ b/crates/gate/src/place.rs
@@ -109,7 +109,7 @@
 }
 
 fn has_room(replica: &Replica, now: Instant) -> bool {
-    replica.load.is_usable(now) && replica.load.total() < replica.record.slots
+    replica.load.is_usable(now) && replica.load.has_room()
 }
 
 fn cost(replica: &Replica, entry: &Entry, zone: &Bytes) -> f64 {
--- a/crates/gate/src/roster.rs
+++ b/crates/gate/src/roster.rs
@@ -119,16 +119,35 @@
         self.replicas.iter()
     }
 
-    /// Sums up what other gateways have at each replica.
-    pub fn count_others<'a>(&mut self, messages: impl Iterator<Item = &'a share::Message>) {
+    /// Sums up what other gateways have at each replica and how many calls wait there, beside
+    /// the `own` ones.
+    pub fn count_others(
+        &mut self,
+        messages: &[&share::Message],
+        own: &[(u64, u32)],
+        random: &mut fastrand::Rng,
+    ) {
         let mut sums: HashMap<u64, (u32, u32)> = HashMap::new();
-        for load in messages.flat_map(|message| &message.loads) {
+        for load in messages.iter().flat_map(|message| &message.loads) {
             let sum = sums.entry(load.replica).or_default();
             sum.0 += u32::from(load.running);
             sum.1 = sum.1.saturating_add(load.pending);
         }
+        let mut waiting: HashMap<u64, u32> = HashMap::new();
+        for (service, count) in messages.iter().flat_map(|message| &message.waiting) {
+            *waiting.entry(*service).or_default() += count;
+        }
         for replica in self.replicas.values_mut() {
-            replica.load.others = sums.get(&replica.hash).copied().unwrap_or_default();
+            let service = quota::hash(&replica.record.service);
+            let others = waiting.get(&service).copied().unwrap_or(0);
+            let own = own.iter().find(|(hash, _)| *hash == service).map_or(0, |(_, n)| *n);
+            // One more than what waits stands for the calls that arrive next.
+            let share = match others {
+                0 => 1.0,
+                _ => f64::from(own + 1) / f64::from(own + others + 1 + messages.len() as u32),
+            };
+            let sum = sums.get(&replica.hash).copied().unwrap_or_default();
+            replica.load.count_others(sum, replica.record.slots, share, random);
         }
     }
 
--- a/crates/gate/src/share.rs
+++ b/crates/gate/src/share.rs
@@ -16,6 +16,8 @@
     pub stopping: bool,
     /// Work of this gateway at replicas, by the hash of their identifier.
     pub loads: Vec<Load>,
+    /// Calls that wait at the sender, by the hash of the service's name.
+    pub waiting: Vec<(u64, u32)>,
     /// Time since the start of the process.
     pub age: Duration,
     /// Whether `usage` covers the whole window of quotas.
