--- a/crates/gate/src/place.rs
+++ b/crates/gate/src/place.rs
@@ -22,8 +22,11 @@
 const RUNNING_MS: f64 = 10.0;
 /// Part of the time left that an expected first event may take.
 const FIRST_SHARE: f64 = 0.9;
-/// Ratio to the best possible first event that is accepted for a prompt that is late anywhere.
-const LATE_RATIO: f64 = 1.5;
+/// Part of the objective after which a waiting call takes the next free place, in time or not.
+/// It would be refused otherwise while less urgent calls are served.
+const PATIENT_SHARE: f64 = 0.3;
+/// Ratio to the longest pause that is accepted then.
+const LATE_PAUSE_RATIO: f64 = 2.0;
 /// Part of the longest pause that a replica's streams may be expected to make.
 const PAUSE_SHARE: f64 = 0.9;
 /// Most tokens that are read between two events of a stream: engines read prompts in chunks and
@@ -83,16 +86,12 @@
 
 impl Bound {
     fn of(scene: &Scene<'_>, entry: &Entry) -> Bound {
-        let tokens = entry.call.prompt_tokens();
-        let usable = scene.roster.of(&entry.service).iter().filter_map(|key| {
-            let replica = scene.roster.get(*key)?;
-            replica.load.is_usable(scene.now).then(|| replica.load.first_ms(0, tokens))
-        });
-        let best = usable.fold(f64::INFINITY, f64::min);
+        let objective = entry.objective.since(entry.arrived);
         let left = entry.objective.since(scene.now).as_secs_f64() * 1e3;
-        Bound {
-            first_ms: (left * FIRST_SHARE).max(best * LATE_RATIO),
-            pause_ms: entry.max_pause.as_secs_f64() * 1e3 * PAUSE_SHARE,
+        let pause_ms = entry.max_pause.as_secs_f64() * 1e3 * PAUSE_SHARE;
+        match scene.now.since(entry.arrived) < objective.mul_f64(PATIENT_SHARE) {
+            true => Bound { first_ms: left * FIRST_SHARE, pause_ms },
+            false => Bound { first_ms: f64::INFINITY, pause_ms: pause_ms * LATE_PAUSE_RATIO },
         }
     }
 
