Count what plain services do by own calls, and tell load more often in less

Cause: on the grown sites calls of the first tier waited for 283 ms at the median because the backlog that other gateways had told was up to 450 ms old and long read, and calls of plain services were refused (935 of 4292) since others' finished calls still counted. Messages now carry speeds, quotas and names only from time to time and go out twice as often. Times to come back follow the time that the caller has left.

--- a/crates/gate/src/admit.rs
+++ b/crates/gate/src/admit.rs
@@ -1,6 +1,6 @@
 //! Filters that a call passes before it may wait for a replica.
 
-use std::time::Duration;
+use std::{ops, time::Duration};
 
 use bytes::Bytes;
 use wire::time::Instant;
@@ -19,15 +19,22 @@
 const HOLD_SHARE: f64 = 0.6;
 /// Tiers of routes within one tier of accounts.
 const ROUTE_TIERS: u32 = 100;
-/// Earliest time to come back after a refusal.
-const MIN_RETRY: Duration = Duration::from_millis(600);
-/// Spread of the times to come back, so that callers refused together don't return together.
-const RETRY_SPREAD_MS: u64 = 1400;
+/// Times to come back after a refusal, as parts of the time that the caller has left. Callers
+/// honour up to a third of it; a later return is more likely to find the burst over, and the
+/// spread keeps callers refused together from returning together.
+const RETRY_SHARES: ops::Range<f64> = 0.1..0.3;
+/// Time left to a caller of which nothing is known.
+const UNKNOWN_LEFT: Duration = Duration::from_secs(4);
 
-/// Returns a refusal that asks the caller to come back.
-pub fn come_back(reason: Reason, random: &mut fastrand::Rng) -> Refusal {
-    let spread = Duration::from_millis(random.u64(0..RETRY_SPREAD_MS));
-    Refusal { retry_after: Some(MIN_RETRY + spread), ..Refusal::new(reason) }
+/// Returns a refusal that asks the caller to come back while it has `left`.
+pub fn come_back(reason: Reason, left: Duration, random: &mut fastrand::Rng) -> Refusal {
+    let share = RETRY_SHARES.start + random.f64() * (RETRY_SHARES.end - RETRY_SHARES.start);
+    Refusal { retry_after: Some(left.mul_f64(share)), ..Refusal::new(reason) }
+}
+
+/// Returns the time that a caller waits.
+pub fn time_left(call: &Call) -> Duration {
+    call.deadline.unwrap_or(UNKNOWN_LEFT)
 }
 
 /// Returns what a call may do by the configuration in force.
@@ -42,10 +49,11 @@
     call: Call,
     random: &mut fastrand::Rng,
 ) -> Result<Entry, Refusal> {
+    let left = time_left(&call);
     let deny = |reason: Reason, random: &mut fastrand::Rng| match lease.may_deny(now) {
         true => Refusal::new(reason),
         // A later configuration may have the route or key.
-        false => come_back(Reason::Stale, random),
+        false => come_back(Reason::Stale, left, random),
     };
     let Some(route) = catalog.route(&call.host, &call.path) else {
         return Err(deny(Reason::NoRoute, random));
@@ -56,7 +64,7 @@
             let account = call.key.as_ref().and_then(|key| catalog.account(key));
             let Some(account) = account else { return Err(deny(Reason::UnknownKey, random)) };
             if !lease.is_valid(now) {
-                return Err(come_back(Reason::Stale, random));
+                return Err(come_back(Reason::Stale, left, random));
             }
             Some(account)
         }
--- a/crates/gate/src/load.rs
+++ b/crates/gate/src/load.rs
@@ -81,16 +81,21 @@
         self.pending.saturating_add(self.others.1)
     }
 
-    /// Notes what other gateways have at the replica. Where they have calls waiting too, free
-    /// places are divided: each would take all of them otherwise.
+    /// Notes what other gateways have at the replica, each with the age of what it says. Where
+    /// they have calls waiting too, free places are divided: each would take all of them
+    /// otherwise. Prompts are taken to be read on since the message.
     pub fn count_others(
         &mut self,
-        others: (u32, u32),
+        loads: &[(Duration, share::Load)],
         slots: u32,
         share: f64,
         random: &mut fastrand::Rng,
     ) {
-        self.others = others;
+        let running: u32 = loads.iter().map(|(_, load)| u32::from(load.running)).sum();
+        let pending: f64 = loads.iter().map(|(_, load)| f64::from(load.pending)).sum();
+        let ages: f64 = loads.iter().map(|(age, _)| age.as_secs_f64() * 1e3).sum();
+        let read = ages / loads.len().max(1) as f64 / f64::from(self.speed.prompt_ms);
+        self.others = (running, (pending - read).max(0.0) as u32);
         let free = f64::from(slots) - f64::from(self.total());
         self.room = free;
         if free > 0.0 && share < 1.0 {
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -39,6 +39,12 @@
 const PATIENCE_SHARE: f64 = 0.6;
 /// Patience for the first event of a stream that may go on elsewhere.
 const STREAM_PATIENCE: Duration = Duration::from_millis(1200);
+/// Messages from one that tells the learned speeds to the next.
+const SPEEDS_EVERY: u64 = 6;
+/// Messages from one that tells the use of quotas to the next.
+const USAGE_EVERY: u64 = 2;
+/// Messages from one that names other gateways to the next.
+const PEERS_EVERY: u64 = 8;
 /// Tier of calls beyond their account's quota.
 const BEYOND_QUOTA_TIER: u32 = u32::MAX;
 /// Part of the grace time within which calls that arrive after the stop began are still served.
@@ -203,13 +209,14 @@
     }
 
     fn admit(&mut self, now: Instant, call: Call) -> Result<Entry, Refusal> {
+        let left = admit::time_left(&call);
         let serve = self.options.limits.grace.mul_f64(STOP_SERVE_SHARE);
         if self.stopping.is_some_and(|since| now.since(since) > serve) {
-            return Err(admit::come_back(Reason::Stopping, &mut self.random));
+            return Err(admit::come_back(Reason::Stopping, left, &mut self.random));
         }
         let catalog = self.catalog.clone();
         let catalog =
-            catalog.ok_or_else(|| admit::come_back(Reason::NotReady, &mut self.random))?;
+            catalog.ok_or_else(|| admit::come_back(Reason::NotReady, left, &mut self.random))?;
         if self.suspects.is_quarantined(now, call.fingerprint) {
             return Err(Refusal::new(Reason::Poison));
         }
@@ -335,7 +342,8 @@
             self.requeue(ticket);
             return;
         }
-        let mut refusal = admit::come_back(Reason::Overload, &mut self.random);
+        let left = self.left(now, ticket);
+        let mut refusal = admit::come_back(Reason::Overload, left, &mut self.random);
         refusal.retry_after = retry_after.or(refusal.retry_after);
         self.refuse(now, ticket, refusal, actions);
     }
@@ -350,12 +358,19 @@
         match self.may_repeat(now, ticket) {
             true => self.requeue(ticket),
             false => {
-                let refusal = admit::come_back(Reason::NoReplica, &mut self.random);
+                let left = self.left(now, ticket);
+                let refusal = admit::come_back(Reason::NoReplica, left, &mut self.random);
                 self.refuse(now, ticket, refusal, actions);
             }
         }
     }
 
+    /// Returns the time left to a call.
+    fn left(&self, now: Instant, ticket: Ticket) -> Duration {
+        let flight = self.flights.get(&ticket);
+        flight.map_or(Duration::ZERO, |flight| flight.entry.deadline.since(now))
+    }
+
     /// Returns what a refusal rests on.
     fn basis(&self, now: Instant, service: &Bytes) -> Basis {
         let usable = |key: &&roster::Key| {
@@ -559,7 +574,7 @@
 
     fn count_others(&mut self, now: Instant) {
         let own = self.waiting();
-        let fresh: Vec<&share::Message> = self.peers.fresh(now).collect();
+        let fresh: Vec<_> = self.peers.fresh(now).collect();
         self.roster.count_others(&fresh, &own, &mut self.random);
     }
 
@@ -576,20 +591,23 @@
             replica: replica.hash,
             running: replica.load.running.min(u32::from(u16::MAX)) as u16,
             pending: replica.load.pending,
-            speed: replica.load.speed(),
         });
+        let learned = self.roster.iter().filter(|(_, r)| r.load.speed().samples > 0);
+        let speeds = learned.map(|(_, replica)| (replica.hash, replica.load.speed()));
+        let every = |period: u64| self.sequence.is_multiple_of(period);
         share::Message {
             process: self.options.process,
             from: self.options.own,
             sequence: self.sequence,
             stopping: self.stopping.is_some(),
             loads: loads.collect(),
+            speeds: if every(SPEEDS_EVERY) { speeds.collect() } else { Vec::new() },
             waiting: self.waiting(),
             age: now.since(self.started),
             complete,
-            usage: self.quotas.usage(),
+            usage: if every(USAGE_EVERY) { self.quotas.usage() } else { Vec::new() },
             crashes: self.suspects.shared(now),
-            peers: self.peers.named(now),
+            peers: if every(PEERS_EVERY) { self.peers.named(now) } else { Vec::new() },
         }
     }
 
@@ -629,7 +647,7 @@
         let entry = flight.entry.clone();
         self.unqueue(&entry, ticket);
         let refusal = match entry.attempts {
-            0 => admit::come_back(reason, &mut self.random),
+            0 => admit::come_back(reason, entry.deadline.since(now), &mut self.random),
             _ => Refusal::new(Reason::Lost),
         };
         self.refuse(now, ticket, refusal, actions);
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -18,7 +18,7 @@
 /// Time between messages to one peer in a small fleet.
 const PERIOD: Duration = Duration::from_millis(100);
 /// Messages that one gateway sends a second, which bounds the cost in a large fleet.
-const MAX_RATE: f64 = 60.0;
+const MAX_RATE: f64 = 120.0;
 
 #[derive(Clone, Debug)]
 struct Peer {
@@ -102,10 +102,12 @@
         gone
     }
 
-    /// Returns the state of peers that is recent.
-    pub fn fresh(&self, now: Instant) -> impl Iterator<Item = &share::Message> {
-        let fresh = move |peer: &&Peer| peer.heard.is_some_and(|at| now.since(at) < FRESH);
-        self.peers.values().filter(fresh).map(|peer| &peer.message)
+    /// Returns the state of peers that is recent, with its age.
+    pub fn fresh(&self, now: Instant) -> impl Iterator<Item = (Duration, &share::Message)> {
+        self.peers.values().filter_map(move |peer| {
+            let age = now.since(peer.heard?);
+            (age < FRESH).then_some((age, &peer.message))
+        })
     }
 
     /// Returns how many gateways may serve callers, this one included.
@@ -121,7 +123,7 @@
 
     /// Returns how many gateways' usage is known, this one included.
     pub fn heard(&self, now: Instant) -> usize {
-        1 + self.fresh(now).filter(|message| !message.stopping).count()
+        1 + self.fresh(now).filter(|(_, message)| !message.stopping).count()
     }
 
     /// Returns the addresses to send to and the time until the next message.
--- a/crates/gate/src/place.rs
+++ b/crates/gate/src/place.rs
@@ -54,8 +54,9 @@
     let mut best = None;
     for &key in scene.roster.of(&entry.service) {
         let Some(replica) = scene.roster.get(key) else { continue };
-        let open =
-            has_room(replica, scene.now) && !entry.tried.contains(&key) && !reserved.contains(&key);
+        let open = has_room(replica, entry, scene.now)
+            && !entry.tried.contains(&key)
+            && !reserved.contains(&key);
         if !open || !limits.admits(replica, entry, replica.load.backlog()) {
             continue;
         }
@@ -107,8 +108,15 @@
     }
 }
 
-fn has_room(replica: &Replica, now: Instant) -> bool {
-    replica.load.is_usable(now) && replica.load.has_room()
+/// Calls of plain services are over before gateways hear of each other's, and such a replica
+/// queues some and truthfully refuses the rest, so only this gateway's own calls count there.
+fn has_room(replica: &Replica, entry: &Entry, now: Instant) -> bool {
+    let load = &replica.load;
+    let room = match entry.call.tokens {
+        Some(_) => load.has_room(),
+        None => load.running < replica.record.slots,
+    };
+    load.is_usable(now) && room
 }
 
 fn cost(replica: &Replica, entry: &Entry, zone: &Bytes) -> f64 {
--- a/crates/gate/src/quota.rs
+++ b/crates/gate/src/quota.rs
@@ -189,7 +189,7 @@
 
     /// Takes what a peer admitted since its last report.
     pub fn reported(&mut self, now: Instant, peer: &share::Message, window: Duration) {
-        let adopts = !self.is_complete(now, window) && peer.complete;
+        let adopts = !self.is_complete(now, window) && peer.complete && !peer.usage.is_empty();
         for usage in &peer.usage {
             let key = (peer.process, usage.account);
             let last = self.reported.insert(key, usage.admitted);
--- a/crates/gate/src/roster.rs
+++ b/crates/gate/src/roster.rs
@@ -34,7 +34,8 @@
 #[derive(Clone, Debug)]
 pub struct Replica {
     pub id: Bytes,
-    pub hash: u64,
+    /// Hash by which gateways name the replica to each other.
+    pub hash: u32,
     pub record: Record,
     pub load: Load,
     /// The record is missing after an outage of the store; the replica is dropped then.
@@ -120,22 +121,22 @@
     }
 
     /// Sums up what other gateways have at each replica and how many calls wait there, beside
-    /// the `own` ones.
+    /// the `own` ones. Each message comes with its age.
     pub fn count_others(
         &mut self,
-        messages: &[&share::Message],
+        messages: &[(Duration, &share::Message)],
         own: &[(u64, u32)],
         random: &mut fastrand::Rng,
     ) {
-        let mut sums: HashMap<u64, (u32, u32)> = HashMap::new();
-        for load in messages.iter().flat_map(|message| &message.loads) {
-            let sum = sums.entry(load.replica).or_default();
-            sum.0 += u32::from(load.running);
-            sum.1 = sum.1.saturating_add(load.pending);
-        }
+        let mut sums: HashMap<u32, Vec<(Duration, share::Load)>> = HashMap::new();
         let mut waiting: HashMap<u64, u32> = HashMap::new();
-        for (service, count) in messages.iter().flat_map(|message| &message.waiting) {
-            *waiting.entry(*service).or_default() += count;
+        for (age, message) in messages {
+            for load in &message.loads {
+                sums.entry(load.replica).or_default().push((*age, *load));
+            }
+            for (service, count) in &message.waiting {
+                *waiting.entry(*service).or_default() += count;
+            }
         }
         for replica in self.replicas.values_mut() {
             let service = quota::hash(&replica.record.service);
@@ -146,19 +147,19 @@
                 0 => 1.0,
                 _ => f64::from(own + 1) / f64::from(own + others + 1 + messages.len() as u32),
             };
-            let sum = sums.get(&replica.hash).copied().unwrap_or_default();
-            replica.load.count_others(sum, replica.record.slots, share, random);
+            let loads = sums.get(&replica.hash).map_or(&[][..], Vec::as_slice);
+            replica.load.count_others(loads, replica.record.slots, share, random);
         }
     }
 
     /// Learns the speeds for which a peer has new samples.
     pub fn learn_speeds(&mut self, message: &share::Message) {
-        for load in &message.loads {
-            let replica = self.replicas.values_mut().find(|r| r.hash == load.replica);
+        for (hash, speed) in &message.speeds {
+            let replica = self.replicas.values_mut().find(|r| r.hash == *hash);
             let Some(replica) = replica else { continue };
-            let last = replica.learned.insert(message.process, load.speed.samples);
-            if load.speed.samples > last.unwrap_or(0) {
-                replica.load.learn_from(&load.speed);
+            let last = replica.learned.insert(message.process, speed.samples);
+            if speed.samples > last.unwrap_or(0) {
+                replica.load.learn_from(speed);
             }
         }
     }
@@ -176,7 +177,7 @@
             }
             self.remove(&id);
         }
-        let hash = quota::hash(&id);
+        let hash = quota::hash(&id) as u32;
         let service = record.service.clone();
         let replica = Replica {
             id: id.clone(),
--- a/crates/gate/src/share.rs
+++ b/crates/gate/src/share.rs
@@ -4,7 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-/// One gateway's state. Each message stands for itself, so a lost one costs only age.
+/// One gateway's state. Each message stands for itself, so a lost one costs only age. Load is in
+/// every message; what changes slowly is in some of them only, which keeps most of them small.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Message {
     /// Number drawn at the process's start.
@@ -14,8 +15,10 @@
     pub sequence: u64,
     /// The process takes no new calls.
     pub stopping: bool,
-    /// Work of this gateway at replicas, by the hash of their identifier.
+    /// Work of this gateway at replicas.
     pub loads: Vec<Load>,
+    /// Speeds that the sender learned, by the hash of the replica's identifier.
+    pub speeds: Vec<(u32, Speed)>,
     /// Calls that wait at the sender, by the hash of the service's name.
     pub waiting: Vec<(u64, u32)>,
     /// Time since the start of the process.
@@ -32,12 +35,11 @@
 /// Work at one replica.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Load {
-    pub replica: u64,
+    /// Hash of the replica's identifier.
+    pub replica: u32,
     pub running: u16,
     /// Prompt tokens of calls without a first event.
     pub pending: u32,
-    /// Speed as the sender learned it.
-    pub speed: Speed,
 }
 
 /// What a replica is learned to be capable of.
