--- a/crates/daemon/src/gateway/calls.rs
+++ b/crates/daemon/src/gateway/calls.rs
@@ -25,8 +25,9 @@
         request: Request<body::Incoming>,
     ) -> LocalBoxFuture<'static, Response<http::Body>> {
         Box::pin(async move {
+            let last = platform::message::is_last(request.headers());
             let mut response = self.serve(request).await;
-            if self.gateway.stopping.get() {
+            if last || self.gateway.stopping.get() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -80,10 +80,7 @@
             route("status", Kind::Safe, PLAIN, 2, 2),
             route("public", Kind::Safe, PLAIN, 2, 2),
         ],
-        services: HashMap::from([
-            (MODEL.into(), service(Some(5))),
-            (PLAIN.into(), service(None)),
-        ]),
+        services: HashMap::from([(MODEL.into(), service(Some(5))), (PLAIN.into(), service(None))]),
         accounts: vec![account],
         keyed: true,
         keys: keys.iter().map(|key| (Bytes::from((*key).to_owned()), 0)).collect(),
@@ -189,9 +186,7 @@
 
     /// Takes the refusal of a call, if there is one.
     pub fn refused(&mut self, ticket: Ticket) -> Option<Refusal> {
-        let refuses = |action: &Action| {
-            matches!(action, Action::Refuse { ticket: refused, .. } if *refused == ticket)
-        };
+        let refuses = |action: &Action| matches!(action, Action::Refuse { ticket: refused, .. } if *refused == ticket);
         let at = self.actions.iter().position(refuses)?;
         let Action::Refuse { refusal, .. } = self.actions.remove(at) else { return None };
         Some(refusal)
--- a/crates/gate/tests/quotas.rs
+++ b/crates/gate/tests/quotas.rs
@@ -130,8 +130,7 @@
 fn a_restarted_gateway_adopts_the_window_of_a_peer() {
     let mut quotas = Quotas::new(at(0.0), false);
     quotas.name([account()].iter());
-    let usage =
-        share::Usage { account: quota::hash(b"casa"), admitted: 90_000.0, window: 1_000.0 };
+    let usage = share::Usage { account: quota::hash(b"casa"), admitted: 90_000.0, window: 1_000.0 };
     let message = share::Message {
         process: 2,
         age: Duration::from_secs(100),
