--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -6,7 +6,7 @@
 quincespoked: request scheduler for model engines and plain services
 
 Usage:
-  quincespoked --settings FILE          run the role that FILE names, entry or agent
+  quincespoked --settings FILE          run the role that FILE names: entry, agent or gateway
   quincespoked check --settings FILE    check FILE and print every error
   quincespoked --help | --version
 
