--- a/crates/daemon/tests/bounds.rs
+++ b/crates/daemon/tests/bounds.rs
@@ -8,7 +8,7 @@
     net::TcpListener,
     runtime,
 };
-use daemon::{error::Kind, http::Aborted, platform, stream};
+use daemon::{error::Kind, http::Aborted, sources, stream};
 use futures_util::{StreamExt, future};
 
 /// Guards against memory that grows without bound for a reader that stands still, and against
@@ -61,7 +61,7 @@
              configuration = http://{address}\nhosts = http://{address}/hosts\n"
         );
         let process = conf::process::parse("e.ini", &text).expect("valid settings");
-        let client = platform::Client::new(&process);
+        let client = sources::Client::new(&process);
         let watch = client.read(Some(1), Duration::from_secs(60));
         let (read, sent) = future::join(watch, answer_at_length(listener)).await;
         assert_eq!(read.expect_err("the answer is too large").kind, Kind::TooLarge);
