Send a call at once that no replica could serve in time

Cause: prompts of 40,000 tokens waited 245 ms for a replica that would be in time by the estimate, though none could be even without other work, and were late by that wait (first event after 634 ms, objective 800). The same held for streams whose expected end is near their deadline, which now go to faster replicas. Callers' connections wait for the configuration at the start.

--- a/crates/daemon/src/gateway/process.rs
+++ b/crates/daemon/src/gateway/process.rs
@@ -24,6 +24,12 @@
 /// Part of the grace time within which open calls may end.
 const FINISH_SHARE: f64 = 0.55;
 
+/// Longest wait of callers' connections at the start. Callers give a connection up after a
+/// second.
+const START_WAIT: Duration = Duration::from_millis(600);
+/// Time between looks at the state at the start.
+const START_POLL: Duration = Duration::from_millis(5);
+
 /// Runs a gateway until a planned stop is complete. `file` is read again on SIGHUP.
 ///
 /// # Errors
@@ -47,7 +53,7 @@
     runtime::spawn(checks.serve(operators, handler)).detach();
     let server = Rc::new(http::Server::default());
     let handler = Rc::new(Calls { gateway: gateway.clone() });
-    runtime::spawn(server.clone().serve(callers, handler)).detach();
+    runtime::spawn(accept(gateway.clone(), server.clone(), callers, handler)).detach();
     runtime::spawn(reload(settings.clone(), file.to_owned())).detach();
     gateway.feed(Event::Tick);
     if let Err(error) = signal::unix::signal(SIGTERM).await {
@@ -57,6 +63,22 @@
     Ok(())
 }
 
+/// Serves callers once the configuration is known. Connections wait until then, since a caller
+/// that is refused comes back much later than a reading of the store takes.
+async fn accept(
+    gateway: Rc<Gateway>,
+    server: Rc<http::Server>,
+    listener: net::TcpListener,
+    calls: Rc<Calls>,
+) {
+    let started = clock::now();
+    let ready = || gateway.read(|machine| machine.is_ready(clock::now()));
+    while !ready() && clock::now().since(started) < START_WAIT {
+        time::sleep(START_POLL).await;
+    }
+    server.serve(listener, calls).await;
+}
+
 fn options(settings: &gateway::Gateway) -> Options {
     let port = settings.peers.port();
     Options {
--- a/crates/gate/src/place.rs
+++ b/crates/gate/src/place.rs
@@ -27,6 +27,9 @@
 const PATIENT_SHARE: f64 = 0.3;
 /// Ratio to the longest pause that is accepted then.
 const LATE_PAUSE_RATIO: f64 = 2.0;
+/// Part of the time to the deadline that a stream may be expected to take. Callers' estimates of
+/// the output are right at the median only, and a stream cut at its deadline is lost.
+const TOTAL_SHARE: f64 = 0.6;
 /// Part of the longest pause that a replica's streams may be expected to make.
 const PAUSE_SHARE: f64 = 0.9;
 /// Most tokens that are read between two events of a stream: engines read prompts in chunks and
@@ -83,16 +86,31 @@
 struct Bound {
     first_ms: f64,
     pause_ms: f64,
+    total_ms: f64,
 }
 
 impl Bound {
+    /// Returns the bounds for a call. They are wide for one that has waited, and for one that no
+    /// replica could serve in time even without other work, since it would wait for nothing.
     fn of(scene: &Scene<'_>, entry: &Entry) -> Bound {
         let objective = entry.objective.since(entry.arrived);
         let left = entry.objective.since(scene.now).as_secs_f64() * 1e3;
+        let deadline = entry.deadline.since(scene.now).as_secs_f64() * 1e3;
         let pause_ms = entry.max_pause.as_secs_f64() * 1e3 * PAUSE_SHARE;
-        match scene.now.since(entry.arrived) < objective.mul_f64(PATIENT_SHARE) {
-            true => Bound { first_ms: left * FIRST_SHARE, pause_ms },
-            false => Bound { first_ms: f64::INFINITY, pause_ms: pause_ms * LATE_PAUSE_RATIO },
+        let narrow =
+            Bound { first_ms: left * FIRST_SHARE, pause_ms, total_ms: deadline * TOTAL_SHARE };
+        let wide = Bound {
+            first_ms: f64::INFINITY,
+            pause_ms: pause_ms * LATE_PAUSE_RATIO,
+            total_ms: f64::INFINITY,
+        };
+        let is_patient = scene.now.since(entry.arrived) < objective.mul_f64(PATIENT_SHARE);
+        let mut usable = scene.roster.of(&entry.service).iter().filter_map(|key| {
+            scene.roster.get(*key).filter(|replica| replica.load.is_usable(scene.now))
+        });
+        match is_patient && usable.any(|replica| narrow.admits(replica, entry, 0)) {
+            true => narrow,
+            false => wide,
         }
     }
 
@@ -103,7 +121,10 @@
         let tokens = entry.call.prompt_tokens();
         let read = backlog.saturating_add(tokens).min(MAX_PAUSE_TOKENS);
         let alone = replica.load.total() == 0;
-        replica.load.first_ms(backlog, tokens) <= self.first_ms
+        let first = replica.load.first_ms(backlog, tokens);
+        let total = first + replica.load.events_ms(entry.expected_events());
+        first <= self.first_ms
+            && total <= self.total_ms
             && (alone || replica.load.pause_ms(read) <= self.pause_ms)
     }
 }
