--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -184,8 +184,6 @@
             account: dispatch.account.as_ref(),
             remaining: dispatch.deadline.since(clock::now()),
             last_event,
-            backup: dispatch.backup,
-            copy_at: dispatch.continues.then_some(dispatch.address),
         };
         let Some(request) = self.request(&addition) else {
             return Attempt::Report(Event::Unsent { ticket: self.ticket });
--- a/crates/gate/src/action.rs
+++ b/crates/gate/src/action.rs
@@ -38,10 +38,6 @@
     pub basis: Basis,
     /// Whether the call's events are a stream.
     pub stream: bool,
-    /// Replica that is to keep a copy of the run.
-    pub backup: Option<SocketAddr>,
-    /// The replica has a copy of the run, which goes on from it.
-    pub continues: bool,
     /// Whether the call may be repeated after it may have run.
     pub repeatable: bool,
 }
--- a/crates/gate/src/admit.rs
+++ b/crates/gate/src/admit.rs
@@ -84,13 +84,10 @@
     let allowed = call.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
     let hold = route.objective.mul_f64(HOLD_SHARE).min(allowed);
     let service = pick(&route.split, random);
-    let known = catalog.services.get(&service);
-    let stride = known.and_then(|service| service.stride);
-    let backups = known.is_some_and(|service| service.backups);
+    let stride = catalog.services.get(&service).and_then(|service| service.stride);
     Entry {
         service,
         stride: stride.unwrap_or(1),
-        backups,
         max_pause: route.max_pause,
         account: account.map(|account| account.name.clone()),
         units: 0.0,
--- a/crates/gate/src/catalog.rs
+++ b/crates/gate/src/catalog.rs
@@ -60,8 +60,6 @@
     pub max_connections: u32,
     /// Output tokens in one event, where the replicas are model engines.
     pub stride: Option<u32>,
-    /// Whether replicas keep copies of each other's runs.
-    pub backups: bool,
 }
 
 /// A client account.
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -45,9 +45,6 @@
 const USAGE_EVERY: u64 = 2;
 /// Messages from one that names other gateways to the next.
 const PEERS_EVERY: u64 = 8;
-/// Expected output from which a stream that can't be repeated gets a copy at another replica.
-/// Shorter ones are seldom hit by a crash, and copies cost memory and bandwidth.
-const BACKUP_TOKENS: u32 = 400;
 /// Tier of calls beyond their account's quota.
 const BEYOND_QUOTA_TIER: u32 = u32::MAX;
 /// Part of the grace time within which calls that arrive after the stop began are still served.
@@ -78,10 +75,6 @@
 struct Flight {
     entry: Entry,
     state: State,
-    /// Replica that keeps a copy of the run.
-    backup: Option<roster::Key>,
-    /// The run went on from its copy.
-    continued: bool,
 }
 
 /// The state machine.
@@ -249,10 +242,7 @@
 
     fn wait(&mut self, ticket: Ticket, entry: Entry) {
         self.queues.entry(entry.service.clone()).or_default().push(entry.tier, ticket);
-        self.flights.insert(
-            ticket,
-            Flight { entry, state: State::Waiting, backup: None, continued: false },
-        );
+        self.flights.insert(ticket, Flight { entry, state: State::Waiting });
     }
 
     fn leave(&mut self, now: Instant, ticket: Ticket, _actions: &mut Vec<Action>) {
@@ -328,23 +318,15 @@
         }
     }
 
-    fn unsent(&mut self, now: Instant, ticket: Ticket, actions: &mut Vec<Action>) {
+    fn unsent(&mut self, now: Instant, ticket: Ticket, _actions: &mut Vec<Action>) {
         let Some(key) = self.take_back(now, ticket, false) else { return };
         if let Some(replica) = self.roster.get_mut(key) {
             replica.load.unreachable = true;
             self.probes.entry(key).or_insert(now + PROBE_PERIOD);
         }
-        if self.is_continued(ticket) {
-            return self.refuse(now, ticket, Refusal::new(Reason::Lost), actions);
-        }
         self.requeue(ticket);
     }
 
-    /// Returns whether a call ran before and can only go on from a copy.
-    fn is_continued(&self, ticket: Ticket) -> bool {
-        self.flights.get(&ticket).is_some_and(|flight| flight.continued)
-    }
-
     fn rejected(
         &mut self,
         now: Instant,
@@ -353,9 +335,6 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(key) = self.take_back(now, ticket, false) else { return };
-        if self.is_continued(ticket) {
-            return self.refuse(now, ticket, Refusal::new(Reason::Lost), actions);
-        }
         if let Some(replica) = self.roster.get_mut(key) {
             replica.load.full_until = now + FULL_TIME;
         }
@@ -371,9 +350,6 @@
 
     fn misdirected(&mut self, now: Instant, ticket: Ticket, actions: &mut Vec<Action>) {
         let Some(key) = self.take_back(now, ticket, false) else { return };
-        if self.is_continued(ticket) {
-            return self.refuse(now, ticket, Refusal::new(Reason::Lost), actions);
-        }
         if let Some(replica) = self.roster.get_mut(key) {
             // The address belongs to another replica now; the record's removal is under way.
             replica.load.put_aside(now);
@@ -467,9 +443,6 @@
                 self.suspects.crashed(now, fingerprint);
             }
         }
-        if end == End::Broken && began && self.may_continue(now, ticket) {
-            return self.go_on(now, ticket, actions);
-        }
         if self.may_go_on(now, ticket) && self.may_repeat(now, ticket) {
             self.requeue(ticket);
             return;
@@ -508,25 +481,6 @@
         })
     }
 
-    /// Returns whether a broken run can go on from its copy. It counts as the same run.
-    fn may_continue(&mut self, now: Instant, ticket: Ticket) -> bool {
-        let Some(flight) = self.flights.get(&ticket) else { return false };
-        let usable = flight.backup.and_then(|key| self.roster.get(key));
-        let possible = usable.is_some_and(|replica| replica.load.is_usable(now))
-            && !flight.continued
-            && now < flight.entry.deadline
-            && self.check_key(now, &flight.entry).is_ok();
-        possible && self.may_repeat(now, ticket)
-    }
-
-    /// Lets a broken run go on at the replica with its copy.
-    fn go_on(&mut self, now: Instant, ticket: Ticket, actions: &mut Vec<Action>) {
-        let Some(flight) = self.flights.get_mut(&ticket) else { return };
-        let Some(key) = flight.backup.take() else { return };
-        flight.continued = true;
-        self.dispatch(now, ticket, key, actions);
-    }
-
     fn install(&mut self, now: Instant, catalog: Rc<Catalog>, actions: &mut Vec<Action>) {
         if self.catalog.as_ref().is_some_and(|old| old.version >= catalog.version) {
             return;
@@ -749,20 +703,8 @@
         key: roster::Key,
         actions: &mut Vec<Action>,
     ) {
-        let Some(flight) = self.flights.get(&ticket) else { return };
-        let scene = place::Scene { roster: &self.roster, now, zone: &self.options.zone };
-        let entry = &flight.entry;
-        let copied = entry.backups
-            && entry.kind == Kind::Stream
-            && !entry.repeatable
-            && !flight.continued
-            && entry.call.output_tokens() >= BACKUP_TOKENS;
-        let backup = if copied { place::backup(&scene, entry, key) } else { None };
-        let backup_address = backup.and_then(|key| Some(self.roster.get(key)?.record.address));
         let Some(flight) = self.flights.get_mut(&ticket) else { return };
         let Some(replica) = self.roster.get_mut(key) else { return };
-        flight.backup = backup;
-        let continues = flight.continued;
         let entry = &mut flight.entry;
         let ahead = replica.load.backlog();
         let tokens = entry.call.prompt_tokens();
@@ -798,8 +740,6 @@
             patience: goes_on.then_some(patience),
             basis,
             stream: entry.kind == Kind::Stream,
-            backup: backup_address,
-            continues,
             repeatable: entry.repeatable,
         }));
     }
--- a/crates/gate/src/place.rs
+++ b/crates/gate/src/place.rs
@@ -151,21 +151,3 @@
         None => away + RUNNING_MS * f64::from(load.total()),
     }
 }
-
-/// Returns the replica that is to keep a copy of a run at `key`: one that would go on with it
-/// soon and fast.
-pub fn backup(scene: &Scene<'_>, entry: &Entry, key: roster::Key) -> Option<roster::Key> {
-    let mut best = None;
-    for &other in scene.roster.of(&entry.service) {
-        let Some(replica) = scene.roster.get(other) else { continue };
-        if other == key || !replica.load.is_usable(scene.now) {
-            continue;
-        }
-        let cost = replica.load.events_ms(entry.expected_events())
-            * (1.0 + f64::from(replica.load.total()) / f64::from(replica.record.slots.max(1)));
-        if best.is_none_or(|(least, _)| cost < least) {
-            best = Some((cost, other));
-        }
-    }
-    best.map(|(_, other)| other)
-}
--- a/crates/gate/src/queue.rs
+++ b/crates/gate/src/queue.rs
@@ -27,8 +27,6 @@
     pub max_pause: Duration,
     /// Output tokens in one event.
     pub stride: u32,
-    /// Whether replicas of the service keep copies of each other's runs.
-    pub backups: bool,
     /// End of the time that the call may take.
     pub deadline: Instant,
     /// Time until which the call waits for a replica.
