Let watches of the store wait for 2 s

A watch that waited to its end proves the state up to a second before its answer, which leaves the lease of 4.4 s a margin as before; denials from knowledge of up to 3.5 s are judged by configurations that all allow the route.

--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, header};
 use platform::store::{self, Change, Reading};
+use wire::time::Instant;
 
 use crate::{
     clock,
@@ -16,11 +17,15 @@
     gateway::Gateway,
 };
 
-/// Time that a watch waits. A watch that returns confirms the state in force, so this bounds
-/// the age of what is believed; each return is a call that is paid for.
-const WATCH_WAIT: Duration = Duration::from_millis(1000);
-/// Time for an answer beyond the wait.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time that a watch waits. Each return is a call that is paid for, and a connection that has
+/// gone silent shows only when the return is overdue.
+const WATCH_WAIT: Duration = Duration::from_millis(2000);
+/// Time for which a store that drops its history may keep changes from a waiting watch.
+const WATCH_GAP: Duration = Duration::from_millis(1000);
+/// Time for a watch's answer beyond the wait.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time for the answer of a reading.
+const READ_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time to connect to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// First wait after a failure; each further one doubles it.
@@ -55,6 +60,15 @@
     }
 }
 
+/// Returns the time for which a watch's answer confirms what is known. One that waited to its
+/// end without a change was sent by the store no earlier than the wait after the call.
+fn confirmed(sent: Instant, received: Instant, unchanged: bool) -> Instant {
+    match unchanged && received.since(sent) >= WATCH_WAIT {
+        true => sent + (WATCH_WAIT - WATCH_GAP),
+        false => sent,
+    }
+}
+
 struct Reader {
     gateway: Rc<Gateway>,
     pool: Pool,
@@ -73,7 +87,7 @@
     async fn watch(&mut self, revision: u64) -> Result<(), Error> {
         let sent = clock::now();
         let path = store::watch_path(revision, WATCH_WAIT);
-        let (status, text) = self.get(&path, WATCH_WAIT + ANSWER_TIMEOUT).await?;
+        let (status, text) = self.get(&path, WATCH_WAIT + WATCH_TIMEOUT).await?;
         if store::is_compacted(status) {
             tracing::info!(event = "store_compacted", revision);
             self.revision = None;
@@ -81,10 +95,11 @@
         }
         let reading = self.accept(status, &text, store::decode_watch)?;
         self.revision = Some(reading.revision.max(revision));
+        let at = confirmed(sent, clock::now(), reading.changes.is_empty());
         for change in reading.changes {
             self.apply(change);
         }
-        self.gateway.feed(Event::Confirmed { at: sent });
+        self.gateway.feed(Event::Confirmed { at });
         Ok(())
     }
 
@@ -96,7 +111,7 @@
         let mut first = None;
         let mut path = Some(store::read_path());
         while let Some(next) = path {
-            let (status, text) = self.get(&next, ANSWER_TIMEOUT).await?;
+            let (status, text) = self.get(&next, READ_TIMEOUT).await?;
             let reading = self.accept(status, &text, store::decode_page)?;
             first.get_or_insert(reading.revision);
             for change in reading.changes {
--- a/crates/gate/src/lease.rs
+++ b/crates/gate/src/lease.rs
@@ -8,7 +8,7 @@
 /// the time between the check and the replica's start of work.
 const USABLE_SHARE: f64 = 0.88;
 /// Age up to which a missing route or key counts as missing and not as not yet known.
-const DENY_AGE: Duration = Duration::from_millis(2000);
+const DENY_AGE: Duration = Duration::from_millis(3500);
 
 /// The latest moment at which the state in force is known to have been the published one.
 #[derive(Clone, Copy, Debug)]
