--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -17,9 +17,9 @@
     gateway::Gateway,
 };
 
-/// Time that a watch waits. Each return is a call that is paid for, and a connection that has
-/// gone silent shows only when the return is overdue.
-const WATCH_WAIT: Duration = Duration::from_millis(2000);
+/// Time that a watch waits. Each return is a call that is paid for; a longer wait leaves less of
+/// the lease on keys when the store falls silent.
+const WATCH_WAIT: Duration = Duration::from_millis(1000);
 /// Time for which a store that drops its history may keep changes from a waiting watch.
 const WATCH_GAP: Duration = Duration::from_millis(1000);
 /// Time for a watch's answer beyond the wait.
