--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -26,12 +26,14 @@
 const WATCH_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time for the answer of a reading.
 const READ_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Time to connect to the store.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time to connect to the store, which is some milliseconds away. A store that was silent is
+/// found again only by a new try.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// First wait after a failure; each further one doubles it.
 const FIRST_RETRY: Duration = Duration::from_millis(80);
-/// Longest wait after a failure.
-const MAX_RETRY: Duration = Duration::from_millis(640);
+/// Longest wait after a failure. While the store is lost, calls with keys are refused, which
+/// costs callers more than the tries cost the store.
+const MAX_RETRY: Duration = Duration::from_millis(240);
 /// Idle time after which the connection is not used again.
 const IDLE: Duration = Duration::from_secs(5);
 
