Ask a lost store for what is new without a wait

Each try was a watch of one second, to which a silent store gives no answer also after its return, with 1.9 s until the next. Ruled out: the wait between tries (at most 0.36 s).

--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -24,6 +24,10 @@
 const WATCH_GAP: Duration = Duration::from_millis(1000);
 /// Time for a watch's answer beyond the wait.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(900);
+/// Times for the answer of a store that was lost, one try after the other: a silent one is asked
+/// often, and a slow one has time to answer.
+const PROBE_TIMEOUTS: [Duration; 3] =
+    [Duration::from_millis(300), Duration::from_millis(300), Duration::from_millis(1200)];
 /// Time for the answer of a reading.
 const READ_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time to connect to the store, which is some milliseconds away. A store that was silent is
@@ -39,7 +43,8 @@
 
 /// Reads and watches until the process ends.
 pub async fn follow(gateway: Rc<Gateway>, address: SocketAddr) {
-    let mut reader = Reader { gateway, pool: Pool::new(address, CONNECT_TIMEOUT), revision: None };
+    let pool = Pool::new(address, CONNECT_TIMEOUT);
+    let mut reader = Reader { gateway, pool, revision: None, failures: 0 };
     let mut retry = FIRST_RETRY;
     let mut lost = true;
     loop {
@@ -49,8 +54,10 @@
                     tracing::info!(event = "store_reached", revision = reader.revision);
                 }
                 retry = FIRST_RETRY;
+                reader.failures = 0;
             }
             Err(error) => {
+                reader.failures += 1;
                 if !std::mem::replace(&mut lost, true) {
                     tracing::warn!(event = "store_lost", %error);
                 }
@@ -76,6 +83,8 @@
     pool: Pool,
     /// Revision up to which changes are known.
     revision: Option<u64>,
+    /// Calls in a row that failed.
+    failures: usize,
 }
 
 impl Reader {
@@ -88,8 +97,12 @@
 
     async fn watch(&mut self, revision: u64) -> Result<(), Error> {
         let sent = clock::now();
-        let path = store::watch_path(revision, WATCH_WAIT);
-        let (status, text) = self.get(&path, WATCH_WAIT + WATCH_TIMEOUT).await?;
+        let (wait, limit) = match self.failures {
+            0 => (WATCH_WAIT, WATCH_WAIT + WATCH_TIMEOUT),
+            failures => (Duration::ZERO, PROBE_TIMEOUTS[failures % PROBE_TIMEOUTS.len()]),
+        };
+        let path = store::watch_path(revision, wait);
+        let (status, text) = self.get(&path, limit).await?;
         if store::is_compacted(status) {
             tracing::info!(event = "store_compacted", revision);
             self.revision = None;
