--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -265,6 +265,18 @@
         );
     }
 
+    /// Logs why a stream's answer ends after the event `last` and before its end.
+    pub fn log_cut(&self, dispatch: &Dispatch, reason: &str, last: Option<&Bytes>) {
+        tracing::info!(
+            event = "cut",
+            id = %String::from_utf8_lossy(&self.id),
+            replica = %String::from_utf8_lossy(&dispatch.id),
+            reason,
+            attempt = dispatch.basis.attempt,
+            last_event = %String::from_utf8_lossy(last.map_or(&[], |id| &id[..])),
+        );
+    }
+
     fn refuse(&self, refused: &Refusal) -> Response<http::Body> {
         let id = String::from_utf8_lossy(&self.id).into_owned();
         let gate::refusal::Basis { version, gateways, heard, waiting, usable, .. } = refused.basis;
--- a/crates/daemon/src/gateway/streamed.rs
+++ b/crates/daemon/src/gateway/streamed.rs
@@ -169,20 +169,26 @@
                     drop(source);
                     self.exchange.report(self.exchange.ended(End::Broken));
                     if !self.resume(None).await {
-                        return Some(Err(http::Aborted));
+                        return Some(Err(self.cut("replica_broke_off")));
                     }
                 }
                 Err(Attempt::Moved(dispatch)) => {
                     drop(source);
                     if !self.resume(Some(dispatch)).await {
-                        return Some(Err(http::Aborted));
+                        return Some(Err(self.cut("replica_silent")));
                     }
                 }
-                Err(_) => return Some(Err(http::Aborted)),
+                Err(_) => return Some(Err(self.cut("deadline"))),
             }
         }
     }
 
+    /// Logs why the answer ends before its last event.
+    fn cut(&self, reason: &str) -> http::Aborted {
+        self.exchange.log_cut(&self.dispatch, reason, self.events.last_id());
+        http::Aborted
+    }
+
     /// Reports the pace from time to time.
     fn count(&mut self) {
         self.pace.events += 1;
