--- a/crates/conf/src/gateway.rs
+++ b/crates/conf/src/gateway.rs
@@ -35,8 +35,6 @@
     pub seeds: Vec<SocketAddr>,
     /// `[bounds] revoke_ms`: time after which a withdrawn key may not run.
     pub revoke: Duration,
-    /// `[bounds] drain_ms`: time after which a leaving replica may get no new work.
-    pub drain: Duration,
     /// `[bounds] grace_s`: time for a planned stop.
     pub grace: Duration,
     /// `[bounds] retry_ratio`: arrivals beyond the first of a call, as a share of calls.
@@ -101,7 +99,6 @@
 
 struct Bounds {
     revoke: Duration,
-    drain: Duration,
     grace: Duration,
     retry_ratio: f64,
     retry_slack: f64,
@@ -115,7 +112,6 @@
     fn default() -> Bounds {
         Bounds {
             revoke: Duration::from_secs(5),
-            drain: Duration::from_secs(2),
             grace: Duration::from_secs(8),
             retry_ratio: 0.2,
             retry_slack: 50.0,
@@ -178,7 +174,6 @@
             store: self.store?,
             seeds: self.seeds,
             revoke: bounds.revoke,
-            drain: bounds.drain,
             grace: bounds.grace,
             retry_ratio: bounds.retry_ratio,
             retry_slack: bounds.retry_slack,
@@ -205,7 +200,6 @@
         };
         Bounds {
             revoke: reader.duration("revoke_ms", default.revoke, 500..=3_600_000),
-            drain: reader.duration("drain_ms", default.drain, 100..=3_600_000),
             grace: seconds(reader, "grace_s", default.grace),
             retry_ratio: ratio(reader, "retry_ratio", default.retry_ratio),
             retry_slack: number(reader, "retry_slack", default.retry_slack, "arrivals"),
--- a/crates/daemon/src/gateway/process.rs
+++ b/crates/daemon/src/gateway/process.rs
@@ -88,7 +88,6 @@
         seeds: settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port)).collect(),
         limits: Limits {
             revoke: settings.revoke,
-            drain: settings.drain,
             grace: settings.grace,
             retry_ratio: settings.retry_ratio,
             retry_slack: settings.retry_slack,
--- a/crates/gate/src/call.rs
+++ b/crates/gate/src/call.rs
@@ -12,13 +12,6 @@
     pub max_output: u32,
 }
 
-/// One part of a prompt that other calls may share.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Part {
-    pub id: u64,
-    pub tokens: u32,
-}
-
 /// A request that was read in full.
 #[derive(Clone, Debug, Default)]
 pub struct Call {
@@ -32,7 +25,6 @@
     pub tokens: Option<Tokens>,
     /// The caller's estimate of the output.
     pub output_hint: Option<u32>,
-    pub parts: Vec<Part>,
     /// Hash of host, path, key and body; equal for copies of a call.
     pub fingerprint: u64,
 }
--- a/crates/gate/src/catalog.rs
+++ b/crates/gate/src/catalog.rs
@@ -56,8 +56,6 @@
 /// Replicas that are used alike.
 #[derive(Clone, Debug, Default)]
 pub struct Service {
-    /// Most connections to one replica from all callers together.
-    pub max_connections: u32,
     /// Output tokens in one event, where the replicas are model engines.
     pub stride: Option<u32>,
 }
--- a/crates/gate/src/limits.rs
+++ b/crates/gate/src/limits.rs
@@ -7,8 +7,6 @@
 pub struct Limits {
     /// Time after which a withdrawn key may not run anywhere.
     pub revoke: Duration,
-    /// Time after which a leaving replica may get no new work.
-    pub drain: Duration,
     /// Time for a planned stop.
     pub grace: Duration,
     /// Arrivals beyond the first of a call, as a share of calls.
@@ -28,7 +26,6 @@
     fn default() -> Limits {
         Limits {
             revoke: Duration::from_secs(5),
-            drain: Duration::from_secs(2),
             grace: Duration::from_secs(8),
             retry_ratio: 0.2,
             retry_slack: 54.0,
--- /dev/null
+++ b/crates/gate/src/machine/placing.rs
@@ -0,0 +1,165 @@
+//! Dispatch of waiting calls, and refusal of those that waited too long.
+
+use std::{collections::HashSet, time::Duration};
+
+use bytes::Bytes;
+use wire::time::Instant;
+
+use super::{Machine, State};
+use crate::{
+    Action,
+    action::{self, Dispatch},
+    admit,
+    catalog::Kind,
+    event::Ticket,
+    place,
+    queue::Entry,
+    refusal::{Reason, Refusal},
+    roster,
+};
+
+/// Patience for the first event of a stream that may go on elsewhere.
+const STREAM_PATIENCE: Duration = Duration::from_millis(1200);
+/// Part of the objective after which an answer that has not begun is given up, where the call
+/// may go on elsewhere.
+const PATIENCE_SHARE: f64 = 0.6;
+impl Machine {
+    pub(super) fn pump_all(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let busy = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
+        let services: Vec<Bytes> = busy.map(|(service, _)| service.clone()).collect();
+        for service in services {
+            self.give_up(now, &service, actions);
+            self.pump(now, &service, actions);
+        }
+    }
+
+    /// Refuses waiting calls whose time to wait is over.
+    pub(super) fn give_up(&mut self, now: Instant, service: &Bytes, actions: &mut Vec<Action>) {
+        let Some(queue) = self.queues.get(service) else { return };
+        let over = |t: &Ticket| self.flights.get(t).is_none_or(|f| now >= f.entry.give_up);
+        let over: Vec<Ticket> = queue.tickets().filter(over).collect();
+        let usable = |key: &roster::Key| {
+            self.roster.get(*key).is_some_and(|replica| replica.load.is_usable(now))
+        };
+        let any = self.roster.of(service).iter().any(usable);
+        let reason = if any { Reason::Overload } else { Reason::NoReplica };
+        for ticket in over {
+            self.refuse_waiting(now, ticket, reason, actions);
+        }
+    }
+
+    /// Refuses a waiting call. One that may have run at a replica before gets no promise.
+    pub(super) fn refuse_waiting(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        reason: Reason,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(flight) = self.flights.get(&ticket) else { return };
+        let entry = flight.entry.clone();
+        self.unqueue(&entry, ticket);
+        let refusal = match entry.attempts {
+            0 if reason == Reason::UnknownKey => Refusal::new(reason),
+            0 => admit::come_back(reason, entry.deadline.since(now), &mut self.random),
+            _ => Refusal::new(Reason::Lost),
+        };
+        self.refuse(now, ticket, refusal, actions);
+    }
+
+    /// Dispatches waiting calls while replicas have room.
+    pub(super) fn pump(&mut self, now: Instant, service: &Bytes, actions: &mut Vec<Action>) {
+        let Some(queue) = self.queues.get(service) else { return };
+        let tickets: Vec<Ticket> = queue.tickets().collect();
+        let mut reserved = HashSet::new();
+        for ticket in tickets {
+            if reserved.len() >= self.roster.of(service).len() {
+                break;
+            }
+            let Some(flight) = self.flights.get(&ticket) else { continue };
+            let entry = flight.entry.clone();
+            if let Err(reason) = self.check_key(now, &entry) {
+                self.refuse_waiting(now, ticket, reason, actions);
+                continue;
+            }
+            match self.choose(now, &entry, &reserved) {
+                Some(key) => self.dispatch(now, ticket, key, actions),
+                None => place::reserve(&self.scene(now), &entry, &mut reserved),
+            }
+        }
+    }
+
+    /// Checks that the key of a call is still in force, as far as this process knows. A call
+    /// that came back from a replica passes here again.
+    pub(super) fn check_key(&self, now: Instant, entry: &Entry) -> Result<(), Reason> {
+        if !entry.keyed {
+            return Ok(());
+        }
+        let catalog = self.catalog.as_ref().ok_or(Reason::NotReady)?;
+        let key = entry.call.key.as_ref().ok_or(Reason::UnknownKey)?;
+        catalog.account(key).ok_or(Reason::UnknownKey)?;
+        if self.lease.is_valid(now) { Ok(()) } else { Err(Reason::Stale) }
+    }
+
+    pub(super) fn scene(&self, now: Instant) -> place::Scene<'_> {
+        place::Scene { roster: &self.roster, now, zone: &self.options.zone }
+    }
+
+    pub(super) fn choose(
+        &mut self,
+        now: Instant,
+        entry: &Entry,
+        reserved: &HashSet<roster::Key>,
+    ) -> Option<roster::Key> {
+        let scene = place::Scene { roster: &self.roster, now, zone: &self.options.zone };
+        place::choose(&scene, entry, reserved, &mut self.random)
+    }
+
+    pub(super) fn dispatch(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        key: roster::Key,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(flight) = self.flights.get_mut(&ticket) else { return };
+        let Some(replica) = self.roster.get_mut(key) else { return };
+        let entry = &mut flight.entry;
+        let ahead = replica.load.backlog();
+        let tokens = entry.call.prompt_tokens();
+        let expected = replica.load.first_ms(ahead, tokens).max(0.0);
+        let basis = action::Basis {
+            waited: now.since(entry.arrived),
+            expected: Duration::from_micros((expected * 1e3) as u64),
+            running: replica.load.total() + 1,
+            backlog: ahead,
+            tokens,
+            attempt: entry.attempts + 1,
+            tier: entry.tier,
+        };
+        replica.load.take(tokens);
+        entry.attempts += 1;
+        flight.state = State::Dispatched { replica: key, at: now, ahead, began: None };
+        if let Some(queue) = self.queues.get_mut(&entry.service) {
+            queue.remove(entry.tier, ticket);
+        }
+        let goes_on = entry.repeatable && entry.attempts < entry.max_attempts;
+        let objective = entry.objective.since(entry.arrived);
+        let patience = match entry.kind {
+            Kind::Stream => STREAM_PATIENCE,
+            _ => objective.mul_f64(PATIENCE_SHARE),
+        };
+        actions.push(Action::Dispatch(Dispatch {
+            ticket,
+            replica: key,
+            id: replica.id.clone(),
+            address: replica.record.address,
+            account: entry.account.clone(),
+            deadline: entry.deadline,
+            patience: goes_on.then_some(patience),
+            basis,
+            stream: entry.kind == Kind::Stream,
+            repeatable: entry.repeatable,
+        }));
+    }
+}
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -69,7 +69,7 @@
         tokens: true,
         plain_tokens: 100.0,
     };
-    let service = |stride| Service { max_connections: 100, stride };
+    let service = |stride| Service { stride };
     Catalog {
         version,
         routes: vec![
