Grant quotas later after a restart of all gateways

Ruled out: messages between gateways (28 of 28 heard before). The ramp now begins after a second and uses a tenth of the tolerance in place of 0.3, which leaves an eighth of the quota as margin. The new test fails without the change (10732.5 before and 3400 after, 13500 allowed).

--- a/crates/gate/src/quota.rs
+++ b/crates/gate/src/quota.rs
@@ -25,7 +25,10 @@
 const USED_TOLERANCE: f64 = 0.55;
 /// Part of the tolerance that a process uses while it does not know what was admitted before
 /// its start.
-const USED_TOLERANCE_UNKNOWN: f64 = 0.3;
+const USED_TOLERANCE_UNKNOWN: f64 = 0.1;
+/// Time after such a start from which the quota is granted again, little by little. Accounts use
+/// a window unevenly: on a grown site one had used 3 in 100 more than its even part.
+const RAMP_DELAY: Duration = Duration::from_secs(1);
 
 /// Part of an account's quota that this gateway may use, as it hears from its peers.
 #[derive(Clone, Copy, Debug)]
@@ -155,7 +158,7 @@
         // What was admitted before the start is taken to be the quota, spread over the window.
         let known = match self.is_complete(now, window) {
             true => 1.0,
-            false => now.since(self.started).as_secs_f64() / window.as_secs_f64(),
+            false => now.since(self.started + RAMP_DELAY).as_secs_f64() / window.as_secs_f64(),
         };
         let used_tolerance = if known < 1.0 { USED_TOLERANCE_UNKNOWN } else { USED_TOLERANCE };
         let full = (account.rate * window.as_secs_f64() + account.burst) * share;
--- a/crates/gate/tests/quotas.rs
+++ b/crates/gate/tests/quotas.rs
@@ -125,6 +125,21 @@
     assert!(used / 2.0 + again <= bound, "{used} before, {again} in the next half window");
 }
 
+/// Guards against a broken bound where the window was used unevenly before all processes were
+/// killed: on a grown site 4,418,761 units ran where 4,280,799 are allowed.
+#[test]
+fn a_restart_leaves_a_margin_for_uneven_use() {
+    // Nine tenths of what a window may hold ran in its first six seconds.
+    let before = ((8_000.0 + 2_000.0) + 3_500.0 * 0.55) * 0.9;
+    let mut after = Quotas::new(at(6.0), false);
+    let mut again = 0.0;
+    for step in 0..40 {
+        again += drain(&mut after, at(6.0 + f64::from(step) * 0.05), ALONE);
+    }
+    let bound = (8_000.0 + 2_000.0) * 1.25 + 1_000.0;
+    assert!(before + again <= bound, "{before} before, {again} in the next two seconds");
+}
+
 /// Guards against callers refused for seconds by a restarted gateway whose peers know better.
 #[test]
 fn a_restarted_gateway_adopts_the_window_of_a_peer() {
