Drop code of the gateway that computes or carries nothing

With watches of one second the correction for a whole wait is always zero, no one reads whether a dispatched call is repeatable, and two maps were sets. No decision changes.

--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -8,7 +8,6 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, header};
 use platform::store::{self, Change, Reading};
-use wire::time::Instant;
 
 use crate::{
     clock,
@@ -20,8 +19,6 @@
 /// Time that a watch waits. Each return is a call that is paid for; a longer wait leaves less of
 /// the lease on keys when the store falls silent.
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
-/// Time for which a store that drops its history may keep changes from a waiting watch.
-const WATCH_GAP: Duration = Duration::from_millis(1000);
 /// Time for a watch's answer beyond the wait.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(900);
 /// Times for the answer of a store that was lost, one try after the other: a silent one is asked
@@ -69,15 +66,6 @@
     }
 }
 
-/// Returns the time for which a watch's answer confirms what is known. One that waited to its
-/// end without a change was sent by the store no earlier than the wait after the call.
-fn confirmed(sent: Instant, received: Instant, unchanged: bool) -> Instant {
-    match unchanged && received.since(sent) >= WATCH_WAIT {
-        true => sent + (WATCH_WAIT - WATCH_GAP),
-        false => sent,
-    }
-}
-
 struct Reader {
     gateway: Rc<Gateway>,
     pool: Pool,
@@ -110,11 +98,10 @@
         }
         let reading = self.accept(status, &text, store::decode_watch)?;
         self.revision = Some(reading.revision.max(revision));
-        let at = confirmed(sent, clock::now(), reading.changes.is_empty());
         for change in reading.changes {
             self.apply(change);
         }
-        self.gateway.feed(Event::Confirmed { at });
+        self.gateway.feed(Event::Confirmed { at: sent });
         Ok(())
     }
 
--- a/crates/gate/src/action.rs
+++ b/crates/gate/src/action.rs
@@ -38,8 +38,6 @@
     pub basis: Basis,
     /// Whether the call's events are a stream.
     pub stream: bool,
-    /// Whether the call may be repeated after it may have run.
-    pub repeatable: bool,
 }
 
 /// What the choice of a replica rested on.
--- a/crates/gate/src/machine/answers.rs
+++ b/crates/gate/src/machine/answers.rs
@@ -14,6 +14,7 @@
 
 /// Time for which a replica that refused a call as full gets no other.
 const FULL_TIME: Duration = Duration::from_millis(60);
+
 impl Machine {
     /// Takes a dispatched call's work off its replica.
     pub(super) fn release(&mut self, flight: &Flight) {
--- a/crates/gate/src/machine/placing.rs
+++ b/crates/gate/src/machine/placing.rs
@@ -23,6 +23,7 @@
 /// Part of the objective after which an answer that has not begun is given up, where the call
 /// may go on elsewhere.
 const PATIENCE_SHARE: f64 = 0.6;
+
 impl Machine {
     pub(super) fn pump_all(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let busy = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
@@ -159,7 +160,6 @@
             patience: goes_on.then_some(patience),
             basis,
             stream: entry.kind == Kind::Stream,
-            repeatable: entry.repeatable,
         }));
     }
 }
--- a/crates/gate/src/machine/sharing.rs
+++ b/crates/gate/src/machine/sharing.rs
@@ -11,6 +11,7 @@
 const USAGE_EVERY: u64 = 2;
 /// Messages from one that tells the learned speeds to the next.
 const SPEEDS_EVERY: u64 = 6;
+
 impl Machine {
     pub(super) fn shared(&mut self, now: Instant, message: share::Message) {
         let Ok(replaced) = self.peers.hear(now, &message) else { return };
--- a/crates/gate/src/queue.rs
+++ b/crates/gate/src/queue.rs
@@ -1,6 +1,6 @@
 //! Calls that wait for a replica, by tier and arrival.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeSet, time::Duration};
 
 use bytes::Bytes;
 use wire::time::Instant;
@@ -47,23 +47,23 @@
 /// Waiting calls of one service, the most urgent first.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
-    waiting: BTreeMap<(u32, Ticket), ()>,
+    waiting: BTreeSet<(u32, Ticket)>,
 }
 
 impl Queue {
     /// Adds a call.
     pub fn push(&mut self, tier: u32, ticket: Ticket) {
-        self.waiting.insert((tier, ticket), ());
+        self.waiting.insert((tier, ticket));
     }
 
     /// Removes a call.
     pub fn remove(&mut self, tier: u32, ticket: Ticket) -> bool {
-        self.waiting.remove(&(tier, ticket)).is_some()
+        self.waiting.remove(&(tier, ticket))
     }
 
     /// Returns the waiting calls in the order of their dispatch.
     pub fn tickets(&self) -> impl Iterator<Item = Ticket> {
-        self.waiting.keys().map(|(_, ticket)| *ticket)
+        self.waiting.iter().map(|(_, ticket)| *ticket)
     }
 
     /// Returns how many calls wait.
--- a/crates/gate/src/roster.rs
+++ b/crates/gate/src/roster.rs
@@ -1,6 +1,10 @@
 //! Replicas as their records in the store describe them.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use slotmap::{SlotMap, new_key_type};
@@ -66,9 +70,9 @@
     /// get some time to write them again.
     pub fn replace(&mut self, now: Instant, records: Vec<(Bytes, Record)>) {
         let after_outage = std::mem::take(&mut self.store_lost);
-        let present: HashMap<Bytes, ()> = records.iter().map(|(id, _)| (id.clone(), ())).collect();
+        let present: HashSet<&Bytes> = records.iter().map(|(id, _)| id).collect();
         let missing: Vec<Bytes> =
-            self.ids.keys().filter(|id| !present.contains_key(*id)).cloned().collect();
+            self.ids.keys().filter(|id| !present.contains(id)).cloned().collect();
         for id in missing {
             match after_outage {
                 true => self.lapse(&id, now + RETURN_GRACE),
