Name the offset of each part that a backend server delivers

The daemon drops the old connection with the order, so the fault showed only where events wait in a queue.

--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
 use wire::{
     frame, id,
     outcome::{Outcome, Reason, Step},
@@ -21,7 +21,7 @@
             Progress::Started { status, content_type, instance } => {
                 self.started(cx, grant, (status, content_type), &instance);
             }
-            Progress::Data(bytes) => self.data(cx, grant, bytes),
+            Progress::Data { offset, bytes } => self.data(cx, grant, offset, bytes),
             Progress::End => self.end(cx, grant),
             Progress::Unreachable => self.unreachable(cx, grant),
             Progress::Lost => self.lost(cx, grant),
@@ -154,11 +154,18 @@
         }
     }
 
-    fn data(&mut self, cx: &mut Context<'_>, grant: id::Grant, bytes: Bytes) {
+    /// Appends bytes of the answer. After a pause of the process, what the connection before a
+    /// resume delivered comes in beside the resumed connection, so known bytes are skipped.
+    fn data(&mut self, cx: &mut Context<'_>, grant: id::Grant, offset: u64, mut bytes: Bytes) {
         let Some(stream) = self.streams.live_mut(grant) else { return };
+        let start = stream.kept.length();
+        if offset > start {
+            return self.schedule_resume(cx, grant);
+        }
+        let known = (start - offset).min(bytes.len() as u64) as usize;
+        bytes.advance(known);
         stream.last_progress = cx.now;
         let resumed = stream.resume.take().is_some();
-        let start = stream.kept.length();
         let end = start + bytes.len() as u64;
         for reader in stream.readers.iter_mut().filter(|reader| reader.offset < end) {
             let skip = reader.offset.saturating_sub(start) as usize;
--- a/crates/agent/src/event.rs
+++ b/crates/agent/src/event.rs
@@ -14,12 +14,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Progress {
     /// The answer began. `instance` names the backend server's run.
-    Started {
-        status: u16,
-        content_type: Bytes,
-        instance: Bytes,
-    },
-    Data(Bytes),
+    Started { status: u16, content_type: Bytes, instance: Bytes },
+    /// Bytes of the answer from `offset` on.
+    Data { offset: u64, bytes: Bytes },
     /// The answer ended as the protocol demands.
     End,
     /// The connection could not be opened: nothing was sent.
@@ -27,9 +24,7 @@
     /// The connection was lost after bytes may have been sent.
     Lost,
     /// A resume was answered: the backend server does not know the stream.
-    NoStream {
-        instance: Bytes,
-    },
+    NoStream { instance: Bytes },
 }
 
 /// What happened.
@@ -110,7 +105,8 @@
         body: Bytes,
     },
     /// Resume the backend server's stream of this grant from an offset. The shell drops the
-    /// earlier connection of this grant first; later `Data` continues at `offset`.
+    /// earlier connection of this grant. What it had delivered before may still be handled
+    /// later, which is why `Data` names its offset.
     Resume {
         grant: id::Grant,
         offset: u64,
--- a/crates/agent/tests/streams.rs
+++ b/crates/agent/tests/streams.rs
@@ -120,6 +120,28 @@
     assert_eq!(frames(&actions, link), [frame::Body::End { length: 6, crc32 }]);
 }
 
+/// Guards against bytes that stand twice in an answer: after a pause of the process, what the old
+/// connection delivered is handled beside what a resume brings.
+#[test]
+fn bytes_of_two_connections_are_taken_once() {
+    let mut rig = Rig::new(pool());
+    let (grant, link) = rig.run(head(1));
+    rig.started(grant, "run-1");
+    let data = |offset, text: &'static str| {
+        let bytes = bytes::Bytes::from_static(text.as_bytes());
+        Progress::Data { offset, bytes }
+    };
+    rig.backend(grant, data(0, "abc"));
+    rig.backend(grant, Progress::Lost);
+    assert_eq!(resumes(&rig.wait(ms(100))), [3]);
+    rig.backend(grant, data(3, "de"));
+    rig.started(grant, "run-1");
+    rig.backend(grant, data(3, "def"));
+    let actions = rig.backend(grant, Progress::End);
+    let crc32 = crc32fast::hash(b"abcdef");
+    assert_eq!(frames(&actions, link), [frame::Body::End { length: 6, crc32 }]);
+}
+
 /// Guards against a wrong outcome of each way in which a stream is lost.
 #[test]
 fn lost_streams_have_true_outcomes() {
@@ -190,8 +212,9 @@
     let (grant, link) = rig.run(head(1));
     rig.started(grant, "run-1");
     let part = bytes::Bytes::from(vec![7; 1 << 20]);
-    for _ in 0..6 {
-        rig.backend(grant, Progress::Data(part.clone()));
+    for piece in 0..6 {
+        let (offset, bytes) = (piece << 20, part.clone());
+        rig.backend(grant, Progress::Data { offset, bytes });
     }
     let (_, actions) = rig.attach(1, grant, 0);
     assert_eq!(refusals(&actions)[0].1, Outcome::Incomplete);
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code)]
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use agent::{Action, Event, Link, Machine, Progress, Setup};
 use bytes::Bytes;
@@ -76,6 +76,8 @@
     pub now: Instant,
     pub tree: tree::Tree,
     last_link: u64,
+    /// Bytes of each answer that `data` has told so far.
+    sent: HashMap<id::Grant, u64>,
 }
 
 impl Rig {
@@ -84,7 +86,8 @@
         let pool_name = Bytes::from_static(b"pool");
         let setup = Setup { process: PROCESS, host, pool: pool_name, seed: 1 };
         let machine = Machine::new(setup);
-        let mut rig = Rig { machine, now: Instant(1_000_000), tree: tree(pool), last_link: 0 };
+        let (now, tree) = (Instant(1_000_000), tree(pool));
+        let mut rig = Rig { machine, now, tree, last_link: 0, sent: HashMap::new() };
         rig.apply_tree();
         rig.send(Event::Ready);
         rig.probe("run-1");
@@ -165,7 +168,11 @@
     }
 
     pub fn data(&mut self, grant: id::Grant, text: &'static str) -> Vec<Action> {
-        self.backend(grant, Progress::Data(Bytes::from_static(text.as_bytes())))
+        let bytes = Bytes::from_static(text.as_bytes());
+        let sent = self.sent.entry(grant).or_default();
+        let offset = *sent;
+        *sent += bytes.len() as u64;
+        self.backend(grant, Progress::Data { offset, bytes })
     }
 
     pub fn key(&mut self) -> key::Key {
--- a/crates/agent/tests/world/backend.rs
+++ b/crates/agent/tests/world/backend.rs
@@ -76,10 +76,11 @@
             return;
         }
         let next = (run.made + 20).min(run.answer.len());
-        let part = run.answer.slice(run.made..next);
+        let offset = run.made as u64;
+        let bytes = run.answer.slice(run.made..next);
         run.made = next;
         if run.connected {
-            self.tell(grant, Progress::Data(part));
+            self.tell(grant, Progress::Data { offset, bytes });
         }
         self.post(60, Message::Produce(grant));
     }
@@ -135,9 +136,9 @@
         if run.made == usize::MAX {
             return self.tell(grant, Progress::NoStream { instance });
         }
-        let (part, ended) = (run.answer.slice(offset as usize..run.made), run.ended);
+        let (bytes, ended) = (run.answer.slice(offset as usize..run.made), run.ended);
         self.tell(grant, started);
-        self.tell(grant, Progress::Data(part));
+        self.tell(grant, Progress::Data { offset, bytes });
         if ended {
             self.tell(grant, Progress::End);
         }
--- a/crates/daemon/examples/cost/machines.rs
+++ b/crates/daemon/examples/cost/machines.rs
@@ -243,7 +243,7 @@
             content_type: "application/json".into(),
             instance: "run-1".into(),
         },
-        agent::Progress::Data(Bytes::from_static(ANSWER)),
+        agent::Progress::Data { offset: 0, bytes: Bytes::from_static(ANSWER) },
         agent::Progress::End,
     ]
 }
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -60,7 +60,7 @@
         let Ok(request) = request else { return report(Progress::Unreachable) };
         match self.connections.send(request).await {
             Ok((response, sender)) => {
-                if relay(response, &report).await {
+                if relay(response, 0, &report).await {
                     self.connections.keep(sender, KEPT_TIME);
                 }
             }
@@ -77,7 +77,7 @@
                 report(Progress::NoStream { instance: instance(&response) });
             }
             Some(response) if response.status().is_success() => {
-                relay(response, &report).await;
+                relay(response, offset, &report).await;
             }
             _ => report(Progress::Lost),
         }
@@ -158,8 +158,12 @@
     }
 }
 
-/// Reports an answer as it comes and returns whether it is whole.
-async fn relay(response: Response<body::Incoming>, report: &impl Fn(Progress)) -> bool {
+/// Reports an answer from `offset` on as it comes and returns whether it is whole.
+async fn relay(
+    response: Response<body::Incoming>,
+    mut offset: u64,
+    report: &impl Fn(Progress),
+) -> bool {
     let content_type = response.headers().get(header::CONTENT_TYPE);
     let content_type = content_type.map(|value| Bytes::copy_from_slice(value.as_bytes()));
     report(Progress::Started {
@@ -170,7 +174,11 @@
     let mut body = response.into_body();
     while let Some(frame) = body.frame().await {
         match frame.map(body::Frame::into_data) {
-            Ok(Ok(data)) => report(Progress::Data(data)),
+            Ok(Ok(bytes)) => {
+                let length = bytes.len() as u64;
+                report(Progress::Data { offset, bytes });
+                offset += length;
+            }
             Ok(Err(_trailers)) => {}
             Err(_) => {
                 report(Progress::Lost);
--- a/crates/daemon/src/role_agent.rs
+++ b/crates/daemon/src/role_agent.rs
@@ -224,7 +224,7 @@
     fn reporter(self: &Rc<Self>, grant: id::Grant) -> impl Fn(Progress) + use<> {
         let agent = self.clone();
         move |progress| {
-            let goes_on = matches!(progress, Progress::Started { .. } | Progress::Data(_));
+            let goes_on = matches!(progress, Progress::Started { .. } | Progress::Data { .. });
             if !goes_on && let Some(task) = agent.dispatches.borrow_mut().remove(&grant) {
                 task.detach();
             }
--- a/crates/load/src/system.rs
+++ b/crates/load/src/system.rs
@@ -425,7 +425,8 @@
                 let started = agent::Progress::Started { status: 200, content_type, instance };
                 self.progress(index, grant, started);
             }
-            self.progress(index, grant, agent::Progress::Data(Bytes::from_static(TOKEN)));
+            let offset = u64::from(output.tokens.saturating_sub(1)) * TOKEN.len() as u64;
+            self.progress(index, grant, data(offset));
             if output.end.is_some() {
                 self.grants.remove(&(index, output.id));
                 self.progress(index, grant, agent::Progress::End);
@@ -439,7 +440,7 @@
         let instance = Bytes::new();
         let started = agent::Progress::Started { status: 200, content_type, instance };
         self.progress(index, grant, started);
-        self.progress(index, grant, agent::Progress::Data(Bytes::from_static(TOKEN)));
+        self.progress(index, grant, data(0));
         self.progress(index, grant, agent::Progress::End);
     }
 
@@ -511,6 +512,11 @@
     }
 }
 
+/// Returns the progress of one token at an offset of the answer.
+fn data(offset: u64) -> agent::Progress {
+    agent::Progress::Data { offset, bytes: Bytes::from_static(TOKEN) }
+}
+
 fn add(counters: &mut BTreeMap<String, u64>, role: &str, status: Status) {
     for (name, value) in status.counters {
         *counters.entry(format!("{role}_{name}")).or_default() += value;
--- a/crates/proof/src/engines.rs
+++ b/crates/proof/src/engines.rs
@@ -112,7 +112,7 @@
             }
             if stream.produced > sent {
                 let bytes = stream.answer.slice(sent..stream.produced);
-                out.push((*grant, agent::Progress::Data(bytes)));
+                out.push((*grant, agent::Progress::Data { offset: sent as u64, bytes }));
                 stream.reader = Some(stream.produced);
             }
             if stream.ended && stream.reader.is_some() {
