Mend the schedules of the agents' path that broke guarantees

Four causes, each traced from its plan: - leaving_server (four plans): an agent that was frozen handles a commitment or an offer before the drain order that waited behind it. It now notices a pause by a late timer and starts no work until settings were compared with another process (at most 1 s). No suspect runs beyond the spread, and none is asked there while one of the spread considers the request. Ruled out: the checker's bounds, which are unchanged.

--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -56,7 +56,7 @@
 
 impl Filter for Poison {
     fn check(&self, view: &View<'_>, head: &request::Head) -> Option<Rejection> {
-        match view.suspects.verdict(view.now, head.fingerprint) {
+        match view.suspects.verdict(view.now, head) {
             suspects::Verdict::Quarantined(left) => Some((outcome::Reason::Poison, left)),
             suspects::Verdict::Held(left) => Some((outcome::Reason::Suspect, left)),
             _ => None,
--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -277,9 +277,7 @@
         if fingerprint == 0 {
             return;
         }
-        // The complement keeps it apart from the crashes that the replaced process counted.
-        let crash = !grant.process.0.wrapping_add(grant.seq);
-        let suspect = sync::Suspect { fingerprint, crash, cleared: false };
+        let suspect = sync::Suspect::of_lost_agent(grant, fingerprint);
         self.suspects.crash(cx.now, suspect, self.quarantine());
         cx.push(Action::Suspects(vec![suspect]));
     }
--- a/crates/agent/src/commit.rs
+++ b/crates/agent/src/commit.rs
@@ -43,7 +43,7 @@
         }
         let reserved = self.grants.get(grant).map(|reservation| reservation.head.request);
         if reserved == Some(request) {
-            return match self.suspicion(cx, grant) {
+            return match self.objection(cx, grant) {
                 Some(reason) => {
                     self.dissolve(cx, grant.seq);
                     self.refuse_commit(cx, link, commit, Outcome::NotRun, reason);
@@ -76,10 +76,14 @@
         self.refuse_link(cx, link, grant, request, refusal);
     }
 
-    /// Returns why a request that became a suspect after its slot was reserved can't run now.
-    fn suspicion(&mut self, cx: &Context<'_>, grant: id::Grant) -> Option<Reason> {
+    /// Returns why a request can't run now although its slot was reserved: this process was
+    /// paused since, or the request became a suspect.
+    fn objection(&mut self, cx: &Context<'_>, grant: id::Grant) -> Option<Reason> {
+        if self.pause.is_stale(cx.now) {
+            return Some(Reason::NotReady);
+        }
         let reservation = self.grants.get(grant)?;
-        match self.suspects.verdict(cx.now, reservation.head.fingerprint) {
+        match self.suspects.verdict(cx.now, &reservation.head) {
             suspects::Verdict::Quarantined(_) => Some(Reason::Poison),
             suspects::Verdict::Held(_) => Some(Reason::Suspect),
             suspects::Verdict::Suspect if !reservation.isolated => Some(Reason::Suspect),
--- a/crates/agent/src/event.rs
+++ b/crates/agent/src/event.rs
@@ -72,6 +72,8 @@
     Settings(Arc<tree::Tree>),
     Hosts(Vec<host::Record>),
     Ready,
+    /// The answer to `Refresh`: settings and host list as another process has them came before.
+    Refreshed,
     /// Suspects learned from other agents.
     Suspects(Vec<sync::Suspect>),
     Stop,
@@ -119,6 +121,8 @@
     Order {
         order: tree::Order,
     },
+    /// Compare settings and host list with another process, since this one was paused.
+    Refresh,
     /// Suspects to pass on to other processes.
     Suspects(Vec<sync::Suspect>),
     Trace {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -12,6 +12,7 @@
 mod limit;
 mod machine;
 mod offers;
+mod pause;
 mod queue;
 mod replies;
 mod report;
--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     Action, Event, Link, Setup, admission, drain, engine, event::Context, grants, keys, limit,
-    queue, streams, suspects, timers, timers::Timer,
+    pause, queue, streams, suspects, timers, timers::Timer,
 };
 
 /// Bounds of a stream that is adopted before settings arrive.
@@ -41,6 +41,7 @@
     pub(crate) pool: Option<tree::Pool>,
     pub(crate) filters: Vec<Box<dyn admission::Filter>>,
     pub(crate) drain: drain::Drain,
+    pub(crate) pause: pause::Pause,
     pub(crate) engine: engine::Engine,
     pub(crate) queue: queue::Queue,
     pub(crate) limit: limit::Limit,
@@ -64,6 +65,7 @@
             pool: None,
             filters: admission::filters(),
             drain: drain::Drain::default(),
+            pause: pause::Pause::default(),
             engine: engine::Engine::default(),
             queue: queue::Queue::default(),
             limit: limit::Limit::new(),
@@ -90,6 +92,10 @@
         let now = self.now;
         let cx = &mut Context { now, out: actions };
         self.suspects.expire(now, self.quarantine());
+        if self.pause.notice(now) {
+            self.count("pauses");
+            cx.push(Action::Refresh);
+        }
         match event {
             Event::Backend { grant, progress } => {
                 self.progress(cx, grant, progress);
@@ -106,7 +112,7 @@
 
     /// Returns when the next `Tick` is due.
     pub fn next_timer(&self) -> Option<Instant> {
-        self.timers.next()
+        self.timers.next().into_iter().chain(self.pause.next_beat()).min()
     }
 
     fn fire_due(&mut self, cx: &mut Context<'_>) {
@@ -145,6 +151,7 @@
                 self.flush_if_leaving(cx);
             }
             Event::Ready => self.drain.ready = true,
+            Event::Refreshed => self.pause.refreshed(),
             Event::Suspects(suspects) => {
                 for suspect in suspects {
                     self.suspects.learn(cx.now, suspect, self.quarantine());
--- a/crates/agent/src/offers.rs
+++ b/crates/agent/src/offers.rs
@@ -49,7 +49,7 @@
             let refusal = self.refusal(Outcome::NotRun, Step::Offered, reason, Some(retry));
             return self.refuse_offer(cx, link, &head, refusal);
         }
-        let suspect = self.suspects.verdict(cx.now, head.fingerprint) != suspects::Verdict::Clean;
+        let suspect = self.suspects.verdict(cx.now, &head) != suspects::Verdict::Clean;
         if let Err(reason) = self.make_room(cx, &head, suspect) {
             let retry = self.queue_time();
             let refusal = self.refusal(Outcome::NotRun, Step::Offered, reason, Some(retry));
@@ -152,7 +152,7 @@
     /// Takes an offer out of the queue and refuses it.
     pub(crate) fn drop_queued(&mut self, cx: &mut Context<'_>, key: queue::Key, reason: Reason) {
         let Some(entry) = self.remove_queued(key) else { return };
-        let retry = match self.suspects.verdict(cx.now, entry.head.fingerprint) {
+        let retry = match self.suspects.verdict(cx.now, &entry.head) {
             suspects::Verdict::Quarantined(left) if reason == Reason::Poison => left,
             suspects::Verdict::Held(left) if reason == Reason::Suspect => left,
             _ => self.queue_time(),
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -30,7 +30,7 @@
     }
 
     fn takes_turns(&self, now: Instant) -> bool {
-        let open = self.drain.ready && !self.drain.is_leaving();
+        let open = self.drain.ready && !self.drain.is_leaving() && !self.pause.is_stale(now);
         open && !self.engine.isolated && self.engine.answers(now) && self.queue.len() > 0
     }
 
@@ -54,7 +54,7 @@
             self.drop_queued(cx, key, Reason::Deadline);
             return false;
         }
-        match self.suspects.verdict(cx.now, fingerprint) {
+        match self.suspects.verdict(cx.now, head) {
             suspects::Verdict::Quarantined(_) => {
                 self.drop_queued(cx, key, Reason::Poison);
                 return false;
@@ -83,7 +83,7 @@
             let Some(entry) = self.queue.get(key) else { return false };
             let fingerprint = entry.head.fingerprint;
             let lane = self.lane(&entry.head);
-            match self.suspects.verdict(cx.now, fingerprint) {
+            match self.suspects.verdict(cx.now, &entry.head) {
                 suspects::Verdict::Quarantined(_) => {
                     self.drop_queued(cx, key, Reason::Poison);
                     continue;
--- a/crates/agent/src/suspects.rs
+++ b/crates/agent/src/suspects.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use wire::{sync, time::Instant};
+use wire::{request, sync, time::Instant};
 
 /// Fingerprints remembered; the one that expires first makes room.
 const MAX_SUSPECTS: usize = 4096;
@@ -23,7 +23,7 @@
     Clean,
     /// Runs only alone.
     Suspect,
-    /// Is refused here for the time given; the other agent of its spread may run it alone.
+    /// Is refused here for the time given; another agent of its spread may run it alone.
     Held(Duration),
     /// Is refused for the time given.
     Quarantined(Duration),
@@ -112,11 +112,13 @@
         }
     }
 
-    pub(crate) fn verdict(&self, now: Instant, fingerprint: u64) -> Verdict {
-        match self.records.get(&fingerprint) {
+    /// Returns what may be done with a request now.
+    pub(crate) fn verdict(&self, now: Instant, head: &request::Head) -> Verdict {
+        match self.records.get(&head.fingerprint) {
             None => Verdict::Clean,
             Some(record) if record.crashes.len() < QUARANTINE_CRASHES => match record.held {
                 held if held > now => Verdict::Held(held.since(now)),
+                _ if head.beyond_spread => Verdict::Held(record.until.since(now)),
                 _ => Verdict::Suspect,
             },
             Some(record) if record.until > now => Verdict::Quarantined(record.until.since(now)),
--- a/crates/agent/tests/admission.rs
+++ b/crates/agent/tests/admission.rs
@@ -424,3 +424,36 @@
     let (link, actions) = rig.offer(request::Head { remaining, output_tokens, ..head(2) });
     assert_eq!(refusals(&actions), [(link, Outcome::NotRun, Reason::Deadline)]);
 }
+
+/// Guards against work that a drain order forbids: after a pause, a commitment and an offer are
+/// handled before the settings that waited behind them.
+#[test]
+fn no_work_starts_after_a_pause_until_settings_are_compared() {
+    let mut rig = Rig::new(pool());
+    let grant = rig.ready(head(1));
+    rig.now = rig.now + ms(450);
+    let (link, actions) = rig.commit(1, grant);
+    assert!(actions.iter().any(|action| matches!(action, Action::Refresh)));
+    assert_eq!(refusals(&actions)[0].0, link);
+    let (_, actions) = rig.offer(head(2));
+    assert!(readies(&actions).is_empty() && refusals(&actions).is_empty(), "it waits");
+    assert_eq!(readies(&rig.send(Event::Refreshed)).len(), 1);
+    // The loss of all other processes must not stop service.
+    rig.now = rig.now + ms(450);
+    assert!(readies(&rig.offer(head(3)).1).is_empty());
+    assert_eq!(readies(&rig.wait(ms(1_200))).len(), 1);
+}
+
+/// Guards against a third engine lost to copies of a poison request: beyond its spread an agent
+/// runs no suspect, not even alone.
+#[test]
+fn a_suspect_does_not_run_beyond_its_spread() {
+    let mut rig = Rig::new(pool());
+    let suspect = wire::sync::Suspect { fingerprint: 1001, crash: 1, cleared: false };
+    rig.send(Event::Suspects(vec![suspect]));
+    let copy = request::Head { fingerprint: 1001, beyond_spread: true, ..head(1) };
+    let (link, actions) = rig.offer(copy.clone());
+    assert_eq!(refusals(&actions), [(link, Outcome::NotRun, Reason::Suspect)]);
+    let within = request::Head { beyond_spread: false, ..copy };
+    assert_eq!(readies(&rig.offer(within).1).len(), 1);
+}
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -63,6 +63,7 @@
         fingerprint: 1000 + seq,
         affinity: 0,
         idempotent: true,
+        beyond_spread: false,
         key: None,
         body_len: 4,
         method: Bytes::from_static(b"POST"),
--- a/crates/daemon/examples/cost/machines.rs
+++ b/crates/daemon/examples/cost/machines.rs
@@ -266,6 +266,7 @@
         fingerprint: seq,
         affinity: seq,
         idempotent: true,
+        beyond_spread: false,
         key: None,
         body_len: 4,
         method: "POST".into(),
--- a/crates/daemon/src/distribution.rs
+++ b/crates/daemon/src/distribution.rs
@@ -173,6 +173,7 @@
                 distribution.ready.set(true);
                 distribution.role.clone().ready();
             }
+            sync::Action::Refreshed => distribution.role.clone().refreshed(),
             sync::Action::Refused { branch, revision, errors } => {
                 distribution.refuse(&branch, revision, &errors);
             }
--- a/crates/daemon/src/role.rs
+++ b/crates/daemon/src/role.rs
@@ -31,6 +31,8 @@
     fn hosts(self: Rc<Self>, hosts: Vec<host::Record>);
     /// Suspects were learned from other processes.
     fn suspects(self: Rc<Self>, suspects: Vec<sync::Suspect>);
+    /// After a pause, settings were compared with another process.
+    fn refreshed(self: Rc<Self>);
     /// The process may serve.
     fn ready(self: Rc<Self>);
     /// A planned stop was ordered.
--- a/crates/daemon/src/role_agent.rs
+++ b/crates/daemon/src/role_agent.rs
@@ -310,6 +310,12 @@
                 runtime::spawn(agent.backend.clone().cancel(grant)).detach();
             }
             Action::Order { order } => agent.order(order),
+            Action::Refresh => {
+                tracing::warn!(event = "paused");
+                if let Some(distribution) = agent.distribution.borrow().upgrade() {
+                    distribution.feed(::sync::Event::Refresh);
+                }
+            }
             Action::Suspects(suspects) => {
                 if let Some(distribution) = agent.distribution.borrow().upgrade() {
                     distribution.feed(::sync::Event::Suspects(suspects));
@@ -339,6 +345,10 @@
         self.feed(Event::Suspects(suspects));
     }
 
+    fn refreshed(self: Rc<Self>) {
+        self.feed(Event::Refreshed);
+    }
+
     fn ready(self: Rc<Self>) {
         self.feed(Event::Ready);
     }
--- a/crates/daemon/src/role_entry.rs
+++ b/crates/daemon/src/role_entry.rs
@@ -4,7 +4,7 @@
     cell::{Cell, RefCell},
     collections::HashMap,
     net::SocketAddr,
-    rc::Rc,
+    rc::{Rc, Weak},
     sync::Arc,
 };
 
@@ -19,6 +19,7 @@
 
 use crate::{
     clock,
+    distribution::Distribution,
     driver::{Driver, Execute},
     error::Error,
     http,
@@ -61,7 +62,7 @@
     offers: RefCell<HashMap<(id::Request, SocketAddr), Task>>,
     streams: RefCell<HashMap<id::Request, (id::Grant, Task)>>,
     tree: RefCell<Arc<tree::Tree>>,
-    settings_hash: RefCell<Box<dyn Fn() -> u64>>,
+    distribution: RefCell<Weak<Distribution>>,
     stopped: Rc<dyn Fn()>,
     pub traces: Rc<trace::Store>,
     pub metrics: Rc<Metrics>,
@@ -92,16 +93,16 @@
             offers: RefCell::default(),
             streams: RefCell::default(),
             tree: RefCell::default(),
-            settings_hash: RefCell::new(Box::new(|| 0)),
+            distribution: RefCell::default(),
             stopped,
             traces,
             metrics,
         })
     }
 
-    /// Sets where offers get the hash of the settings digest from.
-    pub fn set_settings_hash(&self, hash: impl Fn() -> u64 + 'static) {
-        *self.settings_hash.borrow_mut() = Box::new(hash);
+    /// Sets where suspects are reported and offers get the hash of the settings digest from.
+    pub fn set_distribution(&self, distribution: &Rc<Distribution>) {
+        *self.distribution.borrow_mut() = Rc::downgrade(distribution);
     }
 
     /// Returns the settings in force.
@@ -163,7 +164,8 @@
         let started = clock::now();
         let task = runtime::spawn(async move {
             let limit = head.remaining;
-            let settings = (entry.settings_hash.borrow())();
+            let distribution = entry.distribution.borrow().upgrade();
+            let settings = distribution.map_or(0, |distribution| distribution.hash());
             let offer = offer::Offer { head, settings };
             let reply = entry.peers.exchange(peer, "/offer", &offer, limit).await;
             if let Some(task) = entry.offers.borrow_mut().remove(&(request, peer)) {
@@ -339,6 +341,11 @@
                 entry.metrics.count(&format!("refused.{}.{}", refusal.outcome, refusal.reason));
                 entry.answer(caller, Answer::Refuse { request, refusal });
             }
+            Action::Suspects(suspects) => {
+                if let Some(distribution) = entry.distribution.borrow().upgrade() {
+                    distribution.feed(::sync::Event::Suspects(suspects));
+                }
+            }
             Action::Trace { request, step, event, peer } => {
                 entry.traces.record(request, step, event, peer);
             }
@@ -359,6 +366,8 @@
 
     fn suspects(self: Rc<Self>, _suspects: Vec<sync::Suspect>) {}
 
+    fn refreshed(self: Rc<Self>) {}
+
     fn ready(self: Rc<Self>) {
         self.feed(Event::Ready);
     }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -196,8 +196,7 @@
         runtime::spawn(parts.server.clone().serve(listener, handler)).detach();
     }
     let distribution = Distribution::start(parts.settings, &parts.identity, entry.clone());
-    let source = distribution.clone();
-    entry.set_settings_hash(move || source.hash());
+    entry.set_distribution(&distribution);
     Ok((entry, distribution))
 }
 
--- a/crates/daemon/tests/backend.rs
+++ b/crates/daemon/tests/backend.rs
@@ -29,6 +29,7 @@
         fingerprint: 1,
         affinity: 1,
         idempotent: false,
+        beyond_spread: false,
         key: None,
         body_len: 3,
         method: "POST".into(),
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -39,6 +39,7 @@
             fingerprint: seq,
             affinity: seq,
             idempotent: true,
+            beyond_spread: false,
             key: None,
             body_len: body.len() as u64,
             method: Bytes::from_static(b"POST"),
--- a/crates/entry/src/action.rs
+++ b/crates/entry/src/action.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use wire::{grant, id, key, outcome, request};
+use wire::{grant, id, key, outcome, request, sync};
 
 /// What the shell has to do.
 #[derive(Clone, Debug)]
@@ -71,6 +71,8 @@
         request: Option<id::Request>,
         refusal: outcome::Refusal,
     },
+    /// Suspects to pass on to other processes.
+    Suspects(Vec<sync::Suspect>),
     /// One event of a request's trace.
     Trace {
         request: id::Request,
--- a/crates/entry/src/frames.rs
+++ b/crates/entry/src/frames.rs
@@ -96,8 +96,9 @@
             self.refuse(key, refusal);
             return;
         }
+        self.suspect(key, false);
         // The agent has finished the grant, so there is nothing to cancel.
-        flight.grant = None;
+        self.flights[key].grant = None;
         self.counters.count("finished");
         self.close(key, "finished");
         self.push(Action::Finish { caller });
@@ -118,8 +119,10 @@
             refusal.outcome = Outcome::Incomplete;
         }
         let replaced = refusal.reason == Reason::AgentReplaced;
-        if flight.is_keyed() && replaced && refusal.outcome == Outcome::NotRun {
-            // The replaced process may have run the key for an earlier call.
+        let expired = refusal.reason == Reason::GrantExpired;
+        if flight.is_keyed() && (replaced || expired) && refusal.outcome == Outcome::NotRun {
+            // The replaced process may have run the key for an earlier call, and since a
+            // reservation expired, the key was free for another call to run.
             refusal.outcome = Outcome::Unknown;
         }
         let failed = matches!(
@@ -127,6 +130,10 @@
             Reason::BackendUnreachable | Reason::BackendCrashed | Reason::BackendSilent
         );
         let agent = grant.agent;
+        if !replaced {
+            // The agent knows what became of the request and counts crashes itself.
+            self.suspect(key, false);
+        }
         if failed {
             self.blame(agent);
         }
--- a/crates/entry/src/grants.rs
+++ b/crates/entry/src/grants.rs
@@ -13,7 +13,7 @@
 use wire::{
     grant, id,
     outcome::{Outcome, Reason, Step},
-    request,
+    request, sync,
     time::Instant,
 };
 
@@ -50,6 +50,9 @@
     pub attempts: u32,
     /// When the stream was last attached, or the time of the commit.
     pub attached: Instant,
+    /// Whether the request was reported as a suspect, since its agent could not be reached
+    /// again.
+    pub suspected: bool,
     /// Offset at which an end frame named bytes that had not arrived.
     pub short_end: Option<u64>,
 }
@@ -110,6 +113,7 @@
             attach_at: None,
             attempts: 0,
             attached: self.now,
+            suspected: false,
             short_end: None,
         });
         let seat = flight.seat(key);
@@ -169,6 +173,22 @@
         self.schedule_attach(key);
     }
 
+    /// Reports that the agent of a model request was lost while it may have run, or takes the
+    /// report back. An agent that dies with its engine can tell nobody, and neither can this
+    /// entry if it dies before the request is given up.
+    pub fn suspect(&mut self, key: flight::Key, lost: bool) {
+        let Some(flight) = self.flights.get_mut(key) else { return };
+        let head = &flight.head;
+        let Some(grant) = flight.grant.as_mut() else { return };
+        let counts = head.kind == request::Kind::Model && head.fingerprint != 0;
+        if !counts || grant.suspected == lost {
+            return;
+        }
+        grant.suspected = lost;
+        let suspect = sync::Suspect::of_lost_agent(grant.id, head.fingerprint);
+        self.push(Action::Suspects(vec![sync::Suspect { cleared: !lost, ..suspect }]));
+    }
+
     /// Schedules an attach after a backoff, unless one is scheduled.
     pub fn schedule_attach(&mut self, key: flight::Key) {
         let jitter = 0.5 + self.rng.f64() / 2.0;
@@ -187,6 +207,10 @@
 
     /// Attaches to a grant at its host's current address.
     fn attach(&mut self, key: flight::Key) {
+        let Some(flight) = self.flights.get_mut(key) else { return };
+        if flight.grant.as_ref().is_some_and(|grant| grant.attempts > 0) {
+            self.suspect(key, true);
+        }
         let Some(flight) = self.flights.get_mut(key) else { return };
         let head = &flight.head;
         let (request, fingerprint) = (head.request, head.fingerprint);
--- a/crates/entry/src/machine.rs
+++ b/crates/entry/src/machine.rs
@@ -263,6 +263,7 @@
         fingerprint: hash(&[&call.account, name], call.body_hash),
         affinity: hash(&[&call.account, &call.model], call.prefix_hash),
         idempotent: route.idempotent,
+        beyond_spread: false,
         key: draft.key.clone(),
         body_len: call.body_len,
         method: fixed(b"POST", &call.method),
--- a/crates/entry/src/offers.rs
+++ b/crates/entry/src/offers.rs
@@ -108,7 +108,8 @@
     /// unless no agent of the spread could be asked.
     fn offer_beyond_spread(&mut self, key: flight::Key) -> bool {
         let Some(flight) = self.flights.get(key) else { return false };
-        if flight.is_keyed() || flight.confined {
+        // While one of the spread considers it, another copy of it may be running there.
+        if flight.is_keyed() || flight.confined || !flight.offers.is_empty() {
             return false;
         }
         let paid = flight.offers_sent > 0;
@@ -185,6 +186,7 @@
         flight.hedge_at = hedged.then(|| self.now + flight.limits.hedge);
         let mut head = flight.head.clone();
         head.remaining = flight.deadline.since(self.now);
+        head.beyond_spread = !flight.is_keyed() && !flight.spread.contains(&agent);
         self.health.offered(self.now, agent);
         self.counters.count("offers");
         self.push(Action::Offer { peer, head });
--- a/crates/entry/tests/grants.rs
+++ b/crates/entry/tests/grants.rs
@@ -161,3 +161,37 @@
     assert!(bench.frame(to, grant(1), data(0, "old")).is_empty());
     assert_eq!(bytes(&bench.frame((to.0, address(200)), grant(1), data(0, "new"))), "new");
 }
+
+/// Guards against a poison request that kills its engine and agent unseen: neither can report
+/// it, and this entry may die before it gives the request up.
+#[test]
+fn a_request_whose_agent_stays_lost_is_a_suspect() {
+    let reports = |actions: &[Action]| {
+        let lists = actions.iter().filter_map(|action| match action {
+            Action::Suspects(list) => Some(list.clone()),
+            _ => None,
+        });
+        lists.flatten().map(|suspect| suspect.cleared).collect::<Vec<_>>()
+    };
+    let mut bench = bench();
+    let to = bench.start(call(1), grant(1));
+    bench.send(Event::StreamLost { request: to.0, peer: to.1 });
+    assert!(reports(&next_timer(&mut bench)).is_empty(), "a cut connection is no loss");
+    bench.send(Event::StreamLost { request: to.0, peer: to.1 });
+    assert_eq!(reports(&next_timer(&mut bench)), [false]);
+    bench.send(Event::StreamLost { request: to.0, peer: to.1 });
+    assert!(reports(&next_timer(&mut bench)).is_empty(), "reported twice");
+    bench.frame(to, grant(1), data(0, "whole"));
+    assert_eq!(reports(&bench.frame(to, grant(1), end("whole"))), [true]);
+}
+
+/// Guards against `not_run` for a key whose reservation expired and that another call ran.
+#[test]
+fn an_expired_reservation_of_a_key_is_unknown() {
+    let mut bench = bench();
+    let host = String::from_utf8_lossy(&hosts(1)[0].host).into_owned();
+    let to = bench.open(service(1, "/floor/bids", Some(&format!("{host}.63.5"))));
+    bench.ready(to, grant(1));
+    let gone = Body::Refused(refused(NotRun, Reason::GrantExpired));
+    assert_eq!(refusal(&bench.frame(to, grant(1), gone)), Some((Unknown, Reason::GrantExpired)));
+}
--- a/crates/entry/tests/offers.rs
+++ b/crates/entry/tests/offers.rs
@@ -196,3 +196,15 @@
     assert_eq!((short.len(), long.len()), (10, 8), "two of ten agents are kept");
     assert!(!long.contains(&short[0]) && long.contains(&short[1]));
 }
+
+/// Guards against a third engine lost to copies of a poison request: while one agent of the
+/// spread considers a request, the loss of another is no reason to go beyond the spread.
+#[test]
+fn a_lost_agent_does_not_widen_the_spread_while_another_considers() {
+    let mut bench = bench();
+    let first = bench.open(call(1));
+    let second = offered(&bench.tick(20)).unwrap();
+    let actions = bench.send(Event::OfferFailed { request: second.0, peer: second.1 });
+    assert_eq!((offered(&actions), refusal(&actions)), (None, None));
+    assert!(offered(&bench.refuse(first, NotRun, Reason::NotReady)).is_some(), "none considers");
+}
--- a/crates/proof/src/entries.rs
+++ b/crates/proof/src/entries.rs
@@ -77,6 +77,7 @@
             }
             Action::Finish { caller } => self.finish(caller),
             Action::Refuse { caller, refusal, .. } => self.refuse(index, caller, refusal),
+            Action::Suspects(suspects) => self.spread_suspects(None, &suspects),
             Action::Trace { request, step, event, .. } => {
                 self.print_step("entry", index, request, step, event);
             }
--- a/crates/proof/src/node.rs
+++ b/crates/proof/src/node.rs
@@ -15,6 +15,8 @@
     pub backlog: Vec<E>,
     pub timer: Option<Instant>,
     pub stopping: bool,
+    /// Number of the last publication of settings that arrived.
+    published: u64,
 }
 
 impl<M, E> Node<M, E> {
@@ -28,11 +30,12 @@
             backlog: Vec::new(),
             timer: None,
             stopping: false,
+            published: 0,
         }
     }
 
     /// Starts the process with a new machine.
-    pub fn start(&mut self, process: id::Process, machine: M) {
+    pub fn start(&mut self, process: id::Process, published: u64, machine: M) {
         self.machine = Some(machine);
         self.process = process;
         self.generation += 1;
@@ -40,6 +43,16 @@
         self.backlog.clear();
         self.timer = None;
         self.stopping = false;
+        self.published = published;
+    }
+
+    /// Returns whether a publication is newer than what arrived before, and notes it.
+    pub(crate) fn takes(&mut self, generation: u32, number: u64) -> bool {
+        let newer = generation == self.generation && number >= self.published;
+        if newer {
+            self.published = number;
+        }
+        newer
     }
 }
 
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -75,6 +75,16 @@
     Close {
         connection: u64,
     },
+    /// Settings and host list as of their n-th publication. A process that has seen a later
+    /// one ignores them, as distribution by revisions does.
+    Published {
+        role: host::Role,
+        index: usize,
+        generation: u32,
+        number: u64,
+        tree: Arc<tree::Tree>,
+        hosts: Vec<host::Record>,
+    },
     EngineTick {
         index: usize,
     },
@@ -111,6 +121,8 @@
     pub record: Record,
     pub tree: Arc<tree::Tree>,
     pub hosts: Vec<host::Record>,
+    /// Counts changes of settings and host list.
+    pub(crate) publications: u64,
     /// Whether steps of requests are printed, to examine one plan.
     pub trace: bool,
     pub(crate) queue: BTreeMap<(Instant, u64), Delivery>,
@@ -164,6 +176,7 @@
             record: Record::default(),
             tree: Arc::new(tree),
             hosts,
+            publications: 0,
             trace: std::env::var_os("PROOF_TRACE").is_some(),
             queue: BTreeMap::new(),
             next: 0,
@@ -194,7 +207,7 @@
             availability_zone: format!("zone-{}", index % 4).into(),
             seed: self.rng.u64(..),
         });
-        self.entries[index].start(process, machine);
+        self.entries[index].start(process, self.publications, machine);
         self.entry_event(index, entry::Event::Settings(self.tree.clone()));
         self.entry_event(index, entry::Event::Hosts(self.hosts.clone()));
         self.entry_event(index, entry::Event::Ready);
@@ -209,7 +222,7 @@
             pool: self.hosts[index].pool.clone(),
             seed: self.rng.u64(..),
         });
-        self.agents[index].start(process, machine);
+        self.agents[index].start(process, self.publications, machine);
         self.agent_event(index, agent::Event::Settings(self.tree.clone()));
         self.agent_event(index, agent::Event::Hosts(self.hosts.clone()));
         let instance = (!self.engines[index].down).then(|| self.engines[index].instance());
@@ -222,8 +235,30 @@
 
     /// Lets one agent learn the settings and the host list at once.
     pub fn tell_agent(&mut self, index: usize) {
-        self.agent_event(index, agent::Event::Settings(self.tree.clone()));
-        self.agent_event(index, agent::Event::Hosts(self.hosts.clone()));
+        self.publications += 1;
+        let publication = (self.publications, self.tree.clone(), self.hosts.clone());
+        let generation = self.agents[index].generation;
+        self.take_publication(host::Role::Agent, index, generation, publication);
+    }
+
+    fn take_publication(
+        &mut self,
+        role: host::Role,
+        index: usize,
+        generation: u32,
+        (number, tree, hosts): (u64, Arc<tree::Tree>, Vec<host::Record>),
+    ) {
+        match role {
+            host::Role::Entry if self.entries[index].takes(generation, number) => {
+                self.entry_event(index, entry::Event::Settings(tree));
+                self.entry_event(index, entry::Event::Hosts(hosts));
+            }
+            host::Role::Agent if self.agents[index].takes(generation, number) => {
+                self.agent_event(index, agent::Event::Settings(tree));
+                self.agent_event(index, agent::Event::Hosts(hosts));
+            }
+            host::Role::Entry | host::Role::Agent => {}
+        }
     }
 
     /// Sends a call to an entry.
@@ -357,6 +392,9 @@
                 self.deliver_to_entry(connection, event, last);
             }
             Delivery::Close { connection } => self.close(connection),
+            Delivery::Published { role, index, generation, number, tree, hosts } => {
+                self.take_publication(role, index, generation, (number, tree, hosts));
+            }
             Delivery::EngineTick { index } => self.engine_tick(index),
             Delivery::Poison { copies } => self.send_poison(copies),
             Delivery::Dispatch { index, generation, grant, head, body } => {
--- a/crates/proof/tests/regressions.rs
+++ b/crates/proof/tests/regressions.rs
@@ -1,6 +1,4 @@
 //! Schedules that broke a guarantee once, as shrunk from the generator seed in each name.
-//!
-//! KNOWN-RED.txt lists those whose fault is not mended yet.
 
 use std::time::Duration;
 
@@ -274,3 +272,72 @@
         ],
     });
 }
+
+/// Guards against a fingerprint that crashes a third engine.
+#[test]
+fn third_crash_seed_880001() {
+    holds(Plan {
+        seed: 5715732840246705923,
+        entries: 3,
+        agents: 4,
+        max_queued: 8,
+        max_open: 1000,
+        ops: vec![
+            (us(0), Op::Poison { entry: 0 }),
+            (us(0), Op::Poison { entry: 0 }),
+            (us(1_315), Op::Poison { entry: 0 }),
+            (
+                us(27_178),
+                Op::Fault { fault: Fault::CutPeers, entry: 0, agent: 1, lasts: us(877_000) },
+            ),
+        ],
+    });
+}
+
+/// Guards against `not_run` for a key that ran while its first call's entry was frozen.
+#[test]
+fn false_not_run_seed_880002() {
+    holds(Plan {
+        seed: 17493858105995515951,
+        entries: 3,
+        agents: 4,
+        max_queued: 2,
+        max_open: 6,
+        ops: vec![
+            (us(143_923), Op::Key { entry: 4 }),
+            (
+                us(281_191),
+                Op::Fault { fault: Fault::CrashEngine, entry: 7, agent: 1, lasts: us(653_000) },
+            ),
+            (us(19_427), Op::Bid { entry: 0, key: 3 }),
+            (us(80_108), Op::Bid { entry: 2, key: 1 }),
+            (
+                us(12_316),
+                Op::Fault { fault: Fault::FreezeEntry, entry: 5, agent: 2, lasts: us(1_291_000) },
+            ),
+            (us(155_391), Op::Bid { entry: 7, key: 1 }),
+            (us(52_018), Op::Call { entry: 6, tier: 1, count: 3 }),
+        ],
+    });
+}
+
+/// Guards against a fingerprint that crashes a third engine.
+#[test]
+fn third_crash_seed_880011() {
+    holds(Plan {
+        seed: 14555245722908630539,
+        entries: 3,
+        agents: 4,
+        max_queued: 2,
+        max_open: 6,
+        ops: vec![
+            (us(184_342), Op::Poison { entry: 0 }),
+            (us(14_138), Op::Poison { entry: 1 }),
+            (us(1), Op::Poison { entry: 2 }),
+            (
+                us(31_268),
+                Op::Fault { fault: Fault::CutPeers, entry: 2, agent: 1, lasts: us(1_000) },
+            ),
+        ],
+    });
+}
--- a/crates/sync/src/exchange.rs
+++ b/crates/sync/src/exchange.rs
@@ -162,6 +162,9 @@
         if self.is_level(&exchange.digest) {
             self.contact = now;
             self.is_orphan = false;
+            if std::mem::take(&mut self.is_refreshing) {
+                actions.push(Action::Refreshed);
+            }
         }
         changed
     }
--- a/crates/sync/src/lib.rs
+++ b/crates/sync/src/lib.rs
@@ -60,7 +60,9 @@
         peer: SocketAddr,
         hash: u64,
     },
-    /// Suspects learned by the local agent, to be passed on.
+    /// The process was paused: compares what it holds with other processes at once.
+    Refresh,
+    /// Suspects learned by the local process, to be passed on.
     Suspects(Vec<sync::Suspect>),
 }
 
@@ -89,6 +91,8 @@
     Suspects(Vec<sync::Suspect>),
     /// The process may serve.
     Ready,
+    /// The answer to `Refresh`: everything that another process holds is in force here.
+    Refreshed,
     /// A branch revision was refused.
     Refused {
         branch: Bytes,
@@ -127,6 +131,8 @@
     /// Time of the last complete exchange.
     contact: Instant,
     is_orphan: bool,
+    /// Whether a `Refresh` waits for a complete exchange.
+    is_refreshing: bool,
     /// Peer of the digest exchange in progress.
     partner: Option<SocketAddr>,
     retries: u32,
@@ -150,6 +156,7 @@
             asked: BTreeMap::new(),
             contact: Instant::default(),
             is_orphan: false,
+            is_refreshing: false,
             partner: None,
             retries: 0,
             follow_ups: 0,
@@ -174,6 +181,7 @@
             Event::Replied { peer, exchange } => self.replied(now, peer, exchange, actions),
             Event::SendFailed { peer } => self.send_failed(now, peer, actions),
             Event::Seen { peer, hash } => self.seen(now, peer, hash, actions),
+            Event::Refresh => self.refresh(now, actions),
             Event::Suspects(suspects) => self.share_suspects(now, &suspects, actions),
         }
         self.run_timers(now, actions);
@@ -344,6 +352,13 @@
         }
     }
 
+    fn refresh(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.is_refreshing = true;
+        for peer in self.peers.choose(&mut self.rng, limit::FANOUT, b"") {
+            actions.push(Action::Send { peer, exchange: self.brief(now, &[]) });
+        }
+    }
+
     fn share_suspects(
         &mut self,
         now: Instant,
--- a/crates/sync/tests/machine.rs
+++ b/crates/sync/tests/machine.rs
@@ -333,3 +333,20 @@
         true
     }
 }
+
+/// Guards against a process that was paused and takes what it holds for the latest.
+#[test]
+fn a_refresh_ends_when_nothing_is_lacking() {
+    let mut machine = machine();
+    send(&mut machine, exchange(vec![branch("b", 1, "[entry]")]));
+    machine.handle(Instant(3), Event::Refresh, &mut Vec::new());
+    let refreshed =
+        |actions: &[Action]| actions.iter().any(|action| matches!(action, Action::Refreshed));
+    let newer = |branches| {
+        let digest = Digest([(Bytes::from_static(b"b"), 2)].into());
+        Exchange { digest, ..exchange(branches) }
+    };
+    assert!(!refreshed(&send(&mut machine, newer(Vec::new()))), "revision 2 is lacking");
+    assert!(refreshed(&send(&mut machine, newer(vec![branch("b", 2, "[entry]")]))));
+    assert!(!refreshed(&send(&mut machine, newer(Vec::new()))), "told once");
+}
--- a/crates/sync/tests/net/mod.rs
+++ b/crates/sync/tests/net/mod.rs
@@ -33,6 +33,7 @@
     pub tree: Arc<tree::Tree>,
     pub suspects: Vec<wire::sync::Suspect>,
     pub refusals: usize,
+    pub refreshed: usize,
     next_tick: Option<u64>,
     /// What reachable seeds held when the process started.
     floor: Revisions,
@@ -114,6 +115,7 @@
             tree: Arc::default(),
             suspects: Vec::new(),
             refusals: 0,
+            refreshed: 0,
             next_tick: None,
             floor: Revisions::new(),
         }
@@ -239,6 +241,7 @@
             Action::Settings(tree) => self.nodes[node].tree = tree,
             Action::Suspects(new) => self.nodes[node].suspects.extend(new),
             Action::Refused { .. } => self.nodes[node].refusals += 1,
+            Action::Refreshed => self.nodes[node].refreshed += 1,
             Action::Hosts(list) => assert!(!list.is_empty()),
             Action::Ready => {
                 let node = &mut self.nodes[node];
--- a/crates/wire/src/request.rs
+++ b/crates/wire/src/request.rs
@@ -35,6 +35,10 @@
     /// share a cached prefix.
     pub affinity: u64,
     pub idempotent: bool,
+    /// Whether the agent offered to is beyond the request's spread. No suspect runs there, or a
+    /// poison request could cost a third engine.
+    #[serde(default)]
+    pub beyond_spread: bool,
     pub key: Option<key::Key>,
     pub body_len: u64,
     /// Method and path with query of a plain call; fixed for model calls.
--- a/crates/wire/src/sync.rs
+++ b/crates/wire/src/sync.rs
@@ -35,7 +35,7 @@
     }
 }
 
-/// A request that was running when an engine crashed.
+/// A request that was running when an engine crashed, or whose agent was lost while it ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspect {
     pub fingerprint: u64,
@@ -46,6 +46,16 @@
     pub cleared: bool,
 }
 
+impl Suspect {
+    /// Returns the suspect of a grant whose agent was lost while it may have run. Its entry
+    /// and a replaced agent report it alike; the complement keeps it apart from the crashes
+    /// that agents count.
+    pub fn of_lost_agent(grant: id::Grant, fingerprint: u64) -> Suspect {
+        let crash = !grant.process.0.wrapping_add(grant.seq);
+        Suspect { fingerprint, crash, cleared: false }
+    }
+}
+
 /// One message of an exchange, and its reply.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Exchange {
