--- a/crates/agent/tests/schedules.rs
+++ b/crates/agent/tests/schedules.rs
@@ -5,6 +5,7 @@
 
 use std::{collections::BTreeMap, panic};
 
+/// Schedules in CI; see `stand::schedules`.
 const SCHEDULES: u64 = 1500;
 
 /// Guards against a rule that holds alone and breaks in combination: dispatch and keyed runs
@@ -12,7 +13,8 @@
 #[test]
 fn random_schedules_keep_the_rules() {
     let mut totals = BTreeMap::<String, u64>::new();
-    for seed in 0..SCHEDULES {
+    let (count, first) = stand::schedules::read(SCHEDULES, 0);
+    for seed in first..first + count {
         let mut world = world::World::new(seed, seed % 3 == 0);
         let played = panic::catch_unwind(panic::AssertUnwindSafe(|| world.play()));
         assert!(played.is_ok(), "schedule with seed {seed} failed");
@@ -35,7 +37,7 @@
         "shared",
     ];
     for counter in exercised {
-        assert!(totals[counter] > 100, "{counter} is hardly exercised");
+        assert!(totals[counter] * SCHEDULES > 100 * count, "{counter} is hardly exercised");
     }
-    assert!(totals["whole_answers"] > SCHEDULES * world::REQUESTS / 10);
+    assert!(totals["whole_answers"] > count * world::REQUESTS / 10);
 }
--- a/crates/entry/tests/schedules.rs
+++ b/crates/entry/tests/schedules.rs
@@ -345,12 +345,13 @@
 #[test]
 fn random_schedules_keep_the_promises() {
     let mut finished = 0;
-    for seed in 0..SCHEDULES {
+    let (count, first) = stand::schedules::read(SCHEDULES, 0);
+    for seed in first..first + count {
         println!("seed {seed}");
         let mut world = World::new(seed);
         world.run();
         world.check();
         finished += world.finished;
     }
-    assert!(finished > SCHEDULES as u32 * 5, "too few answers for the checks to mean anything");
+    assert!(finished > count as u32 * 5, "too few answers for the checks to mean anything");
 }
--- a/crates/gate/tests/schedules.rs
+++ b/crates/gate/tests/schedules.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use std::{collections::HashMap, env, rc::Rc, time::Duration};
+use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use common::{MODEL, MS, PLAIN, World, call, catalog, record};
 use gate::{
@@ -13,9 +13,9 @@
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
-/// Schedules in CI; `SCHEDULES` sets another number.
+/// Schedules in CI; see `stand::schedules`.
 const SCHEDULES: u64 = 500;
-/// Generator seed in CI; `SCHEDULES_SEED` sets another one.
+/// Generator seed in CI.
 const SEED: u64 = 1;
 const PATHS: [&str; 6] = ["essay", "resumable", "tag", "bid", "status", "public"];
 
@@ -251,10 +251,6 @@
     }
 }
 
-fn setting(name: &str, default: u64) -> u64 {
-    env::var(name).ok().and_then(|value| value.parse().ok()).unwrap_or(default)
-}
-
 /// Guards against a call that runs more often than its route allows, a promise to a call that
 /// ran, work for a leaving replica or with a withdrawn key, a second answer, and places that
 /// stay taken.
@@ -270,10 +266,9 @@
         }
         run.finish()
     }
-    let (schedules, seed) = (setting("SCHEDULES", SCHEDULES), setting("SCHEDULES_SEED", SEED));
-    println!("generator seed {seed}, {schedules} schedules");
+    let (count, seed) = stand::schedules::read(SCHEDULES, SEED);
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(120, seed))
-        .tests(schedules)
+        .tests(count)
         .quickcheck(holds as fn(Vec<Step>) -> Result<(), String>);
 }
--- a/crates/proof/tests/schedules.rs
+++ b/crates/proof/tests/schedules.rs
@@ -1,6 +1,6 @@
 //! Randomised schedules of calls and faults over all state machines.
 
-use std::{collections::BTreeMap, env, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use bytes::Bytes;
 use proof::{
@@ -11,13 +11,9 @@
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
-/// Schedules for each property in CI; `SCHEDULES` sets another number.
+/// Schedules for each property in CI; see `stand::schedules`.
 const SCHEDULES: u64 = 1_000;
 
-fn setting(name: &str, default: u64) -> u64 {
-    env::var(name).ok().and_then(|value| value.parse().ok()).unwrap_or(default)
-}
-
 /// A plan over the faults that a property allows.
 #[derive(Clone, Debug)]
 struct Schedule(Plan);
@@ -80,14 +76,12 @@
     if violations.is_empty() { Ok(record) } else { Err(violations.join("; ")) }
 }
 
-/// Runs a property; the failing plan is printed after shrinking. `SCHEDULES_SEED` replaces the
-/// fixed seed.
+/// Runs a property; the failing plan is printed after shrinking.
 fn run<A: Arbitrary + std::fmt::Debug>(seed: u64, property: fn(A) -> Result<(), String>) {
-    let (schedules, seed) = (setting("SCHEDULES", SCHEDULES), setting("SCHEDULES_SEED", seed));
-    println!("generator seed {seed}, {schedules} schedules");
+    let (count, seed) = stand::schedules::read(SCHEDULES, seed);
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(100, seed))
-        .tests(schedules)
+        .tests(count)
         .quickcheck(property as fn(A) -> Result<(), String>);
 }
 
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod port;
 pub mod proxy;
 pub mod run;
+pub mod schedules;
 pub mod service;
 pub mod signal;
 pub mod stream;
--- a/crates/sync/tests/distribution.rs
+++ b/crates/sync/tests/distribution.rs
@@ -9,6 +9,9 @@
 use sync::Event;
 use wire::sync::{Branch, Suspect};
 
+/// Schedules in CI; see `stand::schedules`.
+const SCHEDULES: u64 = 1_000;
+
 fn pool(name: &str, spread: u64, padding: usize) -> String {
     format!("; {}\n[pool {name}]\nspread = {spread}\n", "x".repeat(padding))
 }
@@ -89,14 +92,17 @@
 /// Guards against any combination of faults that reverts, loses or delays settings.
 #[test]
 fn random_schedules() {
-    let part = |part: u64| (part * 250..part * 250 + 250).map(schedule);
+    let (count, first) = stand::schedules::read(SCHEDULES, 0);
+    let size = count / 4;
+    let part = |part: u64| (first + part * size..first + (part + 1) * size).map(schedule);
     let run = |number| part(number).fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1));
     let parts: Vec<_> = std::thread::scope(|scope| {
         let threads: Vec<_> = (0..4).map(|number| scope.spawn(move || run(number))).collect();
         threads.into_iter().map(|thread| thread.join().unwrap()).collect()
     });
     println!("checks of the 3 s bound and of a start: {parts:?}");
-    assert!(parts.iter().all(|part| part.0 > 500 && part.1 > 100), "too few checks: {parts:?}");
+    let enough = |part: &(u64, u64)| part.0 > 2 * size && 5 * part.1 > 2 * size;
+    assert!(parts.iter().all(enough), "too few checks: {parts:?}");
 }
 
 /// Guards against gossip that reaches a small fleet only, or depends on every message.
