--- a/crates/sync/tests/distribution.rs
+++ b/crates/sync/tests/distribution.rs
@@ -109,6 +109,13 @@
     assert!(parts.iter().all(enough), "too few checks: {parts:?}");
 }
 
+/// Guards against a host list that does not reach a process within 3 s which was restarted
+/// while it can reach neither a seed nor the host list.
+#[test]
+fn restart_without_seeds_seed_5003951() {
+    schedule(5_003_951);
+}
+
 /// Guards against gossip that reaches a small fleet only, or depends on every message.
 #[test]
 fn sixty_processes_follow_changes_with_losses() {
