Tell a started process the other gateways and the window's usage at once

Cause: a started gateway knows its seeds, eight of 32 on the grown site, and takes them for all there are until a message that names others comes, half a second later; a group of seeds then grants whole quotas. What it adopted of the window was one number, held for a whole window, so that after a restart some gateways counted 8.6 million units where 4.2 million had run, and refused callers for seconds. A new process is now answered with everything, the window in 16 parts. Ruled out: a shorter period of all messages, which costs processor time.

--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -76,6 +76,8 @@
     started: Instant,
     stopping: Option<Instant>,
     sequence: u64,
+    /// Rounds of messages to all peers.
+    round: u64,
     next_share: Instant,
     random: fastrand::Rng,
 }
@@ -99,6 +101,7 @@
             probes: HashMap::new(),
             stopping: None,
             sequence: 0,
+            round: 0,
             next_share: now,
         }
     }
@@ -156,7 +159,7 @@
             }
             Event::Confirmed { at } => self.lease.confirm(at),
             Event::StoreLost => self.roster.store_lost(),
-            Event::Shared(message) => self.shared(now, message),
+            Event::Shared(message) => self.shared(now, message, actions),
             Event::Probed { replica, reachable } => self.probed(now, replica, reachable),
             Event::Stop => self.stopping = Some(now),
             Event::Tick => self.tick(now, actions),
--- a/crates/gate/src/machine/sharing.rs
+++ b/crates/gate/src/machine/sharing.rs
@@ -3,7 +3,7 @@
 use wire::time::Instant;
 
 use super::{Machine, PROBE_PERIOD};
-use crate::{Action, quota, roster, share};
+use crate::{Action, peers::Sender, quota, roster, share};
 
 /// Messages from one that names other gateways to the next.
 const PEERS_EVERY: u64 = 8;
@@ -13,10 +13,23 @@
 const SPEEDS_EVERY: u64 = 6;
 
 impl Machine {
-    pub(super) fn shared(&mut self, now: Instant, message: share::Message) {
-        let Ok(replaced) = self.peers.hear(now, &message) else { return };
-        if let Some(replaced) = replaced {
-            self.quotas.forget(replaced);
+    pub(super) fn shared(
+        &mut self,
+        now: Instant,
+        message: share::Message,
+        actions: &mut Vec<Action>,
+    ) {
+        let Ok(sender) = self.peers.hear(now, &message) else { return };
+        if let Sender::Replaced(process) = sender {
+            self.quotas.forget(process);
+        }
+        if let (Some(to), true) = (message.from, sender != Sender::Known) {
+            // A process that has just started knows neither the other gateways nor what the
+            // accounts used, and would grant quotas again.
+            self.sequence += 1;
+            let history = self.quotas.history(now, self.options.limits.quota_window);
+            let message = share::Message { history, ..self.message(now, |_| true) };
+            actions.push(Action::Share { to, message });
         }
         self.roster.learn_speeds(&message);
         self.quotas.reported(now, &message, self.options.limits.quota_window);
@@ -48,7 +61,9 @@
         let (targets, period) = self.peers.targets();
         self.next_share = now + period;
         self.sequence += 1;
-        let message = self.message(now);
+        self.round += 1;
+        let round = self.round;
+        let message = self.message(now, |period| round.is_multiple_of(period));
         for to in targets {
             actions.push(Action::Share { to, message: message.clone() });
         }
@@ -66,8 +81,9 @@
         busy.map(|(service, queue)| (quota::hash(service), queue.len() as u32)).collect()
     }
 
-    pub(super) fn message(&mut self, now: Instant) -> share::Message {
-        let complete = self.quotas.is_complete(now, self.options.limits.quota_window);
+    /// Returns the state of this gateway; `every` tells whether what is sent once in a number of
+    /// rounds belongs to it.
+    pub(super) fn message(&self, now: Instant, every: impl Fn(u64) -> bool) -> share::Message {
         let busy = self.roster.iter().filter(|(_, r)| r.load.running > 0);
         let loads = busy.map(|(_, replica)| share::Load {
             replica: replica.hash,
@@ -76,7 +92,6 @@
         });
         let learned = self.roster.iter().filter(|(_, r)| r.load.speed().samples > 0);
         let speeds = learned.map(|(_, replica)| (replica.hash, replica.load.speed()));
-        let every = |period: u64| self.sequence.is_multiple_of(period);
         share::Message {
             process: self.options.process,
             from: self.options.own,
@@ -86,7 +101,7 @@
             speeds: if every(SPEEDS_EVERY) { speeds.collect() } else { Vec::new() },
             waiting: self.waiting(),
             age: now.since(self.started),
-            complete,
+            history: None,
             usage: if every(USAGE_EVERY) { self.quotas.usage() } else { Vec::new() },
             crashes: self.suspects.shared(now),
             peers: if every(PEERS_EVERY) { self.peers.named(now) } else { Vec::new() },
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -56,17 +56,13 @@
         });
     }
 
-    /// Takes a peer's message and returns the process that it replaces, if any. A message that
-    /// was overtaken by a later one is ignored and returns an error.
+    /// Takes a peer's message and returns whether its process is new. A message that was
+    /// overtaken by a later one is ignored and returns an error.
     ///
     /// # Errors
     ///
     /// Returns an error for a message without a sender or one that was overtaken.
-    pub fn hear(
-        &mut self,
-        now: Instant,
-        message: &share::Message,
-    ) -> Result<Option<u64>, Overtaken> {
+    pub fn hear(&mut self, now: Instant, message: &share::Message) -> Result<Sender, Overtaken> {
         let from = message.from.ok_or(Overtaken)?;
         if Some(from) == self.own {
             return Err(Overtaken);
@@ -81,10 +77,14 @@
         if known && same && peer.message.sequence >= message.sequence {
             return Err(Overtaken);
         }
-        let replaced = (known && !same).then_some(peer.message.process);
+        let sender = match (known, same) {
+            (true, true) => Sender::Known,
+            (true, false) => Sender::Replaced(peer.message.process),
+            (false, _) => Sender::New,
+        };
         peer.heard = Some(now);
         peer.message = message.clone();
-        Ok(replaced)
+        Ok(sender)
     }
 
     /// Drops peers that fell silent and returns their processes.
@@ -141,6 +141,15 @@
     }
 }
 
+/// What is known of the process that sent a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sender {
+    Known,
+    New,
+    /// It runs in place of a process that was heard before.
+    Replaced(u64),
+}
+
 /// A message that says nothing new.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Overtaken;
--- a/crates/gate/src/quota.rs
+++ b/crates/gate/src/quota.rs
@@ -14,6 +14,8 @@
 
 use crate::{call::Call, catalog::Account, limits::Limits, share};
 
+/// Parts of the window in which a started process is told its usage.
+const HISTORY_PARTS: u32 = 16;
 /// Longest wait that a refused caller is told.
 const MAX_WAIT: Duration = Duration::from_secs(4);
 /// Shortest wait that a refused caller is told.
@@ -87,6 +89,33 @@
         }
     }
 
+    /// Returns the units in equal parts of the window, the latest first.
+    fn parts(&self, now: Instant, window: Duration) -> Vec<f32> {
+        let mut parts = vec![0.0; HISTORY_PARTS as usize];
+        for (at, units) in &self.slices {
+            let part = now.since(*at).as_secs_f64() / window.as_secs_f64();
+            let part = (part * f64::from(HISTORY_PARTS)) as usize;
+            parts[part.min(HISTORY_PARTS as usize - 1)] += *units as f32;
+        }
+        parts
+    }
+
+    /// Adds what a peer knows of the window beyond what is known here, which is the latest of
+    /// it. Each part counts as used at its end, so that none leaves the window too early.
+    fn adopt(&mut self, now: Instant, window: Duration, parts: &[f32]) {
+        let mut known = self.sum.max(0.0);
+        let step = window / HISTORY_PARTS;
+        for (index, units) in parts.iter().take(HISTORY_PARTS as usize).enumerate() {
+            let units = f64::from(*units);
+            let covered = known.min(units).max(0.0);
+            known -= covered;
+            let age = (step * index as u32).as_micros() as u64;
+            self.sum += units - covered;
+            self.slices.push_back((Instant(now.0.saturating_sub(age)), units - covered));
+        }
+        self.slices.make_contiguous().sort_by_key(|(at, _)| *at);
+    }
+
     /// Returns when `excess` units will have left the window.
     fn relief(&self, now: Instant, window: Duration, excess: f64) -> Duration {
         let mut left = excess;
@@ -198,7 +227,6 @@
         if self.names.is_empty() {
             return;
         }
-        let adopts = !self.is_complete(now, window) && peer.complete && !peer.usage.is_empty();
         for usage in &peer.usage {
             let key = (peer.process, usage.account);
             let last = self.reported.insert(key, usage.admitted);
@@ -206,14 +234,18 @@
             // The counter of a process that was not heard before includes what has left the
             // window, unless the process is younger than that.
             let unknown = if peer.age < window { 0.0 } else { usage.admitted };
-            let mut units = usage.admitted - last.unwrap_or(unknown);
-            let known = self.usage_of(&name);
-            if adopts {
-                units = (usage.window - known.sum).max(0.0);
+            self.usage_of(&name).add(now, usage.admitted - last.unwrap_or(unknown));
+        }
+        if let Some(history) = &peer.history
+            && !self.is_complete(now, window)
+        {
+            for share::History { account, parts } in history {
+                if let Some(name) = self.names.get(account).cloned() {
+                    self.usage_of(&name).adopt(now, window, parts);
+                }
             }
-            known.add(now, units);
+            self.complete = true;
         }
-        self.complete = self.complete || adopts;
     }
 
     /// Forgets a process that is gone.
@@ -230,16 +262,23 @@
     pub fn usage(&self) -> Vec<share::Usage> {
         let used = self.names.iter().filter_map(|(hash, name)| {
             let usage = self.usages.get(name)?;
-            let (admitted, window) = (usage.own, usage.sum);
-            (admitted != 0.0 || window > 0.0).then_some(share::Usage {
-                account: *hash,
-                admitted,
-                window,
-            })
+            (usage.own != 0.0).then_some(share::Usage { account: *hash, admitted: usage.own })
         });
         used.collect()
     }
 
+    /// Returns the usage of the window for a process that has just started, if it is known here.
+    pub fn history(&mut self, now: Instant, window: Duration) -> Option<Vec<share::History>> {
+        if !self.is_complete(now, window) {
+            return None;
+        }
+        let used = self.names.iter().filter_map(|(hash, name)| {
+            let usage = self.usages.get(name).filter(|usage| usage.sum > 0.0)?;
+            Some(share::History { account: *hash, parts: usage.parts(now, window) })
+        });
+        Some(used.collect())
+    }
+
     /// Names the accounts, so that peers' reports are understood before the first call.
     pub fn name<'a>(&mut self, accounts: impl Iterator<Item = &'a Account>) {
         for account in accounts {
--- a/crates/gate/src/share.rs
+++ b/crates/gate/src/share.rs
@@ -23,9 +23,10 @@
     pub waiting: Vec<(u64, u32)>,
     /// Time since the start of the process.
     pub age: Duration,
-    /// Whether `usage` covers the whole window of quotas.
-    pub complete: bool,
     pub usage: Vec<Usage>,
+    /// Usage of the whole window, for a process that has just started. Only in the answer to its
+    /// first message, and only from a process that knows it.
+    pub history: Option<Vec<History>>,
     /// Crashes by fingerprint.
     pub crashes: Vec<(u64, u32)>,
     /// Other gateways that this one knows.
@@ -60,6 +61,13 @@
     pub account: u64,
     /// Units admitted by the sender since its start.
     pub admitted: f64,
-    /// Units admitted by all gateways in the window, as far as the sender knows.
-    pub window: f64,
+}
+
+/// Units that an account used at all gateways, as far as the sender knows.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct History {
+    /// Hash of the account's name.
+    pub account: u64,
+    /// Units in equal parts of the window, the latest first.
+    pub parts: Vec<f32>,
 }
--- a/crates/gate/tests/quotas.rs
+++ b/crates/gate/tests/quotas.rs
@@ -43,6 +43,13 @@
     sum
 }
 
+/// Returns a history whose units ran in the oldest part of the window.
+fn history(units: f32) -> share::History {
+    let mut parts = vec![0.0; 15];
+    parts.push(units);
+    share::History { account: quota::hash(b"casa"), parts }
+}
+
 /// Guards against calls counted as one unit where an account pays by tokens.
 #[test]
 fn calls_cost_what_they_state() {
@@ -85,7 +92,7 @@
 fn usage_of_peers_counts() {
     let mut quotas = Quotas::new(at(0.0), true);
     quotas.name([account()].iter());
-    let usage = |admitted| share::Usage { account: quota::hash(b"casa"), admitted, window: 0.0 };
+    let usage = |admitted| share::Usage { account: quota::hash(b"casa"), admitted };
     let message = |admitted| share::Message {
         process: 2,
         usage: vec![usage(admitted)],
@@ -145,11 +152,12 @@
 fn a_restarted_gateway_adopts_the_window_of_a_peer() {
     let mut quotas = Quotas::new(at(0.0), false);
     quotas.name([account()].iter());
-    let usage = share::Usage { account: quota::hash(b"casa"), admitted: 90_000.0, window: 1_000.0 };
+    let usage = share::Usage { account: quota::hash(b"casa"), admitted: 90_000.0 };
+    let history = history(1_000.0);
     let message = share::Message {
         process: 2,
         age: Duration::from_secs(100),
-        complete: true,
+        history: Some(vec![history]),
         usage: vec![usage],
         ..share::Message::default()
     };
@@ -166,10 +174,10 @@
     let mut quotas = Quotas::new(at(0.0), false);
     let window = Duration::from_secs(8);
     let message = |admitted| {
-        let usage = share::Usage { account: quota::hash(b"casa"), admitted, window: 9_900.0 };
+        let usage = vec![share::Usage { account: quota::hash(b"casa"), admitted }];
         let age = Duration::from_secs(100);
-        let usage = vec![usage];
-        share::Message { process: 2, age, complete: true, usage, ..share::Message::default() }
+        let history = Some(vec![history(9_900.0)]);
+        share::Message { process: 2, age, history, usage, ..share::Message::default() }
     };
     quotas.reported(at(0.1), &message(90_000.0), window);
     quotas.name([account()].iter());
@@ -179,3 +187,19 @@
     let admitted = drain(&mut quotas, at(0.3), Scope { known: 2, heard: 2 });
     assert!(admitted < 3_000.0, "{admitted}");
 }
+
+/// Guards against an adopted window that is kept too short or too long: callers would be refused
+/// for seconds, or the bound broken.
+#[test]
+fn an_adopted_window_leaves_as_it_was_used() {
+    let window = Duration::from_secs(8);
+    let mut old = Quotas::new(at(0.0), true);
+    old.name([account()].iter());
+    drain(&mut old, at(0.0), ALONE);
+    let mut new = Quotas::new(at(6.0), false);
+    new.name([account()].iter());
+    let history = old.history(at(6.0), window);
+    new.reported(at(6.0), &share::Message { history, ..share::Message::default() }, window);
+    assert_eq!(drain(&mut new, at(7.9), ALONE), 0.0);
+    assert!(drain(&mut new, at(8.7), ALONE) > 9_000.0);
+}
