Let peers vouch for the published state

Four gateways watch now; the others ask a peer when their knowledge is 0.6 s old, and count its answer from the moment of the question. Changes come with the answer, or are read from the store if they are large or no longer known. Ruled out: ages in the regular messages, since a datagram may wait in a stopped process's socket for any time.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -47,13 +47,13 @@
     next_ticket: Cell<Ticket>,
     stopping: Cell<bool>,
     /// Messages for peers.
-    outbox: mpsc::UnboundedSender<(SocketAddr, gate::share::Message)>,
+    outbox: mpsc::UnboundedSender<(SocketAddr, gate::share::Datagram)>,
 }
 
 impl Gateway {
     fn new(
         machine: Machine,
-        outbox: mpsc::UnboundedSender<(SocketAddr, gate::share::Message)>,
+        outbox: mpsc::UnboundedSender<(SocketAddr, gate::share::Datagram)>,
     ) -> Rc<Gateway> {
         Rc::new_cyclic(|this| Gateway {
             this: this.clone(),
@@ -128,9 +128,14 @@
             Action::Refuse { ticket, refusal } => {
                 self.instruct(ticket, Instruction::Refuse(refusal));
             }
-            Action::Share { to, message } => {
+            Action::Share { to, datagram } => {
                 // The sending task lives as long as the process.
-                let _ = self.outbox.unbounded_send((to, message));
+                let _ = self.outbox.unbounded_send((to, datagram));
+            }
+            Action::Install(learned) => {
+                // The machine is in the middle of an event.
+                let Some(gateway) = self.this.upgrade() else { return };
+                runtime::spawn(async move { store::install(&gateway, learned) }).detach();
             }
             Action::Probe { replica, address } => self.probe(replica, address),
         }
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -16,7 +16,7 @@
 pub fn start(
     gateway: &Rc<Gateway>,
     socket: Rc<net::UdpSocket>,
-    messages: mpsc::UnboundedReceiver<(SocketAddr, share::Message)>,
+    messages: mpsc::UnboundedReceiver<(SocketAddr, share::Datagram)>,
 ) {
     runtime::spawn(send(socket.clone(), messages)).detach();
     runtime::spawn(receive(gateway.clone(), socket)).detach();
@@ -24,13 +24,17 @@
 
 async fn send(
     socket: Rc<net::UdpSocket>,
-    mut messages: mpsc::UnboundedReceiver<(SocketAddr, share::Message)>,
+    mut messages: mpsc::UnboundedReceiver<(SocketAddr, share::Datagram)>,
 ) {
-    let mut encoded = (0, Vec::new());
-    while let Some((to, message)) = messages.next().await {
+    let mut encoded = (None, Vec::new());
+    while let Some((to, datagram)) = messages.next().await {
         // One round sends the same message to every peer.
-        if encoded.0 != message.sequence {
-            encoded = (message.sequence, wire::frame::encode(&message).to_vec());
+        let sequence = match &datagram {
+            share::Datagram::State(message) => Some(message.sequence),
+            share::Datagram::Ask(_) | share::Datagram::Answer(_) => None,
+        };
+        if sequence.is_none() || encoded.0 != sequence {
+            encoded = (sequence, wire::frame::encode(&datagram).to_vec());
         }
         let (result, bytes) = socket.send_to(std::mem::take(&mut encoded.1), to).await.into();
         encoded.1 = bytes;
@@ -48,9 +52,11 @@
         buffer = filled;
         match result {
             Ok((len, from)) => {
-                let message = wire::frame::decode::<share::Message>(&buffer[..len]);
-                match message {
-                    Ok(message) => gateway.feed(Event::Shared(message)),
+                let datagram = wire::frame::decode::<share::Datagram>(&buffer[..len]);
+                match datagram {
+                    Ok(share::Datagram::State(message)) => gateway.feed(Event::Shared(*message)),
+                    Ok(share::Datagram::Ask(ask)) => gateway.feed(Event::Asked(ask)),
+                    Ok(share::Datagram::Answer(answer)) => gateway.feed(Event::Answered(answer)),
                     Err(error) => tracing::warn!(event = "peer_unreadable", %from, %error),
                 }
             }
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use compio::time;
-use gate::Event;
+use gate::{Event, Machine, source::Learned};
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, header};
 use platform::store::{self, Change, Reading};
@@ -35,20 +35,31 @@
 /// Longest wait after a failure. While the store is lost, calls with keys are refused, which
 /// costs callers more than the tries cost the store.
 const MAX_RETRY: Duration = Duration::from_millis(240);
+/// Time between looks whether this process has to read the store.
+const IDLE_POLL: Duration = Duration::from_millis(50);
+/// Age of what is known up to which a store that is lost is asked seldom: peers vouch for it.
+const VOUCHED_AGE: Duration = Duration::from_millis(2000);
+/// Wait after a failure while peers vouch for what is known.
+const VOUCHED_RETRY: Duration = Duration::from_millis(1000);
 /// Idle time after which the connection is not used again.
 const IDLE: Duration = Duration::from_secs(5);
 
-/// Reads and watches until the process ends.
+/// Reads and watches until the process ends, while the machine says so.
 pub async fn follow(gateway: Rc<Gateway>, address: SocketAddr) {
     let pool = Pool::new(address, CONNECT_TIMEOUT);
-    let mut reader = Reader { gateway, pool, revision: None, failures: 0 };
+    let mut reader = Reader { gateway, pool, compacted: false, failures: 0 };
     let mut retry = FIRST_RETRY;
     let mut lost = true;
     loop {
+        if !reader.gateway.read(|machine| machine.reads_store(clock::now())) {
+            time::sleep(IDLE_POLL).await;
+            continue;
+        }
         match reader.step().await {
             Ok(()) => {
                 if std::mem::take(&mut lost) {
-                    tracing::info!(event = "store_reached", revision = reader.revision);
+                    let revision = reader.gateway.read(Machine::revision);
+                    tracing::info!(event = "store_reached", revision);
                 }
                 retry = FIRST_RETRY;
                 reader.failures = 0;
@@ -59,32 +70,72 @@
                     tracing::warn!(event = "store_lost", %error);
                 }
                 reader.gateway.feed(Event::StoreLost);
-                time::sleep(retry.mul_f64(0.5 + fastrand::f64())).await;
+                let age = reader.gateway.read(|machine| machine.age(clock::now()));
+                let vouched = age.is_some_and(|age| age < VOUCHED_AGE);
+                let pause = if vouched { VOUCHED_RETRY } else { retry };
+                time::sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
                 retry = (retry * 2).min(MAX_RETRY);
             }
         }
     }
 }
 
+/// Puts in force what a peer's answer brought, unless the state has moved on meanwhile.
+pub fn install(gateway: &Rc<Gateway>, learned: Learned) {
+    if gateway.read(Machine::revision) != Some(learned.from) {
+        return;
+    }
+    for entry in &learned.entries {
+        apply(gateway, store::change(entry));
+    }
+    gateway.feed(Event::Installed(learned));
+}
+
+fn apply(gateway: &Rc<Gateway>, change: Change) {
+    match change {
+        Change::Catalog(catalog) => {
+            let version = catalog.version;
+            let routes = catalog.routes.len();
+            tracing::info!(event = "configuration_read", version, routes);
+            gateway.feed(Event::Catalog(Rc::new(catalog)));
+        }
+        Change::Replica { id, record } => {
+            let name = String::from_utf8_lossy(&id).into_owned();
+            let draining = record.as_ref().map(|record| record.draining);
+            tracing::info!(event = "replica_changed", replica = name, ?draining);
+            gateway.feed(Event::Record { id, record });
+        }
+        Change::Unreadable { key, error } => {
+            tracing::warn!(event = "store_value_unreadable", key, error);
+        }
+        Change::Other => {}
+    }
+}
+
 struct Reader {
     gateway: Rc<Gateway>,
     pool: Pool,
-    /// Revision up to which changes are known.
-    revision: Option<u64>,
+    /// The store has forgotten the changes since the revision in force.
+    compacted: bool,
     /// Calls in a row that failed.
     failures: usize,
 }
 
 impl Reader {
     async fn step(&mut self) -> Result<(), Error> {
-        match self.revision {
+        match self.revision().filter(|_| !self.compacted) {
             Some(revision) => self.watch(revision).await,
             None => self.read().await,
         }
     }
 
+    /// Returns the revision up to which changes are known, from the store or from a peer.
+    fn revision(&self) -> Option<u64> {
+        self.gateway.read(Machine::revision)
+    }
+
     async fn watch(&mut self, revision: u64) -> Result<(), Error> {
-        let sent = clock::now();
+        let at = clock::now();
         let (wait, limit) = match self.failures {
             0 => (WATCH_WAIT, WATCH_WAIT + WATCH_TIMEOUT),
             failures => (Duration::ZERO, PROBE_TIMEOUTS[failures % PROBE_TIMEOUTS.len()]),
@@ -93,41 +144,53 @@
         let (status, text) = self.get(&path, limit).await?;
         if store::is_compacted(status) {
             tracing::info!(event = "store_compacted", revision);
-            self.revision = None;
+            self.compacted = true;
             return Ok(());
         }
         let reading = self.accept(status, &text, store::decode_watch)?;
-        self.revision = Some(reading.revision.max(revision));
-        for change in reading.changes {
-            self.apply(change);
+        if self.revision() != Some(revision) {
+            // A peer told more meanwhile; the next watch goes on from there.
+            return Ok(());
+        }
+        for entry in &reading.entries {
+            apply(&self.gateway, store::change(entry));
         }
-        self.gateway.feed(Event::Confirmed { at: sent });
+        let to = reading.revision.max(revision);
+        let entries = reading.entries;
+        self.gateway.feed(Event::Read { at, from: Some(revision), to, entries });
         Ok(())
     }
 
     /// Reads everything. Pages are no snapshot, so the watch goes on from the first one's
     /// revision.
     async fn read(&mut self) -> Result<(), Error> {
-        let sent = clock::now();
-        let mut records = Vec::new();
+        let at = clock::now();
+        let before = self.revision();
+        let mut changes = Vec::new();
         let mut first = None;
         let mut path = Some(store::read_path());
         while let Some(next) = path {
             let (status, text) = self.get(&next, READ_TIMEOUT).await?;
             let reading = self.accept(status, &text, store::decode_page)?;
             first.get_or_insert(reading.revision);
-            for change in reading.changes {
-                match change {
-                    Change::Replica { id, record: Some(record) } => records.push((id, record)),
-                    Change::Replica { record: None, .. } => {}
-                    change => self.apply(change),
-                }
-            }
+            changes.extend(reading.entries.iter().map(store::change));
             path = reading.next;
         }
-        self.revision = first;
+        if self.revision() != before {
+            return Ok(());
+        }
+        let mut records = Vec::new();
+        for change in changes {
+            match change {
+                Change::Replica { id, record: Some(record) } => records.push((id, record)),
+                Change::Replica { record: None, .. } => {}
+                change => apply(&self.gateway, change),
+            }
+        }
+        self.compacted = false;
         self.gateway.feed(Event::Records(records));
-        self.gateway.feed(Event::Confirmed { at: sent });
+        let to = first.unwrap_or_default();
+        self.gateway.feed(Event::Read { at, from: None, to, entries: Vec::new() });
         Ok(())
     }
 
@@ -144,27 +207,6 @@
         decode(text).map_err(|error| Error::new(Step::Decode, address, error))
     }
 
-    fn apply(&self, change: Change) {
-        match change {
-            Change::Catalog(catalog) => {
-                let version = catalog.version;
-                let routes = catalog.routes.len();
-                tracing::info!(event = "configuration_read", version, routes);
-                self.gateway.feed(Event::Catalog(Rc::new(catalog)));
-            }
-            Change::Replica { id, record } => {
-                let name = String::from_utf8_lossy(&id).into_owned();
-                let draining = record.as_ref().map(|record| record.draining);
-                tracing::info!(event = "replica_changed", replica = name, ?draining);
-                self.gateway.feed(Event::Record { id, record });
-            }
-            Change::Unreadable { key, error } => {
-                tracing::warn!(event = "store_value_unreadable", key, error);
-            }
-            Change::Other => {}
-        }
-    }
-
     async fn get(&self, path: &str, limit: Duration) -> Result<(u16, Bytes), Error> {
         let address = self.pool.address();
         let request = Request::builder()
--- a/crates/gate/src/action.rs
+++ b/crates/gate/src/action.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use crate::{event::Ticket, refusal::Refusal, roster, share};
+use crate::{event::Ticket, refusal::Refusal, roster, share, source};
 
 /// One action.
 #[derive(Clone, Debug)]
@@ -13,8 +13,10 @@
     Dispatch(Dispatch),
     /// Answer a call with a refusal.
     Refuse { ticket: Ticket, refusal: Refusal },
-    /// Send the process's state to a peer.
-    Share { to: SocketAddr, message: share::Message },
+    /// Send a peer a datagram.
+    Share { to: SocketAddr, datagram: share::Datagram },
+    /// Put the entries of a peer's answer in force and report them as installed.
+    Install(source::Learned),
     /// Try to connect to a replica that could not be reached.
     Probe { replica: roster::Key, address: SocketAddr },
 }
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use wire::time::Instant;
 
-use crate::{call::Call, catalog::Catalog, roster, share};
+use crate::{call::Call, catalog::Catalog, roster, share, source};
 
 /// Number of a call within its process.
 pub type Ticket = u64;
@@ -49,8 +49,15 @@
     Record { id: Bytes, record: Option<roster::Record> },
     /// All records were read.
     Records(Vec<(Bytes, roster::Record)>),
-    /// The state read was the published one at this time.
-    Confirmed { at: Instant },
+    /// Everything up to revision `to` is in force and was published at that time; the entries
+    /// came after revision `from`, or are everything.
+    Read { at: Instant, from: Option<u64>, to: u64, entries: Vec<share::Entry> },
+    /// What a peer's answer brought is in force.
+    Installed(source::Learned),
+    /// A peer asks how old this gateway's knowledge is.
+    Asked(share::Ask),
+    /// A peer answered.
+    Answered(share::Answer),
     /// The store did not answer.
     StoreLost,
     /// A peer's state came.
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod refusal;
 pub mod roster;
 pub mod share;
+pub mod source;
 pub mod suspects;
 
 pub use action::Action;
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -22,6 +22,7 @@
     quota::{self, Admission, Quotas},
     refusal::{Basis, Reason, Refusal},
     roster::{self, Roster},
+    source::Source,
     suspects::Suspects,
 };
 
@@ -65,6 +66,7 @@
     options: Options,
     catalog: Option<Rc<Catalog>>,
     lease: Lease,
+    source: Source,
     roster: Roster,
     quotas: Quotas,
     budgets: HashMap<Bytes, Budget>,
@@ -91,6 +93,7 @@
             random: fastrand::Rng::with_seed(options.seed),
             quotas: Quotas::new(now, options.first_start),
             options,
+            source: Source::default(),
             catalog: None,
             roster: Roster::default(),
             started: now,
@@ -126,6 +129,16 @@
         self.lease.age(now)
     }
 
+    /// Returns the revision of the state in force.
+    pub fn revision(&self) -> Option<u64> {
+        self.source.revision()
+    }
+
+    /// Returns whether this process has to read the store now.
+    pub fn reads_store(&self, now: Instant) -> bool {
+        self.source.reads(now, self.options.process, self.lease.age(now))
+    }
+
     /// Returns how many calls are open.
     pub fn open(&self) -> usize {
         self.flights.len()
@@ -157,7 +170,16 @@
                 self.roster.replace(now, records);
                 self.count_others(now);
             }
-            Event::Confirmed { at } => self.lease.confirm(at),
+            Event::Read { at, from, to, entries } => {
+                self.lease.confirm(at);
+                self.source.read(now, from, to, entries);
+            }
+            Event::Installed(learned) => {
+                self.lease.confirm(learned.at);
+                self.source.learned(learned.from, learned.to, learned.entries);
+            }
+            Event::Asked(ask) => self.answer(now, &ask, actions),
+            Event::Answered(answer) => self.answered(answer, actions),
             Event::StoreLost => self.roster.store_lost(),
             Event::Shared(message) => self.shared(now, message, actions),
             Event::Probed { replica, reachable } => self.probed(now, replica, reachable),
@@ -310,6 +332,7 @@
 
     fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.roster.expire(now);
+        self.ask(now, actions);
         if now >= self.next_share {
             self.share(now, actions);
         }
--- a/crates/gate/src/machine/sharing.rs
+++ b/crates/gate/src/machine/sharing.rs
@@ -29,8 +29,13 @@
             self.sequence += 1;
             let history = self.quotas.history(now, self.options.limits.quota_window);
             let message = share::Message { history, ..self.message(now, |_| true) };
-            actions.push(Action::Share { to, message });
+            let datagram = share::Datagram::State(Box::new(message));
+            actions.push(Action::Share { to, datagram });
         }
+        if let Some(from) = message.from {
+            self.source.heard(now, from, message.process, message.sight);
+        }
+        self.ask(now, actions);
         self.roster.learn_speeds(&message);
         self.quotas.reported(now, &message, self.options.limits.quota_window);
         for (fingerprint, count) in &message.crashes {
@@ -38,6 +43,32 @@
         }
     }
 
+    /// Asks a peer for what it knows of the published state, if that is due.
+    pub(super) fn ask(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let (own, age) = (self.options.own, self.lease.age(now));
+        if let Some((to, ask)) = self.source.ask(now, own, age, &mut self.random) {
+            actions.push(Action::Share { to, datagram: share::Datagram::Ask(ask) });
+        }
+    }
+
+    pub(super) fn answer(&self, now: Instant, ask: &share::Ask, actions: &mut Vec<Action>) {
+        if let Some(answer) = self.source.answer(ask, self.lease.age(now)) {
+            let datagram = share::Datagram::Answer(answer);
+            actions.push(Action::Share { to: ask.from, datagram });
+        }
+    }
+
+    pub(super) fn answered(&mut self, answer: share::Answer, actions: &mut Vec<Action>) {
+        let Some(learned) = self.source.answered(answer) else { return };
+        match learned.entries.is_empty() {
+            true => {
+                self.lease.confirm(learned.at);
+                self.source.learned(learned.from, learned.to, Vec::new());
+            }
+            false => actions.push(Action::Install(learned)),
+        }
+    }
+
     pub(super) fn probed(&mut self, now: Instant, key: roster::Key, reachable: bool) {
         match self.roster.get_mut(key) {
             Some(replica) if reachable => {
@@ -65,7 +96,8 @@
         let round = self.round;
         let message = self.message(now, |period| round.is_multiple_of(period));
         for to in targets {
-            actions.push(Action::Share { to, message: message.clone() });
+            let datagram = share::Datagram::State(Box::new(message.clone()));
+            actions.push(Action::Share { to, datagram });
         }
     }
 
@@ -96,6 +128,7 @@
             process: self.options.process,
             from: self.options.own,
             sequence: self.sequence,
+            sight: self.source.sight(now, self.lease.age(now)),
             stopping: self.stopping.is_some(),
             loads: loads.collect(),
             speeds: if every(SPEEDS_EVERY) { speeds.collect() } else { Vec::new() },
--- a/crates/gate/src/share.rs
+++ b/crates/gate/src/share.rs
@@ -1,9 +1,59 @@
-//! State that gateways send each other: load, use of quotas and suspects.
+//! What gateways send each other: load, use of quotas, suspects, and how old what they know is.
 
 use std::{net::SocketAddr, time::Duration};
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+/// One datagram.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Datagram {
+    State(Box<Message>),
+    Ask(Ask),
+    Answer(Answer),
+}
+
+/// Asks how old the receiver's knowledge is.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Number that the answer repeats.
+    pub token: u64,
+    pub from: SocketAddr,
+    /// Revision of the sender's state.
+    pub revision: u64,
+}
+
+/// Answers an `Ask`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Answer {
+    pub token: u64,
+    /// Revision of the sender's state.
+    pub revision: u64,
+    /// Time since that revision was known to be the published one.
+    pub age: Duration,
+    /// Changes since the revision asked for, or `None` if they are not known or too large.
+    pub entries: Option<Vec<Entry>>,
+}
+
+/// One value of the store as it was read.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    pub key: Bytes,
+    /// The value as the store encodes it.
+    pub value: Bytes,
+    pub deleted: bool,
+}
+
+/// What a gateway knows of the published state.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Sight {
+    pub revision: u64,
+    /// Time since that revision was known to be the published one.
+    pub age: Duration,
+    /// Whether the sender reads the store with success.
+    pub reads: bool,
+}
+
 /// One gateway's state. Each message stands for itself, so a lost one costs only age. Load is in
 /// every message; what changes slowly is in some of them only, which keeps most of them small.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -13,6 +63,8 @@
     pub from: Option<SocketAddr>,
     /// Grows with each message.
     pub sequence: u64,
+    /// What the sender knows of the published state; nothing before it has read it.
+    pub sight: Option<Sight>,
     /// The process takes no new calls.
     pub stopping: bool,
     /// Work of this gateway at replicas.
--- /dev/null
+++ b/crates/gate/src/source.rs
@@ -0,0 +1,231 @@
+//! Where the published state is learned from: the store, or a peer that vouches for it.
+//!
+//! Calls of the store are paid for, and it may turn some hosts away. Some gateways watch it and
+//! the others ask peers. Datagrams may be delayed without bound, so an answer counts from the
+//! moment of the question, less the age that the peer states.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use wire::time::Instant;
+
+use crate::share::{Answer, Ask, Entry, Sight};
+
+/// Gateways that watch the store; each of them may lose it.
+const READERS: usize = 4;
+/// Age of the confirmation from which a peer is asked. A watch returns after a second at most,
+/// so the answer makes it younger.
+const ASK_AGE: Duration = Duration::from_millis(600);
+/// Time between two questions.
+const ASK_PERIOD: Duration = Duration::from_millis(200);
+/// Age from which a gateway reads the store itself; twice what peers that watch it have.
+const OWN_AGE: Duration = Duration::from_millis(2200);
+/// Time after its last reading for which a gateway counts as one that watches.
+const READING: Duration = Duration::from_millis(2500);
+/// Readings whose changes are kept for peers.
+const MAX_LOG: usize = 64;
+/// Largest changes in one answer, in bytes; they have to fit in a datagram.
+const MAX_ANSWER_BYTES: usize = 12 << 10;
+
+/// Changes between two revisions.
+#[derive(Clone, Debug)]
+struct Chunk {
+    from: u64,
+    to: u64,
+    entries: Vec<Entry>,
+}
+
+/// A question that was not answered yet.
+#[derive(Clone, Copy, Debug)]
+struct Open {
+    token: u64,
+    at: Instant,
+    revision: u64,
+}
+
+/// What a valid answer brings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Learned {
+    /// Revision from which the entries go on.
+    pub from: u64,
+    pub to: u64,
+    pub entries: Vec<Entry>,
+    /// Time at which `to` was the published revision.
+    pub at: Instant,
+}
+
+/// Knowledge of revisions.
+#[derive(Clone, Debug, Default)]
+pub struct Source {
+    revision: Option<u64>,
+    log: VecDeque<Chunk>,
+    /// The last own reading of the store.
+    read: Option<Instant>,
+    /// A peer knows more and can't tell it.
+    behind: bool,
+    next_ask: Instant,
+    tokens: u64,
+    open: Option<Open>,
+    peers: HashMap<SocketAddr, (Instant, u64, Sight)>,
+}
+
+impl Source {
+    /// Returns the revision of the state in force.
+    pub fn revision(&self) -> Option<u64> {
+        self.revision
+    }
+
+    /// Notes what was read from the store, after `from`, or as a whole.
+    pub fn read(&mut self, now: Instant, from: Option<u64>, to: u64, entries: Vec<Entry>) {
+        self.read = Some(now);
+        self.behind = false;
+        self.advance(from, to, entries);
+    }
+
+    /// Notes that the changes of an answer are in force.
+    pub fn learned(&mut self, from: u64, to: u64, entries: Vec<Entry>) {
+        self.advance(Some(from), to, entries);
+    }
+
+    fn advance(&mut self, from: Option<u64>, to: u64, entries: Vec<Entry>) {
+        let last = self.log.back().map(|chunk| chunk.to);
+        if from.is_none() || last.is_some() && last != from {
+            self.log.clear();
+        }
+        self.revision = Some(to);
+        if let Some(from) = from.filter(|from| *from < to) {
+            self.log.push_back(Chunk { from, to, entries });
+            if self.log.len() > MAX_LOG {
+                self.log.pop_front();
+            }
+        }
+    }
+
+    /// Returns what peers are told in each message.
+    pub fn sight(&self, now: Instant, age: Option<Duration>) -> Option<Sight> {
+        let (revision, age) = (self.revision?, age?);
+        let reads = self.read.is_some_and(|at| now.since(at) < READING);
+        Some(Sight { revision, age, reads })
+    }
+
+    /// Notes what a peer tells in its messages.
+    pub fn heard(&mut self, now: Instant, from: SocketAddr, process: u64, sight: Option<Sight>) {
+        match sight {
+            Some(sight) => {
+                self.peers.insert(from, (now, process, sight));
+            }
+            None => {
+                self.peers.remove(&from);
+            }
+        }
+    }
+
+    /// Returns whether this process has to read the store: it is one of those that watch it, or
+    /// no peer keeps its knowledge young.
+    pub fn reads(&self, now: Instant, process: u64, age: Option<Duration>) -> bool {
+        let is_old = age.is_none_or(|age| age > OWN_AGE);
+        if self.revision.is_none() || self.behind || is_old {
+            return true;
+        }
+        let before = self.peers.values().filter(|(heard, peer, sight)| {
+            now.since(*heard) < READING && sight.reads && *peer < process
+        });
+        before.count() < READERS
+    }
+
+    /// Returns a question for a peer, if one is due.
+    pub fn ask(
+        &mut self,
+        now: Instant,
+        own: Option<SocketAddr>,
+        age: Option<Duration>,
+        random: &mut fastrand::Rng,
+    ) -> Option<(SocketAddr, Ask)> {
+        let (revision, from) = (self.revision?, own?);
+        let estimate = |heard: Instant, sight: &Sight| sight.age + now.since(heard);
+        let fresh: Vec<_> = self
+            .peers
+            .iter()
+            .filter(|(_, (heard, _, sight))| {
+                now.since(*heard) < READING && sight.revision >= revision
+            })
+            .map(|(address, (heard, _, sight))| (*address, estimate(*heard, sight), *sight))
+            .collect();
+        let is_behind = fresh.iter().any(|(_, _, sight)| sight.revision > revision);
+        let is_old = age.is_none_or(|age| age > ASK_AGE);
+        if now < self.next_ask || !(is_old || is_behind) {
+            return None;
+        }
+        let candidates =
+            fresh.into_iter().filter(|(_, _, sight)| sight.revision > revision || !is_behind);
+        // The spread keeps gateways from asking the same peer.
+        let spread =
+            |age: Duration, random: &mut fastrand::Rng| age + ASK_AGE.mul_f64(random.f64() / 2.0);
+        let scored: Vec<_> = candidates.map(|(peer, age, _)| (spread(age, random), peer)).collect();
+        let (_, peer) = scored.into_iter().min()?;
+        self.next_ask = now + ASK_PERIOD;
+        self.tokens += 1;
+        self.open = Some(Open { token: self.tokens, at: now, revision });
+        Some((peer, Ask { token: self.tokens, from, revision }))
+    }
+
+    /// Returns when the next question may be due.
+    pub fn next_ask(&self) -> Option<Instant> {
+        (!self.peers.is_empty()).then_some(self.next_ask)
+    }
+
+    /// Returns the answer to a peer's question.
+    pub fn answer(&self, ask: &Ask, age: Option<Duration>) -> Option<Answer> {
+        let (revision, age) = (self.revision?, age?);
+        let entries = self.changes(ask.revision, revision);
+        Some(Answer { token: ask.token, revision, age, entries })
+    }
+
+    /// Returns the changes after a revision, the last of each key, if they are known and small.
+    fn changes(&self, after: u64, revision: u64) -> Option<Vec<Entry>> {
+        if after >= revision {
+            return Some(Vec::new());
+        }
+        if self.log.front().is_none_or(|chunk| chunk.from > after) {
+            return None;
+        }
+        let chunks = self.log.iter().filter(|chunk| chunk.to > after);
+        let entries = chunks.flat_map(|chunk| chunk.entries.iter().cloned());
+        let last = last_of_each(entries.collect());
+        let size: usize = last.iter().map(|entry| entry.key.len() + entry.value.len()).sum();
+        (size <= MAX_ANSWER_BYTES).then_some(last)
+    }
+
+    /// Takes an answer and returns what it brings, if it answers the open question.
+    pub fn answered(&mut self, answer: Answer) -> Option<Learned> {
+        let open = self.open.take_if(|open| open.token == answer.token)?;
+        if self.revision != Some(open.revision) {
+            return None;
+        }
+        let age = answer.age.as_micros() as u64;
+        let at = Instant(open.at.0.saturating_sub(age));
+        let to = answer.revision.max(open.revision);
+        let Some(entries) = answer.entries else {
+            self.behind = true;
+            return None;
+        };
+        Some(Learned { from: open.revision, to, entries, at })
+    }
+}
+
+/// Returns the entries with only the last one of each key.
+fn last_of_each(entries: Vec<Entry>) -> Vec<Entry> {
+    let mut at: HashMap<Bytes, usize> = HashMap::new();
+    let mut last: Vec<Option<Entry>> = Vec::new();
+    for entry in entries {
+        if let Some(old) = at.insert(entry.key.clone(), last.len()) {
+            last[old] = None;
+        }
+        last.push(Some(entry));
+    }
+    last.into_iter().flatten().collect()
+}
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -143,7 +143,8 @@
     }
 
     pub fn confirm(&mut self) {
-        self.feed(Event::Confirmed { at: self.now });
+        let (at, entries) = (self.now, Vec::new());
+        self.feed(Event::Read { at, from: Some(1), to: 1, entries });
     }
 
     pub fn feed(&mut self, event: Event) {
--- a/crates/gate/tests/schedules.rs
+++ b/crates/gate/tests/schedules.rs
@@ -200,7 +200,7 @@
                         return Err(format!("call {ticket} was refused twice"));
                     }
                 }
-                Action::Share { .. } | Action::Probe { .. } => {}
+                Action::Share { .. } | Action::Probe { .. } | Action::Install(_) => {}
             }
         }
         Ok(())
--- a/crates/gate/tests/sharing.rs
+++ b/crates/gate/tests/sharing.rs
@@ -14,7 +14,11 @@
 fn told(world: &mut World) -> Vec<share::Message> {
     let actions = std::mem::take(&mut world.actions);
     let told = actions.into_iter().filter_map(|action| match action {
-        Action::Share { to, message } if to == ([127, 0, 0, 9], 1).into() => Some(message),
+        Action::Share { to, datagram: share::Datagram::State(message) }
+            if to == ([127, 0, 0, 9], 1).into() =>
+        {
+            Some(*message)
+        }
         _ => None,
     });
     told.collect()
