Let calls that can be in time go before overdue ones

A caller who comes back states what is left of its deadline, so the gateway learns the deadline that callers of a route state at first and takes the difference for the time that has passed. Within one tier, calls whose objective has passed go last. Load: bursts of two to three times what the replicas serve.

--- a/crates/gate/src/admit.rs
+++ b/crates/gate/src/admit.rs
@@ -8,6 +8,7 @@
 use crate::{
     call::Call,
     catalog::{Account, Catalog, Route},
+    deadlines::Deadlines,
     lease::Lease,
     queue::Entry,
     refusal::{Reason, Refusal},
@@ -47,6 +48,7 @@
     lease: &Lease,
     now: Instant,
     call: Call,
+    deadlines: &mut Deadlines,
     random: &mut fastrand::Rng,
 ) -> Result<Entry, Refusal> {
     let left = time_left(&call);
@@ -70,7 +72,12 @@
         }
         false => None,
     };
-    Ok(waiting(catalog, route, account, now, call, random))
+    let elapsed = deadlines.elapsed(route, call.deadline);
+    Ok(Entry {
+        overdue: elapsed >= route.objective,
+        objective: now + route.objective.saturating_sub(elapsed),
+        ..waiting(catalog, route, account, now, call, random)
+    })
 }
 
 fn waiting(
@@ -98,6 +105,8 @@
         tier: tier(account, route),
         arrived: now,
         objective: now + route.objective,
+        span: route.objective,
+        overdue: false,
         deadline: now + allowed,
         give_up: now + hold,
         attempts: 0,
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod budget;
 pub mod call;
 pub mod catalog;
+pub mod deadlines;
 pub mod event;
 pub mod lease;
 pub mod limits;
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -14,6 +14,7 @@
     budget::Budget,
     call::Call,
     catalog::Catalog,
+    deadlines::Deadlines,
     event::Ticket,
     lease::Lease,
     limits::Limits,
@@ -71,6 +72,7 @@
     quotas: Quotas,
     budgets: HashMap<Bytes, Budget>,
     suspects: Suspects,
+    deadlines: Deadlines,
     peers: Peers,
     flights: HashMap<Ticket, Flight>,
     queues: HashMap<Bytes, Queue>,
@@ -99,6 +101,7 @@
             started: now,
             budgets: HashMap::new(),
             suspects: Suspects::default(),
+            deadlines: Deadlines::default(),
             flights: HashMap::new(),
             queues: HashMap::new(),
             probes: HashMap::new(),
@@ -227,7 +230,8 @@
         if self.suspects.is_quarantined(now, call.fingerprint) {
             return Err(Refusal::new(Reason::Poison));
         }
-        let mut entry = admit::entry(&catalog, &self.lease, now, call, &mut self.random)?;
+        let mut entry =
+            admit::entry(&catalog, &self.lease, now, call, &mut self.deadlines, &mut self.random)?;
         if let Some(account) = &entry.account
             && let Some(account) = catalog.accounts.iter().find(|a| a.name == *account)
         {
@@ -248,7 +252,7 @@
     }
 
     fn wait(&mut self, ticket: Ticket, entry: Entry) {
-        self.queues.entry(entry.service.clone()).or_default().push(entry.tier, ticket);
+        self.queues.entry(entry.service.clone()).or_default().push(&entry, ticket);
         self.flights.insert(ticket, Flight { entry, state: State::Waiting });
     }
 
@@ -265,7 +269,7 @@
 
     fn unqueue(&mut self, entry: &Entry, ticket: Ticket) {
         if let Some(queue) = self.queues.get_mut(&entry.service) {
-            queue.remove(entry.tier, ticket);
+            queue.remove(entry, ticket);
         }
     }
 
--- a/crates/gate/src/machine/answers.rs
+++ b/crates/gate/src/machine/answers.rs
@@ -45,7 +45,7 @@
     pub(super) fn requeue(&mut self, ticket: Ticket) {
         if let Some(flight) = self.flights.get(&ticket) {
             let queue = self.queues.entry(flight.entry.service.clone()).or_default();
-            queue.push(flight.entry.tier, ticket);
+            queue.push(&flight.entry, ticket);
         }
     }
 
--- a/crates/gate/src/machine/placing.rs
+++ b/crates/gate/src/machine/placing.rs
@@ -143,13 +143,12 @@
         entry.attempts += 1;
         flight.state = State::Dispatched { replica: key, at: now, ahead, began: None };
         if let Some(queue) = self.queues.get_mut(&entry.service) {
-            queue.remove(entry.tier, ticket);
+            queue.remove(entry, ticket);
         }
         let goes_on = entry.repeatable && entry.attempts < entry.max_attempts;
-        let objective = entry.objective.since(entry.arrived);
         let patience = match entry.kind {
             Kind::Stream => STREAM_PATIENCE,
-            _ => objective.mul_f64(PATIENCE_SHARE),
+            _ => entry.span.mul_f64(PATIENCE_SHARE),
         };
         actions.push(Action::Dispatch(Dispatch {
             ticket,
--- a/crates/gate/src/queue.rs
+++ b/crates/gate/src/queue.rs
@@ -20,9 +20,14 @@
     pub repeatable: bool,
     pub max_attempts: u32,
     pub tier: u32,
+    /// The objective has passed since the caller's first call. Calls that can still be in time
+    /// go before it.
+    pub overdue: bool,
     pub arrived: Instant,
     /// Time within which the first event is in time.
     pub objective: Instant,
+    /// The route's objective.
+    pub span: Duration,
     /// Longest pause between events of a stream that is in time.
     pub max_pause: Duration,
     /// Output tokens in one event.
@@ -47,23 +52,23 @@
 /// Waiting calls of one service, the most urgent first.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
-    waiting: BTreeSet<(u32, Ticket)>,
+    waiting: BTreeSet<(u32, bool, Ticket)>,
 }
 
 impl Queue {
     /// Adds a call.
-    pub fn push(&mut self, tier: u32, ticket: Ticket) {
-        self.waiting.insert((tier, ticket));
+    pub fn push(&mut self, entry: &Entry, ticket: Ticket) {
+        self.waiting.insert((entry.tier, entry.overdue, ticket));
     }
 
     /// Removes a call.
-    pub fn remove(&mut self, tier: u32, ticket: Ticket) -> bool {
-        self.waiting.remove(&(tier, ticket))
+    pub fn remove(&mut self, entry: &Entry, ticket: Ticket) -> bool {
+        self.waiting.remove(&(entry.tier, entry.overdue, ticket))
     }
 
     /// Returns the waiting calls in the order of their dispatch.
     pub fn tickets(&self) -> impl Iterator<Item = Ticket> {
-        self.waiting.iter().map(|(_, ticket)| *ticket)
+        self.waiting.iter().map(|(.., ticket)| *ticket)
     }
 
     /// Returns how many calls wait.
--- a/crates/gate/tests/placement.rs
+++ b/crates/gate/tests/placement.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{MODEL, MS, World, call, record};
-use gate::{Event, event::End, share};
+use gate::{Event, call::Call, event::End, share};
 
 /// Teaches the gateway how fast a replica is, as a peer would.
 fn teach(world: &mut World, id: &[u8], prompt_ms: f32, event_ms: f32) {
@@ -157,3 +157,45 @@
     world.feed(Event::Probed { replica: first.replica, reachable: true });
     assert!(world.dispatched(waiting).is_some());
 }
+
+/// Guards against places taken by callers whose answer is late in any case while others could
+/// still be served in time: after a burst most of those who wait have been refused before.
+#[test]
+fn calls_that_can_be_in_time_go_first() {
+    let mut world = World::new();
+    let mut one = record(MODEL, 9_000);
+    one.slots = 1;
+    world.add("r0", one);
+    let running = world.arrive(call("essay"));
+    world.dispatched(running).expect("dispatched");
+    let back = Call { deadline: Some(Duration::from_secs(7)), ..call("essay") };
+    let back = world.arrive(back);
+    let fresh = world.arrive(call("essay"));
+    world.end(running, End::Whole);
+    assert!(world.dispatched(fresh).is_some(), "the first call of its caller");
+    assert!(world.dispatched(back).is_none());
+    world.end(fresh, End::Whole);
+    assert!(world.dispatched(back).is_some(), "it is served when a place is free");
+}
+
+/// Guards against all callers taken for late ones because one states a long deadline.
+#[test]
+fn one_long_deadline_makes_no_caller_late() {
+    let mut world = World::new();
+    let mut one = record(MODEL, 9_000);
+    one.slots = 1;
+    world.add("r0", one);
+    let long = Call { deadline: Some(Duration::from_secs(600)), ..call("essay") };
+    for deadline in [call("essay"), long] {
+        let ticket = world.arrive(deadline);
+        world.dispatched(ticket).expect("dispatched");
+        world.end(ticket, End::Whole);
+    }
+    let running = world.arrive(call("essay"));
+    world.dispatched(running).expect("dispatched");
+    let first = world.arrive(call("essay"));
+    let second = world.arrive(Call { deadline: Some(Duration::from_secs(20)), ..call("essay") });
+    world.end(running, End::Whole);
+    assert!(world.dispatched(first).is_some(), "first come, first served");
+    assert!(world.dispatched(second).is_none());
+}
