--- a/crates/gate/src/admit.rs
+++ b/crates/gate/src/admit.rs
@@ -19,7 +19,7 @@
 /// Part of the objective for which a call waits for a replica.
 const HOLD_SHARE: f64 = 0.6;
 /// Tiers of routes within one tier of accounts.
-const ROUTE_TIERS: u32 = 100;
+pub const ROUTE_TIERS: u32 = 100;
 /// Times to come back after a refusal, as parts of the time that the caller has left. Callers
 /// honour up to a third of it; a later return is more likely to find the burst over, and the
 /// spread keeps callers refused together from returning together.
--- a/crates/gate/src/queue.rs
+++ b/crates/gate/src/queue.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use wire::time::Instant;
 
-use crate::{call::Call, catalog::Kind, event::Ticket, roster};
+use crate::{admit, call::Call, catalog::Kind, event::Ticket, roster};
 
 /// A call with what its route and account say of it.
 #[derive(Clone, Debug)]
@@ -49,26 +49,42 @@
     }
 }
 
+/// Place of a call in its queue. The account's tier goes first. An overdue call of an urgent route
+/// gains its caller less than one of another route that can still be in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    account: u32,
+    overdue: bool,
+    tier: u32,
+}
+
+impl Rank {
+    fn of(entry: &Entry) -> Rank {
+        let account = entry.tier / admit::ROUTE_TIERS;
+        Rank { account, overdue: entry.overdue, tier: entry.tier }
+    }
+}
+
 /// Waiting calls of one service, the most urgent first.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
-    waiting: BTreeSet<(u32, bool, Ticket)>,
+    waiting: BTreeSet<(Rank, Ticket)>,
 }
 
 impl Queue {
     /// Adds a call.
     pub fn push(&mut self, entry: &Entry, ticket: Ticket) {
-        self.waiting.insert((entry.tier, entry.overdue, ticket));
+        self.waiting.insert((Rank::of(entry), ticket));
     }
 
     /// Removes a call.
     pub fn remove(&mut self, entry: &Entry, ticket: Ticket) -> bool {
-        self.waiting.remove(&(entry.tier, entry.overdue, ticket))
+        self.waiting.remove(&(Rank::of(entry), ticket))
     }
 
     /// Returns the waiting calls in the order of their dispatch.
     pub fn tickets(&self) -> impl Iterator<Item = Ticket> {
-        self.waiting.iter().map(|(.., ticket)| *ticket)
+        self.waiting.iter().map(|(_, ticket)| *ticket)
     }
 
     /// Returns how many calls wait.
--- a/crates/gate/tests/placement.rs
+++ b/crates/gate/tests/placement.rs
@@ -199,3 +199,23 @@
     assert!(world.dispatched(first).is_some(), "first come, first served");
     assert!(world.dispatched(second).is_none());
 }
+
+/// Guards against an overdue call of an urgent route that goes before calls of the same account
+/// that could still be in time.
+#[test]
+fn overdue_calls_go_last_within_an_accounts_tier() {
+    let mut world = World::new();
+    let mut one = record(MODEL, 9_000);
+    one.slots = 1;
+    world.add("r0", one);
+    let running = world.arrive(call("essay"));
+    world.dispatched(running).expect("dispatched");
+    let back = Call { deadline: Some(Duration::from_secs(7)), ..call("essay") };
+    let back = world.arrive(back);
+    let tag = world.arrive(call("tag"));
+    let essay = world.arrive(call("essay"));
+    for (done, next) in [(running, essay), (essay, tag), (tag, back)] {
+        world.end(done, End::Whole);
+        assert!(world.dispatched(next).is_some());
+    }
+}
