Serve metrics and write logs without blocking, with a bounded volume

The operators' address of a gateway serves /metrics in OpenMetrics text: requests by outcome, time waited, to the first event, between events and to the end by account and tier (500 pairs at most, the rest under other), age and revision of what is known, store calls.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -23,7 +23,7 @@
 use crate::{
     clock,
     connection::{Fault, Pool, Sender},
-    gateway::{Gateway, Instruction, streamed},
+    gateway::{Gateway, Instruction, metrics::Metrics, streamed},
     http,
 };
 
@@ -249,6 +249,9 @@
     /// Logs how a call went whose answer began after `first` or was whole then.
     pub fn log_answer(&self, dispatch: &Dispatch, status: u16, first: Duration) {
         let basis = &dispatch.basis;
+        let metrics = &self.gateway.metrics;
+        metrics.count(if status < 500 { "answered" } else { "failed" });
+        metrics.answered(dispatch, first);
         tracing::info!(
             event = "answered",
             id = %String::from_utf8_lossy(&self.id),
@@ -267,8 +270,14 @@
         );
     }
 
+    /// Returns the gateway's metrics.
+    pub fn metrics(&self) -> &Metrics {
+        &self.gateway.metrics
+    }
+
     /// Logs why a stream's answer ends after the event `last` and before its end.
     pub fn log_cut(&self, dispatch: &Dispatch, reason: &str, last: Option<&Bytes>) {
+        self.gateway.metrics.count("cut");
         tracing::info!(
             event = "cut",
             id = %String::from_utf8_lossy(&self.id),
@@ -285,6 +294,7 @@
         let age_ms = refused.basis.age.map(|age| age.as_millis() as u64);
         let quota_used = refused.basis.quota_used.map(|used| used as i64);
         let reason = refused.reason.name();
+        self.gateway.metrics.count(reason);
         tracing::info!(
             event = "refused",
             id,
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod events;
 mod exchange;
+mod metrics;
 mod peers;
 mod process;
 mod store;
@@ -46,6 +47,7 @@
     pools: RefCell<HashMap<roster::Key, Pool>>,
     next_ticket: Cell<Ticket>,
     stopping: Cell<bool>,
+    metrics: metrics::Metrics,
     /// Messages for peers.
     outbox: mpsc::UnboundedSender<(SocketAddr, gate::share::Datagram)>,
 }
@@ -62,6 +64,7 @@
             pools: RefCell::default(),
             next_ticket: Cell::default(),
             stopping: Cell::default(),
+            metrics: metrics::Metrics::new(),
             outbox,
         })
     }
--- a/crates/daemon/src/gateway/process.rs
+++ b/crates/daemon/src/gateway/process.rs
@@ -13,7 +13,7 @@
     clock,
     error::{Error, Step},
     gateway::{Gateway, calls::Calls, peers, store},
-    http,
+    http, log,
 };
 
 const SIGHUP: i32 = 1;
@@ -27,6 +27,10 @@
 /// Longest wait of callers' connections at the start. Callers give a connection up after a
 /// second.
 const START_WAIT: Duration = Duration::from_millis(600);
+/// Time between lines about log lines that were left out.
+const DROPPED_PERIOD: Duration = Duration::from_secs(5);
+/// Type of the page of metrics.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// Time between looks at the state at the start.
 const START_POLL: Duration = Duration::from_millis(5);
 
@@ -50,7 +54,9 @@
     let checks = Rc::new(http::Server::default());
     let handler = Rc::new(Readiness { gateway: gateway.clone() });
     runtime::spawn(checks.clone().serve(readiness, handler.clone())).detach();
+    let handler = Rc::new(Operators { gateway: gateway.clone() });
     runtime::spawn(checks.serve(operators, handler)).detach();
+    runtime::spawn(report_dropped()).detach();
     let server = Rc::new(http::Server::default());
     let handler = Rc::new(Calls { gateway: gateway.clone() });
     runtime::spawn(accept(gateway.clone(), server.clone(), callers, handler)).detach();
@@ -131,6 +137,47 @@
     }
 }
 
+/// Logs from time to time how many lines were left out.
+async fn report_dropped() {
+    let mut known = 0;
+    loop {
+        time::sleep(DROPPED_PERIOD).await;
+        let dropped = log::dropped();
+        if dropped > known {
+            tracing::warn!(event = "log_lines_dropped", count = dropped - known);
+            known = dropped;
+        }
+    }
+}
+
+/// Serves the metrics.
+struct Operators {
+    gateway: Rc<Gateway>,
+}
+
+impl http::Handler for Operators {
+    fn handle(
+        self: Rc<Self>,
+        request: Request<body::Incoming>,
+    ) -> LocalBoxFuture<'static, Response<http::Body>> {
+        let page = || {
+            let now = clock::now();
+            self.gateway.read(|machine| self.gateway.metrics.page(now, machine))
+        };
+        let response = match request.uri().path() {
+            "/metrics" => match page() {
+                Ok(page) => http::whole(200, METRICS_TYPE, page.into()),
+                Err(error) => {
+                    tracing::error!(event = "metrics_failed", %error);
+                    http::empty(500)
+                }
+            },
+            _ => http::empty(404),
+        };
+        Box::pin(async move { response })
+    }
+}
+
 /// Answers the balancer's checks.
 struct Readiness {
     gateway: Rc<Gateway>,
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -209,6 +209,7 @@
 
     async fn get(&self, path: &str, limit: Duration) -> Result<(u16, Bytes), Error> {
         let address = self.pool.address();
+        self.gateway.metrics.count_store_call();
         let request = Request::builder()
             .uri(path)
             .header(header::HOST, address.to_string())
--- a/crates/daemon/src/gateway/streamed.rs
+++ b/crates/daemon/src/gateway/streamed.rs
@@ -109,6 +109,10 @@
     events: Events,
     ready: VecDeque<Bytes>,
     pace: Pace,
+    /// When the first event came.
+    began: Instant,
+    /// When the last event came.
+    last: Instant,
 }
 
 /// Events since the last report.
@@ -127,8 +131,9 @@
 pub fn answer(exchange: Exchange, dispatch: Dispatch, begun: Begun) -> Response<http::Body> {
     let (status, headers) = exchange::head(&begun.head);
     let Begun { source, events, ready, .. } = begun;
-    let relay =
-        Relay { exchange, dispatch, source: Some(source), events, ready, pace: Pace::new() };
+    let (pace, now) = (Pace::new(), clock::now());
+    let source = Some(source);
+    let relay = Relay { exchange, dispatch, source, events, ready, pace, began: now, last: now };
     let frames = stream::unfold(relay, |mut relay| async move {
         let frame = relay.next().await?;
         Some((frame.map(body::Frame::data), relay))
@@ -162,6 +167,8 @@
                 }
                 Ok(Next::End) => {
                     source.finish();
+                    let total = clock::now().since(self.began);
+                    self.exchange.metrics().ended(&self.dispatch, total);
                     self.exchange.report(self.exchange.ended(End::Whole));
                     self.ready.push_back(self.events.take_rest());
                 }
@@ -191,6 +198,9 @@
 
     /// Reports the pace from time to time.
     fn count(&mut self) {
+        let now = clock::now();
+        self.exchange.metrics().paused(&self.dispatch, now.since(self.last));
+        self.last = now;
         self.pace.events += 1;
         if self.pace.events >= PACE_EVENTS {
             let span = clock::now().since(self.pace.since);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -67,7 +67,7 @@
         Settings::Gateway(settings) => &settings.log_level,
         Settings::Other(settings) => &settings.log_level,
     };
-    log::start(level);
+    let _log = log::start(level);
     let runtime = match runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(error) => {
--- a/crates/daemon/tests/world/mod.rs
+++ b/crates/daemon/tests/world/mod.rs
@@ -285,7 +285,7 @@
             .arg("--settings")
             .arg(&settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone().expect("a file can be duplicated"))
             .stderr(log)
             .spawn()
             .expect("the daemon's program exists");
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -142,6 +142,11 @@
         self.source.reads(now, self.options.process, self.lease.age(now))
     }
 
+    /// Returns how many gateways may serve callers, this one included.
+    pub fn gateways(&self, now: Instant) -> usize {
+        self.peers.known(now)
+    }
+
     /// Returns how many calls are open.
     pub fn open(&self) -> usize {
         self.flights.len()
