--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     clock, disagreements, error, fetch, help, hosts, latency, options, output, poison, revisions,
-    settings, slow, trace, watch,
+    saved, settings, slow, trace, watch,
 };
 
 /// Runs what the options ask for.
@@ -30,6 +30,7 @@
         options::Subcommand::Check => check(options)?,
         options::Subcommand::Hosts => hosts(options, source).await,
         options::Subcommand::Revisions => revisions(options, source).await,
+        options::Subcommand::Explain if !options.logs.is_empty() => explain_saved(options)?,
         options::Subcommand::Explain => explain(options, source).await,
         options::Subcommand::Stragglers => stragglers(options, source).await,
         options::Subcommand::Quarantine => quarantine(options, source).await,
@@ -109,6 +110,22 @@
     output::Report::over_processes(latency::text(&rows), json!({"histograms": rows}), error)
 }
 
+fn explain_saved(options: &options::Options) -> Result<output::Report, error::Error> {
+    let mut logs = saved::Logs::default();
+    for path in &options.logs {
+        logs.read(path)?;
+    }
+    let story = logs.story(&options.id);
+    let error = story.is_empty().then(|| error::Error::NotLogged {
+        request: options.id.clone(),
+        lines: logs.lines.len(),
+        skipped: logs.skipped,
+    });
+    let text = if story.is_empty() { String::new() } else { saved::text(&story, logs.skipped) };
+    let json = saved::json(&options.id, &story, logs.skipped);
+    Ok(output::Report { text, json, error })
+}
+
 async fn explain(options: &options::Options, source: &dyn fetch::Source) -> output::Report {
     let request = options.request.map(|request| request.to_string()).unwrap_or_default();
     let path = format!("/requests/{request}");
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -25,6 +25,8 @@
     Invalid { errors: usize, files: usize },
     /// No process holds a trace of the request.
     NoTrace { request: String },
+    /// Saved logs do not name the request.
+    NotLogged { request: String, lines: usize, skipped: usize },
     /// A watched condition was not met in time.
     NotMet { seconds: u64, state: String },
 }
@@ -38,9 +40,10 @@
                 exit_codes::Code::File
             }
             Error::Unreachable { .. } | Error::NoSuchHost { .. } => exit_codes::Code::Unreachable,
-            Error::Invalid { .. } | Error::NoTrace { .. } | Error::NotMet { .. } => {
-                exit_codes::Code::Failed
-            }
+            Error::Invalid { .. }
+            | Error::NoTrace { .. }
+            | Error::NotLogged { .. }
+            | Error::NotMet { .. } => exit_codes::Code::Failed,
         }
     }
 }
@@ -74,6 +77,11 @@
                 "no process holds a trace of request {request}; \
                  traces are kept for a short time, by the entry and the agent that handled it"
             ),
+            Error::NotLogged { request, lines, skipped } => write!(
+                f,
+                "none of {lines} log lines names request {request} ({skipped} skipped, no log lines); \
+                 answers that went well are left out of logs first"
+            ),
             Error::NotMet { seconds, state } => {
                 write!(f, "not met within {seconds} s: {state}")
             }
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -49,6 +49,10 @@
   --tier T           show this tier only
 ";
 
+const EXPLAIN_OPTIONS: &str = "\
+\x20 --log FILE         read this saved log, - for standard input; may be repeated
+";
+
 const STRAGGLER_OPTIONS: &str = "\
 \x20 --slow-factor N    list hosts slower than N times the median of their pool (default 3)
 ";
@@ -151,10 +155,15 @@
         about: "\
 Shows what was decided about a request, at each host in order of time. ID is the value of
 the x-request-id header of its response. Times of different hosts have different origins.
+
+With --log the story is taken from saved logs: the request's lines of each process, behind
+what that process believed before. Lines that are no log lines are skipped and counted.
 ",
-        options: "",
+        options: EXPLAIN_OPTIONS,
         examples: "\
 \x20 quincespoke explain --at-file fleet.txt 00000000000000a1-2f
+  quincespoke explain --log front-1.log --log front-2.log 9c41d07be2a35f68
+  collect-logs | quincespoke explain --log - 9c41d07be2a35f68
 ",
     }
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod output;
 pub mod poison;
 pub mod revisions;
+pub mod saved;
 pub mod settings;
 pub mod slow;
 pub mod trace;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -72,6 +72,7 @@
             "process" => self == Subcommand::Check,
             "at" | "at-file" | "timeout-ms" => self != Subcommand::Check,
             "account" | "tier" => self == Subcommand::Histograms,
+            "log" => self == Subcommand::Explain,
             "slow-factor" => self == Subcommand::Stragglers,
             "within" | "interval-ms" => {
                 matches!(self, Subcommand::WatchDrain | Subcommand::WatchRevision)
@@ -103,6 +104,10 @@
     pub process: bool,
     /// `explain ID`: the request identifier, as in the `x-request-id` header of its answer.
     pub request: Option<id::Request>,
+    /// `explain --log FILE ID`: saved logs to read in place of asking processes, and the
+    /// identifier as it stands there.
+    pub logs: Vec<PathBuf>,
+    pub id: String,
     /// `stragglers --slow-factor N`: how many times slower than its pool's median a host is
     /// listed as slow.
     pub slow_factor: f64,
@@ -134,6 +139,8 @@
             paths: Vec::new(),
             process: false,
             request: None,
+            logs: Vec::new(),
+            id: String::new(),
             slow_factor: DEFAULT_SLOW_FACTOR,
             account: None,
             tier: None,
@@ -185,7 +192,10 @@
         return Err(usage(&options, message));
     }
     take_operands(&mut options, subcommand, operands)?;
-    if subcommand != Subcommand::Check && options.at.is_empty() {
+    if !options.logs.is_empty() && !options.at.is_empty() {
+        return Err(usage(&options, "explain takes --log or --at, not both"));
+    }
+    if subcommand != Subcommand::Check && options.at.is_empty() && options.logs.is_empty() {
         let message = format!(
             "{} needs an operator address, add --at HOST:PORT or --at-file FILE",
             subcommand.name()
@@ -239,6 +249,10 @@
             }
             options.slow_factor = factor;
         }
+        "log" => {
+            let path = parser.value().map_err(|error| usage(options, error))?;
+            options.logs.push(path.into());
+        }
         "account" => options.account = Some(text(options, name, parser)?),
         "tier" => options.tier = Some(text(options, name, parser)?),
         _ => return Err(usage(options, format!("unknown option --{name}"))),
@@ -306,6 +320,7 @@
         values.push(value);
     }
     match (subcommand, values.as_slice()) {
+        (Subcommand::Explain, [id]) if !options.logs.is_empty() => options.id.clone_from(id),
         (Subcommand::Explain, [id]) => {
             let message = format!("ID {id:?}: allowed is a request identifier like 1f-2a");
             options.request = Some(id.parse().map_err(|_| usage(options, message))?);
--- /dev/null
+++ b/crates/cli/tests/saved.rs
@@ -0,0 +1,49 @@
+//! The story of a request from saved logs.
+
+use cli::saved::Logs;
+
+const LOGS: &str = r#"
+   0.01 front-1 ts=2026-10-04T09:50:50Z level=info event=started host=front-1
+   0.02 front-1 ts=2026-10-04T09:50:51Z level=info event=configuration_read version=1
+   0.03 front-2 ts=2026-10-04T09:50:40Z level=info event=configuration_read version=2
+   0.04 front-1 ts=2026-10-04T09:50:52Z level=warn event=store_lost error="receive 10.0.0.1:8129: \"timed out\""
+   0.05 front-1 ts=2026-10-04T09:50:49Z level=info event=refused id=a1 reason=stale age_ms=5010
+panicked at src/main.rs
+   0.06 front-2 ts=2026-10-04T09:50:41Z level=info event=answered id=b2 replica=i-1 status=200
+   0.07 front-1 ts=2026-10-04T09:50:53Z level=info event=store_reached revision=7
+"#;
+
+fn events<'a>(logs: &'a Logs, id: &str) -> Vec<(&'a str, &'a str)> {
+    let story = logs.story(id);
+    story.iter().map(|line| (line.process.as_str(), line.get("event").unwrap_or(""))).collect()
+}
+
+/// Guards against a story without what the process believed, or ordered by clocks that jump.
+#[test]
+fn a_request_is_told_behind_what_its_process_believed() {
+    let mut logs = Logs::default();
+    logs.add("all", LOGS);
+    assert_eq!(
+        events(&logs, "a1"),
+        [
+            ("front-1", "started"),
+            ("front-1", "configuration_read"),
+            ("front-1", "store_lost"),
+            ("front-1", "refused"),
+        ]
+    );
+    assert_eq!(events(&logs, "b2"), [("front-2", "configuration_read"), ("front-2", "answered")]);
+    assert!(logs.story("c3").is_empty());
+    assert_eq!(logs.skipped, 1);
+    let error = logs.story("a1")[2].get("error");
+    assert_eq!(error, Some("receive 10.0.0.1:8129: \"timed out\""));
+}
+
+/// Guards against logs without a collector's prefix, each process in a file of its own.
+#[test]
+fn a_file_names_the_process_of_its_lines() {
+    let mut logs = Logs::default();
+    logs.add("front-9", "ts=1 level=info event=refused id=a1 reason=overload\nts=2 x\n");
+    assert_eq!(events(&logs, "a1"), [("front-9", "refused")]);
+    assert_eq!(logs.skipped, 1, "a field without a value");
+}
