--- a/crates/gate/src/quota.rs
+++ b/crates/gate/src/quota.rs
@@ -26,8 +26,9 @@
 /// hear of each other, and the time between admission and the replica's start of work.
 const USED_TOLERANCE: f64 = 0.55;
 /// Part of the tolerance that a process uses while it does not know what was admitted before
-/// its start.
-const USED_TOLERANCE_UNKNOWN: f64 = 0.1;
+/// its start. A fleet that was killed as a whole is away for a second or more, and what leaves
+/// the window meanwhile is about half of the tolerance where usage was even.
+const USED_TOLERANCE_UNKNOWN: f64 = 0.4;
 /// Time after such a start from which the quota is granted again, little by little. Accounts use
 /// a window unevenly: on a grown site one had used 3 in 100 more than its even part.
 const RAMP_DELAY: Duration = Duration::from_secs(1);
