--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -6,6 +6,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
     Bind,
+    Signal,
     Connect,
     Send,
     Receive,
@@ -49,6 +50,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Step::Bind => "bind",
+            Step::Signal => "signal",
             Step::Connect => "connect",
             Step::Send => "send",
             Step::Receive => "receive",
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -90,7 +90,10 @@
                 None => match self.next().await {
                     Instruction::Dispatch(dispatch) => dispatch,
                     Instruction::Refuse(refused) => {
-                        return self.failure.take().unwrap_or_else(|| self.refuse(&refused));
+                        return match self.failure.take() {
+                            Some(failure) => self.pass_failure(failure),
+                            None => self.refuse(&refused),
+                        };
                     }
                 },
             };
@@ -118,7 +121,10 @@
                 attempt => attempt,
             };
             match attempt {
-                Attempt::Report(event) => self.report(event),
+                Attempt::Report(event) => {
+                    self.log_failure(&dispatch, &event);
+                    self.report(event);
+                }
                 Attempt::Moved(dispatch) => moved = Some(dispatch),
                 Attempt::Received(_) | Attempt::Timeout => {
                     return self.refuse(&Refusal::new(Reason::Timeout));
@@ -270,6 +276,38 @@
         );
     }
 
+    /// Passes on a replica's own failure, which no other replica made good.
+    fn pass_failure(&self, failure: Response<http::Body>) -> Response<http::Body> {
+        self.gateway.metrics.count("failed");
+        tracing::info!(
+            event = "failed",
+            id = %String::from_utf8_lossy(&self.id),
+            status = failure.status().as_u16(),
+        );
+        failure
+    }
+
+    /// Logs why a replica did not answer a call. The machine decides how the call goes on.
+    fn log_failure(&self, dispatch: &Dispatch, event: &Event) {
+        let how = match event {
+            Event::Unsent { .. } => "unsent",
+            Event::Rejected { .. } => "rejected",
+            Event::Misdirected { .. } => "misdirected",
+            Event::Ended { end: End::Broken, .. } => "broken",
+            Event::Ended { .. } => "failed",
+            _ => "other",
+        };
+        self.gateway.metrics.count_attempt(how);
+        tracing::info!(
+            event = "attempt_failed",
+            id = %String::from_utf8_lossy(&self.id),
+            replica = %String::from_utf8_lossy(&dispatch.id),
+            how,
+            attempt = dispatch.basis.attempt,
+            running = dispatch.basis.running,
+        );
+    }
+
     /// Returns the gateway's metrics.
     pub fn metrics(&self) -> &Metrics {
         &self.gateway.metrics
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -38,6 +38,7 @@
     registry: Registry,
     known: RefCell<BTreeSet<Series>>,
     requests: Family<Outcome, Counter>,
+    attempts: Family<Outcome, Counter>,
     waited: Times,
     first: Times,
     pause: Times,
@@ -58,6 +59,7 @@
             registry: Registry::with_prefix("quincespoke"),
             known: RefCell::default(),
             requests: Family::default(),
+            attempts: Family::default(),
             waited: times(),
             first: times(),
             pause: times(),
@@ -76,6 +78,8 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register("requests", "Calls by their outcome", self.requests.clone());
+        let help = "Attempts that a replica did not answer";
+        registry.register("failed_attempts", help, self.attempts.clone());
         let times = [
             ("waited", "Time at the gateway before the dispatch", &self.waited),
             ("first", "Time from the dispatch to the first event or the answer", &self.first),
@@ -101,6 +105,12 @@
         self.requests.get_or_create(&outcome).inc();
     }
 
+    /// Counts an attempt that a replica did not answer.
+    pub fn count_attempt(&self, outcome: &str) {
+        let outcome = Outcome { outcome: outcome.to_owned() };
+        self.attempts.get_or_create(&outcome).inc();
+    }
+
     /// Counts a call of the store.
     pub fn count_store_call(&self) {
         self.store_calls.inc();
--- a/crates/daemon/src/gateway/process.rs
+++ b/crates/daemon/src/gateway/process.rs
@@ -1,6 +1,16 @@
 //! Start and stop of a gateway process.
 
-use std::{fs, net::SocketAddr, path::Path, rc::Rc, time::Duration};
+use std::{
+    fs,
+    net::SocketAddr,
+    path::Path,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use compio::{net, runtime, signal, time};
 use conf::gateway;
@@ -16,7 +26,6 @@
     http, log,
 };
 
-const SIGHUP: i32 = 1;
 const SIGTERM: i32 = 15;
 /// Part of the grace time for which new connections are taken after a stop began, since the
 /// balancer sends some until it has asked twice.
@@ -27,6 +36,8 @@
 /// Longest wait of callers' connections at the start. Callers give a connection up after a
 /// second.
 const START_WAIT: Duration = Duration::from_millis(600);
+/// Time between looks for a SIGHUP.
+const RELOAD_POLL: Duration = Duration::from_millis(500);
 /// Time between lines about log lines that were left out.
 const DROPPED_PERIOD: Duration = Duration::from_secs(5);
 /// Type of the page of metrics.
@@ -40,6 +51,9 @@
 ///
 /// Returns an error if an address can't be bound.
 pub async fn serve(settings: &gateway::Gateway, file: &Path) -> Result<(), Error> {
+    let hangup = Arc::new(AtomicBool::new(false));
+    let handled = signal_hook::flag::register(signal_hook::consts::SIGHUP, hangup.clone());
+    handled.map_err(|error| Error::new(Step::Signal, settings.callers, error))?;
     let socket = net::UdpSocket::bind(settings.peers).await;
     let socket = socket.map_err(|error| Error::new(Step::Bind, settings.peers, error))?;
     let callers = http::bind(settings.callers).await?;
@@ -60,7 +74,7 @@
     let server = Rc::new(http::Server::default());
     let handler = Rc::new(Calls { gateway: gateway.clone() });
     runtime::spawn(accept(gateway.clone(), server.clone(), callers, handler)).detach();
-    runtime::spawn(reload(settings.clone(), file.to_owned())).detach();
+    runtime::spawn(reload(hangup, settings.clone(), file.to_owned())).detach();
     gateway.feed(Event::Tick);
     if let Err(error) = signal::unix::signal(SIGTERM).await {
         tracing::error!(event = "signal_failed", %error);
@@ -118,9 +132,16 @@
     tracing::info!(event = "stopped", open);
 }
 
-/// Reads the settings again at each SIGHUP. Addresses and bounds hold until the next start.
-async fn reload(settings: gateway::Gateway, file: std::path::PathBuf) {
-    while signal::unix::signal(SIGHUP).await.is_ok() {
+/// Reads the settings again after each SIGHUP. Addresses and bounds hold until the next start.
+///
+/// The handler stays in place from the start on: one that is installed anew for each signal
+/// leaves gaps in which the next signal ends the process.
+async fn reload(hangup: Arc<AtomicBool>, settings: gateway::Gateway, file: std::path::PathBuf) {
+    loop {
+        time::sleep(RELOAD_POLL).await;
+        if !hangup.swap(false, Ordering::Relaxed) {
+            continue;
+        }
         let name = file.display().to_string();
         let read = fs::read_to_string(&file).map_err(|error| error.to_string());
         let parsed = read.and_then(|text| {
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -232,8 +232,8 @@
         let catalog = self.catalog.clone();
         let catalog =
             catalog.ok_or_else(|| admit::come_back(Reason::NotReady, left, &mut self.random))?;
-        if self.suspects.is_quarantined(now, call.fingerprint) {
-            return Err(Refusal::new(Reason::Poison));
+        if let Some(left) = self.suspects.quarantine(now, call.fingerprint) {
+            return Err(Refusal { retry_after: Some(left), ..Refusal::new(Reason::Poison) });
         }
         let mut entry =
             admit::entry(&catalog, &self.lease, now, call, &mut self.deadlines, &mut self.random)?;
--- a/crates/gate/src/machine/answers.rs
+++ b/crates/gate/src/machine/answers.rs
@@ -204,7 +204,7 @@
                 && entry.attempts < entry.max_attempts
                 && now < entry.deadline
                 && self.check_key(now, entry).is_ok()
-                && !self.suspects.is_quarantined(now, entry.call.fingerprint)
+                && self.suspects.quarantine(now, entry.call.fingerprint).is_none()
         })
     }
 }
--- a/crates/gate/src/suspects.rs
+++ b/crates/gate/src/suspects.rs
@@ -51,11 +51,12 @@
         }
     }
 
-    /// Returns whether the call may not be dispatched.
-    pub fn is_quarantined(&self, now: Instant, fingerprint: u64) -> bool {
-        self.suspects.get(&fingerprint).is_some_and(|suspect| {
-            suspect.own + suspect.reported >= QUARANTINE_CRASHES && now.since(suspect.last) < MEMORY
-        })
+    /// Returns how long the call may not be dispatched, if it may not.
+    pub fn quarantine(&self, now: Instant, fingerprint: u64) -> Option<Duration> {
+        let suspect = self.suspects.get(&fingerprint)?;
+        let left = MEMORY.saturating_sub(now.since(suspect.last));
+        let crashed = suspect.own + suspect.reported >= QUARANTINE_CRASHES;
+        (crashed && !left.is_zero()).then_some(left)
     }
 
     /// Returns the own counts for peers, the latest first.
--- a/crates/gate/tests/placement.rs
+++ b/crates/gate/tests/placement.rs
@@ -26,6 +26,15 @@
     }
 }
 
+/// Returns a gateway with one replica that runs one call at a time.
+fn with_one_place() -> World {
+    let mut world = World::new();
+    let mut one = record(MODEL, 9_000);
+    one.slots = 1;
+    world.add("r0", one);
+    world
+}
+
 /// Guards against new work at a replica that said it leaves.
 #[test]
 fn leaving_replicas_get_nothing() {
@@ -162,10 +171,7 @@
 /// still be served in time: after a burst most of those who wait have been refused before.
 #[test]
 fn calls_that_can_be_in_time_go_first() {
-    let mut world = World::new();
-    let mut one = record(MODEL, 9_000);
-    one.slots = 1;
-    world.add("r0", one);
+    let mut world = with_one_place();
     let running = world.arrive(call("essay"));
     world.dispatched(running).expect("dispatched");
     let back = Call { deadline: Some(Duration::from_secs(7)), ..call("essay") };
@@ -181,10 +187,7 @@
 /// Guards against all callers taken for late ones because one states a long deadline.
 #[test]
 fn one_long_deadline_makes_no_caller_late() {
-    let mut world = World::new();
-    let mut one = record(MODEL, 9_000);
-    one.slots = 1;
-    world.add("r0", one);
+    let mut world = with_one_place();
     let long = Call { deadline: Some(Duration::from_secs(600)), ..call("essay") };
     for deadline in [call("essay"), long] {
         let ticket = world.arrive(deadline);
@@ -204,10 +207,7 @@
 /// that could still be in time.
 #[test]
 fn overdue_calls_go_last_within_an_accounts_tier() {
-    let mut world = World::new();
-    let mut one = record(MODEL, 9_000);
-    one.slots = 1;
-    world.add("r0", one);
+    let mut world = with_one_place();
     let running = world.arrive(call("essay"));
     world.dispatched(running).expect("dispatched");
     let back = Call { deadline: Some(Duration::from_secs(7)), ..call("essay") };
--- a/crates/gate/tests/retries.rs
+++ b/crates/gate/tests/retries.rs
@@ -126,5 +126,7 @@
         assert_eq!(world.reason(ticket), Some(Reason::Lost));
     }
     let ticket = world.arrive(call("essay"));
-    assert_eq!(world.reason(ticket), Some(Reason::Poison));
+    let refusal = world.refused(ticket).expect("refused");
+    assert_eq!(refusal.reason, Reason::Poison);
+    assert_eq!(refusal.retry_after, Some(Duration::from_secs(60)), "it has not run");
 }
