--- a/crates/daemon/src/gateway/process.rs
+++ b/crates/daemon/src/gateway/process.rs
@@ -15,7 +15,7 @@
 use compio::{net, runtime, signal, time};
 use conf::gateway;
 use futures_channel::mpsc;
-use futures_util::future::LocalBoxFuture;
+use futures_util::future::{LocalBoxFuture, poll_immediate};
 use gate::{Event, Machine, limits::Limits, machine::Options};
 use hyper::{Request, Response, body};
 
@@ -51,6 +51,9 @@
 ///
 /// Returns an error if an address can't be bound.
 pub async fn serve(settings: &gateway::Gateway, file: &Path) -> Result<(), Error> {
+    // Signals are handled before the first connection is taken.
+    let mut terminate = Box::pin(signal::unix::signal(SIGTERM));
+    let early = poll_immediate(&mut terminate).await;
     let hangup = Arc::new(AtomicBool::new(false));
     let handled = signal_hook::flag::register(signal_hook::consts::SIGHUP, hangup.clone());
     handled.map_err(|error| Error::new(Step::Signal, settings.callers, error))?;
@@ -76,7 +79,11 @@
     runtime::spawn(accept(gateway.clone(), server.clone(), callers, handler)).detach();
     runtime::spawn(reload(hangup, settings.clone(), file.to_owned())).detach();
     gateway.feed(Event::Tick);
-    if let Err(error) = signal::unix::signal(SIGTERM).await {
+    let terminated = match early {
+        Some(terminated) => terminated,
+        None => terminate.await,
+    };
+    if let Err(error) = terminated {
         tracing::error!(event = "signal_failed", %error);
     }
     stop(&gateway, &server, settings.grace).await;
