Fetch large changes from a peer over a connection

They ask a peer over a connection now, at the address of the datagrams. Ruled out: lost datagrams (heard=28 throughout).

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -135,6 +135,10 @@
                 // The sending task lives as long as the process.
                 let _ = self.outbox.unbounded_send((to, datagram));
             }
+            Action::Fetch { peer, ask } => {
+                let Some(gateway) = self.this.upgrade() else { return };
+                runtime::spawn(peers::fetch(gateway, peer, ask)).detach();
+            }
             Action::Install(learned) => {
                 // The machine is in the middle of an event.
                 let Some(gateway) = self.this.upgrade() else { return };
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -1,14 +1,28 @@
-//! Datagrams between gateways.
+//! Datagrams between gateways, and answers that do not fit in one.
 
 use std::{net::SocketAddr, rc::Rc};
 
-use compio::{net, runtime};
+use bytes::Bytes;
+use compio::{net, runtime, time};
 use futures_channel::mpsc;
-use futures_util::StreamExt;
-use gate::{Event, share};
+use futures_util::{StreamExt, future::LocalBoxFuture};
+use gate::{Event, share, source};
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, Response, body, header};
 
-use crate::gateway::Gateway;
+use crate::{
+    clock,
+    connection::Pool,
+    error::{Error, Kind, Step},
+    gateway::{CONNECT_TIMEOUT, Gateway},
+    http,
+};
 
+/// Largest question over a connection, in bytes.
+const MAX_ASK_BYTES: u64 = 1 << 10;
+
+/// Type of answers over a connection.
+const CONTENT_TYPE: &str = "application/msgpack";
 /// Largest datagram that is read.
 const MAX_BYTES: usize = 16 << 10;
 
@@ -67,3 +81,54 @@
         }
     }
 }
+
+/// Answers peers that ask over a connection.
+pub struct Answers {
+    pub gateway: Rc<Gateway>,
+}
+
+impl http::Handler for Answers {
+    fn handle(
+        self: Rc<Self>,
+        request: Request<body::Incoming>,
+    ) -> LocalBoxFuture<'static, Response<http::Body>> {
+        Box::pin(async move {
+            let Ok(body) = http::read_body(request.into_body(), MAX_ASK_BYTES).await else {
+                return http::empty(400);
+            };
+            let Ok(ask) = wire::frame::decode::<share::Ask>(&body) else {
+                return http::empty(400);
+            };
+            match self.gateway.read(|machine| machine.answer_fetch(clock::now(), &ask)) {
+                Some(answer) => http::whole(200, CONTENT_TYPE, wire::frame::encode(&answer)),
+                None => http::empty(503),
+            }
+        })
+    }
+}
+
+/// Asks a peer over a connection and feeds its answer.
+pub async fn fetch(gateway: Rc<Gateway>, peer: SocketAddr, ask: share::Ask) {
+    let answer = time::timeout(source::FETCH_TIME, request(peer, &ask)).await;
+    let answer = answer.unwrap_or_else(|_| Err(Error::of_kind(Step::Receive, peer, Kind::Timeout)));
+    match answer {
+        Ok(answer) => gateway.feed(Event::Answered(answer)),
+        Err(error) => tracing::warn!(event = "peer_fetch_failed", %error),
+    }
+}
+
+async fn request(peer: SocketAddr, ask: &share::Ask) -> Result<share::Answer, Error> {
+    let request = Request::post("/ask")
+        .header(header::HOST, peer.to_string())
+        .body(Full::new(wire::frame::encode(ask)))
+        .map_err(|error| Error::new(Step::Send, peer, error))?;
+    let sent = Pool::new(peer, CONNECT_TIMEOUT).send(request).await;
+    let (response, _) = sent.map_err(|fault| Error::new(Step::Send, peer, format!("{fault:?}")))?;
+    let status = response.status().as_u16();
+    if status != 200 {
+        return Err(Error::of_kind(Step::Receive, peer, Kind::Status(status)));
+    }
+    let body = response.into_body().collect().await;
+    let body: Bytes = body.map_err(|error| Error::new(Step::Receive, peer, error))?.to_bytes();
+    wire::frame::decode(&body).map_err(|error| Error::new(Step::Decode, peer, error))
+}
--- a/crates/daemon/src/gateway/process.rs
+++ b/crates/daemon/src/gateway/process.rs
@@ -59,6 +59,7 @@
     handled.map_err(|error| Error::new(Step::Signal, settings.callers, error))?;
     let socket = net::UdpSocket::bind(settings.peers).await;
     let socket = socket.map_err(|error| Error::new(Step::Bind, settings.peers, error))?;
+    let peers = http::bind(settings.peers).await?;
     let callers = http::bind(settings.callers).await?;
     let readiness = http::bind(settings.readiness).await?;
     let operators = http::bind(settings.operators).await?;
@@ -67,6 +68,8 @@
     let host = String::from_utf8_lossy(&settings.host).into_owned();
     tracing::info!(event = "started", host, callers = %settings.callers, store = %settings.store);
     peers::start(&gateway, Rc::new(socket), messages);
+    let answers = Rc::new(peers::Answers { gateway: gateway.clone() });
+    runtime::spawn(Rc::new(http::Server::default()).serve(peers, answers)).detach();
     runtime::spawn(store::follow(gateway.clone(), settings.store)).detach();
     let checks = Rc::new(http::Server::default());
     let handler = Rc::new(Readiness { gateway: gateway.clone() });
--- a/crates/gate/src/action.rs
+++ b/crates/gate/src/action.rs
@@ -15,6 +15,8 @@
     Refuse { ticket: Ticket, refusal: Refusal },
     /// Send a peer a datagram.
     Share { to: SocketAddr, datagram: share::Datagram },
+    /// Ask a peer over a connection, since its answer does not fit in a datagram.
+    Fetch { peer: SocketAddr, ask: share::Ask },
     /// Put the entries of a peer's answer in force and report them as installed.
     Install(source::Learned),
     /// Try to connect to a replica that could not be reached.
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -23,7 +23,8 @@
     quota::{self, Admission, Quotas},
     refusal::{Basis, Reason, Refusal},
     roster::{self, Roster},
-    source::Source,
+    share,
+    source::{self, Source},
     suspects::Suspects,
 };
 
@@ -137,6 +138,11 @@
         self.source.revision()
     }
 
+    /// Returns the answer to a peer that asks over a connection.
+    pub fn answer_fetch(&self, now: Instant, ask: &share::Ask) -> Option<share::Answer> {
+        self.source.answer(ask, self.lease.age(now), source::MAX_FETCHED_BYTES)
+    }
+
     /// Returns whether this process has to read the store now.
     pub fn reads_store(&self, now: Instant) -> bool {
         self.source.reads(now, self.options.process, self.lease.age(now))
@@ -187,7 +193,7 @@
                 self.source.learned(learned.from, learned.to, learned.entries);
             }
             Event::Asked(ask) => self.answer(now, &ask, actions),
-            Event::Answered(answer) => self.answered(answer, actions),
+            Event::Answered(answer) => self.answered(now, answer, actions),
             Event::StoreLost => self.roster.store_lost(),
             Event::Shared(message) => self.shared(now, message, actions),
             Event::Probed { replica, reachable } => self.probed(now, replica, reachable),
--- a/crates/gate/src/machine/sharing.rs
+++ b/crates/gate/src/machine/sharing.rs
@@ -3,7 +3,12 @@
 use wire::time::Instant;
 
 use super::{Machine, PROBE_PERIOD};
-use crate::{Action, peers::Sender, quota, roster, share};
+use crate::{
+    Action,
+    peers::Sender,
+    quota, roster, share,
+    source::{self, Verdict},
+};
 
 /// Messages from one that names other gateways to the next.
 const PEERS_EVERY: u64 = 8;
@@ -52,20 +57,27 @@
     }
 
     pub(super) fn answer(&self, now: Instant, ask: &share::Ask, actions: &mut Vec<Action>) {
-        if let Some(answer) = self.source.answer(ask, self.lease.age(now)) {
+        let max_bytes = source::MAX_DATAGRAM_BYTES;
+        if let Some(answer) = self.source.answer(ask, self.lease.age(now), max_bytes) {
             let datagram = share::Datagram::Answer(answer);
             actions.push(Action::Share { to: ask.from, datagram });
         }
     }
 
-    pub(super) fn answered(&mut self, answer: share::Answer, actions: &mut Vec<Action>) {
-        let Some(learned) = self.source.answered(answer) else { return };
-        match learned.entries.is_empty() {
-            true => {
+    pub(super) fn answered(
+        &mut self,
+        now: Instant,
+        answer: share::Answer,
+        actions: &mut Vec<Action>,
+    ) {
+        match self.source.answered(now, self.options.own, answer) {
+            Verdict::Learned(learned) if learned.entries.is_empty() => {
                 self.lease.confirm(learned.at);
                 self.source.learned(learned.from, learned.to, Vec::new());
             }
-            false => actions.push(Action::Install(learned)),
+            Verdict::Learned(learned) => actions.push(Action::Install(learned)),
+            Verdict::Large(peer, ask) => actions.push(Action::Fetch { peer, ask }),
+            Verdict::Void => {}
         }
     }
 
--- a/crates/gate/src/source.rs
+++ b/crates/gate/src/source.rs
@@ -28,8 +28,13 @@
 const READING: Duration = Duration::from_millis(2500);
 /// Readings whose changes are kept for peers.
 const MAX_LOG: usize = 64;
-/// Largest changes in one answer, in bytes; they have to fit in a datagram.
-const MAX_ANSWER_BYTES: usize = 12 << 10;
+/// Largest changes in an answer by datagram, in bytes.
+pub const MAX_DATAGRAM_BYTES: usize = 12 << 10;
+/// Largest changes in an answer over a connection, in bytes: configurations of some thousand
+/// routes.
+pub const MAX_FETCHED_BYTES: usize = 4 << 20;
+/// Time for an answer over a connection before a peer is asked again.
+pub const FETCH_TIME: Duration = Duration::from_millis(1000);
 
 /// Changes between two revisions.
 #[derive(Clone, Debug)]
@@ -45,6 +50,19 @@
     token: u64,
     at: Instant,
     revision: u64,
+    peer: SocketAddr,
+    /// Asked over a connection.
+    fetches: bool,
+}
+
+/// What an answer means.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    Learned(Learned),
+    /// The changes are large: the peer has to be asked over a connection.
+    Large(SocketAddr, Ask),
+    /// It answers no open question, or brings nothing.
+    Void,
 }
 
 /// What a valid answer brings.
@@ -168,9 +186,20 @@
         let scored: Vec<_> = candidates.map(|(peer, age, _)| (spread(age, random), peer)).collect();
         let (_, peer) = scored.into_iter().min()?;
         self.next_ask = now + ASK_PERIOD;
+        Some((peer, self.question(now, from, peer, revision, false)))
+    }
+
+    fn question(
+        &mut self,
+        now: Instant,
+        from: SocketAddr,
+        peer: SocketAddr,
+        revision: u64,
+        fetches: bool,
+    ) -> Ask {
         self.tokens += 1;
-        self.open = Some(Open { token: self.tokens, at: now, revision });
-        Some((peer, Ask { token: self.tokens, from, revision }))
+        self.open = Some(Open { token: self.tokens, at: now, revision, peer, fetches });
+        Ask { token: self.tokens, from, revision }
     }
 
     /// Returns when the next question may be due.
@@ -179,14 +208,14 @@
     }
 
     /// Returns the answer to a peer's question.
-    pub fn answer(&self, ask: &Ask, age: Option<Duration>) -> Option<Answer> {
+    pub fn answer(&self, ask: &Ask, age: Option<Duration>, max_bytes: usize) -> Option<Answer> {
         let (revision, age) = (self.revision?, age?);
-        let entries = self.changes(ask.revision, revision);
+        let entries = self.changes(ask.revision, revision, max_bytes);
         Some(Answer { token: ask.token, revision, age, entries })
     }
 
-    /// Returns the changes after a revision, the last of each key, if they are known and small.
-    fn changes(&self, after: u64, revision: u64) -> Option<Vec<Entry>> {
+    /// Returns the changes after a revision, the last of each key, if they are known and fit.
+    fn changes(&self, after: u64, revision: u64, max_bytes: usize) -> Option<Vec<Entry>> {
         if after >= revision {
             return Some(Vec::new());
         }
@@ -197,23 +226,34 @@
         let entries = chunks.flat_map(|chunk| chunk.entries.iter().cloned());
         let last = last_of_each(entries.collect());
         let size: usize = last.iter().map(|entry| entry.key.len() + entry.value.len()).sum();
-        (size <= MAX_ANSWER_BYTES).then_some(last)
+        (size <= max_bytes).then_some(last)
     }
 
-    /// Takes an answer and returns what it brings, if it answers the open question.
-    pub fn answered(&mut self, answer: Answer) -> Option<Learned> {
-        let open = self.open.take_if(|open| open.token == answer.token)?;
+    /// Takes an answer to the open question.
+    pub fn answered(&mut self, now: Instant, own: Option<SocketAddr>, answer: Answer) -> Verdict {
+        let Some(open) = self.open.take_if(|open| open.token == answer.token) else {
+            return Verdict::Void;
+        };
         if self.revision != Some(open.revision) {
-            return None;
+            return Verdict::Void;
+        }
+        match (answer.entries, own) {
+            (Some(entries), _) => {
+                let age = answer.age.as_micros() as u64;
+                let at = Instant(open.at.0.saturating_sub(age));
+                let to = answer.revision.max(open.revision);
+                Verdict::Learned(Learned { from: open.revision, to, entries, at })
+            }
+            (None, Some(own)) if !open.fetches => {
+                self.next_ask = now + FETCH_TIME;
+                let ask = self.question(now, own, open.peer, open.revision, true);
+                Verdict::Large(open.peer, ask)
+            }
+            (None, _) => {
+                self.behind = true;
+                Verdict::Void
+            }
         }
-        let age = answer.age.as_micros() as u64;
-        let at = Instant(open.at.0.saturating_sub(age));
-        let to = answer.revision.max(open.revision);
-        let Some(entries) = answer.entries else {
-            self.behind = true;
-            return None;
-        };
-        Some(Learned { from: open.revision, to, entries, at })
     }
 }
 
--- a/crates/gate/tests/schedules.rs
+++ b/crates/gate/tests/schedules.rs
@@ -200,7 +200,10 @@
                         return Err(format!("call {ticket} was refused twice"));
                     }
                 }
-                Action::Share { .. } | Action::Probe { .. } | Action::Install(_) => {}
+                Action::Share { .. }
+                | Action::Probe { .. }
+                | Action::Install(_)
+                | Action::Fetch { .. } => {}
             }
         }
         Ok(())
--- a/crates/gate/tests/source.rs
+++ b/crates/gate/tests/source.rs
@@ -4,7 +4,7 @@
 
 use gate::{
     share::{Answer, Entry, Sight},
-    source::Source,
+    source::{Learned, MAX_DATAGRAM_BYTES, MAX_FETCHED_BYTES, Source, Verdict},
 };
 use wire::time::Instant;
 
@@ -43,6 +43,17 @@
     source.ask(at(now), Some(address(50)), Some(ms(age)), &mut random)
 }
 
+fn answered(source: &mut Source, now: u64, answer: Answer) -> Verdict {
+    source.answered(at(now), Some(address(50)), answer)
+}
+
+fn learned(verdict: Verdict) -> Learned {
+    match verdict {
+        Verdict::Learned(learned) => learned,
+        other => panic!("{other:?}"),
+    }
+}
+
 /// Guards against calls of the store that grow with the fleet, and against a fleet in which
 /// nobody reads it.
 #[test]
@@ -74,9 +85,13 @@
     let answer =
         Answer { token: question.token, revision: 10, age: ms(300), entries: Some(Vec::new()) };
     // It comes four seconds later.
-    let learned = source.answered(answer.clone()).expect("valid");
-    assert_eq!(learned.at, at(700));
-    assert_eq!(source.answered(answer), None, "it answers no question any more");
+    let brought = learned(answered(&mut source, 5_000, answer.clone()));
+    assert_eq!(brought.at, at(700));
+    assert_eq!(
+        answered(&mut source, 5_001, answer),
+        Verdict::Void,
+        "it answers no question any more"
+    );
 }
 
 /// Guards against changes that are skipped or undone: an answer counts only for the state that
@@ -89,15 +104,15 @@
     let mut other = source();
     hear(&mut other, 100, 1, 13, true);
     let (_, question) = ask(&mut other, 150, 10).expect("a peer knows more");
-    let answer = reader.answer(&question, Some(ms(50))).expect("an answer");
+    let answer = reader.answer(&question, Some(ms(50)), MAX_DATAGRAM_BYTES).expect("an answer");
     assert_eq!(answer.entries, Some(vec![entry("b", "1"), entry("a", "2")]));
     let mut moved = other.clone();
-    let learned = other.answered(answer.clone()).expect("valid");
-    assert_eq!((learned.from, learned.to), (10, 13));
-    other.learned(learned.from, learned.to, learned.entries);
+    let brought = learned(answered(&mut other, 150, answer.clone()));
+    assert_eq!((brought.from, brought.to), (10, 13));
+    other.learned(brought.from, brought.to, brought.entries);
     assert_eq!(other.revision(), Some(13));
     moved.read(at(160), Some(10), 11, Vec::new());
-    assert_eq!(moved.answered(answer), None, "its own reading came first");
+    assert_eq!(answered(&mut moved, 170, answer), Verdict::Void, "its own reading came first");
 }
 
 /// Guards against a gateway that waits for changes that no peer can tell.
@@ -111,10 +126,32 @@
     }
     assert!(!other.reads(at(150), OWN, Some(ms(10))));
     let (_, question) = ask(&mut other, 150, 10).expect("a peer knows more");
-    let answer = reader.answer(&question, Some(ms(50))).expect("an answer");
+    let answer = reader.answer(&question, Some(ms(50)), MAX_DATAGRAM_BYTES).expect("an answer");
     assert_eq!((answer.revision, &answer.entries), (13, &None));
-    assert_eq!(other.answered(answer), None);
-    assert!(other.reads(at(150), OWN, Some(ms(10))));
+    let Verdict::Large(peer, question) = answered(&mut other, 150, answer) else { panic!() };
+    assert!(!other.reads(at(150), OWN, Some(ms(10))), "a peer is asked over a connection");
+    assert!(ask(&mut other, 400, 900).is_none(), "the answer is on its way");
+    assert_eq!(reader.answer(&question, Some(ms(50)), MAX_FETCHED_BYTES).unwrap().entries, None);
+    let unknown = reader.answer(&question, Some(ms(50)), MAX_FETCHED_BYTES).expect("an answer");
+    assert_eq!((peer, answered(&mut other, 160, unknown)), (peer, Verdict::Void));
+    assert!(other.reads(at(160), OWN, Some(ms(10))), "the peer has forgotten the changes");
     other.read(at(200), Some(10), 13, Vec::new());
     assert!(!other.reads(at(250), OWN, Some(ms(10))));
 }
+
+/// Guards against a gateway that the store turns away and that goes stale by one large change.
+#[test]
+fn large_changes_come_over_a_connection() {
+    let mut reader = source();
+    let large = Entry { key: "c".into(), value: vec![b'x'; 20 << 10].into(), deleted: false };
+    reader.read(at(10), Some(10), 13, vec![large.clone()]);
+    let mut other = source();
+    hear(&mut other, 100, 1, 13, true);
+    let (_, question) = ask(&mut other, 150, 10).expect("a peer knows more");
+    let answer = reader.answer(&question, Some(ms(50)), MAX_DATAGRAM_BYTES).expect("an answer");
+    let Verdict::Large(peer, question) = answered(&mut other, 160, answer) else { panic!() };
+    assert_eq!(peer, address(1));
+    let answer = reader.answer(&question, Some(ms(50)), MAX_FETCHED_BYTES).expect("an answer");
+    let brought = learned(answered(&mut other, 200, answer));
+    assert_eq!((brought.to, brought.entries, brought.at), (13, vec![large], at(110)));
+}
