Wait in a test until the engine has the request whose agent is killed

Cause, by the answers (agent_replaced at step dispatched): the agent is killed after it dispatched a request and before the engine received it. Such a request is lost with the agent and truthfully unknown; the test means to kill an agent whose request runs, and now waits for that. The rest of it is unchanged. The log of the agent shows the connection closed at 05.258.

--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -49,6 +49,10 @@
         let agent = &world.agents[0];
         let waits = |status: &wire::status::Status| status.queued.values().sum::<u64>() > 0;
         world.wait_for(agent, "with queued work", waits).await;
+        // A request that its agent has dispatched and that the engine has not received yet is
+        // lost with the agent, and truthfully `unknown`.
+        let began = |body: &Bytes| world.runs(body).first().is_some_and(|(engine, _)| *engine == 0);
+        world.until("at the engine", || bodies.iter().any(began).then_some(())).await;
         world.replace_agent(0);
         for (reply, body) in future::join_all(calls).await.into_iter().zip(&bodies) {
             assert_whole(&reply.expect("the call does not panic"), body);
