Use one piece of code where the gateway had several

- The bounds of a deployment were three types with a function that copied one into the other (conf's settings, its reader, gate::limits); gate takes conf::gateway::Bounds.
- Which replicas of a service are usable was asked in three ways; it is Roster::usable.
- Free test addresses stood in two test trees, the newer one without the lock that keeps a process in its start from holding the probing socket; both use stand::address.
- A stream looked its histogram of pauses up by account and tier for each event; it does so once.
Outcomes are static names and need no copy.
The branch for failed answers in log_answer could not be reached.
- Source::ask looked at all peers before it knew that a question is due, and Source::next_ask had no caller.
No decision changes.

--- a/crates/conf/src/gateway.rs
+++ b/crates/conf/src/gateway.rs
@@ -33,6 +33,14 @@
     pub store: SocketAddr,
     /// `[seeds] hosts`: hosts of other gateways; their ports are not used.
     pub seeds: Vec<SocketAddr>,
+    pub bounds: Bounds,
+    /// `[log] level`: error, warn, info, debug or trace.
+    pub log_level: String,
+}
+
+/// Bounds that a deployment sets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
     /// `[bounds] revoke_ms`: time after which a withdrawn key may not run.
     pub revoke: Duration,
     /// `[bounds] grace_s`: time for a planned stop.
@@ -49,8 +57,6 @@
     pub quota_overage: f64,
     /// `[bounds] quota_slack`: units beyond that share, of all gateways together.
     pub quota_slack: f64,
-    /// `[log] level`: error, warn, info, debug or trace.
-    pub log_level: String,
 }
 
 /// Parses and checks a gateway's settings file; `file` names it in errors.
@@ -97,17 +103,6 @@
     log_level: Option<String>,
 }
 
-struct Bounds {
-    revoke: Duration,
-    grace: Duration,
-    retry_ratio: f64,
-    retry_slack: f64,
-    retry_window: Duration,
-    quota_window: Duration,
-    quota_overage: f64,
-    quota_slack: f64,
-}
-
 impl Default for Bounds {
     fn default() -> Bounds {
         Bounds {
@@ -162,7 +157,6 @@
     }
 
     fn build(self) -> Option<Gateway> {
-        let bounds = self.bounds.unwrap_or_default();
         Some(Gateway {
             host: self.host?,
             availability_zone: self.availability_zone?,
@@ -173,14 +167,7 @@
             operators: self.operators?,
             store: self.store?,
             seeds: self.seeds,
-            revoke: bounds.revoke,
-            grace: bounds.grace,
-            retry_ratio: bounds.retry_ratio,
-            retry_slack: bounds.retry_slack,
-            retry_window: bounds.retry_window,
-            quota_window: bounds.quota_window,
-            quota_overage: bounds.quota_overage,
-            quota_slack: bounds.quota_slack,
+            bounds: self.bounds.unwrap_or_default(),
             log_level: self.log_level.unwrap_or_else(|| "info".to_owned()),
         })
     }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -255,9 +255,8 @@
     /// Logs how a call went whose answer began after `first` or was whole then.
     pub fn log_answer(&self, dispatch: &Dispatch, status: u16, first: Duration) {
         let basis = &dispatch.basis;
-        let metrics = &self.gateway.metrics;
-        metrics.count(if status < 500 { "answered" } else { "failed" });
-        metrics.answered(dispatch, first);
+        self.gateway.metrics.count("answered");
+        self.gateway.metrics.answered(dispatch, first);
         tracing::info!(
             event = "answered",
             id = %String::from_utf8_lossy(&self.id),
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -28,7 +28,7 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Outcome {
-    outcome: String,
+    outcome: &'static str,
 }
 
 type Times = Family<Series, Histogram, fn() -> Histogram>;
@@ -100,15 +100,13 @@
     }
 
     /// Counts a call's outcome.
-    pub fn count(&self, outcome: &str) {
-        let outcome = Outcome { outcome: outcome.to_owned() };
-        self.requests.get_or_create(&outcome).inc();
+    pub fn count(&self, outcome: &'static str) {
+        self.requests.get_or_create(&Outcome { outcome }).inc();
     }
 
     /// Counts an attempt that a replica did not answer.
-    pub fn count_attempt(&self, outcome: &str) {
-        let outcome = Outcome { outcome: outcome.to_owned() };
-        self.attempts.get_or_create(&outcome).inc();
+    pub fn count_attempt(&self, outcome: &'static str) {
+        self.attempts.get_or_create(&Outcome { outcome }).inc();
     }
 
     /// Counts a call of the store.
@@ -123,9 +121,9 @@
         self.first.get_or_create(&series).observe(first.as_secs_f64());
     }
 
-    /// Records the time between two events of a stream.
-    pub fn paused(&self, dispatch: &Dispatch, pause: Duration) {
-        self.pause.get_or_create(&self.series(dispatch)).observe(pause.as_secs_f64());
+    /// Returns where the times between the events of a stream are recorded, for all of them.
+    pub fn pauses(&self, dispatch: &Dispatch) -> Histogram {
+        self.pause.get_or_create(&self.series(dispatch)).clone()
     }
 
     /// Records the end of a stream.
--- a/crates/daemon/src/gateway/process.rs
+++ b/crates/daemon/src/gateway/process.rs
@@ -16,7 +16,7 @@
 use conf::gateway;
 use futures_channel::mpsc;
 use futures_util::future::{LocalBoxFuture, poll_immediate};
-use gate::{Event, Machine, limits::Limits, machine::Options};
+use gate::{Event, Machine, machine::Options};
 use hyper::{Request, Response, body};
 
 use crate::{
@@ -89,7 +89,7 @@
     if let Err(error) = terminated {
         tracing::error!(event = "signal_failed", %error);
     }
-    stop(&gateway, &server, settings.grace).await;
+    stop(&gateway, &server, settings.bounds.grace).await;
     Ok(())
 }
 
@@ -116,16 +116,7 @@
         own: Some(settings.peers),
         zone: settings.availability_zone.clone(),
         seeds: settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port)).collect(),
-        limits: Limits {
-            revoke: settings.revoke,
-            grace: settings.grace,
-            retry_ratio: settings.retry_ratio,
-            retry_slack: settings.retry_slack,
-            retry_window: settings.retry_window,
-            quota_window: settings.quota_window,
-            quota_overage: settings.quota_overage,
-            quota_slack: settings.quota_slack,
-        },
+        bounds: settings.bounds,
         first_start: settings.first_start,
         seed: fastrand::u64(..),
     }
--- a/crates/daemon/src/gateway/streamed.rs
+++ b/crates/daemon/src/gateway/streamed.rs
@@ -7,6 +7,7 @@
 use gate::{action::Dispatch, event::End};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{Response, body, http::response};
+use prometheus_client::metrics::histogram::Histogram;
 
 use wire::time::Instant;
 
@@ -109,6 +110,7 @@
     events: Events,
     ready: VecDeque<Bytes>,
     pace: Pace,
+    pauses: Histogram,
     /// When the first event came.
     began: Instant,
     /// When the last event came.
@@ -132,8 +134,10 @@
     let (status, headers) = exchange::head(&begun.head);
     let Begun { source, events, ready, .. } = begun;
     let (pace, now) = (Pace::new(), clock::now());
+    let pauses = exchange.metrics().pauses(&dispatch);
     let source = Some(source);
-    let relay = Relay { exchange, dispatch, source, events, ready, pace, began: now, last: now };
+    let relay =
+        Relay { exchange, dispatch, source, events, ready, pace, pauses, began: now, last: now };
     let frames = stream::unfold(relay, |mut relay| async move {
         let frame = relay.next().await?;
         Some((frame.map(body::Frame::data), relay))
@@ -199,7 +203,7 @@
     /// Reports the pace from time to time.
     fn count(&mut self) {
         let now = clock::now();
-        self.exchange.metrics().paused(&self.dispatch, now.since(self.last));
+        self.pauses.observe(now.since(self.last).as_secs_f64());
         self.last = now;
         self.pace.events += 1;
         if self.pace.events >= PACE_EVENTS {
--- a/crates/daemon/tests/world/mod.rs
+++ b/crates/daemon/tests/world/mod.rs
@@ -5,19 +5,15 @@
 use std::{
     fs,
     io::Read,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::PathBuf,
-    process::{self, Child, Command, Stdio},
-    sync::{
-        Mutex,
-        atomic::{AtomicU32, Ordering},
-    },
+    process::{Child, Command, Stdio},
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use serde_json::{Value, json};
-use stand::{configuration, engine, hosts, proxy, service};
+use stand::{address, configuration, engine, hosts, proxy, service};
 use wire::{host, status::Status};
 
 mod reply;
@@ -110,24 +106,6 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-/// Held while an address is probed and while a process is started: a process that another test
-/// starts at the same time would hold the probing socket open until it runs its own program.
-static SPAWN: Mutex<()> = Mutex::new(());
-
-/// Returns an address that was free a moment ago. Its port lies below those that the system
-/// gives to outgoing connections, one of which could take it before the daemon binds it.
-fn free_address() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let _held = SPAWN.lock();
-    loop {
-        let count = process::id().wrapping_mul(613) + NEXT.fetch_add(1, Ordering::Relaxed);
-        let address = SocketAddr::from(([127, 0, 0, 1], 10_000 + (count % 20_000) as u16));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 fn zone(index: usize) -> String {
     format!("zone-{}", index % 4)
 }
@@ -170,7 +148,7 @@
         world.start_backends(engines, services);
         world.publish_hosts(&[]);
         for index in 0..engines + services {
-            world.agents.push(world.spawn_agent(index, free_address()));
+            world.agents.push(world.spawn_agent(index, address::free()));
             let target = world.agents[index].peers;
             world.peer_proxies.push(proxy::spawn(loopback(), target).expect("bind"));
         }
@@ -242,8 +220,8 @@
 
     /// Starts an entry process.
     pub fn spawn_entry(&self, index: usize) -> Daemon {
-        let callers = free_address();
-        self.spawn(&format!("entry-{index}"), index, free_address(), Some(callers), "")
+        let callers = address::free();
+        self.spawn(&format!("entry-{index}"), index, address::free(), Some(callers), "")
     }
 
     fn spawn(
@@ -254,7 +232,7 @@
         callers: Option<SocketAddr>,
         section: &str,
     ) -> Daemon {
-        let operators = free_address();
+        let operators = address::free();
         let role = if callers.is_some() { "entry" } else { "agent" };
         let zone = zone(index);
         let callers_line = callers.map(|address| format!("callers = {address}\n"));
@@ -279,7 +257,7 @@
             .append(true)
             .open(self.directory.join(format!("{host}.log")))
             .expect("the temporary directory is writable");
-        let held = SPAWN.lock();
+        let held = address::spawning();
         let child = Command::new(&self.program[0])
             .args(&self.program[1..])
             .arg("--settings")
--- a/crates/gate/src/budget.rs
+++ b/crates/gate/src/budget.rs
@@ -1,9 +1,8 @@
 //! Budget of arrivals beyond the first of a call.
 
+use conf::gateway::Bounds;
 use wire::time::Instant;
 
-use crate::limits::Limits;
-
 /// Part of the allowed share that one gateway uses. Calls are counted at different moments by
 /// gateways and callers, so the rest stays free.
 const USED_SHARE: f64 = 0.6;
@@ -17,20 +16,20 @@
 
 impl Budget {
     /// Returns a full budget.
-    pub fn new(now: Instant, limits: &Limits, gateways: usize) -> Budget {
-        Budget { level: cap(limits, gateways), refilled: now }
+    pub fn new(now: Instant, bounds: &Bounds, gateways: usize) -> Budget {
+        Budget { level: cap(bounds, gateways), refilled: now }
     }
 
     /// Notes the first arrival of a call.
-    pub fn earn(&mut self, limits: &Limits, gateways: usize) {
-        let cap = cap(limits, gateways) + 1.0;
-        self.level = (self.level + limits.retry_ratio * USED_SHARE).min(cap);
+    pub fn earn(&mut self, bounds: &Bounds, gateways: usize) {
+        let cap = cap(bounds, gateways) + 1.0;
+        self.level = (self.level + bounds.retry_ratio * USED_SHARE).min(cap);
     }
 
     /// Takes one repeat, if there is one.
-    pub fn spend(&mut self, now: Instant, limits: &Limits, gateways: usize) -> bool {
-        let cap = cap(limits, gateways);
-        let windows = now.since(self.refilled).as_secs_f64() / limits.retry_window.as_secs_f64();
+    pub fn spend(&mut self, now: Instant, bounds: &Bounds, gateways: usize) -> bool {
+        let cap = cap(bounds, gateways);
+        let windows = now.since(self.refilled).as_secs_f64() / bounds.retry_window.as_secs_f64();
         self.refilled = now;
         if self.level < cap {
             self.level = (self.level + cap * windows).min(cap);
@@ -45,6 +44,6 @@
 
 /// Repeats of one gateway beyond the share of calls. A full budget and its refill may fall into
 /// one window, so each is half of the gateway's part.
-fn cap(limits: &Limits, gateways: usize) -> f64 {
-    limits.retry_slack * USED_SHARE / 2.0 / gateways.max(1) as f64
+fn cap(bounds: &Bounds, gateways: usize) -> f64 {
+    bounds.retry_slack * USED_SHARE / 2.0 / gateways.max(1) as f64
 }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod deadlines;
 pub mod event;
 pub mod lease;
-pub mod limits;
 pub mod load;
 pub mod machine;
 pub mod peers;
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -7,6 +7,7 @@
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use conf::gateway::Bounds;
 use wire::time::Instant;
 
 use crate::{
@@ -17,7 +18,6 @@
     deadlines::Deadlines,
     event::Ticket,
     lease::Lease,
-    limits::Limits,
     peers::Peers,
     queue::{Entry, Queue},
     quota::{self, Admission, Quotas},
@@ -43,7 +43,7 @@
     pub own: Option<SocketAddr>,
     pub zone: Bytes,
     pub seeds: Vec<SocketAddr>,
-    pub limits: Limits,
+    pub bounds: Bounds,
     /// The whole fleet starts for the first time, so nothing was admitted before.
     pub first_start: bool,
     pub seed: u64,
@@ -91,7 +91,7 @@
     /// Returns a gateway that knows nothing yet.
     pub fn new(now: Instant, options: Options) -> Machine {
         Machine {
-            lease: Lease::new(options.limits.revoke),
+            lease: Lease::new(options.bounds.revoke),
             peers: Peers::new(now, options.own, &options.seeds),
             random: fastrand::Rng::with_seed(options.seed),
             quotas: Quotas::new(now, options.first_start),
@@ -216,9 +216,9 @@
         match self.admit(now, call) {
             Ok(entry) => {
                 let gateways = self.peers.known(now);
-                let limits = &self.options.limits;
+                let bounds = &self.options.bounds;
                 let budget = self.budgets.entry(entry.service.clone());
-                budget.or_insert_with(|| Budget::new(now, limits, gateways)).earn(limits, gateways);
+                budget.or_insert_with(|| Budget::new(now, bounds, gateways)).earn(bounds, gateways);
                 self.wait(ticket, entry);
             }
             Err(mut refusal) => {
@@ -231,7 +231,7 @@
 
     fn admit(&mut self, now: Instant, call: Call) -> Result<Entry, Refusal> {
         let left = admit::time_left(&call);
-        let serve = self.options.limits.grace.mul_f64(STOP_SERVE_SHARE);
+        let serve = self.options.bounds.grace.mul_f64(STOP_SERVE_SHARE);
         if self.stopping.is_some_and(|since| now.since(since) > serve) {
             return Err(admit::come_back(Reason::Stopping, left, &mut self.random));
         }
@@ -248,7 +248,7 @@
         {
             let scope = quota::Scope { known: self.peers.known(now), heard: self.peers.heard(now) };
             let units = quota::cost(account, &entry.call);
-            match self.quotas.admit(now, account, units, scope, &self.options.limits) {
+            match self.quotas.admit(now, account, units, scope, &self.options.bounds) {
                 Ok(Admission::Within) => {}
                 Ok(Admission::Beyond) => entry.tier = BEYOND_QUOTA_TIER,
                 Err(wait) => {
@@ -309,16 +309,13 @@
 
     /// Returns what a refusal rests on.
     fn basis(&self, now: Instant, service: &Bytes) -> Basis {
-        let usable = |key: &&roster::Key| {
-            self.roster.get(**key).is_some_and(|replica| replica.load.is_usable(now))
-        };
         Basis {
             version: self.catalog.as_ref().map_or(0, |catalog| catalog.version),
             age: self.lease.age(now),
             gateways: self.peers.known(now),
             heard: self.peers.heard(now),
             waiting: self.queues.get(service).map_or(0, Queue::len),
-            usable: self.roster.of(service).iter().filter(usable).count(),
+            usable: self.roster.usable(service, now).count(),
             quota_used: None,
         }
     }
--- a/crates/gate/src/machine/answers.rs
+++ b/crates/gate/src/machine/answers.rs
@@ -106,7 +106,7 @@
         let Some(flight) = self.flights.get(&ticket) else { return false };
         let gateways = self.peers.known(now);
         let budget = self.budgets.get_mut(&flight.entry.service);
-        budget.is_some_and(|budget| budget.spend(now, &self.options.limits, gateways))
+        budget.is_some_and(|budget| budget.spend(now, &self.options.bounds, gateways))
     }
 
     pub(super) fn began(&mut self, now: Instant, ticket: Ticket) {
--- a/crates/gate/src/machine/placing.rs
+++ b/crates/gate/src/machine/placing.rs
@@ -39,11 +39,10 @@
         let Some(queue) = self.queues.get(service) else { return };
         let over = |t: &Ticket| self.flights.get(t).is_none_or(|f| now >= f.entry.give_up);
         let over: Vec<Ticket> = queue.tickets().filter(over).collect();
-        let usable = |key: &roster::Key| {
-            self.roster.get(*key).is_some_and(|replica| replica.load.is_usable(now))
+        let reason = match self.roster.usable(service, now).next() {
+            Some(_) => Reason::Overload,
+            None => Reason::NoReplica,
         };
-        let any = self.roster.of(service).iter().any(usable);
-        let reason = if any { Reason::Overload } else { Reason::NoReplica };
         for ticket in over {
             self.refuse_waiting(now, ticket, reason, actions);
         }
--- a/crates/gate/src/machine/sharing.rs
+++ b/crates/gate/src/machine/sharing.rs
@@ -32,7 +32,7 @@
             // A process that has just started knows neither the other gateways nor what the
             // accounts used, and would grant quotas again.
             self.sequence += 1;
-            let history = self.quotas.history(now, self.options.limits.quota_window);
+            let history = self.quotas.history(now, self.options.bounds.quota_window);
             let message = share::Message { history, ..self.message(now, |_| true) };
             let datagram = share::Datagram::State(Box::new(message));
             actions.push(Action::Share { to, datagram });
@@ -42,7 +42,7 @@
         }
         self.ask(now, actions);
         self.roster.learn_speeds(&message);
-        self.quotas.reported(now, &message, self.options.limits.quota_window);
+        self.quotas.reported(now, &message, self.options.bounds.quota_window);
         for (fingerprint, count) in &message.crashes {
             self.suspects.reported(now, *fingerprint, *count);
         }
--- a/crates/gate/src/place.rs
+++ b/crates/gate/src/place.rs
@@ -105,9 +105,7 @@
             total_ms: f64::INFINITY,
         };
         let is_patient = scene.now.since(entry.arrived) < objective.mul_f64(PATIENT_SHARE);
-        let mut usable = scene.roster.of(&entry.service).iter().filter_map(|key| {
-            scene.roster.get(*key).filter(|replica| replica.load.is_usable(scene.now))
-        });
+        let mut usable = scene.roster.usable(&entry.service, scene.now);
         match is_patient && usable.any(|replica| narrow.admits(replica, entry, 0)) {
             true => narrow,
             false => wide,
--- a/crates/gate/src/quota.rs
+++ b/crates/gate/src/quota.rs
@@ -10,9 +10,10 @@
 };
 
 use bytes::Bytes;
+use conf::gateway::Bounds;
 use wire::time::Instant;
 
-use crate::{call::Call, catalog::Account, limits::Limits, share};
+use crate::{call::Call, catalog::Account, share};
 
 /// Parts of the window in which a started process is told its usage.
 const HISTORY_PARTS: u32 = 16;
@@ -178,12 +179,12 @@
         account: &Account,
         units: f64,
         scope: Scope,
-        limits: &Limits,
+        bounds: &Bounds,
     ) -> Result<Admission, Duration> {
         if account.rate <= 0.0 {
             return Ok(Admission::Within);
         }
-        let window = limits.quota_window;
+        let window = bounds.quota_window;
         let share = scope.share();
         // What was admitted before the start is taken to be the quota, spread over the window.
         let known = match self.is_complete(now, window) {
@@ -192,7 +193,7 @@
         };
         let used_tolerance = if known < 1.0 { USED_TOLERANCE_UNKNOWN } else { USED_TOLERANCE };
         let full = (account.rate * window.as_secs_f64() + account.burst) * share;
-        let tolerance = (full * limits.quota_overage + limits.quota_slack * share) * used_tolerance;
+        let tolerance = (full * bounds.quota_overage + bounds.quota_slack * share) * used_tolerance;
         let quota = full * known;
         let usage = self.usage_of(&account.name);
         usage.expire(now, window);
--- a/crates/gate/src/roster.rs
+++ b/crates/gate/src/roster.rs
@@ -109,6 +109,12 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the replicas of a service that may be sent calls.
+    pub fn usable(&self, service: &[u8], now: Instant) -> impl Iterator<Item = &Replica> {
+        let replicas = self.of(service).iter().filter_map(|key| self.get(*key));
+        replicas.filter(move |replica| replica.load.is_usable(now))
+    }
+
     /// Returns a replica that is still known.
     pub fn get(&self, key: Key) -> Option<&Replica> {
         self.replicas.get(key)
--- a/crates/gate/src/source.rs
+++ b/crates/gate/src/source.rs
@@ -163,6 +163,9 @@
         age: Option<Duration>,
         random: &mut fastrand::Rng,
     ) -> Option<(SocketAddr, Ask)> {
+        if now < self.next_ask {
+            return None;
+        }
         let (revision, from) = (self.revision?, own?);
         let estimate = |heard: Instant, sight: &Sight| sight.age + now.since(heard);
         let fresh: Vec<_> = self
@@ -175,7 +178,7 @@
             .collect();
         let is_behind = fresh.iter().any(|(_, _, sight)| sight.revision > revision);
         let is_old = age.is_none_or(|age| age > ASK_AGE);
-        if now < self.next_ask || !(is_old || is_behind) {
+        if !(is_old || is_behind) {
             return None;
         }
         let candidates =
@@ -202,11 +205,6 @@
         Ask { token: self.tokens, from, revision }
     }
 
-    /// Returns when the next question may be due.
-    pub fn next_ask(&self) -> Option<Instant> {
-        (!self.peers.is_empty()).then_some(self.next_ask)
-    }
-
     /// Returns the answer to a peer's question.
     pub fn answer(&self, ask: &Ask, age: Option<Duration>, max_bytes: usize) -> Option<Answer> {
         let (revision, age) = (self.revision?, age?);
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -5,6 +5,7 @@
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use conf::gateway::Bounds;
 use gate::{
     Action, Event, Machine,
     action::Dispatch,
@@ -36,7 +37,12 @@
         own: Some(SocketAddr::from(([127, 0, 0, 1], own))),
         zone: "a".into(),
         seeds: Vec::new(),
-        limits: gate::limits::Limits::default(),
+        bounds: Bounds {
+            retry_slack: 54.0,
+            quota_overage: 0.25,
+            quota_slack: 140_000.0,
+            ..Bounds::default()
+        },
         first_start,
         seed: 1,
     }
--- a/crates/gate/tests/quotas.rs
+++ b/crates/gate/tests/quotas.rs
@@ -4,10 +4,10 @@
 
 use std::time::Duration;
 
+use conf::gateway::Bounds;
 use gate::{
     call::{Call, Tokens},
     catalog::Account,
-    limits::Limits,
     quota::{self, Admission, Quotas, Scope},
     share,
 };
@@ -15,8 +15,8 @@
 
 const ALONE: Scope = Scope { known: 1, heard: 1 };
 
-fn limits() -> Limits {
-    Limits { quota_overage: 0.25, quota_slack: 1_000.0, ..Limits::default() }
+fn bounds() -> Bounds {
+    Bounds { quota_overage: 0.25, quota_slack: 1_000.0, ..Bounds::default() }
 }
 
 fn account() -> Account {
@@ -37,7 +37,7 @@
 /// Admits calls of 100 units until one is refused and returns the units.
 fn drain(quotas: &mut Quotas, now: Instant, scope: Scope) -> f64 {
     let mut sum = 0.0;
-    while quotas.admit(now, &account(), 100.0, scope, &limits()).is_ok() {
+    while quotas.admit(now, &account(), 100.0, scope, &bounds()).is_ok() {
         sum += 100.0;
     }
     sum
@@ -81,9 +81,9 @@
 #[test]
 fn calls_beyond_the_quota_are_marked() {
     let mut quotas = Quotas::new(at(0.0), true);
-    let first = quotas.admit(at(0.0), &account(), 10_000.0, ALONE, &limits());
+    let first = quotas.admit(at(0.0), &account(), 10_000.0, ALONE, &bounds());
     assert_eq!(first, Ok(Admission::Within));
-    let second = quotas.admit(at(0.0), &account(), 100.0, ALONE, &limits());
+    let second = quotas.admit(at(0.0), &account(), 100.0, ALONE, &bounds());
     assert_eq!(second, Ok(Admission::Beyond));
 }
 
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! Each server runs on the current compio runtime; dropping its handle stops it.
 
+pub mod address;
 pub mod answer;
 pub mod cache;
 pub mod clock;
