--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -259,6 +259,15 @@
         let catalog =
             catalog.ok_or_else(|| admission::retry_later(Reason::NotReady, left, &mut self.rng))?;
         if let Some(left) = self.suspects.quarantine_left(now, request.fingerprint) {
+            let (observed, reported) = self.suspects.counts(request.fingerprint);
+            tracing::info!(
+                event = "quarantined",
+                id = %String::from_utf8_lossy(&request.id),
+                fingerprint = %format_args!("{:016x}", request.fingerprint),
+                observed,
+                reported,
+                left_ms = left.as_millis() as u64,
+            );
             return Err(Refusal { retry_after: Some(left), ..Refusal::new(Reason::Poison) });
         }
         let mut entry = admission::build_entry(
--- a/crates/gate/src/machine/peering.rs
+++ b/crates/gate/src/machine/peering.rs
@@ -44,7 +44,16 @@
         self.backends.merge_peer_speeds(&message);
         self.quotas.record_report(now, &message, self.setup.bounds.quota_window);
         for (fingerprint, count) in &message.crashes {
-            self.suspects.record_report(now, *fingerprint, *count);
+            if self.suspects.record_report(now, *fingerprint, *count) {
+                let (observed, reported) = self.suspects.counts(*fingerprint);
+                tracing::info!(
+                    event = "suspect_reported",
+                    fingerprint = %format_args!("{fingerprint:016x}"),
+                    process = message.process,
+                    observed,
+                    reported,
+                );
+            }
         }
     }
 
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -181,13 +181,30 @@
         let fingerprint = open.entry.request.fingerprint;
         let had_first_event =
             matches!(open.state, State::Dispatched { first_event_at: Some(_), .. });
+        let id = open.entry.request.id.clone();
         let Some(key) = self.withdraw_dispatch(number, true) else { return };
+        let mut counted = false;
         if let Some(backend) = self.backends.get_mut(key) {
             backend.load.record_failure(now);
             if result == AttemptResult::Broken && !had_first_event {
                 self.suspects.record_crash(now, fingerprint);
+                counted = true;
             }
         }
+        if result == AttemptResult::Broken {
+            let backend = self.backends.get(key).map(|backend| &backend.id[..]);
+            let (observed, reported) = self.suspects.counts(fingerprint);
+            tracing::info!(
+                event = "suspect",
+                id = %String::from_utf8_lossy(&id),
+                fingerprint = %format_args!("{fingerprint:016x}"),
+                replica = %String::from_utf8_lossy(backend.unwrap_or_default()),
+                counted,
+                had_first_event,
+                observed,
+                reported,
+            );
+        }
         if self.may_continue_elsewhere(now, number) && self.take_retry(now, number) {
             self.requeue(number);
             return;
--- a/crates/gate/src/suspects.rs
+++ b/crates/gate/src/suspects.rs
@@ -35,13 +35,15 @@
         suspect.last_crash = now;
     }
 
-    /// Records a peer's count of crashes.
-    pub fn record_report(&mut self, now: Instant, fingerprint: u64, crashes: u32) {
+    /// Records a peer's count of crashes and returns whether it is the largest so far.
+    pub fn record_report(&mut self, now: Instant, fingerprint: u64, crashes: u32) -> bool {
         let suspect = self.suspect_mut(now, fingerprint);
-        if crashes > suspect.reported {
+        let is_larger = crashes > suspect.reported;
+        if is_larger {
             suspect.reported = crashes;
             suspect.last_crash = now;
         }
+        is_larger
     }
 
     /// Clears the crashes observed here after the request completed.
@@ -51,6 +53,13 @@
         }
     }
 
+    /// Returns the crashes that count against a request: those observed here, and the largest count
+    /// of a peer.
+    pub fn counts(&self, fingerprint: u64) -> (u32, u32) {
+        let suspect = self.suspects.get(&fingerprint);
+        suspect.map_or((0, 0), |suspect| (suspect.observed, suspect.reported))
+    }
+
     /// Returns the remaining time of the request's quarantine, if any.
     pub fn quarantine_left(&self, now: Instant, fingerprint: u64) -> Option<Duration> {
         let suspect = self.suspects.get(&fingerprint)?;
