--- /dev/null
+++ b/crates/gate/tests/common/cluster.rs
@@ -0,0 +1,304 @@
+//! Gateways that exchange datagrams over a simulated network, and backend servers that crash while
+//! they run a certain request.
+
+use std::{net::SocketAddr, time::Duration};
+
+use gate::{
+    Action, Event,
+    action::Dispatch,
+    event::{AttemptResult, RequestNumber},
+    message::Datagram,
+    request::Request,
+};
+use wire::time::Instant;
+
+use super::{MODEL, MS, TestGateway, catalog, record, request, setup};
+
+/// Fingerprint of the request that crashes each backend server that runs it.
+pub const POISON: u64 = 7;
+/// Time from the dispatch of a poison request to the crash.
+const TIME_TO_CRASH: Duration = Duration::from_millis(50);
+/// Time after which a backend server that crashed is back under its identifier.
+const TIME_TO_RESTART: Duration = Duration::from_millis(1500);
+/// Time after which a caller without a response leaves.
+const PATIENCE: Duration = Duration::from_millis(2500);
+
+/// How a crash appears to the gateway whose request caused it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Crash {
+    BeforeFirstEvent,
+    AfterFirstEvent,
+    /// The connection is lost only after the backend server has written its record again.
+    AfterRestart,
+    /// The connection stays open without data.
+    Silent,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Server {
+    started: u64,
+    crashes_at: Option<Instant>,
+    restarts_at: Option<Instant>,
+}
+
+#[derive(Clone, Debug)]
+struct Attempt {
+    gateway: usize,
+    number: RequestNumber,
+    server: usize,
+    fingerprint: u64,
+    caller_leaves_at: Instant,
+    completes_at: Option<Instant>,
+}
+
+/// A deployment in which time advances by steps.
+pub struct Cluster {
+    pub gateways: Vec<TestGateway>,
+    pub now: Instant,
+    pub crash: Crash,
+    /// Times at which a poison request crashed a backend server.
+    pub crashes: Vec<Instant>,
+    /// Times at which a poison request was dispatched, and the gateways that did.
+    pub runs: Vec<(Instant, usize)>,
+    /// Part of the partitioned network in which each gateway is.
+    pub parts: Vec<u8>,
+    /// Gateways that handle nothing until they are resumed.
+    pub paused: Vec<bool>,
+    /// Whether records of backend servers reach the gateways.
+    pub store_up: bool,
+    servers: Vec<Server>,
+    attempts: Vec<Attempt>,
+    /// Datagrams in the network, by the gateway that receives them.
+    datagrams: Vec<(usize, Datagram)>,
+    restarts: u64,
+}
+
+impl Cluster {
+    /// Returns a cluster whose gateways have received each other's first messages.
+    pub fn new(gateways: usize, servers: usize, crash: Crash) -> Cluster {
+        let mut cluster = Cluster {
+            gateways: Vec::new(),
+            now: Instant(1_000_000),
+            crash,
+            crashes: Vec::new(),
+            runs: Vec::new(),
+            parts: vec![0; gateways],
+            paused: vec![false; gateways],
+            store_up: true,
+            servers: vec![Server { started: 1, crashes_at: None, restarts_at: None }; servers],
+            attempts: Vec::new(),
+            datagrams: Vec::new(),
+            restarts: 0,
+        };
+        for index in 0..gateways {
+            let gateway = cluster.start(index, true);
+            cluster.gateways.push(gateway);
+        }
+        cluster.advance(Duration::from_secs(3));
+        cluster
+    }
+
+    fn start(&self, index: usize, first_start: bool) -> TestGateway {
+        let mut setup = setup(index as u16 + 1, first_start);
+        setup.process += 1_000 * self.restarts;
+        setup.seeds = (1..=3u16).map(|port| SocketAddr::from(([127, 0, 0, 1], port))).collect();
+        let mut gateway = TestGateway::empty(setup);
+        gateway.now = self.now;
+        gateway.feed(Event::Catalog(std::rc::Rc::new(catalog(1, &["k1", "k2"], 0.0))));
+        for server in 0..self.servers.len() {
+            self.write_record(&mut gateway, server);
+        }
+        gateway.confirm();
+        gateway
+    }
+
+    fn write_record(&self, gateway: &mut TestGateway, server: usize) {
+        let mut record = record(MODEL, 9_000 + server as u16);
+        record.started = Some(self.servers[server].started);
+        gateway.add(&format!("r{server}"), record);
+    }
+
+    /// Replaces a gateway's process by one with empty memory.
+    pub fn restart(&mut self, index: usize) {
+        self.restarts += 1;
+        self.attempts.retain(|attempt| attempt.gateway != index);
+        self.gateways[index] = self.start(index, false);
+    }
+
+    /// Sends a copy of the poison request to a gateway.
+    pub fn send_copy(&mut self, gateway: usize) -> RequestNumber {
+        self.send(gateway, request("essay"))
+    }
+
+    /// Sends a request to a gateway.
+    pub fn send(&mut self, gateway: usize, request: Request) -> RequestNumber {
+        self.gateways[gateway].now = self.now;
+        let number = self.gateways[gateway].arrive(request.clone());
+        self.attempts.push(Attempt {
+            gateway,
+            number,
+            server: usize::MAX,
+            fingerprint: request.fingerprint,
+            caller_leaves_at: self.now + PATIENCE,
+            completes_at: None,
+        });
+        self.take_actions(gateway);
+        number
+    }
+
+    /// Ends a dispatched request as if its connection was lost.
+    pub fn break_connection(&mut self, gateway: usize, number: RequestNumber) {
+        self.attempts.retain(|a| (a.gateway, a.number) != (gateway, number));
+        self.gateways[gateway].end(number, AttemptResult::Broken);
+        self.take_actions(gateway);
+    }
+
+    pub fn advance(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + 10 * MS;
+        self.deliver();
+        self.run_servers();
+        for index in 0..self.gateways.len() {
+            if self.paused[index] {
+                continue;
+            }
+            let gateway = &mut self.gateways[index];
+            gateway.now = self.now;
+            gateway.feed(Event::Tick);
+            if self.now.0.is_multiple_of(500_000) {
+                gateway.confirm();
+            }
+            self.take_actions(index);
+        }
+    }
+
+    fn deliver(&mut self) {
+        for (to, datagram) in std::mem::take(&mut self.datagrams) {
+            if self.paused[to] {
+                self.datagrams.push((to, datagram));
+                continue;
+            }
+            let event = match datagram {
+                Datagram::State(message) => Event::StateReceived(*message),
+                Datagram::Query(query) => Event::QueryReceived(query),
+                Datagram::Reply(reply) => Event::ReplyReceived(reply),
+            };
+            self.gateways[to].now = self.now;
+            self.gateways[to].feed(event);
+            self.take_actions(to);
+        }
+    }
+
+    fn run_servers(&mut self) {
+        let now = self.now;
+        for index in 0..self.servers.len() {
+            if self.servers[index].crashes_at.is_some_and(|at| now >= at) {
+                self.crash_server(index);
+            }
+            if self.servers[index].restarts_at.is_some_and(|at| now >= at) {
+                self.restart_server(index);
+            }
+        }
+        let is_due = |at: Option<Instant>| at.is_some_and(|at| now >= at);
+        for attempt in self.take_attempts(|attempt| is_due(attempt.completes_at)) {
+            self.gateways[attempt.gateway].end(attempt.number, AttemptResult::Complete);
+            self.take_actions(attempt.gateway);
+        }
+        for attempt in self.take_attempts(|attempt| now >= attempt.caller_leaves_at) {
+            self.gateways[attempt.gateway].feed(Event::Closed { number: attempt.number });
+            self.take_actions(attempt.gateway);
+        }
+    }
+
+    fn crash_server(&mut self, index: usize) {
+        self.crashes.push(self.now);
+        self.servers[index].crashes_at = None;
+        self.servers[index].restarts_at = Some(self.now + TIME_TO_RESTART);
+        if !matches!(self.crash, Crash::Silent | Crash::AfterRestart) {
+            self.break_connections(index);
+        }
+    }
+
+    fn restart_server(&mut self, index: usize) {
+        self.servers[index].started += 1;
+        self.servers[index].restarts_at = None;
+        for gateway in 0..self.gateways.len() {
+            if self.store_up {
+                let mut target = std::mem::replace(&mut self.gateways[gateway], TestGateway::new());
+                self.write_record(&mut target, index);
+                self.gateways[gateway] = target;
+                self.take_actions(gateway);
+            }
+        }
+        if self.crash == Crash::AfterRestart {
+            self.break_connections(index);
+        }
+    }
+
+    fn break_connections(&mut self, server: usize) {
+        for attempt in self.take_attempts(|attempt| attempt.server == server) {
+            let gateway = &mut self.gateways[attempt.gateway];
+            gateway.now = self.now;
+            if self.crash == Crash::AfterFirstEvent {
+                gateway.feed(Event::FirstEvent { number: attempt.number });
+            }
+            gateway.end(attempt.number, AttemptResult::Broken);
+            self.take_actions(attempt.gateway);
+        }
+    }
+
+    fn take_attempts(&mut self, is_due: impl Fn(&Attempt) -> bool) -> Vec<Attempt> {
+        let paused = &self.paused;
+        let (due, rest) = std::mem::take(&mut self.attempts)
+            .into_iter()
+            .partition(|attempt| !paused[attempt.gateway] && is_due(attempt));
+        self.attempts = rest;
+        due
+    }
+
+    fn take_actions(&mut self, index: usize) {
+        for action in std::mem::take(&mut self.gateways[index].actions) {
+            match action {
+                Action::Dispatch(dispatch) => self.run(index, &dispatch),
+                Action::Send { to, datagram } => {
+                    let to = usize::from(to.port()) - 1;
+                    if self.parts[to] == self.parts[index] {
+                        self.datagrams.push((to, datagram));
+                    }
+                }
+                action => self.gateways[index].actions.push(action),
+            }
+        }
+    }
+
+    /// Runs a dispatched request at its backend server.
+    fn run(&mut self, gateway: usize, dispatch: &Dispatch) {
+        let server = usize::from(dispatch.address.port()) - 9_000;
+        let now = self.now;
+        let is_this = |a: &&mut Attempt| (a.gateway, a.number) == (gateway, dispatch.number);
+        let is_poison = match self.attempts.iter_mut().find(is_this) {
+            Some(attempt) => {
+                attempt.server = server;
+                let is_poison = attempt.fingerprint == POISON;
+                attempt.completes_at = (!is_poison).then_some(now + 100 * MS);
+                is_poison
+            }
+            // The connection of an earlier attempt was lost, and the request was requeued.
+            None => return,
+        };
+        if !is_poison {
+            return;
+        }
+        self.runs.push((now, gateway));
+        let server = &mut self.servers[server];
+        if server.restarts_at.is_none() {
+            server.crashes_at.get_or_insert(now + TIME_TO_CRASH);
+        }
+    }
+}
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -18,6 +18,8 @@
 };
 use wire::time::Instant;
 
+pub mod cluster;
+
 pub const MS: Duration = Duration::from_millis(1);
 pub const MODEL: &str = "engines";
 pub const PLAIN: &str = "plain";
--- /dev/null
+++ b/crates/gate/tests/poison.rs
@@ -0,0 +1,184 @@
+//! Requests that crash each backend server that runs them, sent again and again through any of the
+//! gateways. Two crashes quarantine a request at all of them.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{
+    MS, TestGateway,
+    cluster::{Cluster, Crash},
+    request,
+};
+use gate::{Event, event::AttemptResult, refusal::Reason};
+
+/// Gateways and model servers of the largest deployment with reports of such requests.
+const GATEWAYS: usize = 21;
+const SERVERS: usize = 39;
+/// Crashes after which a request is quarantined.
+const QUARANTINE_CRASHES: usize = 2;
+/// Time between copies, so that gateways have received the reports on the one before.
+const COPY_PERIOD: Duration = Duration::from_millis(600);
+
+/// Sends a copy to each gateway in turn.
+fn send_copies_in_turn(cluster: &mut Cluster, period: Duration) {
+    for gateway in 0..cluster.gateways.len() {
+        cluster.send_copy(gateway);
+        cluster.advance(period);
+    }
+}
+
+/// Guards against crashes of which each gateway counts only its own and the largest of a peer.
+#[test]
+fn copies_at_all_gateways_crash_two_servers() {
+    let mut cluster = Cluster::new(GATEWAYS, SERVERS, Crash::BeforeFirstEvent);
+    send_copies_in_turn(&mut cluster, COPY_PERIOD);
+    assert_eq!(cluster.crashes.len(), QUARANTINE_CRASHES);
+}
+
+/// Guards against crashes that don't count since the response had begun.
+#[test]
+fn crashes_after_the_first_event_count() {
+    let mut cluster = Cluster::new(GATEWAYS, SERVERS, Crash::AfterFirstEvent);
+    send_copies_in_turn(&mut cluster, COPY_PERIOD);
+    assert_eq!(cluster.crashes.len(), QUARANTINE_CRASHES);
+}
+
+/// Guards against crashes that don't count since the server's new record was read first.
+#[test]
+fn crashes_seen_after_the_restart_count() {
+    let mut cluster = Cluster::new(GATEWAYS, SERVERS, Crash::AfterRestart);
+    send_copies_in_turn(&mut cluster, 2_500 * MS);
+    assert_eq!(cluster.crashes.len(), QUARANTINE_CRASHES);
+}
+
+/// Guards against crashes that don't count since the caller left before the connection was lost.
+#[test]
+fn silent_crashes_count() {
+    let mut cluster = Cluster::new(GATEWAYS, SERVERS, Crash::Silent);
+    send_copies_in_turn(&mut cluster, 3_500 * MS);
+    assert_eq!(cluster.crashes.len(), QUARANTINE_CRASHES);
+}
+
+/// Guards against counts that are lost when the gateways are restarted in turn.
+#[test]
+fn counts_survive_rolling_restarts() {
+    let mut cluster = Cluster::new(GATEWAYS, SERVERS, Crash::BeforeFirstEvent);
+    for gateway in [3, 4] {
+        cluster.send_copy(gateway);
+        cluster.advance(COPY_PERIOD);
+    }
+    for gateway in 0..GATEWAYS {
+        cluster.restart(gateway);
+        cluster.advance(1_000 * MS);
+    }
+    send_copies_in_turn(&mut cluster, COPY_PERIOD);
+    assert_eq!(cluster.crashes.len(), QUARANTINE_CRASHES);
+}
+
+/// Guards against counts that don't reach gateways which were partitioned when the servers crashed.
+#[test]
+fn counts_reach_the_other_part_after_a_partition() {
+    let mut cluster = Cluster::new(GATEWAYS, SERVERS, Crash::BeforeFirstEvent);
+    for gateway in 10..GATEWAYS {
+        cluster.parts[gateway] = 1;
+    }
+    for gateway in [0, 1] {
+        cluster.send_copy(gateway);
+        cluster.advance(COPY_PERIOD);
+    }
+    cluster.advance(Duration::from_secs(12));
+    cluster.parts.fill(0);
+    cluster.advance(Duration::from_secs(4));
+    for gateway in 10..GATEWAYS {
+        cluster.send_copy(gateway);
+        cluster.advance(COPY_PERIOD);
+    }
+    assert_eq!(cluster.crashes.len(), QUARANTINE_CRASHES);
+}
+
+/// Guards against counts of a gateway that was paused as soon as it had seen the crash.
+#[test]
+fn a_paused_gateway_reports_its_crash_when_it_resumes() {
+    let mut cluster = Cluster::new(GATEWAYS, SERVERS, Crash::BeforeFirstEvent);
+    cluster.send_copy(0);
+    cluster.advance(60 * MS);
+    cluster.paused[0] = true;
+    cluster.advance(Duration::from_secs(8));
+    cluster.paused[0] = false;
+    cluster.advance(COPY_PERIOD);
+    for gateway in 1..GATEWAYS {
+        cluster.send_copy(gateway);
+        cluster.advance(COPY_PERIOD);
+    }
+    assert_eq!(cluster.crashes.len(), QUARANTINE_CRASHES);
+}
+
+/// Guards against a quarantine that ends while copies keep coming.
+#[test]
+fn copies_that_keep_coming_stay_quarantined() {
+    let mut cluster = Cluster::new(5, SERVERS, Crash::BeforeFirstEvent);
+    for copy in 0..48 {
+        cluster.send_copy(copy % 5);
+        cluster.advance(Duration::from_secs(5));
+    }
+    assert_eq!(cluster.crashes.len(), QUARANTINE_CRASHES);
+}
+
+/// Guards against reports that are displaced by those on many other lost connections.
+#[test]
+fn lost_connections_do_not_displace_a_crash_report() {
+    let mut cluster = Cluster::new(GATEWAYS, SERVERS, Crash::BeforeFirstEvent);
+    for gateway in [0, 1] {
+        cluster.send_copy(gateway);
+        cluster.advance(50 * MS);
+        let start = 1_000 * (gateway as u64 + 1);
+        for fingerprint in start..start + 40 {
+            let number =
+                cluster.send(gateway, gate::request::Request { fingerprint, ..request("essay") });
+            cluster.break_connection(gateway, number);
+        }
+        cluster.advance(Duration::from_secs(3));
+    }
+    for gateway in 2..GATEWAYS {
+        cluster.send_copy(gateway);
+        cluster.advance(COPY_PERIOD);
+    }
+    assert_eq!(cluster.crashes.len(), QUARANTINE_CRASHES);
+}
+
+/// Guards against waiting copies that are dispatched after the request was quarantined.
+#[test]
+fn waiting_copies_are_refused_once_quarantined() {
+    let mut gateway = TestGateway::with_backends(common::MODEL, 2);
+    let running: Vec<_> = (0..4).map(|_| gateway.arrive(request("essay"))).collect();
+    let dispatches: Vec<_> = running.iter().filter_map(|copy| gateway.dispatched(*copy)).collect();
+    assert_eq!(dispatches.len(), 4, "all slots are taken");
+    let (first, second) = (gateway.arrive(request("essay")), gateway.arrive(request("essay")));
+    gateway.end(running[0], AttemptResult::Broken);
+    assert!(gateway.dispatched(first).is_some(), "one crash is no quarantine");
+    let other = dispatches.iter().position(|d| d.backend != dispatches[0].backend);
+    gateway.end(running[other.expect("both servers run copies")], AttemptResult::Broken);
+    assert!(gateway.dispatched(second).is_none());
+    let refusal = gateway.refused(second).expect("refused at once");
+    assert_eq!(refusal.reason, Reason::Poison);
+    assert!(refusal.retry_after.is_some_and(|after| after > Duration::from_secs(10)));
+}
+
+/// Guards against a rejected copy that is sent to another server after the quarantine began.
+#[test]
+fn a_rejected_copy_is_refused_once_quarantined() {
+    let mut gateway = TestGateway::with_backends(common::MODEL, 4);
+    let copies: Vec<_> = (0..3).map(|_| gateway.arrive(request("essay"))).collect();
+    let dispatches: Vec<_> = copies.iter().filter_map(|copy| gateway.dispatched(*copy)).collect();
+    let servers: std::collections::HashSet<_> = dispatches.iter().map(|d| d.backend).collect();
+    assert!(servers.len() > 1, "at least two servers run a copy");
+    let other = dispatches.iter().position(|d| d.backend != dispatches[0].backend);
+    let other = other.expect("a copy at another server");
+    gateway.end(copies[0], AttemptResult::Broken);
+    gateway.end(copies[other], AttemptResult::Broken);
+    let last = copies[3 - other];
+    gateway.feed(Event::Rejected { number: last, retry_after: None });
+    assert!(gateway.dispatched(last).is_none());
+    assert_eq!(gateway.reason(last), Some(Reason::Poison));
+}
