Join the ends of backend servers from all gateways by the server's run

Callers saw: nothing; a request that crashes each server that runs it kept crashing servers, up to about one for each gateway, and with them broke the streams of other callers.

Cause: each gateway sent the crashes that it had observed itself, and took the largest count of a peer. With one crash observed at each of many gateways, the largest count is one, and each gateway lets one more copy run. A class of fault: counts of independent events by different observers were joined by maximum, and lived only as long as the observer's process.

Now an end is identified by the run of the backend server (identifier, address and start). Ends form a set that gateways join in any order and repeatedly, so reports add up, copies at one server count once, and any gateway may pass on what another observed. Changes go to all peers in six rounds, those with two ends first; a peer that starts or was silent gets a summary, and one random peer a sample each second. A completed copy clears earlier ends everywhere instead of at one gateway.

The field crashes of the state message stays empty for its encoding: builds from before this one count only what they observe.

--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -45,7 +45,9 @@
         // The same message is sent to every peer in turn and encoded only once.
         let sequence = match &datagram {
             message::Datagram::State(message) => Some(message.sequence),
-            message::Datagram::Query(_) | message::Datagram::Reply(_) => None,
+            message::Datagram::Query(_)
+            | message::Datagram::Reply(_)
+            | message::Datagram::Suspects(_) => None,
         };
         if sequence.is_none() || last_encoded.0 != sequence {
             last_encoded = (sequence, wire::frame::encode(&datagram).to_vec());
@@ -77,6 +79,9 @@
                     Ok(message::Datagram::Reply(reply)) => {
                         gateway.feed(Event::ReplyReceived(reply))
                     }
+                    Ok(message::Datagram::Suspects(reports)) => {
+                        gateway.feed(Event::SuspectsReceived(reports))
+                    }
                     Err(error) => tracing::warn!(event = "peer_unreadable", %from, %error),
                 }
             }
--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -35,12 +35,23 @@
     pub started: Option<u64>,
 }
 
+impl Record {
+    fn hash_run(&self, id: &[u8]) -> u64 {
+        let mut run = id.to_vec();
+        run.extend_from_slice(self.address.to_string().as_bytes());
+        run.extend_from_slice(&self.started.unwrap_or_default().to_be_bytes());
+        quota::hash(&run)
+    }
+}
+
 /// A backend server that requests may be sent to.
 #[derive(Clone, Debug)]
 pub struct Backend {
     pub id: Bytes,
     /// Hash of the identifier, which messages between gateways use.
     pub hash: u32,
+    /// Hash that identifies the run of the backend server, the same at all gateways.
+    pub run: u64,
     pub record: Record,
     pub load: Load,
     /// Time at which the backend server is removed, set if its record is missing after an outage of
@@ -200,10 +211,12 @@
             self.remove(&id);
         }
         let hash = quota::hash(&id) as u32;
+        let run = record.hash_run(&id);
         let service = record.service.clone();
         let backend = Backend {
             id: id.clone(),
             hash,
+            run,
             record,
             load: Load::default(),
             remove_at: None,
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -64,6 +64,8 @@
     StoreUnreachable,
     /// A peer sent its state.
     StateReceived(message::Message),
+    /// A peer sent suspects.
+    SuspectsReceived(Vec<message::Suspect>),
     /// A probe ended.
     Probed { backend: backends::Key, reachable: bool },
     /// A planned stop began.
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -58,6 +58,8 @@
     Waiting,
     Dispatched {
         backend: backends::Key,
+        /// Run of the backend server, which may have ended since.
+        run: u64,
         dispatched_at: Instant,
         tokens_ahead: u32,
         first_event_at: Option<Instant>,
@@ -92,6 +94,8 @@
     /// Number of rounds in which the state was sent to all peers.
     round: u64,
     next_send: Instant,
+    /// Time of the next message with suspects to one peer.
+    next_sample: Instant,
     rng: fastrand::Rng,
 }
 
@@ -118,6 +122,7 @@
             sequence: 0,
             round: 0,
             next_send: now,
+            next_sample: now,
         }
     }
 
@@ -161,6 +166,11 @@
         self.peers.serving_count(now)
     }
 
+    /// Returns the requests under which backend servers ended.
+    pub fn suspects(&self) -> &Suspects {
+        &self.suspects
+    }
+
     /// Returns the number of open requests, waiting and dispatched.
     pub fn open_count(&self) -> usize {
         self.open_requests.len()
@@ -206,6 +216,7 @@
             Event::ReplyReceived(reply) => self.process_reply(now, reply, actions),
             Event::StoreUnreachable => self.backends.record_store_failure(),
             Event::StateReceived(message) => self.receive_state(now, message, actions),
+            Event::SuspectsReceived(reports) => self.receive_suspects(now, &reports),
             Event::Probed { backend, reachable } => self.handle_probe(now, backend, reachable),
             Event::Stop => self.stopping_since = Some(now),
             Event::Tick => self.tick(now, actions),
@@ -259,13 +270,11 @@
         let catalog =
             catalog.ok_or_else(|| admission::retry_later(Reason::NotReady, left, &mut self.rng))?;
         if let Some(left) = self.suspects.quarantine_left(now, request.fingerprint) {
-            let (observed, reported) = self.suspects.counts(request.fingerprint);
             tracing::info!(
                 event = "quarantined",
                 id = %String::from_utf8_lossy(&request.id),
                 fingerprint = %format_args!("{:016x}", request.fingerprint),
-                observed,
-                reported,
+                ends = self.suspects.total(now, request.fingerprint),
                 left_ms = left.as_millis() as u64,
             );
             return Err(Refusal { retry_after: Some(left), ..Refusal::new(Reason::Poison) });
--- a/crates/gate/src/machine/dispatching.rs
+++ b/crates/gate/src/machine/dispatching.rs
@@ -158,6 +158,7 @@
         entry.attempts += 1;
         open.state = State::Dispatched {
             backend: key,
+            run: backend.run,
             dispatched_at: now,
             tokens_ahead,
             first_event_at: None,
--- a/crates/gate/src/machine/peering.rs
+++ b/crates/gate/src/machine/peering.rs
@@ -1,5 +1,7 @@
 //! Messages between gateways, and probes of backend servers.
 
+use std::{net::SocketAddr, time::Duration};
+
 use wire::time::Instant;
 
 use super::{Machine, PROBE_PERIOD};
@@ -16,6 +18,8 @@
 const USAGE_INTERVAL: u64 = 2;
 /// Rounds between messages with the speed estimates.
 const SPEEDS_INTERVAL: u64 = 6;
+/// Time between messages with suspects to one peer that may have missed earlier ones.
+const SAMPLE_PERIOD: Duration = Duration::from_secs(1);
 
 impl Machine {
     pub(super) fn receive_state(
@@ -29,6 +33,9 @@
             self.quotas.remove_process(process);
         }
         if let (Some(to), true) = (message.from, sender != Sender::Unchanged) {
+            self.send_suspects(&[to], self.suspects.summary(now), actions);
+        }
+        if let (Some(to), Sender::New | Sender::Replaced(_)) = (message.from, sender) {
             // A process that has just started has neither the addresses of the other gateways nor
             // the usage of the accounts. Without the usage, it would grant each quota again.
             self.sequence += 1;
@@ -43,20 +50,47 @@
         self.query_peer(now, actions);
         self.backends.merge_peer_speeds(&message);
         self.quotas.record_report(now, &message, self.setup.bounds.quota_window);
-        for (fingerprint, count) in &message.crashes {
-            if self.suspects.record_report(now, *fingerprint, *count) {
-                let (observed, reported) = self.suspects.counts(*fingerprint);
+    }
+
+    pub(super) fn receive_suspects(&mut self, now: Instant, reports: &[message::Suspect]) {
+        for report in reports {
+            if self.suspects.merge(now, report) {
                 tracing::info!(
                     event = "suspect_reported",
-                    fingerprint = %format_args!("{fingerprint:016x}"),
-                    process = message.process,
-                    observed,
-                    reported,
+                    fingerprint = %format_args!("{:016x}", report.fingerprint),
+                    ends = self.suspects.total(now, report.fingerprint),
                 );
             }
         }
     }
 
+    /// Sends the changed suspects to all peers, and others to one of them.
+    fn share_suspects(&mut self, now: Instant, targets: &[SocketAddr], actions: &mut Vec<Action>) {
+        let changes = self.suspects.announce(now);
+        self.send_suspects(targets, changes, actions);
+        if now >= self.next_sample && !targets.is_empty() {
+            self.next_sample = now + SAMPLE_PERIOD;
+            let peer = targets[self.rng.usize(..targets.len())];
+            let sample = self.suspects.sample(now);
+            self.send_suspects(&[peer], sample, actions);
+        }
+    }
+
+    fn send_suspects(
+        &self,
+        targets: &[SocketAddr],
+        suspects: Vec<message::Suspect>,
+        actions: &mut Vec<Action>,
+    ) {
+        if suspects.is_empty() {
+            return;
+        }
+        for to in targets {
+            let datagram = message::Datagram::Suspects(suspects.clone());
+            actions.push(Action::Send { to: *to, datagram });
+        }
+    }
+
     /// Sends a query for the published state to a peer, if one is due.
     pub(super) fn query_peer(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let (address, age) = (self.setup.address, self.lease.age(now));
@@ -121,10 +155,11 @@
         self.round += 1;
         let round = self.round;
         let message = self.message(now, |rounds| round.is_multiple_of(rounds));
-        for to in targets {
+        for to in &targets {
             let datagram = message::Datagram::State(Box::new(message.clone()));
-            actions.push(Action::Send { to, datagram });
+            actions.push(Action::Send { to: *to, datagram });
         }
+        self.share_suspects(now, &targets, actions);
     }
 
     pub(super) fn record_peer_loads(&mut self, now: Instant) {
@@ -163,7 +198,7 @@
             age: now.since(self.started_at),
             history: None,
             usage: if every(USAGE_INTERVAL) { self.quotas.usage() } else { Vec::new() },
-            crashes: self.suspects.recent_crashes(now),
+            crashes: Vec::new(),
             peers: if every(PEERS_INTERVAL) { self.peers.advertised(now) } else { Vec::new() },
         }
     }
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -123,7 +123,7 @@
     pub(super) fn record_first_event(&mut self, now: Instant, number: RequestNumber) {
         let Some(open) = self.open_requests.get_mut(&number) else { return };
         let tokens = open.entry.request.prompt_tokens();
-        let State::Dispatched { backend, dispatched_at, tokens_ahead, first_event_at } =
+        let State::Dispatched { backend, dispatched_at, tokens_ahead, first_event_at, .. } =
             &mut open.state
         else {
             return;
@@ -154,17 +154,17 @@
         actions: &mut Vec<Action>,
     ) {
         match result {
-            AttemptResult::Complete => self.complete(number),
+            AttemptResult::Complete => self.complete(now, number),
             AttemptResult::Failed | AttemptResult::Broken => {
                 self.handle_failure(now, number, result, actions)
             }
         }
     }
 
-    pub(super) fn complete(&mut self, number: RequestNumber) {
+    pub(super) fn complete(&mut self, now: Instant, number: RequestNumber) {
         let Some(open) = self.open_requests.remove(&number) else { return };
         self.release_slot(&open);
-        self.suspects.clear(open.entry.request.fingerprint);
+        self.suspects.record_completion(now, open.entry.request.fingerprint);
         let State::Dispatched { backend, .. } = open.state else { return };
         let Some(backend) = self.backends.get_mut(backend) else { return };
         backend.load.record_success();
@@ -179,21 +179,21 @@
     ) {
         let Some(open) = self.open_requests.get(&number) else { return };
         let fingerprint = open.entry.request.fingerprint;
-        let had_first_event =
-            matches!(open.state, State::Dispatched { first_event_at: Some(_), .. });
+        let State::Dispatched { run, dispatched_at, first_event_at, .. } = open.state else {
+            return;
+        };
+        let had_first_event = first_event_at.is_some();
         let id = open.entry.request.id.clone();
         let Some(key) = self.withdraw_dispatch(number, true) else { return };
         let mut counted = false;
         if let Some(backend) = self.backends.get_mut(key) {
             backend.load.record_failure(now);
             if result == AttemptResult::Broken && !had_first_event {
-                self.suspects.record_crash(now, fingerprint);
-                counted = true;
+                counted = self.suspects.record_end(now, fingerprint, run, dispatched_at);
             }
         }
         if result == AttemptResult::Broken {
             let backend = self.backends.get(key).map(|backend| &backend.id[..]);
-            let (observed, reported) = self.suspects.counts(fingerprint);
             tracing::info!(
                 event = "suspect",
                 id = %String::from_utf8_lossy(&id),
@@ -201,8 +201,7 @@
                 replica = %String::from_utf8_lossy(backend.unwrap_or_default()),
                 counted,
                 had_first_event,
-                observed,
-                reported,
+                ends = self.suspects.total(now, fingerprint),
             );
         }
         if self.may_continue_elsewhere(now, number) && self.take_retry(now, number) {
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -14,6 +14,7 @@
     Query(Query),
     #[serde(rename = "Answer")]
     Reply(Reply),
+    Suspects(Vec<Suspect>),
 }
 
 /// Query for the receiver's view of the published state and the changes to it.
@@ -84,12 +85,31 @@
     /// Usage of the whole window. Sent only in return for the first message of a process, and only
     /// if the sender has recorded the whole window.
     pub history: Option<Vec<History>>,
-    /// Number of crashes by the fingerprint of the request.
+    /// Unused, since counts of processes can't be joined; kept for the encoding. See `Suspect`.
     pub crashes: Vec<(u64, u32)>,
     /// Addresses of other gateways.
     pub peers: Vec<SocketAddr>,
 }
 
+/// Ends of backend servers under copies of one request.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Suspect {
+    pub fingerprint: u64,
+    /// Time since a copy last completed.
+    pub completed: Option<Duration>,
+    pub ends: Vec<End>,
+}
+
+/// Ends of one run of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct End {
+    /// Hash that identifies the run; see `backends::Backend::run`.
+    pub run: u64,
+    pub count: u32,
+    /// Time since the last one.
+    pub age: Duration,
+}
+
 /// Load at one backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Load {
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -77,11 +77,13 @@
         self.add(now, from);
         let peer = self.peers.get_mut(&from).ok_or(Discarded)?;
         let was_seen = peer.last_seen.is_some();
+        let was_silent = peer.last_seen.is_some_and(|at| now.since(at) >= MAX_MESSAGE_AGE);
         let is_same_process = peer.message.process == message.process;
         if was_seen && is_same_process && peer.message.sequence >= message.sequence {
             return Err(Discarded);
         }
         let sender = match (was_seen, is_same_process) {
+            (true, true) if was_silent => Sender::Returned,
             (true, true) => Sender::Unchanged,
             (true, false) => Sender::Replaced(peer.message.process),
             (false, _) => Sender::New,
@@ -150,10 +152,12 @@
     }
 }
 
-/// Whether the process that sent a message is new.
+/// Whether the process that sent a message is new or was silent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Sender {
     Unchanged,
+    /// Sent no message for some time and may have missed those of this gateway.
+    Returned,
     New,
     /// Has the address of an earlier process, whose number this is.
     Replaced(u64),
--- a/crates/gate/src/suspects.rs
+++ b/crates/gate/src/suspects.rs
@@ -1,89 +1,236 @@
-//! Requests that were running on backend servers when these crashed.
+//! Requests under which backend servers ended, joined from all gateways.
+//!
+//! An end is identified by the run of the backend server and not by the gateway that observed it.
+//! Reports can therefore arrive in any order, repeatedly and through any gateway, and what a
+//! gateway observed outlives its process.
 
-use std::{collections::HashMap, time::Duration};
+use std::{cmp::Reverse, collections::HashMap, time::Duration};
 
 use wire::time::Instant;
 
-/// Number of crashes from which a request is refused.
-const QUARANTINE_CRASHES: u32 = 2;
-/// Time for which a crash counts.
+use crate::message;
+
+/// Number of ends from which a request is refused.
+const QUARANTINE_ENDS: u32 = 2;
+/// Time for which an end counts.
 const RETENTION: Duration = Duration::from_secs(60);
-/// Number of suspects from which expired ones are removed before one is added.
+/// Age up to which an end is reported to peers. Without the margin, gateways that received it at
+/// different times could return it to each other after it expired.
+const MAX_REPORTED_AGE: Duration = Duration::from_secs(54);
+/// Most suspects kept. In a full table, one with the fewest ends is replaced.
 const MAX_SUSPECTS: usize = 4096;
-/// Most suspects in one message to a peer, which keeps it within one datagram.
-const MAX_REPORTED: usize = 24;
+/// Most ends kept of one suspect.
+const MAX_ENDS: usize = 4;
+/// Number of rounds in which a change is sent to all peers, since datagrams may be lost.
+const ANNOUNCEMENTS: u8 = 6;
+/// Most suspects in one message of a round, which keeps it within one datagram.
+const MAX_ANNOUNCED: usize = 24;
+/// Most suspects in a message to a peer that may have missed earlier ones.
+const MAX_SUMMARY: usize = 128;
 
+/// Ends of one run of a backend server under copies of a request.
 #[derive(Clone, Copy, Debug)]
+struct End {
+    run: u64,
+    /// Ends that followed one another. More than one if the run that followed an end is not
+    /// known, for example while the store is unreachable.
+    count: u32,
+    /// Time of the last one.
+    at: Instant,
+}
+
+#[derive(Clone, Debug, Default)]
 struct Suspect {
-    observed: u32,
-    /// Largest count that a single peer reported.
-    reported: u32,
-    last_crash: Instant,
+    ends: Vec<End>,
+    /// Time at which a copy last completed. Earlier ends don't count.
+    completed_at: Option<Instant>,
+    /// Rounds in which the last change is still to be sent.
+    announcements: u8,
+}
+
+impl Suspect {
+    /// Returns the ends that count, the latest first.
+    fn counted(&self, now: Instant) -> Vec<End> {
+        let counts = |end: &&End| Some(end.at) > self.completed_at && now.since(end.at) < RETENTION;
+        let mut counted: Vec<End> = self.ends.iter().filter(counts).copied().collect();
+        counted.sort_by_key(|end| Reverse(end.at));
+        counted
+    }
+
+    fn total(&self, now: Instant) -> u32 {
+        self.counted(now).iter().map(|end| end.count).sum()
+    }
+
+    /// Returns the sort key by which the suspects that matter most come first.
+    fn rank(&self, now: Instant) -> Reverse<(u32, Option<Instant>)> {
+        let latest = self.ends.iter().map(|end| end.at).max();
+        Reverse((self.total(now).min(QUARANTINE_ENDS), latest))
+    }
+
+    fn is_expired(&self, now: Instant) -> bool {
+        let times = self.ends.iter().map(|end| end.at).chain(self.completed_at);
+        times.max().is_none_or(|at| now.since(at) >= RETENTION)
+    }
+
+    /// Adds ends of a run unless as many are known. Returns whether it changed.
+    fn merge(&mut self, end: End) -> bool {
+        match self.ends.iter_mut().find(|known| known.run == end.run) {
+            Some(known) if known.count >= end.count => {
+                // The earlier of two times is the more accurate one: reports only add delay.
+                if known.count == end.count {
+                    known.at = known.at.min(end.at);
+                }
+                return false;
+            }
+            Some(known) => *known = end,
+            None => self.ends.push(end),
+        }
+        if self.ends.len() > MAX_ENDS {
+            self.ends.sort_by_key(|end| Reverse(end.at));
+            self.ends.truncate(MAX_ENDS);
+        }
+        true
+    }
+
+    fn report(&self, now: Instant, fingerprint: u64) -> message::Suspect {
+        let shared = self.ends.iter().filter(|end| now.since(end.at) < MAX_REPORTED_AGE);
+        let ends = shared.map(|end| message::End {
+            run: end.run,
+            count: end.count,
+            age: now.since(end.at),
+        });
+        let completed = self.completed_at.map(|at| now.since(at));
+        message::Suspect { fingerprint, completed, ends: ends.collect() }
+    }
 }
 
 /// Suspects by the fingerprint of the request.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
     suspects: HashMap<u64, Suspect>,
+    /// Position in the table from which the next sample is taken.
+    sampled: usize,
 }
 
 impl Suspects {
-    /// Records that a backend server crashed while it ran the request.
-    pub fn record_crash(&mut self, now: Instant, fingerprint: u64) {
+    /// Records that a run of a backend server ended while a copy ran that was dispatched at
+    /// `dispatched_at`. Copies that were running at the same end count once. Returns whether the
+    /// end is new.
+    pub fn record_end(
+        &mut self,
+        now: Instant,
+        fingerprint: u64,
+        run: u64,
+        dispatched_at: Instant,
+    ) -> bool {
         let suspect = self.suspect_mut(now, fingerprint);
-        suspect.observed += 1;
-        suspect.last_crash = now;
+        let known = suspect.ends.iter().find(|end| end.run == run);
+        let count = match known {
+            Some(end) if dispatched_at < end.at => return false,
+            Some(end) => end.count + 1,
+            None => 1,
+        };
+        suspect.merge(End { run, count, at: now });
+        suspect.announcements = ANNOUNCEMENTS;
+        true
     }
 
-    /// Records a peer's count of crashes and returns whether it is the largest so far.
-    pub fn record_report(&mut self, now: Instant, fingerprint: u64, crashes: u32) -> bool {
-        let suspect = self.suspect_mut(now, fingerprint);
-        let is_larger = crashes > suspect.reported;
-        if is_larger {
-            suspect.reported = crashes;
-            suspect.last_crash = now;
+    /// Records that a copy completed, so that earlier ends don't count.
+    pub fn record_completion(&mut self, now: Instant, fingerprint: u64) {
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint)
+            && suspect.total(now) > 0
+        {
+            suspect.completed_at = Some(now);
+            suspect.announcements = ANNOUNCEMENTS;
         }
-        is_larger
     }
 
-    /// Clears the crashes observed here after the request completed.
-    pub fn clear(&mut self, fingerprint: u64) {
-        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
-            suspect.observed = 0;
+    /// Merges a peer's report and returns whether it changed the number of ends.
+    pub fn merge(&mut self, now: Instant, report: &message::Suspect) -> bool {
+        let earlier = |age: Duration| Instant(now.0.saturating_sub(age.as_micros() as u64));
+        let recent = |age: Duration| age < RETENTION;
+        if !report.ends.iter().any(|end| recent(end.age)) {
+            return false;
         }
+        let suspect = self.suspect_mut(now, report.fingerprint);
+        let before = suspect.total(now);
+        for end in report.ends.iter().filter(|end| recent(end.age)).take(MAX_ENDS) {
+            suspect.merge(End { run: end.run, count: end.count, at: earlier(end.age) });
+        }
+        suspect.completed_at = suspect.completed_at.max(report.completed.map(earlier));
+        suspect.total(now) != before
     }
 
-    /// Returns the crashes that count against a request: those observed here, and the largest count
-    /// of a peer.
-    pub fn counts(&self, fingerprint: u64) -> (u32, u32) {
-        let suspect = self.suspects.get(&fingerprint);
-        suspect.map_or((0, 0), |suspect| (suspect.observed, suspect.reported))
+    /// Returns the number of ends that count against a request.
+    pub fn total(&self, now: Instant, fingerprint: u64) -> u32 {
+        self.suspects.get(&fingerprint).map_or(0, |suspect| suspect.total(now))
     }
 
     /// Returns the remaining time of the request's quarantine, if any.
     pub fn quarantine_left(&self, now: Instant, fingerprint: u64) -> Option<Duration> {
-        let suspect = self.suspects.get(&fingerprint)?;
-        let left = RETENTION.saturating_sub(now.since(suspect.last_crash));
-        let crashed = suspect.observed + suspect.reported >= QUARANTINE_CRASHES;
-        (crashed && !left.is_zero()).then_some(left)
+        let mut total = 0;
+        let ends = self.suspects.get(&fingerprint)?.counted(now);
+        let deciding = ends.iter().find(|end| {
+            total += end.count;
+            total >= QUARANTINE_ENDS
+        })?;
+        Some(RETENTION.saturating_sub(now.since(deciding.at)))
+    }
+
+    /// Returns the numbers of suspects and of those in quarantine.
+    pub fn counts(&self, now: Instant) -> (usize, usize) {
+        let totals = self.suspects.values().map(|suspect| suspect.total(now));
+        totals.filter(|total| *total > 0).fold((0, 0), |(all, quarantined), total| {
+            (all + 1, quarantined + usize::from(total >= QUARANTINE_ENDS))
+        })
     }
 
-    /// Returns the crashes observed here, the latest first, for messages to peers.
-    pub fn recent_crashes(&self, now: Instant) -> Vec<(u64, u32)> {
-        let recent = |s: &Suspect| s.observed > 0 && now.since(s.last_crash) < RETENTION;
-        let mut observed: Vec<_> = self.suspects.iter().filter(|(_, s)| recent(s)).collect();
-        observed.sort_by_key(|(_, suspect)| std::cmp::Reverse(suspect.last_crash));
-        observed.iter().take(MAX_REPORTED).map(|(key, suspect)| (**key, suspect.observed)).collect()
+    /// Returns the changes to send to all peers in this round.
+    pub fn announce(&mut self, now: Instant) -> Vec<message::Suspect> {
+        let changed = self.suspects.iter().filter(|(_, suspect)| suspect.announcements > 0);
+        let mut changed: Vec<_> = changed.map(|(key, suspect)| (suspect.rank(now), *key)).collect();
+        changed.sort();
+        changed.truncate(MAX_ANNOUNCED);
+        let reports = changed.into_iter().filter_map(|(_, fingerprint)| {
+            let suspect = self.suspects.get_mut(&fingerprint)?;
+            suspect.announcements -= 1;
+            Some(suspect.report(now, fingerprint))
+        });
+        reports.collect()
+    }
+
+    /// Returns the suspects that matter most, for a peer that may have missed reports.
+    pub fn summary(&self, now: Instant) -> Vec<message::Suspect> {
+        self.reports(now, 0, MAX_SUMMARY)
+    }
+
+    /// Returns another part of the suspects with each call, for a peer that may have missed
+    /// reports without being noticed. Removes expired ones.
+    pub fn sample(&mut self, now: Instant) -> Vec<message::Suspect> {
+        self.suspects.retain(|_, suspect| !suspect.is_expired(now));
+        let start = std::mem::take(&mut self.sampled);
+        let reports = self.reports(now, start, MAX_ANNOUNCED);
+        if start + MAX_ANNOUNCED < self.suspects.len() {
+            self.sampled = start + MAX_ANNOUNCED;
+        }
+        reports
+    }
+
+    fn reports(&self, now: Instant, start: usize, count: usize) -> Vec<message::Suspect> {
+        let mut ranked: Vec<_> =
+            self.suspects.iter().map(|(key, suspect)| (suspect.rank(now), *key)).collect();
+        ranked.sort();
+        let part = ranked.into_iter().skip(start).take(count);
+        part.filter_map(|(_, key)| Some(self.suspects.get(&key)?.report(now, key))).collect()
     }
 
     fn suspect_mut(&mut self, now: Instant, fingerprint: u64) -> &mut Suspect {
-        if self.suspects.len() >= MAX_SUSPECTS {
-            self.suspects.retain(|_, suspect| now.since(suspect.last_crash) < RETENTION);
+        if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(&fingerprint) {
+            let last = self.suspects.iter().max_by_key(|(_, suspect)| suspect.rank(now));
+            if let Some(last) = last.map(|(key, _)| *key) {
+                self.suspects.remove(&last);
+            }
         }
-        self.suspects.entry(fingerprint).or_insert(Suspect {
-            observed: 0,
-            reported: 0,
-            last_crash: now,
-        })
+        self.suspects.entry(fingerprint).or_default()
     }
 }
--- a/crates/gate/tests/common/cluster.rs
+++ b/crates/gate/tests/common/cluster.rs
@@ -188,6 +188,7 @@
                 Datagram::State(message) => Event::StateReceived(*message),
                 Datagram::Query(query) => Event::QueryReceived(query),
                 Datagram::Reply(reply) => Event::ReplyReceived(reply),
+                Datagram::Suspects(reports) => Event::SuspectsReceived(reports),
             };
             self.gateways[to].now = self.now;
             self.gateways[to].feed(event);
