Quarantine a request for ten minutes, as agents do

Callers saw: every 60 s each gateway forgot a request that crashes servers, and its copies crashed two more.

Cause: an end counted for 60 s, although the same request keeps coming for as long as its caller wants it. Ten minutes is what agents use (quarantine_ms). An innocent request is not kept out longer than it was: a copy that completes clears it at all gateways.

--- a/crates/gate/src/suspects.rs
+++ b/crates/gate/src/suspects.rs
@@ -13,10 +13,10 @@
 /// Number of ends from which a request is refused.
 const QUARANTINE_ENDS: u32 = 2;
 /// Time for which an end counts.
-const RETENTION: Duration = Duration::from_secs(60);
+const RETENTION: Duration = Duration::from_secs(600);
 /// Age up to which an end is reported to peers. Without the margin, gateways that received it at
 /// different times could return it to each other after it expired.
-const MAX_REPORTED_AGE: Duration = Duration::from_secs(54);
+const MAX_REPORTED_AGE: Duration = Duration::from_secs(540);
 /// Most suspects kept. In a full table, one with the fewest ends is replaced.
 const MAX_SUSPECTS: usize = 4096;
 /// Most ends kept of one suspect.
