Count an end after the first event

Callers saw: a stream that crashes its server after the first event was resumed at the next server and crashed that, too.

Cause: a lost connection counted only if no event had been received.

Such a request is refused only after two lost connections at different runs, and a copy that completes clears it.

--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -188,7 +188,7 @@
         let mut counted = false;
         if let Some(backend) = self.backends.get_mut(key) {
             backend.load.record_failure(now);
-            if result == AttemptResult::Broken && !had_first_event {
+            if result == AttemptResult::Broken {
                 counted = self.suspects.record_end(now, fingerprint, run, dispatched_at);
             }
         }
