Count an end whose record was replaced before the connection was lost

Cause: the end counted only while the record that the request was dispatched with was in the table. If the server's new record arrives before the end of the connection, as after a silent crash, the key is gone.

--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -185,14 +185,11 @@
         let had_first_event = first_event_at.is_some();
         let id = open.entry.request.id.clone();
         let Some(key) = self.withdraw_dispatch(number, true) else { return };
-        let mut counted = false;
         if let Some(backend) = self.backends.get_mut(key) {
             backend.load.record_failure(now);
-            if result == AttemptResult::Broken {
-                counted = self.suspects.record_end(now, fingerprint, run, dispatched_at);
-            }
         }
         if result == AttemptResult::Broken {
+            let counted = self.suspects.record_end(now, fingerprint, run, dispatched_at);
             let backend = self.backends.get(key).map(|backend| &backend.id[..]);
             tracing::info!(
                 event = "suspect",
