Count an end that shows only as silence

Callers saw: copies of a request that silences its server kept running, 21 of 21 copies.

Cause: only a lost connection counted. If the server falls silent, the request moves on, its caller leaves or its deadline passes, and the request was forgotten with nothing counted.

They count as running when their run ends: its record vanishes other than by draining, is replaced by another start under the same identifier, a connection is refused, or the address turns out to belong to another server. If the run is known to have ended before the request is given up, it counts at once. A run that completes a request has not ended. Connections that time out are no evidence: a gateway that is cut off would count every server.

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -65,7 +65,7 @@
                     self.connections.release(sender, MAX_IDLE);
                 }
             }
-            Err(Fault::Unsent) => report(Progress::Unreachable),
+            Err(Fault::Unsent | Fault::Refused) => report(Progress::Unreachable),
             Err(Fault::Lost) => report(Progress::ConnectionLost),
         }
     }
@@ -97,7 +97,7 @@
     pub async fn probe(self) -> Option<Bytes> {
         let probe = async {
             let request = self.build_request(Method::GET, "/health", None, Bytes::new())?;
-            let mut sender = self.connections.connect().await?;
+            let mut sender = self.connections.connect().await.ok()?;
             let response = sender.send_request(request).await.ok()?;
             let instance = response.status().is_success().then(|| read_instance(&response))?;
             if response.into_body().collect().await.is_ok() {
@@ -140,7 +140,7 @@
         body: Bytes,
     ) -> Option<Response<body::Incoming>> {
         let request = self.build_request(method, path, header, body)?;
-        self.connections.connect().await?.send_request(request).await.ok()
+        self.connections.connect().await.ok()?.send_request(request).await.ok()
     }
 
     fn build_request(
--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -1,6 +1,6 @@
 //! Pooled connections to one server. Errors say whether a request may have been received.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use compio::{net, runtime, time};
@@ -23,6 +23,8 @@
 pub enum Fault {
     /// Nothing of the request was sent.
     Unsent,
+    /// No process listens at the address, so nothing was sent.
+    Refused,
     /// The connection was lost, and the request may have been received.
     Lost,
 }
@@ -65,7 +67,7 @@
                 Err(mut error) => request = error.take_message().ok_or(Fault::Lost)?,
             }
         }
-        let mut sender = self.connect().await.ok_or(Fault::Unsent)?;
+        let mut sender = self.connect().await?;
         match sender.send_request(request).await {
             Ok(response) => Ok((response, sender)),
             Err(_) => Err(Fault::Lost),
@@ -83,14 +85,24 @@
         }
     }
 
-    /// Opens a connection, or returns `None` if that fails or takes too long.
-    pub async fn connect(&self) -> Option<Sender> {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Fault::Refused`] if no process listens, and [`Fault::Unsent`] if the connection
+    /// fails for another reason or takes too long.
+    pub async fn connect(&self) -> Result<Sender, Fault> {
         let connect = net::TcpStream::connect(self.address);
-        let stream = time::timeout(self.connect_timeout, connect).await.ok()?.ok()?;
+        let connected = time::timeout(self.connect_timeout, connect).await;
+        let stream = connected.map_err(|_| Fault::Unsent)?.map_err(|error| match error.kind() {
+            io::ErrorKind::ConnectionRefused => Fault::Refused,
+            _ => Fault::Unsent,
+        })?;
         let _ = stream.set_nodelay(true);
-        let (sender, connection) = http1::handshake(HyperStream::new_plain(stream)).await.ok()?;
+        let handshake = http1::handshake(HyperStream::new_plain(stream)).await;
+        let (sender, connection) = handshake.map_err(|_| Fault::Unsent)?;
         runtime::spawn(connection.map(drop)).detach();
-        Some(sender)
+        Ok(sender)
     }
 
     /// Removes and returns the connection that was released last of those that are still usable.
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -204,6 +204,7 @@
         match self.wait(dispatch, dispatch.failover_timeout, pool.send(request)).await {
             Ok(Ok((response, sender))) => self.classify(response, sender, pool),
             Ok(Err(Fault::Unsent)) => Attempt::Failed(Event::NotSent { number: self.number }),
+            Ok(Err(Fault::Refused)) => Attempt::Failed(Event::Refused { number: self.number }),
             Ok(Err(Fault::Lost)) => Attempt::Failed(self.build_ended(AttemptResult::Broken)),
             Err(attempt) => attempt,
         }
@@ -297,6 +298,7 @@
     fn log_failure(&self, dispatch: &Dispatch, event: &Event) {
         let how = match event {
             Event::NotSent { .. } => "unsent",
+            Event::Refused { .. } => "refused",
             Event::Rejected { .. } => "rejected",
             Event::Misdirected { .. } => "misdirected",
             Event::Ended { result: AttemptResult::Broken, .. } => "broken",
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -114,7 +114,7 @@
     fn probe(&self, backend: backends::Key, address: SocketAddr) {
         let Some(gateway) = self.this.upgrade() else { return };
         runtime::spawn(async move {
-            let reachable = Pool::new(address, CONNECT_TIMEOUT).connect().await.is_some();
+            let reachable = Pool::new(address, CONNECT_TIMEOUT).connect().await.is_ok();
             tracing::info!(event = "replica_probed", %address, reachable);
             gateway.feed(Event::Probed { backend, reachable });
         })
--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -68,18 +68,30 @@
     keys_by_id: HashMap<Bytes, Key>,
     keys_by_service: HashMap<Bytes, Vec<Key>>,
     store_failed: bool,
+    /// Runs whose record was removed or replaced, other than by draining, since the last call of
+    /// `take_ended_runs`.
+    ended_runs: Vec<u64>,
 }
 
 impl Backends {
     /// Applies a record that was written, or its removal (`None`). A backend server that drains is
     /// removed, too.
     pub fn apply_record(&mut self, id: Bytes, record: Option<Record>) {
-        match record.filter(|record| !record.draining) {
-            Some(record) => self.insert(id, record),
-            None => self.remove(&id),
+        match record {
+            Some(record) if !record.draining => self.insert(id, record),
+            Some(_) => {
+                self.remove(&id);
+            }
+            None => self.remove_ended(&id),
         }
     }
 
+    /// Returns the runs whose record was removed or replaced since the last call. A backend server
+    /// that drained is not among them.
+    pub fn take_ended_runs(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.ended_runs)
+    }
+
     /// Applies a read of all records. Backend servers whose records expired during an outage of the
     /// store have some time to write them again.
     pub fn replace_all(&mut self, now: Instant, records: Vec<(Bytes, Record)>) {
@@ -90,7 +102,7 @@
         for id in absent {
             match after_outage {
                 true => self.set_removal_time(&id, now + REAPPEAR_GRACE),
-                false => self.remove(&id),
+                false => self.remove_ended(&id),
             }
         }
         for (id, record) in records {
@@ -113,7 +125,7 @@
             .map(|backend| backend.id.clone())
             .collect();
         for id in expired {
-            self.remove(&id);
+            self.remove_ended(&id);
         }
     }
 
@@ -208,7 +220,7 @@
                 backend.remove_at = None;
                 return;
             }
-            self.remove(&id);
+            self.remove_ended(&id);
         }
         let hash = quota::hash(&id) as u32;
         let run = record.hash_run(&id);
@@ -234,11 +246,18 @@
         }
     }
 
-    fn remove(&mut self, id: &Bytes) {
-        let Some(key) = self.keys_by_id.remove(id) else { return };
-        let Some(backend) = self.entries.remove(key) else { return };
+    fn remove_ended(&mut self, id: &Bytes) {
+        let run = self.remove(id);
+        self.ended_runs.extend(run);
+    }
+
+    /// Removes a backend server and returns its run.
+    fn remove(&mut self, id: &Bytes) -> Option<u64> {
+        let key = self.keys_by_id.remove(id)?;
+        let backend = self.entries.remove(key)?;
         if let Some(keys) = self.keys_by_service.get_mut(&backend.record.service) {
             keys.retain(|other| *other != key);
         }
+        Some(backend.run)
     }
 }
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -30,6 +30,8 @@
     Closed { number: RequestNumber },
     /// Nothing of the request was sent, for example since the connection failed.
     NotSent { number: RequestNumber },
+    /// No process listens at the backend server's address; nothing of the request was sent.
+    Refused { number: RequestNumber },
     /// The backend server stated that it did not run the request.
     Rejected { number: RequestNumber, retry_after: Option<Duration> },
     /// The address belongs to another backend server.
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod retry_budget;
 pub mod source;
 pub mod suspects;
+pub mod unanswered;
 
 pub use action::Action;
 pub use event::Event;
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -26,6 +26,7 @@
     retry_budget::RetryBudget,
     source::{self, Source},
     suspects::Suspects,
+    unanswered::Unanswered,
 };
 
 /// Time between attempts to connect to a backend server that refused connections.
@@ -83,6 +84,7 @@
     quotas: Quotas,
     retry_budgets: HashMap<Bytes, RetryBudget>,
     suspects: Suspects,
+    unanswered: Unanswered,
     deadlines: Deadlines,
     peers: Peers,
     open_requests: HashMap<RequestNumber, OpenRequest>,
@@ -114,6 +116,7 @@
             started_at: now,
             retry_budgets: HashMap::new(),
             suspects: Suspects::default(),
+            unanswered: Unanswered::default(),
             deadlines: Deadlines::default(),
             open_requests: HashMap::new(),
             queues: HashMap::new(),
@@ -184,6 +187,7 @@
             }
             Event::Closed { number } => self.close(now, number),
             Event::NotSent { number } => self.handle_not_sent(now, number),
+            Event::Refused { number } => self.handle_refused(now, number),
             Event::Rejected { number, retry_after } => {
                 self.handle_rejection(now, number, retry_after, actions);
             }
@@ -221,6 +225,10 @@
             Event::Stop => self.stopping_since = Some(now),
             Event::Tick => self.tick(now, actions),
         }
+        for run in self.backends.take_ended_runs() {
+            let attempts = self.unanswered.end_run(now, run);
+            self.record_ends(now, &attempts);
+        }
         self.dispatch_all_waiting(now, actions);
     }
 
@@ -321,7 +329,10 @@
                 self.dequeue(&open.entry, number);
                 self.refund(now, &open.entry);
             }
-            State::Dispatched { .. } => self.release_slot(&open),
+            State::Dispatched { .. } => {
+                self.release_slot(&open);
+                self.give_up(now, &open);
+            }
         }
     }
 
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -9,6 +9,7 @@
     Action, admission, backends,
     event::{AttemptResult, RequestNumber},
     refusal::{Reason, Refusal},
+    unanswered::Attempt,
 };
 
 /// Time for which a backend server that refused a request as overloaded gets no other request.
@@ -63,6 +64,45 @@
         self.requeue(number);
     }
 
+    /// Handles a refused connection: the run that listened there has ended.
+    pub(super) fn handle_refused(&mut self, now: Instant, number: RequestNumber) {
+        self.record_ends_at_backend_of(now, number);
+        self.handle_not_sent(now, number);
+    }
+
+    /// Counts the end of a dispatched request's backend server against the requests that were given
+    /// up there.
+    fn record_ends_at_backend_of(&mut self, now: Instant, number: RequestNumber) {
+        let state = self.open_requests.get(&number).map(|open| open.state);
+        if let Some(State::Dispatched { run, .. }) = state {
+            let attempts = self.unanswered.take(now, run);
+            self.record_ends(now, &attempts);
+        }
+    }
+
+    /// Records that a dispatched request is given up without a response.
+    pub(super) fn give_up(&mut self, now: Instant, open: &OpenRequest) {
+        let State::Dispatched { run, dispatched_at, .. } = open.state else { return };
+        let fingerprint = open.entry.request.fingerprint;
+        let attempt = Attempt { fingerprint, run, dispatched_at };
+        if self.unanswered.give_up(now, attempt) {
+            self.record_ends(now, &[attempt]);
+        }
+    }
+
+    pub(super) fn record_ends(&mut self, now: Instant, attempts: &[Attempt]) {
+        for Attempt { fingerprint, run, dispatched_at } in attempts {
+            if self.suspects.record_end(now, *fingerprint, *run, *dispatched_at) {
+                tracing::info!(
+                    event = "suspect_unanswered",
+                    fingerprint = %format_args!("{fingerprint:016x}"),
+                    dispatched_ms = now.since(*dispatched_at).as_millis() as u64,
+                    ends = self.suspects.total(now, *fingerprint),
+                );
+            }
+        }
+    }
+
     pub(super) fn handle_rejection(
         &mut self,
         now: Instant,
@@ -90,6 +130,7 @@
         number: RequestNumber,
         actions: &mut Vec<Action>,
     ) {
+        self.record_ends_at_backend_of(now, number);
         let Some(key) = self.withdraw_dispatch(number, false) else { return };
         if let Some(backend) = self.backends.get_mut(key) {
             // The address belongs to another backend server now, and the removal of the old record
@@ -165,7 +206,8 @@
         let Some(open) = self.open_requests.remove(&number) else { return };
         self.release_slot(&open);
         self.suspects.record_completion(now, open.entry.request.fingerprint);
-        let State::Dispatched { backend, .. } = open.state else { return };
+        let State::Dispatched { backend, run, .. } = open.state else { return };
+        self.unanswered.record_completion(run);
         let Some(backend) = self.backends.get_mut(backend) else { return };
         backend.load.record_success();
     }
@@ -225,6 +267,9 @@
         {
             return;
         }
+        if let Some(open) = self.open_requests.get(&number).cloned() {
+            self.give_up(now, &open);
+        }
         if let Some(key) = self.withdraw_dispatch(number, true)
             && let Some(backend) = self.backends.get_mut(key)
         {
