Check the quarantine whenever a request is sent to a server

Callers saw: copies that waited at a gateway, or that a server had rejected, ran after the request was quarantined.

Cause: the quarantine was checked at the arrival and before a second attempt of a request that may have run, but not when a waiting or rejected copy is dispatched. All paths to a server now pass one check, with the API key. A copy that has not run is refused as poison with the quarantine's remaining time; one that may have run ends as lost.

waiting_copies_are_refused_once_quarantined and a_rejected_copy_is_refused_once_quarantined failed before.

--- a/crates/gate/src/machine/dispatching.rs
+++ b/crates/gate/src/machine/dispatching.rs
@@ -68,6 +68,11 @@
         self.dequeue(&entry, number);
         let refusal = match entry.attempts {
             0 if reason == Reason::UnknownKey => Refusal::new(reason),
+            0 if reason == Reason::Poison => {
+                let fingerprint = entry.request.fingerprint;
+                let retry_after = self.suspects.quarantine_left(now, fingerprint);
+                Refusal { retry_after, ..Refusal::new(reason) }
+            }
             0 => admission::retry_later(reason, entry.deadline.since(now), &mut self.rng),
             _ => Refusal::new(Reason::Lost),
         };
@@ -90,7 +95,7 @@
             }
             let Some(open) = self.open_requests.get(&number) else { continue };
             let entry = open.entry.clone();
-            if let Err(reason) = self.check_api_key(now, &entry) {
+            if let Err(reason) = self.check_dispatch(now, &entry) {
                 self.refuse_waiting(now, number, reason, actions);
                 continue;
             }
@@ -101,8 +106,18 @@
         }
     }
 
+    /// Checks that a request may be sent to a backend server now. What was checked at its arrival
+    /// may have changed while it waited or ran elsewhere.
+    pub(super) fn check_dispatch(&self, now: Instant, entry: &Entry) -> Result<(), Reason> {
+        self.check_api_key(now, entry)?;
+        match self.suspects.quarantine_left(now, entry.request.fingerprint) {
+            Some(_) => Err(Reason::Poison),
+            None => Ok(()),
+        }
+    }
+
     /// Checks that the configuration in force has the API key of a request and was confirmed
-    /// recently enough. Also called before a request is sent to a second backend server.
+    /// recently enough.
     pub(super) fn check_api_key(&self, now: Instant, entry: &Entry) -> Result<(), Reason> {
         if !entry.requires_api_key {
             return Ok(());
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -256,9 +256,10 @@
         number: RequestNumber,
         actions: &mut Vec<Action>,
     ) {
-        let Some(open) = self.open_requests.get(&number) else { return };
+        let Some(open) = self.open_requests.get(&number).cloned() else { return };
         let State::Dispatched { backend, .. } = open.state else { return };
-        let mut entry = open.entry.clone();
+        self.give_up(now, &open);
+        let mut entry = open.entry;
         entry.excluded.push(backend);
         let other = self.choose(now, &entry, &HashSet::new());
         if other.is_none()
@@ -267,9 +268,6 @@
         {
             return;
         }
-        if let Some(open) = self.open_requests.get(&number).cloned() {
-            self.give_up(now, &open);
-        }
         if let Some(key) = self.withdraw_dispatch(number, true)
             && let Some(backend) = self.backends.get_mut(key)
         {
@@ -287,8 +285,7 @@
             entry.is_repeatable
                 && entry.attempts < entry.max_attempts
                 && now < entry.deadline
-                && self.check_api_key(now, entry).is_ok()
-                && self.suspects.quarantine_left(now, entry.request.fingerprint).is_none()
+                && self.check_dispatch(now, entry).is_ok()
         })
     }
 }
