Tell invalid and unframed responses from lost connections

A server that sends bytes of another response runs on, but the request under it counted as if the server had crashed; two such responses quarantined an innocent request. And a crash during a response without a length looked like its end and cleared the request. The driver now reports both apart: after either, only evidence that the run ended counts.

Tests also rule out, with no change needed: copies at one server count its crash once, a completed copy clears a request at all gateways and it stays cleared, a server that drained has not crashed, and a refused connection counts the crash of earlier requests.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -229,7 +229,7 @@
                 Attempt::Failed(Event::Rejected { number, retry_after })
             }
             ResponseKind::Misdirected => Attempt::Failed(Event::Misdirected { number }),
-            ResponseKind::Unverified => Attempt::Failed(self.build_ended(AttemptResult::Broken)),
+            ResponseKind::Unverified => Attempt::Failed(self.build_ended(AttemptResult::Invalid)),
             ResponseKind::Failed | ResponseKind::Success => {
                 Attempt::Received(Box::new(UnreadResponse { head, body, sender, pool }))
             }
@@ -255,7 +255,7 @@
             self.failure = Some(response);
             return Err(Attempt::Failed(self.build_ended(AttemptResult::Failed)));
         }
-        self.report(self.build_ended(AttemptResult::Complete));
+        self.report(self.build_ended(end_result(&head.headers)));
         Ok(response)
     }
 
@@ -302,6 +302,7 @@
             Event::Rejected { .. } => "rejected",
             Event::Misdirected { .. } => "misdirected",
             Event::Ended { result: AttemptResult::Broken, .. } => "broken",
+            Event::Ended { result: AttemptResult::Invalid, .. } => "invalid",
             Event::Ended { .. } => "failed",
             _ => "other",
         };
@@ -372,6 +373,15 @@
     response
 }
 
+/// Returns the result of a response that was read to its end.
+pub fn end_result(headers: &HeaderMap) -> AttemptResult {
+    let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+    match framing.iter().any(|name| headers.contains_key(name)) {
+        true => AttemptResult::Complete,
+        false => AttemptResult::Unframed,
+    }
+}
+
 /// Returns the idle time for which a connection may be used again, from the response's headers.
 pub fn idle_time(headers: &HeaderMap) -> Duration {
     let stated = headers.get("keep-alive").and_then(|value| value.to_str().ok());
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -42,6 +42,8 @@
     sender: Sender,
     pool: Pool,
     idle: Duration,
+    /// Result to report once the response was read to its end.
+    end_result: AttemptResult,
 }
 
 /// Result of a read from a response body.
@@ -72,7 +74,8 @@
 fn split_response(response: UnreadResponse) -> (response::Parts, BodyReader) {
     let UnreadResponse { head, body, sender, pool } = response;
     let idle = exchange::idle_time(&head.headers);
-    (head, BodyReader { body, sender, pool, idle })
+    let end_result = exchange::end_result(&head.headers);
+    (head, BodyReader { body, sender, pool, idle, end_result })
 }
 
 /// Reads up to the first complete event, or to the end of a stream without one.
@@ -186,10 +189,11 @@
                     self.record_data();
                 }
                 Ok(BodyRead::End) => {
+                    let end_result = reader.end_result;
                     reader.release_connection();
                     let total = clock::now().since(self.first_event_at);
                     self.exchange.metrics().record_stream_end(&self.dispatch, total);
-                    self.exchange.report(self.exchange.build_ended(AttemptResult::Complete));
+                    self.exchange.report(self.exchange.build_ended(end_result));
                     self.ready.push_back(self.events.take_partial());
                 }
                 Ok(BodyRead::Broken) => {
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -15,10 +15,14 @@
 pub enum AttemptResult {
     /// The response is complete.
     Complete,
+    /// The response ended with its connection, so the backend server may have ended before it.
+    Unframed,
     /// The backend server responded with a failure.
     Failed,
-    /// The response was cut off, is invalid or belongs to another request.
+    /// The connection was lost before the end of the response.
     Broken,
+    /// The response is invalid or belongs to another request. The backend server runs on.
+    Invalid,
 }
 
 /// An event for the machine to handle.
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -195,19 +195,25 @@
         actions: &mut Vec<Action>,
     ) {
         match result {
-            AttemptResult::Complete => self.complete(now, number),
-            AttemptResult::Failed | AttemptResult::Broken => {
+            AttemptResult::Complete | AttemptResult::Unframed => {
+                self.complete(now, number, result);
+            }
+            AttemptResult::Failed | AttemptResult::Broken | AttemptResult::Invalid => {
                 self.handle_failure(now, number, result, actions)
             }
         }
     }
 
-    pub(super) fn complete(&mut self, now: Instant, number: RequestNumber) {
+    pub(super) fn complete(&mut self, now: Instant, number: RequestNumber, result: AttemptResult) {
         let Some(open) = self.open_requests.remove(&number) else { return };
         self.release_slot(&open);
-        self.suspects.record_completion(now, open.entry.request.fingerprint);
         let State::Dispatched { backend, run, .. } = open.state else { return };
-        self.unanswered.record_completion(run);
+        if result == AttemptResult::Unframed {
+            self.give_up(now, &open);
+        } else {
+            self.suspects.record_completion(now, open.entry.request.fingerprint);
+            self.unanswered.record_completion(run);
+        }
         let Some(backend) = self.backends.get_mut(backend) else { return };
         backend.load.record_success();
     }
@@ -219,13 +225,16 @@
         result: AttemptResult,
         actions: &mut Vec<Action>,
     ) {
-        let Some(open) = self.open_requests.get(&number) else { return };
+        let Some(open) = self.open_requests.get(&number).cloned() else { return };
         let fingerprint = open.entry.request.fingerprint;
         let State::Dispatched { run, dispatched_at, first_event_at, .. } = open.state else {
             return;
         };
         let had_first_event = first_event_at.is_some();
         let id = open.entry.request.id.clone();
+        if result == AttemptResult::Invalid {
+            self.give_up(now, &open);
+        }
         let Some(key) = self.withdraw_dispatch(number, true) else { return };
         if let Some(backend) = self.backends.get_mut(key) {
             backend.load.record_failure(now);
--- a/crates/gate/tests/poison.rs
+++ b/crates/gate/tests/poison.rs
@@ -7,7 +7,7 @@
 
 use common::{
     MS, TestGateway,
-    cluster::{Cluster, Crash},
+    cluster::{Cluster, Crash, POISON},
     request,
 };
 use gate::{Event, event::AttemptResult, refusal::Reason};
@@ -250,3 +250,101 @@
         assert!(retries <= MAX_LATE_RETRIES, "seed {seed}: {retries} late retries");
     }
 }
+
+/// Guards against a request that runs at many gateways being quarantined by one crash.
+#[test]
+fn copies_at_one_server_count_its_crash_once() {
+    let mut cluster = Cluster::new(GATEWAYS, 1, Crash::BeforeFirstEvent);
+    for gateway in [0, 1] {
+        cluster.send_copy(gateway);
+    }
+    cluster.advance(COPY_PERIOD);
+    assert_eq!(cluster.crashes.len(), 1);
+    for gateway in &cluster.gateways {
+        assert_eq!(gateway.machine.suspects().total(cluster.now, POISON), 1);
+    }
+}
+
+/// Guards against a request that is refused at other gateways although it completed at one.
+#[test]
+fn a_completed_copy_clears_a_request_at_all_gateways() {
+    let mut cluster = Cluster::new(GATEWAYS, SERVERS, Crash::BeforeFirstEvent);
+    let innocent = || gate::request::Request { fingerprint: 99, ..request("essay") };
+    let number = cluster.send(0, innocent());
+    cluster.break_connection(0, number);
+    cluster.advance(COPY_PERIOD);
+    cluster.send(1, innocent());
+    cluster.advance(COPY_PERIOD);
+    for gateway in &cluster.gateways {
+        assert_eq!(gateway.machine.suspects().total(cluster.now, 99), 0);
+    }
+    cluster.advance(Duration::from_secs(5));
+    for gateway in &cluster.gateways {
+        assert_eq!(gateway.machine.suspects().total(cluster.now, 99), 0, "it stays cleared");
+    }
+}
+
+/// Guards against a request that is refused since servers sent bytes that were no response.
+#[test]
+fn an_invalid_response_is_no_crash() {
+    let mut gateway = TestGateway::with_backends(common::MODEL, 4);
+    for _ in 0..3 {
+        let number = gateway.arrive(request("essay"));
+        gateway.dispatched(number).expect("dispatched");
+        gateway.end(number, AttemptResult::Invalid);
+        assert_eq!(gateway.reason(number), Some(Reason::Lost));
+    }
+}
+
+/// Guards against a crash that looks like the end of a response without a length.
+#[test]
+fn a_crash_at_the_end_of_an_unframed_response_counts() {
+    let mut gateway = TestGateway::with_backends(common::MODEL, 4);
+    for _ in 0..2 {
+        let number = gateway.arrive(request("essay"));
+        let dispatch = gateway.dispatched(number).expect("dispatched");
+        gateway.end(number, AttemptResult::Unframed);
+        let id = dispatch.id.clone();
+        gateway.feed(Event::Record { id, record: None });
+    }
+    let number = gateway.arrive(request("essay"));
+    assert_eq!(gateway.reason(number), Some(Reason::Poison));
+}
+
+/// Guards against a request that is refused since its callers left a server that drained.
+#[test]
+fn a_drained_server_has_not_crashed() {
+    let mut gateway = TestGateway::with_backends(common::MODEL, 4);
+    for _ in 0..3 {
+        let number = gateway.arrive(request("essay"));
+        let dispatch = gateway.dispatched(number).expect("dispatched");
+        gateway.feed(Event::Closed { number });
+        let record = common::record(common::MODEL, dispatch.address.port());
+        let record = Some(gate::backends::Record { draining: true, ..record });
+        gateway.feed(Event::Record { id: dispatch.id, record });
+    }
+}
+
+/// Guards against a crash that is learned only from a refused connection.
+#[test]
+fn a_refused_connection_counts_the_crash_of_earlier_requests() {
+    let mut gateway = TestGateway::with_backends(common::MODEL, 3);
+    for fingerprint in [8, 9] {
+        let number = gateway.arrive(request("essay"));
+        let dispatch = gateway.dispatched(number).expect("dispatched");
+        gateway.feed(Event::Closed { number });
+        let other = gate::request::Request { fingerprint, ..request("essay") };
+        let mut refused = false;
+        for _ in 0..3 {
+            let number = gateway.arrive(other.clone());
+            if gateway.dispatched(number).is_some_and(|d| d.backend == dispatch.backend) {
+                gateway.feed(Event::Refused { number });
+                refused = true;
+                break;
+            }
+        }
+        assert!(refused, "another request reaches the server");
+    }
+    let number = gateway.arrive(request("essay"));
+    assert_eq!(gateway.reason(number), Some(Reason::Poison));
+}
