--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -48,6 +48,8 @@
     revision: Gauge,
     gateways: Gauge,
     store_calls: Counter,
+    suspects: Gauge,
+    quarantined: Gauge,
     dropped_log_lines: Gauge,
 }
 
@@ -69,6 +71,8 @@
             revision: Gauge::default(),
             gateways: Gauge::default(),
             store_calls: Counter::default(),
+            suspects: Gauge::default(),
+            quarantined: Gauge::default(),
             dropped_log_lines: Gauge::default(),
         };
         metrics.register();
@@ -95,6 +99,10 @@
         registry.register("revision", "Revision of the store in force", self.revision.clone());
         registry.register("gateways", "Gateways that may serve callers", self.gateways.clone());
         registry.register("store_calls", "Calls of the store", self.store_calls.clone());
+        let suspects = "Calls under which replicas ended, as counted by all gateways";
+        registry.register("suspects", suspects, self.suspects.clone());
+        let quarantined = "Those among them that are refused";
+        registry.register("quarantined", quarantined, self.quarantined.clone());
         let dropped = "Log lines left out or lost since the start";
         registry.register("dropped_log_lines", dropped, self.dropped_log_lines.clone());
     }
@@ -158,6 +166,9 @@
         self.age.set(machine.age(now).map_or(f64::INFINITY, |age| age.as_secs_f64()));
         self.revision.set(machine.revision().map_or(-1, |revision| revision as i64));
         self.gateways.set(machine.gateways(now) as i64);
+        let (suspects, quarantined) = machine.suspects().counts(now);
+        self.suspects.set(suspects as i64);
+        self.quarantined.set(quarantined as i64);
         self.dropped_log_lines.set(log::dropped_lines() as i64);
         let mut page = String::new();
         text::encode(&mut page, &self.registry)?;
