Leave their part of shared limits to gateways that can't be reached

What could be seen: retries beyond the budget of a service, and units beyond an account's quota, while gateways are cut off from each other but not from callers, servers and the store.

Cause: after 10 s without a message a peer no longer counted as serving, and each gateway that was cut off took the whole retry slack and the whole quota for itself.

A silent peer now counts for 60 s. One that stops as planned says so and is left out at once; an address that never sent a message counts for 10 s, as before. A gateway that dies without notice leaves its part unused for 50 s longer; up to a ninth of the gateways that is covered by the tolerance.

Failed before: 21 gateways apart made 378 retries where 138 are allowed; three of 21 cut off admitted 2,354,000 units where 702,500 are allowed. Cuts of more than 60 s are not covered: from then on a gateway can't tell a cut from a loss.

--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -8,11 +8,14 @@
 
 /// Age up to which a peer's last message is used.
 const MAX_MESSAGE_AGE: Duration = Duration::from_millis(1500);
-/// Time without a message after which a peer no longer counts as serving callers. A process that
-/// was killed restarts within some seconds.
-const SERVING_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time without a message after which a peer no longer counts as serving callers. A peer that can't
+/// be reached may serve them all the while, with its part of the shared limits.
+const SERVING_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time for which an address without a message so far counts as serving callers. A process that
+/// runs would have sent one.
+const FIRST_MESSAGE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time without a message after which an address is removed, unless it is a seed.
-const REMOVAL_TIMEOUT: Duration = Duration::from_secs(30);
+const REMOVAL_TIMEOUT: Duration = SERVING_TIMEOUT;
 /// Most peer addresses in one message.
 const MAX_ADVERTISED: usize = 32;
 /// Time between messages to one peer in a deployment with few gateways.
@@ -123,9 +126,7 @@
     pub fn serving_count(&self, now: Instant) -> usize {
         let serving = |peer: &&Peer| match peer.last_seen {
             Some(at) => now.since(at) < SERVING_TIMEOUT && !peer.message.stopping,
-            // A peer without a message so far may be running, but one that started together with
-            // this process would have sent a message within this time.
-            None => now.since(peer.added_at) < SERVING_TIMEOUT,
+            None => now.since(peer.added_at) < FIRST_MESSAGE_TIMEOUT,
         };
         1 + self.peers.values().filter(serving).count()
     }
--- /dev/null
+++ b/crates/gate/tests/limits.rs
@@ -0,0 +1,107 @@
+//! Limits that all gateways share, while gateways restart or are partitioned.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{
+    MODEL, PLAIN, TestGateway,
+    cluster::{Cluster, Crash},
+    record, request,
+};
+use gate::{Event, event::AttemptResult, request::Request};
+
+/// Gateways of the largest deployment, and the retries that it allows beyond the ratio in a window.
+const GATEWAYS: usize = 21;
+const RETRY_SLACK: f64 = 54.0;
+
+/// Sends safe requests that all fail to a gateway, and returns the number of retries.
+fn send_failing_requests(gateway: &mut TestGateway, count: u64) -> usize {
+    let mut retries = 0;
+    for fingerprint in 0..count {
+        let number = gateway.arrive(Request { fingerprint, ..request("status") });
+        let mut attempts = 0;
+        while gateway.dispatched(number).is_some() {
+            attempts += 1;
+            gateway.end(number, AttemptResult::Failed);
+        }
+        retries += attempts.max(1) - 1;
+    }
+    retries
+}
+
+fn add_plain_backends(gateway: &mut TestGateway) {
+    // Enough that failures eject only some of them.
+    for n in 0..40 {
+        gateway.add(&format!("p{n}"), record(PLAIN, 9_500 + n));
+    }
+}
+
+/// Guards against a gateway that is cut off from the others and uses the whole retry budget.
+#[test]
+fn gateways_cut_off_from_each_other_share_the_retry_budget() {
+    let mut cluster = Cluster::new(GATEWAYS, 4, Crash::BeforeFirstEvent);
+    cluster.parts = (0..GATEWAYS as u8).collect();
+    cluster.advance(Duration::from_secs(20));
+    let (mut retries, mut requests) = (0, 0);
+    for gateway in &mut cluster.gateways {
+        add_plain_backends(gateway);
+        retries += send_failing_requests(gateway, 20);
+        requests += 20;
+    }
+    let bound = f64::from(requests) * 0.2 + RETRY_SLACK;
+    assert!(retries as f64 <= bound, "{retries} retries, {bound} are allowed");
+}
+
+/// Returns how many requests of 1,100 units a gateway admits.
+fn count_admitted(gateway: &mut TestGateway) -> u32 {
+    let mut admitted = 0;
+    loop {
+        let number = gateway.arrive(request("essay"));
+        if gateway.refused(number).is_some() {
+            return admitted;
+        }
+        admitted += 1;
+        gateway.feed(Event::Ended { number, result: AttemptResult::Complete });
+    }
+}
+
+/// Guards against gateways that are cut off from the others and each grant a whole quota.
+#[test]
+fn gateways_cut_off_from_the_others_share_the_quota() {
+    let mut cluster = Cluster::new(GATEWAYS, 39, Crash::BeforeFirstEvent);
+    let rate = 50_000.0;
+    for gateway in &mut cluster.gateways {
+        gateway.feed(Event::Catalog(std::rc::Rc::new(common::catalog(2, &["k1"], rate))));
+    }
+    cluster.advance(Duration::from_secs(1));
+    for index in 0..3 {
+        cluster.parts[index] = index as u8 + 1;
+    }
+    cluster.advance(Duration::from_secs(20));
+    let admitted: u32 = cluster.gateways[..4].iter_mut().map(count_admitted).sum();
+    let quota = rate * 8.0 + rate;
+    let bound = quota * 1.25 + 140_000.0;
+    let units = f64::from(admitted) * 1_100.0;
+    assert!(units <= bound, "{units} units, {bound} are allowed");
+    assert!(units >= quota * 0.9, "the others grant the quota, not {units} of {quota}");
+}
+
+/// Guards against a quota that shrinks for long after most gateways stopped as planned.
+#[test]
+fn planned_stops_leave_the_quota_to_the_rest() {
+    let mut cluster = Cluster::new(4, 39, Crash::BeforeFirstEvent);
+    let rate = 50_000.0;
+    for gateway in &mut cluster.gateways {
+        gateway.feed(Event::Catalog(std::rc::Rc::new(common::catalog(2, &["k1"], rate))));
+    }
+    for gateway in &mut cluster.gateways[1..] {
+        gateway.feed(Event::Stop);
+    }
+    cluster.advance(Duration::from_secs(3));
+    cluster.paused[1..].fill(true);
+    cluster.advance(Duration::from_secs(15));
+    let units = f64::from(count_admitted(&mut cluster.gateways[0])) * 1_100.0;
+    assert!(units >= (rate * 8.0 + rate) * 0.9, "{units}");
+    assert!(cluster.gateways[0].machine.backends().keys_of(MODEL.as_bytes()).len() == 39);
+}
