Start the retry budget empty where a predecessor may have used it

What could be seen: retries beyond the budget when many gateways restart within a window, as after a kill of all.

Cause: each process began with a full budget, computed for the few gateways that it knew at that moment (its seeds), and a budget that was too large never shrank.

A process begins with a full budget only if all gateways start for the first time. A budget shrinks when more gateways share it.

--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -254,10 +254,13 @@
             Ok(entry) => {
                 let gateways = self.peers.serving_count(now);
                 let bounds = &self.setup.bounds;
+                let first_start = self.setup.first_start;
                 let budget = self.retry_budgets.entry(entry.service.clone());
-                budget
-                    .or_insert_with(|| RetryBudget::new(now, bounds, gateways))
-                    .record_request(bounds, gateways);
+                let budget = budget.or_insert_with(|| match first_start {
+                    true => RetryBudget::full(now, bounds, gateways),
+                    false => RetryBudget::empty(now),
+                });
+                budget.record_request(bounds, gateways);
                 self.enqueue(number, entry);
             }
             Err(mut refusal) => {
--- a/crates/gate/src/retry_budget.rs
+++ b/crates/gate/src/retry_budget.rs
@@ -16,10 +16,15 @@
 
 impl RetryBudget {
     /// Returns a full budget.
-    pub fn new(now: Instant, bounds: &Bounds, gateways: usize) -> RetryBudget {
+    pub fn full(now: Instant, bounds: &Bounds, gateways: usize) -> RetryBudget {
         RetryBudget { retries: max_retries(bounds, gateways), refilled_at: now }
     }
 
+    /// Returns an empty budget, for a process whose predecessor may have used it.
+    pub fn empty(now: Instant) -> RetryBudget {
+        RetryBudget { retries: 0.0, refilled_at: now }
+    }
+
     /// Records an accepted request, which adds part of a retry to the budget.
     pub fn record_request(&mut self, bounds: &Bounds, gateways: usize) {
         let max_retries = max_retries(bounds, gateways) + 1.0;
@@ -31,9 +36,9 @@
         let max_retries = max_retries(bounds, gateways);
         let windows = now.since(self.refilled_at).as_secs_f64() / bounds.retry_window.as_secs_f64();
         self.refilled_at = now;
-        if self.retries < max_retries {
-            self.retries = (self.retries + max_retries * windows).min(max_retries);
-        }
+        let refilled = (self.retries + max_retries * windows).min(max_retries);
+        // What requests added beyond a full budget stays, unless more gateways share it now.
+        self.retries = self.retries.max(refilled).min(max_retries + 1.0);
         if self.retries < 1.0 {
             return false;
         }
--- a/crates/gate/tests/limits.rs
+++ b/crates/gate/tests/limits.rs
@@ -37,6 +37,29 @@
     }
 }
 
+/// Guards against a retry budget that each started process grants in full: three restarts of all
+/// gateways within a window.
+#[test]
+fn restarts_do_not_refill_the_retry_budget() {
+    let mut cluster = Cluster::new(GATEWAYS, 4, Crash::BeforeFirstEvent);
+    let (mut retries, mut requests) = (0, 0);
+    for _ in 0..3 {
+        for index in 0..GATEWAYS {
+            cluster.restart(index);
+        }
+        // No gateway has received the addresses of more than its seeds.
+        cluster.advance(Duration::from_millis(10));
+        for gateway in &mut cluster.gateways {
+            add_plain_backends(gateway);
+            retries += send_failing_requests(gateway, 8);
+            requests += 8;
+        }
+        cluster.advance(Duration::from_secs(2));
+    }
+    let bound = f64::from(requests) * 0.2 + RETRY_SLACK;
+    assert!(retries as f64 <= bound, "{retries} retries, {bound} are allowed");
+}
+
 /// Guards against a gateway that is cut off from the others and uses the whole retry budget.
 #[test]
 fn gateways_cut_off_from_each_other_share_the_retry_budget() {
