Never state that a request has not run once it may have

Callers saw: 503 with Retry-After, which promises "not run", for a repeatable request of which an earlier attempt may have run, if a later attempt was rejected or misdirected while the retry budget was empty.

Cause: handle_rejection and handle_misdirected built their refusals without regard to earlier attempts. All refusals of requests that are not at a server now come from one function that has this check.

--- a/crates/gate/src/machine/dispatching.rs
+++ b/crates/gate/src/machine/dispatching.rs
@@ -54,8 +54,7 @@
         }
     }
 
-    /// Refuses a waiting request. If a backend server may have run it before, the refusal doesn't
-    /// state that the request has not run.
+    /// Refuses a waiting request.
     pub(super) fn refuse_waiting(
         &mut self,
         now: Instant,
@@ -66,7 +65,14 @@
         let Some(open) = self.open_requests.get(&number) else { return };
         let entry = open.entry.clone();
         self.dequeue(&entry, number);
-        let refusal = match entry.attempts {
+        let refusal = self.build_refusal(now, &entry, reason);
+        self.refuse(now, number, refusal, actions);
+    }
+
+    /// Returns the refusal of a request that is not at a backend server. If one may have run it
+    /// before, the refusal doesn't state that the request has not run.
+    pub(super) fn build_refusal(&mut self, now: Instant, entry: &Entry, reason: Reason) -> Refusal {
+        match entry.attempts {
             0 if reason == Reason::UnknownKey => Refusal::new(reason),
             0 if reason == Reason::Poison => {
                 let fingerprint = entry.request.fingerprint;
@@ -75,8 +81,7 @@
             }
             0 => admission::retry_later(reason, entry.deadline.since(now), &mut self.rng),
             _ => Refusal::new(Reason::Lost),
-        };
-        self.refuse(now, number, refusal, actions);
+        }
     }
 
     /// Dispatches waiting requests as long as backend servers have capacity.
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -6,7 +6,7 @@
 
 use super::{Machine, OpenRequest, PROBE_PERIOD, State};
 use crate::{
-    Action, admission, backends,
+    Action, backends,
     event::{AttemptResult, RequestNumber},
     refusal::{Reason, Refusal},
     unanswered::Attempt,
@@ -118,10 +118,12 @@
             self.requeue(number);
             return;
         }
-        let left = self.time_left(now, number);
-        let mut refusal = admission::retry_later(Reason::Overload, left, &mut self.rng);
-        refusal.retry_after = retry_after.or(refusal.retry_after);
-        self.refuse(now, number, refusal, actions);
+        let Some(entry) = self.open_requests.get(&number).map(|open| open.entry.clone()) else {
+            return;
+        };
+        let refusal = self.build_refusal(now, &entry, Reason::Overload);
+        let retry_after = refusal.retry_after.map(|own| retry_after.unwrap_or(own));
+        self.refuse(now, number, Refusal { retry_after, ..refusal }, actions);
     }
 
     pub(super) fn handle_misdirected(
@@ -140,20 +142,10 @@
         }
         match self.take_retry(now, number) {
             true => self.requeue(number),
-            false => {
-                let left = self.time_left(now, number);
-                let refusal = admission::retry_later(Reason::NoBackend, left, &mut self.rng);
-                self.refuse(now, number, refusal, actions);
-            }
+            false => self.refuse_waiting(now, number, Reason::NoBackend, actions),
         }
     }
 
-    /// Returns the time until the deadline of a request.
-    pub(super) fn time_left(&self, now: Instant, number: RequestNumber) -> Duration {
-        let open = self.open_requests.get(&number);
-        open.map_or(Duration::ZERO, |open| open.entry.deadline.since(now))
-    }
-
     pub(super) fn take_retry(&mut self, now: Instant, number: RequestNumber) -> bool {
         let Some(open) = self.open_requests.get(&number) else { return false };
         let gateways = self.peers.serving_count(now);
--- a/crates/gate/tests/retries.rs
+++ b/crates/gate/tests/retries.rs
@@ -44,6 +44,32 @@
     assert_eq!(gateway.reason(number), Some(Reason::Lost));
 }
 
+/// Guards against a 503, which states that a request has not run, after an earlier attempt may have
+/// run: a later one is rejected or misdirected while the retry budget is empty.
+#[test]
+fn a_request_that_may_have_run_is_never_refused_as_not_run() {
+    for event in [
+        |number| Event::Rejected { number, retry_after: Some(Duration::from_secs(1)) },
+        |number| Event::Misdirected { number },
+    ] {
+        // Enough that failures eject only some of them.
+        let mut gateway = TestGateway::with_backends(PLAIN, 40);
+        for _ in 0..100 {
+            let number = gateway.arrive(request("status"));
+            gateway.dispatched(number).expect("dispatched");
+            gateway.end(number, AttemptResult::Failed);
+            let may_have_run = gateway.dispatched(number).is_some();
+            gateway.feed(event(number));
+            if let Some(refusal) = gateway.refused(number) {
+                assert_eq!(refusal.reason, Reason::Lost, "a second attempt: {may_have_run}");
+                assert_eq!(refusal.retry_after, None);
+            }
+            gateway.feed(Event::Closed { number });
+            gateway.advance_confirmed(Duration::from_millis(300));
+        }
+    }
+}
+
 /// Guards against a safe request that runs on more backend servers than its route allows.
 #[test]
 fn attempts_are_limited_by_the_route() {
--- a/crates/gate/tests/schedules.rs
+++ b/crates/gate/tests/schedules.rs
@@ -74,8 +74,11 @@
 }
 
 impl Run {
-    fn new() -> Run {
-        let gateway = TestGateway::new();
+    /// Without `first_start` the retry budget is empty at first.
+    fn new(first_start: bool) -> Run {
+        let mut gateway = TestGateway::empty(common::setup(1, first_start));
+        gateway.feed(Event::Catalog(Rc::new(catalog(1, &["k1", "k2"], 0.0))));
+        gateway.confirm();
         let confirmed_at = gateway.now;
         let (requests, order, draining) = Default::default();
         Run { gateway, requests, order, draining, withdrawn: false, confirmed_at }
@@ -268,8 +271,8 @@
 /// refusal, and slots that are not released.
 #[test]
 fn guarantees_hold_in_any_order_of_events() {
-    fn holds(steps: Vec<Step>) -> Result<(), String> {
-        let mut run = Run::new();
+    fn holds(steps: Vec<Step>, first_start: bool) -> Result<(), String> {
+        let mut run = Run::new(first_start);
         for (id, state) in [(0, 0), (1, 0), (3, 0), (4, 0)] {
             run.backend(id, state);
         }
@@ -282,5 +285,5 @@
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(120, seed))
         .tests(count)
-        .quickcheck(holds as fn(Vec<Step>) -> Result<(), String>);
+        .quickcheck(holds as fn(Vec<Step>, bool) -> Result<(), String>);
 }
