--- a/crates/gate/tests/retries.rs
+++ b/crates/gate/tests/retries.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{MODEL, PLAIN, TestGateway, request};
-use gate::{Event, event::AttemptResult, refusal::Reason};
+use gate::{Event, event::AttemptResult, refusal::Reason, request::Request};
 
 /// Guards against an unsafe request that runs twice after its response broke off.
 #[test]
@@ -54,19 +54,25 @@
     ] {
         // Enough that failures eject only some of them.
         let mut gateway = TestGateway::with_backends(PLAIN, 40);
-        for _ in 0..100 {
-            let number = gateway.arrive(request("status"));
-            gateway.dispatched(number).expect("dispatched");
-            gateway.end(number, AttemptResult::Failed);
-            let may_have_run = gateway.dispatched(number).is_some();
-            gateway.feed(event(number));
+        let mut refused = 0;
+        for fingerprint in 0..100 {
+            let number = gateway.arrive(Request { fingerprint, ..request("status") });
+            if gateway.dispatched(number).is_some() {
+                gateway.end(number, AttemptResult::Failed);
+            }
+            if gateway.dispatched(number).is_some() {
+                gateway.feed(event(number));
+            }
             if let Some(refusal) = gateway.refused(number) {
-                assert_eq!(refusal.reason, Reason::Lost, "a second attempt: {may_have_run}");
+                assert_eq!(refusal.reason, Reason::Lost);
                 assert_eq!(refusal.retry_after, None);
+                refused += 1;
             }
             gateway.feed(Event::Closed { number });
-            gateway.advance_confirmed(Duration::from_millis(300));
+            gateway.actions.clear();
+            gateway.advance_confirmed(Duration::from_millis(700));
         }
+        assert!(refused > 10, "the budget was empty {refused} times");
     }
 }
 
--- a/crates/gate/tests/schedules.rs
+++ b/crates/gate/tests/schedules.rs
@@ -90,7 +90,7 @@
             Step::Respond { request, kind } => self.respond(*request, *kind),
             Step::Disconnect { request } => self.disconnect(*request),
             Step::Backend { id, state } => self.backend(*id, *state),
-            Step::Wait { ms } => self.gateway.advance(Duration::from_millis(*ms)),
+            Step::Wait { ms } => self.wait(Duration::from_millis(*ms))?,
             Step::Confirm => {
                 self.confirmed_at = self.gateway.now;
                 self.gateway.confirm();
@@ -106,6 +106,16 @@
         self.take_actions()
     }
 
+    /// Advances the clock and checks each action at its time.
+    fn wait(&mut self, span: Duration) -> Result<(), String> {
+        let end = self.gateway.now + span;
+        while self.gateway.now < end {
+            self.gateway.advance((10 * MS).min(end.since(self.gateway.now)));
+            self.take_actions()?;
+        }
+        Ok(())
+    }
+
     fn arrive(&mut self, path: &'static str, copy: bool) {
         let mut request = request(path);
         let number = self.order.len() as u64 + 1;
@@ -249,8 +259,7 @@
 
     /// Closes all requests and checks that none is open and no slot is occupied.
     fn finish(mut self) -> Result<(), String> {
-        self.gateway.advance(Duration::from_secs(3));
-        self.take_actions()?;
+        self.wait(Duration::from_secs(3))?;
         for number in self.order.clone() {
             self.gateway.feed(Event::Closed { number });
         }
