Give the settings to a process that starts without a reachable peer

Such a process knows no address and depends on the exchanges of others. Its reply to one has an empty digest, since it is starting, and the other took this as "requests the settings itself" and sent nothing. And the peer of each exchange was chosen at random, with two more tries if it could not be reached, so that a process was left out for some seconds by chance.

Now an empty digest is followed up like any other that lacks branches, peers have their turn in random order before any has another, and up to five more are tried, which is all of them within a second in these schedules.

--- a/crates/sync/src/exchange.rs
+++ b/crates/sync/src/exchange.rs
@@ -37,7 +37,7 @@
 
     /// Starts a digest exchange with one random peer.
     pub(crate) fn exchange_with_random_peer(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        for peer in self.peers.choose(&mut self.rng, 1, b"") {
+        if let Some(peer) = self.peers.next_turn(&mut self.rng) {
             self.exchange_peer = Some(peer);
             actions.push(Action::Send { peer, exchange: self.build_summary_exchange(now, &[]) });
         }
@@ -131,9 +131,7 @@
             exchange.branches = self.store.branches_named(wanted.iter());
             return Some(exchange);
         }
-        // An empty digest comes from a process that is starting, which requests the settings
-        // itself.
-        if digest.0.is_empty() || summary::find_hash(digest).is_some() {
+        if summary::find_hash(digest).is_some() {
             return None;
         }
         if !self.store.missing_revisions(digest).is_empty() {
--- a/crates/sync/src/limit.rs
+++ b/crates/sync/src/limit.rs
@@ -50,7 +50,7 @@
 pub const MAX_FOLLOW_UPS: u32 = 64;
 
 /// Most other peers tried immediately when the peer of a digest exchange is unreachable.
-pub const MAX_EXCHANGE_RETRIES: u32 = 2;
+pub const MAX_EXCHANGE_RETRIES: u32 = 5;
 
 /// Time between digest exchanges.
 pub const EXCHANGE_PERIOD: Duration = Duration::from_secs(1);
--- a/crates/sync/src/peers.rs
+++ b/crates/sync/src/peers.rs
@@ -14,6 +14,8 @@
     /// Hosts of the list in force and seeds, without this process. Seeds stay in the set so that a
     /// wrong host list can't isolate the process.
     peers: Vec<(Bytes, SocketAddr)>,
+    /// Peers that have not had their turn for a digest exchange, the next one last.
+    turns: Vec<SocketAddr>,
     is_watcher: bool,
     host_count: usize,
 }
@@ -21,7 +23,8 @@
 impl Peers {
     /// Returns the peers before a host list is in force.
     pub(crate) fn new(setup: &Setup) -> Peers {
-        let mut peers = Peers { peers: Vec::new(), is_watcher: false, host_count: 0 };
+        let mut peers =
+            Peers { peers: Vec::new(), turns: Vec::new(), is_watcher: false, host_count: 0 };
         peers.update(setup, &[]);
         peers
     }
@@ -32,6 +35,7 @@
         let seeds = setup.seeds.iter().map(|seed| (Bytes::new(), *seed));
         let mut seen = BTreeSet::from([setup.address]);
         self.peers = listed.chain(seeds).filter(|(_, address)| seen.insert(*address)).collect();
+        self.turns.clear();
         self.host_count = hosts.len();
         self.is_watcher = is_watcher(setup, hosts);
     }
@@ -46,6 +50,17 @@
         self.host_count
     }
 
+    /// Returns the peer for the next digest exchange. Each peer has its turn before any has another
+    /// one, in random order. A process that started without a reachable seed and host list depends
+    /// on it, and independent choices could leave it out for long.
+    pub(crate) fn next_turn(&mut self, rng: &mut fastrand::Rng) -> Option<SocketAddr> {
+        if self.turns.is_empty() {
+            self.turns = self.peers.iter().map(|(_, address)| *address).collect();
+            rng.shuffle(&mut self.turns);
+        }
+        self.turns.pop()
+    }
+
     /// Returns up to `count` distinct random peers, none of them on `excluded_host`.
     /// An empty name excludes none.
     pub(crate) fn choose(
