Hand the suspects to a process that starts

Callers saw: nothing. A request that was quarantined after two crashes could crash one more engine at each agent that was replaced in the ten minutes of its quarantine: two more for a spread that restarts.

Suspects were sent for 10 s after they were found, and a process that started later had none. A process that starts now gets those of the last ten minutes with the settings of its seeds. It doesn't hand them on, since their age isn't in the message and they would never expire where some process always restarts.

a_started_process_gets_the_suspects_once failed before (no suspects five minutes later).

--- a/crates/sync/src/exchange.rs
+++ b/crates/sync/src/exchange.rs
@@ -86,6 +86,9 @@
             reply.branches = self.store.newer_branches(&digest);
         }
         reply.wanted = self.select_wanted(now, &digest);
+        if digest.0.is_empty() {
+            reply.suspects = self.suspects.all(now);
+        }
         // A process that is starting may have only the settings of a stale configuration service.
         // The empty digest keeps its reply from counting as the reply of a seed.
         if !self.join.is_done() {
@@ -139,7 +142,14 @@
         }
         let missing_at_peer: Vec<Bytes> =
             self.store.newer_branches(digest).into_iter().map(|branch| branch.name).collect();
-        (!missing_at_peer.is_empty()).then(|| self.build_summary_exchange(now, &missing_at_peer))
+        if missing_at_peer.is_empty() {
+            return None;
+        }
+        let mut exchange = self.build_summary_exchange(now, &missing_at_peer);
+        if digest.0.is_empty() {
+            exchange.suspects = self.suspects.all(now);
+        }
+        Some(exchange)
     }
 
     /// Returns whether each revision in `digest` is in force here, was refused or is lower than the
@@ -160,7 +170,7 @@
         exchange: sync::Exchange,
         actions: &mut Vec<Action>,
     ) -> Vec<Bytes> {
-        let new = self.suspects.add(now, &exchange.suspects);
+        let new = self.suspects.add(now, &exchange.suspects, !self.join.is_done());
         if !new.is_empty() {
             actions.push(Action::Suspects(new));
         }
--- a/crates/sync/src/lib.rs
+++ b/crates/sync/src/lib.rs
@@ -389,7 +389,7 @@
         suspects: &[sync::Suspect],
         actions: &mut Vec<Action>,
     ) {
-        if self.suspects.add(now, suspects).is_empty() {
+        if self.suspects.add(now, suspects, false).is_empty() {
             return;
         }
         for peer in self.peers.choose(&mut self.rng, limit::SUSPECT_FANOUT, b"") {
--- a/crates/sync/src/limit.rs
+++ b/crates/sync/src/limit.rs
@@ -104,6 +104,7 @@
 /// Time for which a suspect is included in exchanges.
 pub const SUSPECT_SHARING_PERIOD: Duration = Duration::from_secs(10);
 
-/// Time for which a suspect is kept. It has to be longer than the time for which other processes
-/// may still send the suspect, or a process that removed it would add and send it again, forever.
-pub const SUSPECT_RETENTION: Duration = Duration::from_secs(60);
+/// Time for which a suspect is kept for processes that start, as long as agents refuse a quarantined
+/// request by default. It has to be longer than `SUSPECT_SHARING_PERIOD`, or a process that removed
+/// a suspect would add and send it again, forever.
+pub const SUSPECT_RETENTION: Duration = Duration::from_secs(600);
--- a/crates/sync/src/suspects.rs
+++ b/crates/sync/src/suspects.rs
@@ -1,6 +1,9 @@
 //! Suspects that this process found or received, bounded in number and time.
 
-use std::collections::{HashMap, VecDeque};
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 
 use wire::{sync, time::Instant};
 
@@ -10,6 +13,9 @@
 struct Entry {
     suspect: sync::Suspect,
     added_at: Instant,
+    /// Whether it came with the settings at the start of this process. Such a suspect is not sent
+    /// on: its age is not known, and it would never expire.
+    is_inherited: bool,
 }
 
 /// Fingerprint and crash.
@@ -27,7 +33,12 @@
 impl Suspects {
     /// Adds suspects and returns those that are new or newly cleared. A cleared crash stays
     /// cleared.
-    pub(crate) fn add(&mut self, now: Instant, suspects: &[sync::Suspect]) -> Vec<sync::Suspect> {
+    pub(crate) fn add(
+        &mut self,
+        now: Instant,
+        suspects: &[sync::Suspect],
+        is_inherited: bool,
+    ) -> Vec<sync::Suspect> {
         self.remove_expired(now);
         let mut new = Vec::new();
         for suspect in suspects.iter().take(limit::MAX_SUSPECTS_SENT) {
@@ -36,7 +47,7 @@
             if entry.is_some_and(|entry| entry.suspect.cleared || !suspect.cleared) {
                 continue;
             }
-            self.entries.insert(key, Entry { suspect: *suspect, added_at: now });
+            self.entries.insert(key, Entry { suspect: *suspect, added_at: now, is_inherited });
             self.order.push_back((key, now));
             new.push(*suspect);
         }
@@ -46,11 +57,20 @@
 
     /// Returns the suspects to include in an exchange, the latest first.
     pub(crate) fn recent(&self, now: Instant) -> Vec<sync::Suspect> {
-        let is_recent =
-            |entry: &&(Key, Instant)| now.since(entry.1) < limit::SUSPECT_SHARING_PERIOD;
+        self.added_within(now, limit::SUSPECT_SHARING_PERIOD)
+    }
+
+    /// Returns the suspects for a process that is starting, the latest first.
+    pub(crate) fn all(&self, now: Instant) -> Vec<sync::Suspect> {
+        self.added_within(now, limit::SUSPECT_RETENTION)
+    }
+
+    fn added_within(&self, now: Instant, period: Duration) -> Vec<sync::Suspect> {
+        let is_recent = |entry: &&(Key, Instant)| now.since(entry.1) < period;
         let mut recent = Vec::new();
         for (key, added_at) in self.order.iter().rev().take_while(is_recent) {
-            let entry = self.entries.get(key).filter(|entry| entry.added_at == *added_at);
+            let entry = self.entries.get(key);
+            let entry = entry.filter(|entry| entry.added_at == *added_at && !entry.is_inherited);
             recent.extend(entry.map(|entry| entry.suspect));
             if recent.len() >= limit::MAX_SUSPECTS_SENT {
                 break;
--- a/crates/sync/tests/distribution.rs
+++ b/crates/sync/tests/distribution.rs
@@ -239,6 +239,26 @@
     assert!(net.processes[30].suspects.iter().any(|suspect| suspect.cleared));
 }
 
+/// Guards against a quarantine that ends with the process: a request that crashed two engines would
+/// crash another at each replaced agent. What a process got at its start is not handed on, or no
+/// suspect would ever expire in a large fleet.
+#[test]
+fn a_started_process_gets_the_suspects_once() {
+    let mut net = Net::new(23, 20, 4, 3);
+    net.run_for(4 * SECOND);
+    let suspect = Suspect { fingerprint: 9, crash: 1, cleared: false };
+    net.handle_event(5, Event::Suspects(vec![suspect]));
+    net.run_for(300 * SECOND);
+    net.restart(12);
+    net.run_for(2 * SECOND);
+    assert!(net.processes[12].is_ready);
+    assert_eq!(net.processes[12].suspects, [suspect], "five minutes later");
+    net.run_for(310 * SECOND);
+    net.restart(13);
+    net.run_for(2 * SECOND);
+    assert_eq!(net.processes[13].suspects, [], "ten minutes later");
+}
+
 /// Guards against a bad revision that is reported more than once at a process, or sent to peers.
 #[test]
 fn a_bad_revision_is_refused_once_and_not_passed_on() {
