--- a/crates/gate/tests/schedules.rs
+++ b/crates/gate/tests/schedules.rs
@@ -294,5 +294,6 @@
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(120, seed))
         .tests(count)
+        .max_tests(u64::MAX)
         .quickcheck(holds as fn(Vec<Step>, bool) -> Result<(), String>);
 }
--- a/crates/proof/tests/regressions.rs
+++ b/crates/proof/tests/regressions.rs
@@ -396,3 +396,41 @@
         ],
     });
 }
+
+/// Guards against a poison request that crashes a third engine after its agent and host were
+/// replaced and another agent was paused.
+#[test]
+fn third_crash_seed_120331() {
+    let fault = |fault, entry, agent, duration| Op::Fault { fault, entry, agent, duration };
+    check_plan(Plan {
+        seed: 6657551461591383248,
+        entries: 3,
+        agents: 4,
+        max_queued: 2,
+        max_open: 6,
+        ops: vec![
+            (us(190_576), fault(Fault::Poison, 5, 7, us(4_345_000))),
+            (us(4_340), fault(Fault::FreezeAgent, 1, 7, us(4_305_000))),
+            (us(250_926), fault(Fault::ReplaceHost, 7, 3, us(5_931_000))),
+            (us(0), fault(Fault::KillAgent, 4, 3, us(1_392_000))),
+        ],
+    });
+}
+
+/// Guards against a caller without a final answer.
+#[test]
+fn missing_answer_seed_777123() {
+    let fault = |fault, entry, agent, duration| Op::Fault { fault, entry, agent, duration };
+    check_plan(Plan {
+        seed: 1990190990013317576,
+        entries: 3,
+        agents: 4,
+        max_queued: 8,
+        max_open: 6,
+        ops: vec![
+            (us(33_417), fault(Fault::SlowEngine, 5, 3, us(5_578_000))),
+            (us(148_268), fault(Fault::SlowEngine, 0, 7, us(5_052_000))),
+            (us(30_728), fault(Fault::Poison, 0, 7, us(3_615_000))),
+        ],
+    });
+}
--- a/crates/proof/tests/schedules.rs
+++ b/crates/proof/tests/schedules.rs
@@ -84,6 +84,7 @@
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(100, seed))
         .tests(count)
+        .max_tests(u64::MAX)
         .quickcheck(property as fn(A) -> Result<(), String>);
 }
 
