Refill the retry budget from the start of the process

Since the budget starts empty after a restart, a stream could not be resumed for some time after the first request of a service, as the refill began there. It begins with the process now.

--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -254,11 +254,11 @@
             Ok(entry) => {
                 let gateways = self.peers.serving_count(now);
                 let bounds = &self.setup.bounds;
-                let first_start = self.setup.first_start;
+                let (first_start, started_at) = (self.setup.first_start, self.started_at);
                 let budget = self.retry_budgets.entry(entry.service.clone());
                 let budget = budget.or_insert_with(|| match first_start {
                     true => RetryBudget::full(now, bounds, gateways),
-                    false => RetryBudget::empty(now),
+                    false => RetryBudget::started(started_at),
                 });
                 budget.record_request(bounds, gateways);
                 self.enqueue(number, entry);
--- a/crates/gate/src/retry_budget.rs
+++ b/crates/gate/src/retry_budget.rs
@@ -20,9 +20,10 @@
         RetryBudget { retries: max_retries(bounds, gateways), refilled_at: now }
     }
 
-    /// Returns an empty budget, for a process whose predecessor may have used it.
-    pub fn empty(now: Instant) -> RetryBudget {
-        RetryBudget { retries: 0.0, refilled_at: now }
+    /// Returns the budget of a process that started at `started_at`, empty at first since its
+    /// predecessor may have used it.
+    pub fn started(started_at: Instant) -> RetryBudget {
+        RetryBudget { retries: 0.0, refilled_at: started_at }
     }
 
     /// Records an accepted request, which adds part of a retry to the budget.
