Follow a store that comes back from an older copy

Callers saw: after such a drill a gateway could keep a withdrawn key, or send to servers that had left, without end.

Cause: a gateway watched from the revision that it had. Between gateways the higher number won, which may be the lost one. An older version was always ignored, so a lost one that is not written again stayed for ever, and a drained server's old record brought it back.

Now revisions are ordered by the era that the store states (Store-Era), then by number; the encoding of messages is unchanged, and a store without eras is in era 0. Another era is read as a whole. What was lost has time to be written again before an older state is used: the version in force neither reverts at once nor stays for good. Servers that drained or ended are not brought back by the copy.

Open: a gateway that starts between the return and the rewrite reads the older version, while the others keep the lost one for up to 10 s.

--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -20,6 +20,8 @@
     Timeout,
     /// The peer returned this HTTP status.
     Status(u16),
+    /// The response is of an earlier state than one received before.
+    Outdated,
     /// The message is over the size limit.
     TooLarge,
     Other(String),
@@ -66,6 +68,7 @@
             Kind::Timeout => f.write_str("timed out"),
             Kind::Status(status) => write!(f, "returned status {status}"),
             Kind::TooLarge => f.write_str("message over the size limit"),
+            Kind::Outdated => f.write_str("the response is outdated"),
             Kind::Other(cause) => f.write_str(cause),
         }
     }
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, collections::BTreeSet, fmt, time::Duration};
 
-use gate::{Machine, action::Dispatch};
+use gate::{Machine, action::Dispatch, revision::Revision};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -46,6 +46,7 @@
     open: Gauge,
     age: Gauge<f64, std::sync::atomic::AtomicU64>,
     revision: Gauge,
+    era: Gauge,
     gateways: Gauge,
     store_calls: Counter,
     suspects: Gauge,
@@ -69,6 +70,7 @@
             open: Gauge::default(),
             age: Gauge::default(),
             revision: Gauge::default(),
+            era: Gauge::default(),
             gateways: Gauge::default(),
             store_calls: Counter::default(),
             suspects: Gauge::default(),
@@ -97,6 +99,8 @@
         let age = "Age of the configuration and the list of replicas";
         registry.register_with_unit("age", age, Unit::Seconds, self.age.clone());
         registry.register("revision", "Revision of the store in force", self.revision.clone());
+        let era = "Times that the store came back from an older copy, as it states";
+        registry.register("era", era, self.era.clone());
         registry.register("gateways", "Gateways that may serve callers", self.gateways.clone());
         registry.register("store_calls", "Calls of the store", self.store_calls.clone());
         let suspects = "Calls under which replicas ended, as counted by all gateways";
@@ -164,7 +168,9 @@
     pub fn encode(&self, now: Instant, machine: &Machine) -> Result<String, fmt::Error> {
         self.open.set(machine.open_count() as i64);
         self.age.set(machine.age(now).map_or(f64::INFINITY, |age| age.as_secs_f64()));
-        self.revision.set(machine.revision().map_or(-1, |revision| revision as i64));
+        let revision = machine.revision().map(Revision::from_ordinal);
+        self.revision.set(revision.map_or(-1, |revision| revision.number as i64));
+        self.era.set(revision.map_or(-1, |revision| revision.era as i64));
         self.gateways.set(machine.gateways(now) as i64);
         let (suspects, quarantined) = machine.suspects().counts(now);
         self.suspects.set(suspects as i64);
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use compio::time;
-use gate::{Event, Machine, source::Update};
+use gate::{Event, Machine, revision::Revision, source::Update};
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, header};
 use platform::store::{self, Change, Page};
@@ -60,8 +60,9 @@
         match reader.read_next().await {
             Ok(()) => {
                 if std::mem::take(&mut unreachable) {
-                    let revision = reader.gateway.read(Machine::revision);
-                    tracing::info!(event = "store_reached", revision);
+                    let revision = reader.revision().map(Revision::from_ordinal);
+                    let (era, revision) = (revision.map(|r| r.era), revision.map(|r| r.number));
+                    tracing::info!(event = "store_reached", era, revision);
                 }
                 retry_delay = FIRST_RETRY_DELAY;
                 reader.failures = 0;
@@ -114,6 +115,13 @@
     }
 }
 
+/// A response of the store.
+struct Response {
+    status: u16,
+    era: u64,
+    text: Bytes,
+}
+
 struct Reader {
     gateway: Rc<Gateway>,
     pool: Pool,
@@ -142,14 +150,20 @@
             0 => (WATCH_WAIT, WATCH_WAIT + WATCH_TIMEOUT),
             failures => (Duration::ZERO, PROBE_TIMEOUTS[failures % PROBE_TIMEOUTS.len()]),
         };
-        let path = store::watch_path(revision, wait);
-        let (status, text) = self.get(&path, limit).await?;
-        if store::is_compacted(status) {
-            tracing::info!(event = "store_compacted", revision);
+        let Revision { era, number } = Revision::from_ordinal(revision);
+        let path = store::watch_path(number, wait);
+        let response = self.get(&path, limit).await?;
+        if store::is_compacted(response.status) {
+            tracing::info!(event = "store_compacted", revision = number);
+            self.compacted = true;
+            return Ok(());
+        }
+        let page = self.decode_response(&response, store::decode_watch)?;
+        if response.era != era {
+            // The store gave out this revision's number again, for other changes.
             self.compacted = true;
             return Ok(());
         }
-        let page = self.decode_response(status, &text, store::decode_watch)?;
         if self.revision() != Some(revision) {
             // Changes from a peer were applied in the meantime; the next watch starts after them.
             return Ok(());
@@ -157,7 +171,7 @@
         for entry in &page.entries {
             apply(&self.gateway, store::decode_change(entry));
         }
-        let to = page.revision.max(revision);
+        let to = Revision { era, number: page.revision }.ordinal().max(revision);
         let entries = page.entries;
         self.gateway.feed(Event::StoreRead { at, from: Some(revision), to, entries });
         Ok(())
@@ -169,17 +183,26 @@
         let at = clock::now();
         let before = self.revision();
         let mut changes = Vec::new();
-        let mut first = None;
+        let mut first: Option<Revision> = None;
         let mut path = Some(store::first_page_path());
         while let Some(next) = path {
-            let (status, text) = self.get(&next, READ_TIMEOUT).await?;
-            let page = self.decode_response(status, &text, store::decode_page)?;
-            first.get_or_insert(page.revision);
+            let response = self.get(&next, READ_TIMEOUT).await?;
+            let page = self.decode_response(&response, store::decode_page)?;
+            let revision = Revision { era: response.era, number: page.revision };
+            if first.get_or_insert(revision).era != response.era {
+                return Ok(());
+            }
             changes.extend(page.entries.iter().map(store::decode_change));
             path = page.next;
         }
-        if self.revision() != before {
-            return Ok(());
+        let (Some(first), true) = (first, self.revision() == before) else { return Ok(()) };
+        let known_era = before.map(|revision| Revision::from_ordinal(revision).era);
+        if known_era.is_some_and(|era| first.era < era) {
+            return Err(Error::with_kind(Step::Receive, self.pool.address(), Kind::Outdated));
+        }
+        if known_era.is_some_and(|era| first.era > era) {
+            tracing::warn!(event = "store_restored", era = first.era, revision = first.number);
+            self.gateway.feed(Event::StoreRestored);
         }
         let mut records = Vec::new();
         for change in changes {
@@ -191,25 +214,24 @@
         }
         self.compacted = false;
         self.gateway.feed(Event::Records(records));
-        let to = first.unwrap_or_default();
+        let to = first.ordinal();
         self.gateway.feed(Event::StoreRead { at, from: None, to, entries: Vec::new() });
         Ok(())
     }
 
     fn decode_response(
         &self,
-        status: u16,
-        text: &Bytes,
+        response: &Response,
         decode: fn(&[u8]) -> Result<Page, serde_json::Error>,
     ) -> Result<Page, Error> {
         let address = self.pool.address();
-        if status != 200 {
-            return Err(Error::with_kind(Step::Receive, address, Kind::Status(status)));
+        if response.status != 200 {
+            return Err(Error::with_kind(Step::Receive, address, Kind::Status(response.status)));
         }
-        decode(text).map_err(|error| Error::new(Step::Decode, address, error))
+        decode(&response.text).map_err(|error| Error::new(Step::Decode, address, error))
     }
 
-    async fn get(&self, path: &str, limit: Duration) -> Result<(u16, Bytes), Error> {
+    async fn get(&self, path: &str, limit: Duration) -> Result<Response, Error> {
         let address = self.pool.address();
         self.gateway.metrics.count_store_call();
         let request = Request::builder()
@@ -222,10 +244,12 @@
             let (response, sender) =
                 sent.map_err(|fault| Error::new(Step::Send, address, format!("{fault:?}")))?;
             let status = response.status().as_u16();
+            let era = store::decode_era(response.headers())
+                .map_err(|error| Error::new(Step::Decode, address, error))?;
             let body = response.into_body().collect().await;
             let body = body.map_err(|error| Error::new(Step::Receive, address, error))?;
             self.pool.release(sender, MAX_IDLE);
-            Ok((status, body.to_bytes()))
+            Ok(Response { status, era, text: body.to_bytes() })
         };
         let fetched = time::timeout(limit, fetched).await;
         fetched.map_err(|_| Error::with_kind(Step::Receive, address, Kind::Timeout))?
--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -1,7 +1,7 @@
 //! Backend servers as described by their records in the store.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{HashMap, HashSet, VecDeque},
     net::SocketAddr,
     time::Duration,
 };
@@ -15,6 +15,12 @@
 /// Time after an outage of the store within which a running backend server writes its expired
 /// record again.
 const REAPPEAR_GRACE: Duration = Duration::from_millis(1900);
+/// Time after the store came back from an older copy for which its records of backend servers that
+/// had drained or ended are not used. Within it, those that run write their state again and the
+/// records of the others expire.
+const RESTORED_GRACE: Duration = Duration::from_secs(5);
+/// Most runs kept of backend servers that drained or ended.
+const MAX_DEPARTED: usize = 4096;
 
 new_key_type! {
     /// Key of a backend server.
@@ -71,12 +77,19 @@
     /// Runs whose record was removed or replaced, other than by draining, since the last call of
     /// `take_ended_runs`.
     ended_runs: Vec<u64>,
+    /// Whether the next read of all records is of a store that came back from an older copy.
+    is_restored: bool,
+    /// Runs that were removed, the oldest first.
+    departed: VecDeque<u64>,
+    /// Records from an older copy of the store, with the time from which they are used.
+    withheld: Vec<(Bytes, Record, Instant)>,
 }
 
 impl Backends {
     /// Applies a record that was written, or its removal (`None`). A backend server that drains is
     /// removed, too.
     pub fn apply_record(&mut self, id: Bytes, record: Option<Record>) {
+        self.withheld.retain(|(withheld, _, _)| *withheld != id);
         match record {
             Some(record) if !record.draining => self.insert(id, record),
             Some(_) => {
@@ -95,7 +108,8 @@
     /// Applies a read of all records. Backend servers whose records expired during an outage of the
     /// store have some time to write them again.
     pub fn replace_all(&mut self, now: Instant, records: Vec<(Bytes, Record)>) {
-        let after_outage = std::mem::take(&mut self.store_failed);
+        let is_restored = std::mem::take(&mut self.is_restored);
+        let after_outage = std::mem::take(&mut self.store_failed) || is_restored;
         let present: HashSet<&Bytes> = records.iter().map(|(id, _)| id).collect();
         let absent: Vec<Bytes> =
             self.keys_by_id.keys().filter(|id| !present.contains(id)).cloned().collect();
@@ -106,16 +120,26 @@
             }
         }
         for (id, record) in records {
-            self.apply_record(id, Some(record));
+            if is_restored && self.departed.contains(&record.hash_run(&id)) {
+                self.withheld.push((id, record, now + RESTORED_GRACE));
+            } else {
+                self.apply_record(id, Some(record));
+            }
         }
     }
 
+    /// Records that the store came back from an older copy.
+    pub fn record_restore(&mut self) {
+        self.is_restored = true;
+    }
+
     /// Records that a request to the store failed.
     pub fn record_store_failure(&mut self) {
         self.store_failed = true;
     }
 
-    /// Removes backend servers whose records were not written again in time.
+    /// Removes backend servers whose records were not written again in time, and uses records that
+    /// were withheld for long enough.
     pub fn expire(&mut self, now: Instant) {
         let due = |backend: &Backend| backend.remove_at.is_some_and(|at| now >= at);
         let expired: Vec<Bytes> = self
@@ -127,11 +151,18 @@
         for id in expired {
             self.remove_ended(&id);
         }
+        let (due, withheld) =
+            std::mem::take(&mut self.withheld).into_iter().partition(|(_, _, at)| now >= *at);
+        self.withheld = withheld;
+        for (id, record, _) in due {
+            self.apply_record(id, Some(record));
+        }
     }
 
-    /// Returns the time of the next possible removal.
+    /// Returns the time of the next call of `expire` that may have an effect.
     pub fn next_expiry(&self) -> Option<Instant> {
-        self.entries.values().filter_map(|backend| backend.remove_at).min()
+        let removals = self.entries.values().filter_map(|backend| backend.remove_at);
+        removals.chain(self.withheld.iter().map(|(_, _, at)| *at)).min()
     }
 
     /// Returns the keys of a service's backend servers.
@@ -258,6 +289,10 @@
         if let Some(keys) = self.keys_by_service.get_mut(&backend.record.service) {
             keys.retain(|other| *other != key);
         }
+        if self.departed.len() >= MAX_DEPARTED {
+            self.departed.pop_front();
+        }
+        self.departed.push_back(backend.run);
         Some(backend.run)
     }
 }
--- a/crates/gate/src/catalog.rs
+++ b/crates/gate/src/catalog.rs
@@ -16,7 +16,7 @@
 }
 
 /// Settings for the requests of one host and path prefix.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Route {
     pub name: Bytes,
     /// Host in the caller's request.
@@ -54,14 +54,14 @@
 }
 
 /// Settings of a group of interchangeable backend servers.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Service {
     /// Output tokens per event, where the backend servers are model engines.
     pub tokens_per_event: Option<u32>,
 }
 
 /// A client account.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Account {
     pub name: Bytes,
     /// Takes precedence over the route's tier.
@@ -77,13 +77,13 @@
 }
 
 /// Limits on requests.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limits {
     pub max_body_bytes: u64,
 }
 
 /// One published version of the configuration.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Catalog {
     pub version: u64,
     pub routes: Vec<Route>,
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -56,9 +56,14 @@
     Record { id: Bytes, record: Option<backends::Record> },
     /// The records of all backend servers were read.
     Records(Vec<(Bytes, backends::Record)>),
+    /// The store came back from an older copy, and the events up to the next `StoreRead` have what
+    /// it holds. What it lost may be written again.
+    StoreRestored,
     /// The store was read: revision `to` is in force and was the published one at time `at`. The
     /// entries are the changes after revision `from`. If `from` is `None`, the whole state was read
     /// and the entries are not used.
+    ///
+    /// Revisions are ordinals; see `revision::Revision`.
     StoreRead { at: Instant, from: Option<u64>, to: u64, entries: Vec<message::StoreEntry> },
     /// The changes in a peer's reply are in force.
     Installed(source::Update),
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod refusal;
 pub mod request;
 pub mod retry_budget;
+pub mod revision;
 pub mod source;
 pub mod suspects;
 pub mod unanswered;
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -4,7 +4,7 @@
 mod peering;
 mod responses;
 
-use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cmp::Ordering, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use conf::gateway::Bounds;
@@ -35,6 +35,12 @@
 const BEYOND_QUOTA_TIER: u32 = u32::MAX;
 /// Part of the grace time during which a stopping gateway still accepts requests.
 const STOP_ACCEPT_SHARE: f64 = 0.35;
+/// Time for which an older version in a store that came back from an older copy is not put in force.
+/// The version that the store lost is usually written again.
+const RESTORED_VERSION_GRACE: Duration = Duration::from_secs(10);
+/// Time for which an older version that was written since then is not put in force, in case the
+/// versions that the store lost are written again one after the other.
+const REWRITTEN_VERSION_GRACE: Duration = Duration::from_millis(1000);
 
 /// Identity and limits of a gateway process.
 #[derive(Clone, Debug)]
@@ -78,6 +84,14 @@
 pub struct Machine {
     setup: Setup,
     catalog: Option<Rc<Catalog>>,
+    /// Number of times that the store came back from an older copy.
+    restores: u64,
+    /// The value of `restores` when the store last had the version in force.
+    catalog_restores: u64,
+    /// Whether what the store holds after it came back is being read.
+    is_restoring: bool,
+    /// An older version that the store holds since then, with the time to put it in force.
+    older_catalog: Option<(Rc<Catalog>, Instant)>,
     lease: Lease,
     source: Source,
     backends: Backends,
@@ -112,6 +126,10 @@
             setup,
             source: Source::default(),
             catalog: None,
+            restores: 0,
+            catalog_restores: 0,
+            is_restoring: false,
+            older_catalog: None,
             backends: Backends::default(),
             started_at: now,
             retry_budgets: HashMap::new(),
@@ -149,7 +167,7 @@
         self.lease.age(now)
     }
 
-    /// Returns the revision of the state in force.
+    /// Returns the ordinal of the revision in force; see `revision::Revision`.
     pub fn revision(&self) -> Option<u64> {
         self.source.revision()
     }
@@ -208,7 +226,14 @@
                 self.backends.replace_all(now, records);
                 self.record_peer_loads(now);
             }
+            Event::StoreRestored => {
+                self.restores += 1;
+                self.is_restoring = true;
+                self.older_catalog = None;
+                self.backends.record_restore();
+            }
             Event::StoreRead { at, from, to, entries } => {
+                self.is_restoring = false;
                 self.lease.confirm(at);
                 self.source.record_read(now, from, to, entries);
             }
@@ -239,7 +264,9 @@
             .filter_map(|number| Some(self.open_requests.get(&number)?.entry.wait_until))
             .min();
         let probe = self.probes.values().min().copied();
-        let times = [Some(self.next_send), wait_until, probe, self.backends.next_expiry()];
+        let older_catalog = self.older_catalog.as_ref().map(|(_, at)| *at);
+        let expiry = self.backends.next_expiry();
+        let times = [Some(self.next_send), wait_until, probe, older_catalog, expiry];
         times.into_iter().flatten().min()
     }
 
@@ -382,9 +409,36 @@
     }
 
     fn install_catalog(&mut self, now: Instant, catalog: Rc<Catalog>, actions: &mut Vec<Action>) {
-        if self.catalog.as_ref().is_some_and(|old| old.version >= catalog.version) {
+        let Some(current) = &self.catalog else {
+            self.put_in_force(now, catalog, actions);
             return;
+        };
+        let is_restored = self.catalog_restores < self.restores;
+        match catalog.version.cmp(&current.version) {
+            Ordering::Greater => self.put_in_force(now, catalog, actions),
+            Ordering::Equal if is_restored && catalog != *current => {
+                self.put_in_force(now, catalog, actions);
+            }
+            Ordering::Equal => {
+                self.catalog_restores = self.restores;
+                self.older_catalog = None;
+            }
+            Ordering::Less if is_restored => {
+                let grace = match self.is_restoring {
+                    true => RESTORED_VERSION_GRACE,
+                    false => REWRITTEN_VERSION_GRACE,
+                };
+                let (version, in_force) = (catalog.version, current.version);
+                tracing::warn!(event = "version_older", version, in_force);
+                self.older_catalog = Some((catalog, now + grace));
+            }
+            Ordering::Less => {}
         }
+    }
+
+    fn put_in_force(&mut self, now: Instant, catalog: Rc<Catalog>, actions: &mut Vec<Action>) {
+        self.older_catalog = None;
+        self.catalog_restores = self.restores;
         self.quotas.set_accounts(catalog.accounts.iter());
         self.catalog = Some(catalog);
         self.recheck_api_keys(now, actions);
@@ -406,6 +460,10 @@
 
     fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.backends.expire(now);
+        if let Some((catalog, _)) = self.older_catalog.take_if(|(_, at)| now >= *at) {
+            tracing::warn!(event = "version_reverted", version = catalog.version);
+            self.put_in_force(now, catalog, actions);
+        }
         self.query_peer(now, actions);
         if now >= self.next_send {
             self.send_state(now, actions);
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -51,6 +51,7 @@
 /// A gateway's view of the published state.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct View {
+    /// Ordinal; see `revision::Revision`. So are all revisions in these messages.
     pub revision: u64,
     /// Time since that revision was confirmed as the published one.
     pub age: Duration,
--- a/crates/gate/src/source.rs
+++ b/crates/gate/src/source.rs
@@ -80,7 +80,7 @@
     pub at: Instant,
 }
 
-/// Revision in force, the latest changes up to it, and the last reported views of peers.
+/// Revision in force as an ordinal, which orders revisions of all eras of the store, the latest changes up to it, and the last reported views of peers.
 #[derive(Clone, Debug, Default)]
 pub struct Source {
     revision: Option<u64>,
