Resume a stream after the last identifier that was received

Callers saw: events that came twice after a resumed stream, if an event without an identifier (such as a comment) ended a batch of events.

Cause: of the events that arrive at once, only the last one was searched for an identifier. a_stream_is_resumed_after_its_last_identifier failed before: the resumed request had no identifier.

--- a/crates/daemon/src/gateway/events.rs
+++ b/crates/daemon/src/gateway/events.rs
@@ -26,7 +26,7 @@
                 self.partial.split_to(end).freeze()
             }
         };
-        if let Some(id) = find_last_event(&complete).and_then(message::parse_event_id) {
+        if let Some(id) = find_last_id(&complete) {
             self.last_id = Some(Bytes::copy_from_slice(id));
         }
         complete
@@ -43,9 +43,15 @@
     }
 }
 
-/// Returns the last event of `complete`, which ends with a complete event or is empty.
-fn find_last_event(complete: &[u8]) -> Option<&[u8]> {
-    let events = complete.strip_suffix(EVENT_END)?;
-    let start = events.windows(EVENT_END.len()).rposition(|window| window == EVENT_END);
-    Some(&events[start.map_or(0, |at| at + EVENT_END.len())..])
+/// Returns the last identifier in `complete`, which ends with a complete event or is empty.
+fn find_last_id(complete: &[u8]) -> Option<&[u8]> {
+    let mut events = complete.strip_suffix(EVENT_END)?;
+    loop {
+        let end = events.windows(EVENT_END.len()).rposition(|window| window == EVENT_END);
+        let start = end.map_or(0, |at| at + EVENT_END.len());
+        if let Some(id) = message::parse_event_id(&events[start..]) {
+            return Some(id);
+        }
+        events = &events[..end?];
+    }
 }
