Log what streams and early refusals left out

- a resumed stream reported its first event when the head of the response came, which made its server look fast; it reports the first event now;
- each body frame counted as one event, whatever it held; events are counted;
- failed attempts to resume were neither logged nor counted;
- a deadline during a resume was logged as the reason of the resume;
- streams were logged with status 200 whatever the server sent;
- 413, 408 and 400 were neither logged nor counted;

--- a/crates/daemon/src/gateway/events.rs
+++ b/crates/daemon/src/gateway/events.rs
@@ -32,6 +32,11 @@
         complete
     }
 
+    /// Returns the number of complete events in bytes that `push` returned.
+    pub fn count(complete: &[u8]) -> u32 {
+        complete.windows(EVENT_END.len()).filter(|window| *window == EVENT_END).count() as u32
+    }
+
     /// Takes the bytes after the last complete event.
     pub fn take_partial(&mut self) -> Bytes {
         std::mem::take(&mut self.partial).freeze()
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -110,7 +110,8 @@
                 Attempt::Received(unread) if dispatch.stream && unread.head.status.is_success() => {
                     match relay::read_first_event(&mut self, &dispatch, *unread).await {
                         Ok(started) => {
-                            self.log_response(&dispatch, 200, clock::now().since(sent_at));
+                            let status = started.head.status.as_u16();
+                            self.log_response(&dispatch, status, clock::now().since(sent_at));
                             return relay::build_stream_response(self, dispatch, started);
                         }
                         Err(attempt) => attempt,
@@ -295,7 +296,7 @@
     }
 
     /// Logs why an attempt at a backend server failed.
-    fn log_failure(&self, dispatch: &Dispatch, event: &Event) {
+    pub fn log_failure(&self, dispatch: &Dispatch, event: &Event) {
         let how = match event {
             Event::NotSent { .. } => "unsent",
             Event::Refused { .. } => "refused",
@@ -337,31 +338,32 @@
     }
 
     fn refuse(&self, refusal: &Refusal) -> Response<http::Body> {
-        let id = String::from_utf8_lossy(&self.id).into_owned();
-        let gate::refusal::Inputs { version, gateways, reporting, waiting, usable, .. } =
-            refusal.inputs;
-        let age_ms = refusal.inputs.age.map(|age| age.as_millis() as u64);
-        let quota_used = refusal.inputs.quota_used.map(|used| used as i64);
-        let reason = refusal.reason.name();
-        self.gateway.metrics.count_outcome(reason);
-        tracing::info!(
-            event = "refused",
-            id,
-            reason,
-            version,
-            age_ms,
-            gateways,
-            heard = reporting,
-            waiting,
-            usable,
-            quota_used
-        );
-        build_refusal(refusal, &self.id)
+        refuse(&self.gateway.metrics, refusal, &self.id)
     }
 }
 
-/// Returns the response for a refusal.
-pub fn build_refusal(refusal: &Refusal, id: &Bytes) -> Response<http::Body> {
+/// Logs and counts a refusal, and returns the response for it.
+pub fn refuse(metrics: &Metrics, refusal: &Refusal, id: &Bytes) -> Response<http::Body> {
+    let gate::refusal::Inputs { version, gateways, reporting, waiting, usable, .. } =
+        refusal.inputs;
+    let reason = refusal.reason.name();
+    metrics.count_outcome(reason);
+    tracing::info!(
+        event = "refused",
+        id = %String::from_utf8_lossy(id),
+        reason,
+        version,
+        age_ms = refusal.inputs.age.map(|age| age.as_millis() as u64),
+        gateways,
+        heard = reporting,
+        waiting,
+        usable,
+        quota_used = refusal.inputs.quota_used.map(|used| used as i64),
+    );
+    build_refusal(refusal, id)
+}
+
+fn build_refusal(refusal: &Refusal, id: &Bytes) -> Response<http::Body> {
     let status = refusal.reason.status();
     let mut response = http::json(status, &serde_json::json!({ "error": refusal.reason.name() }));
     let headers = response.headers_mut();
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -28,9 +28,12 @@
 /// one with free capacity.
 const STREAM_FAILOVER_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Reason for the end of a stream whose deadline passed.
+const DEADLINE: &str = "deadline";
+
 /// A stream that was read up to its first complete event, or to its end if it has none.
 pub struct StartedStream {
-    head: response::Parts,
+    pub head: response::Parts,
     reader: BodyReader,
     events: EventBuffer,
     ready: VecDeque<Bytes>,
@@ -121,6 +124,8 @@
     first_event_at: Instant,
     /// Time at which data was last received.
     last_data_at: Instant,
+    /// Whether no event was received since the stream was resumed.
+    first_event_due: bool,
 }
 
 /// Events since the last report.
@@ -156,6 +161,7 @@
         pauses,
         first_event_at: now,
         last_data_at: now,
+        first_event_due: false,
     };
     let frames = stream::unfold(relay, |mut relay| async move {
         let frame = relay.next().await?;
@@ -184,9 +190,10 @@
             let wait = self.exchange.wait(&self.dispatch, failover_timeout, reader.read());
             match wait.await {
                 Ok(BodyRead::Data(data)) => {
-                    self.ready.push_back(self.events.push(data));
+                    let complete = self.events.push(data);
+                    self.record_data(EventBuffer::count(&complete));
+                    self.ready.push_back(complete);
                     self.reader = Some(reader);
-                    self.record_data();
                 }
                 Ok(BodyRead::End) => {
                     let end_result = reader.end_result;
@@ -199,17 +206,17 @@
                 Ok(BodyRead::Broken) => {
                     drop(reader);
                     self.exchange.report(self.exchange.build_ended(AttemptResult::Broken));
-                    if !self.resume(None).await {
-                        return Some(Err(self.abort("replica_broke_off")));
+                    if let Err(reason) = self.resume(None, "replica_broke_off").await {
+                        return Some(Err(self.abort(reason)));
                     }
                 }
                 Err(Attempt::Moved(dispatch)) => {
                     drop(reader);
-                    if !self.resume(Some(dispatch)).await {
-                        return Some(Err(self.abort("replica_silent")));
+                    if let Err(reason) = self.resume(Some(dispatch), "replica_silent").await {
+                        return Some(Err(self.abort(reason)));
                     }
                 }
-                Err(_) => return Some(Err(self.abort("deadline"))),
+                Err(_) => return Some(Err(self.abort(DEADLINE))),
             }
         }
     }
@@ -220,13 +227,18 @@
         http::Aborted
     }
 
-    /// Records that data was received, which counts as one event, and reports the speed every
+    /// Records that data with a number of complete events was received, and reports the speed every
     /// `EVENTS_PER_REPORT` events.
-    fn record_data(&mut self) {
+    fn record_data(&mut self, events: u32) {
         let now = clock::now();
         self.pauses.observe(now.since(self.last_data_at).as_secs_f64());
         self.last_data_at = now;
-        self.unreported.events += 1;
+        if events > 0 && std::mem::take(&mut self.first_event_due) {
+            self.exchange.report(self.exchange.build_first_event());
+            self.unreported = Unreported::new();
+            return;
+        }
+        self.unreported.events += events;
         if self.unreported.events >= EVENTS_PER_REPORT {
             let span = clock::now().since(self.unreported.since);
             self.exchange.report(self.exchange.build_events_received(self.unreported.events, span));
@@ -235,8 +247,17 @@
     }
 
     /// Resumes the stream after the last complete event at the backend server that the machine
-    /// selects, or at `moved`. Returns whether that succeeded.
-    async fn resume(&mut self, mut moved: Option<Dispatch>) -> bool {
+    /// selects, or at `moved`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream ends: at its deadline, or else for the reason that it had to be
+    /// resumed.
+    async fn resume(
+        &mut self,
+        mut moved: Option<Dispatch>,
+        reason: &'static str,
+    ) -> Result<(), &'static str> {
         // The resumed stream repeats an event that was received incompletely.
         self.events.take_partial();
         loop {
@@ -244,7 +265,7 @@
                 Some(dispatch) => dispatch,
                 None => match self.exchange.next_instruction().await {
                     Instruction::Dispatch(dispatch) => dispatch,
-                    Instruction::Refuse(_) => return false,
+                    Instruction::Refuse(_) => return Err(reason),
                 },
             };
             let last_event_id = self.events.last_id().cloned();
@@ -254,15 +275,20 @@
                     self.reader = Some(reader);
                     self.dispatch = dispatch;
                     self.unreported = Unreported::new();
-                    self.exchange.report(self.exchange.build_first_event());
-                    return true;
+                    self.first_event_due = true;
+                    return Ok(());
                 }
                 Attempt::Received(_) => {
-                    self.exchange.report(self.exchange.build_ended(AttemptResult::Failed))
+                    let event = self.exchange.build_ended(AttemptResult::Failed);
+                    self.exchange.log_failure(&dispatch, &event);
+                    self.exchange.report(event);
+                }
+                Attempt::Failed(event) => {
+                    self.exchange.log_failure(&dispatch, &event);
+                    self.exchange.report(event);
                 }
-                Attempt::Failed(event) => self.exchange.report(event),
                 Attempt::Moved(dispatch) => moved = Some(dispatch),
-                Attempt::Timeout => return false,
+                Attempt::Timeout => return Err(DEADLINE),
             }
         }
     }
--- a/crates/daemon/src/gateway/requests.rs
+++ b/crates/daemon/src/gateway/requests.rs
@@ -41,7 +41,9 @@
         let limit = self.gateway.read(|machine| {
             machine.catalog().map_or(MAX_BODY_BYTES, |catalog| catalog.limits.max_body_bytes)
         });
-        let refuse = |reason| exchange::build_refusal(&Refusal::new(reason), &Default::default());
+        let id = platform::message::request_id(&parts.headers);
+        let metrics = &self.gateway.metrics;
+        let refuse = |reason| exchange::refuse(metrics, &Refusal::new(reason), &id);
         let body = match http::read_body(incoming, limit).await {
             Ok(body) => body,
             Err(BodyError::TooLarge) => return refuse(Reason::TooLarge),
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -277,6 +277,7 @@
         request: Request,
         actions: &mut Vec<Action>,
     ) {
+        let (host, path) = (request.host.clone(), request.path.clone());
         match self.admit(now, request) {
             Ok(entry) => {
                 let gateways = self.peers.serving_count(now);
@@ -292,7 +293,10 @@
             }
             Err(mut refusal) => {
                 let quota_used = refusal.inputs.quota_used;
-                refusal.inputs = Inputs { quota_used, ..self.refusal_inputs(now, &Bytes::new()) };
+                let route = self.catalog.as_ref().and_then(|catalog| catalog.route(&host, &path));
+                let service = route.and_then(|route| Some(route.split.first()?.0.clone()));
+                let service = service.unwrap_or_default();
+                refusal.inputs = Inputs { quota_used, ..self.refusal_inputs(now, &service) };
                 actions.push(Action::Refuse { number, refusal });
             }
         }
--- a/crates/gate/tests/admission.rs
+++ b/crates/gate/tests/admission.rs
@@ -121,3 +121,15 @@
     let late = gateway.arrive(request("essay"));
     assert_eq!(gateway.reason(late), Some(Reason::Stopping));
 }
+
+/// Guards against a refusal whose log line shows no waiting requests and no usable servers.
+#[test]
+fn a_refusal_at_arrival_states_the_load_of_its_service() {
+    let mut gateway = TestGateway::with_backends(PLAIN, 1);
+    gateway.feed(Event::Stop);
+    gateway.now = gateway.now + Duration::from_secs(10);
+    let number = gateway.arrive(request("status"));
+    let refusal = gateway.refused(number).expect("refused");
+    assert_eq!(refusal.reason, Reason::Stopping);
+    assert_eq!(refusal.inputs.usable, 1);
+}
