Count a crash against an adopted stream that its engine never confirms

Cause: an agent and its engine went down together while the request ran. The replaced agent adopted the stream, could not reach the engine within the resume limit and ended it as backend_silent, without counting a crash; and the entry withdrew its own report, since for any reason but agent_replaced it takes the process that issued the grant to be alive. Both gave the count up.

Such a stream now ends as agent_replaced and counts, as it did when the engine answered that it doesn't know the stream. An engine that was only cut off costs its request an exclusive run.

--- a/crates/agent/src/progress.rs
+++ b/crates/agent/src/progress.rs
@@ -290,7 +290,6 @@
         let unconfirmed = stream.adopted && stream.response_head.is_none();
         self.observe_instance(cx, instance);
         if unconfirmed {
-            self.suspect_adopted(cx, grant);
             self.abort(cx, grant, Reason::AgentReplaced);
         } else if restarted {
             self.abort(cx, grant, Reason::BackendCrashed);
@@ -321,9 +320,19 @@
         let step = if has_begun { Step::MidStream } else { Step::Dispatched };
         let (owner, fingerprint) = (stream.owner, stream.fingerprint);
         let already_counted = stream.counted_crash.is_some() || stream.adopted;
+        let unconfirmed = stream.adopted && stream.response_head.is_none();
         if matches!(reason, Reason::CallerGone | Reason::BackendSilent) {
             cx.push(Action::Cancel { grant });
         }
+        let reason = match reason {
+            // This process can't tell whether the engine crashed together with the replaced one.
+            // The entry keeps its own report only for this reason.
+            Reason::BackendSilent if unconfirmed => Reason::AgentReplaced,
+            reason => reason,
+        };
+        if unconfirmed && reason == Reason::AgentReplaced {
+            self.suspect_adopted(cx, grant);
+        }
         let refusal = self.refusal(outcome, step, reason, None);
         self.trace(cx, owner, step, "aborted");
         // Recorded before the slot is released, so that no request with the same fingerprint gets
