Run a schedule until all copies of its poison request were sent

The trace shows that the run ended too early: the caller of the poison request had its response, all requests were finished at that moment, and its next copies were sent in the last second of the run, which one of them didn't survive as it waited at a slow engine.

--- a/crates/proof/src/simulation.rs
+++ b/crates/proof/src/simulation.rs
@@ -349,12 +349,13 @@
         true
     }
 
-    /// Returns whether every request has its final response or its caller was disconnected.
+    /// Returns whether every request has its final response or its caller was disconnected, and no
+    /// copy of a poison request is still to be sent.
     pub fn all_requests_finished(&self) -> bool {
-        self.record
-            .requests
-            .values()
-            .all(|request| request.disconnected || !request.responses.is_empty())
+        let is_finished = |request: &Request| request.disconnected || !request.responses.is_empty();
+        let sends_poison = |delivery: &Delivery| matches!(delivery, Delivery::Poison { .. });
+        self.record.requests.values().all(is_finished)
+            && !self.deliveries.values().any(sends_poison)
     }
 
     pub(crate) fn next_timer(&self) -> Option<Instant> {
