Count the bytes that an account's displaced request frees

Callers saw: a request of another account was refused as displaced although there was capacity. An account at its limit displaces its own newest request of a lower tier; the bytes of that request were counted as freed only once the search for further requests came across it.

--- a/crates/entry/src/capacity.rs
+++ b/crates/entry/src/capacity.rs
@@ -98,18 +98,19 @@
     ///
     /// `limits` are the maximum number of open requests and the maximum number of bytes of stored
     /// bodies. `displaced` are requests that the new one displaces already, since its account is at
-    /// its limit.
+    /// its limit, with the bytes that they free.
     pub fn plan_admission(
         &self,
         tier: tier::Tier,
         body_len: u64,
         limits: (u32, u64),
-        displaced: Vec<open_request::Key>,
+        displaced: (Vec<open_request::Key>, u64),
     ) -> Admission {
         let (max_open, max_bytes) = limits;
         let waiting = self.waiting.iter().rev();
         let mut lower = waiting.take_while(|((other, _), _)| tier.outranks(*other));
-        let (mut open, mut bytes) = (self.open_count - displaced.len(), self.stored_bytes);
+        let (displaced, freed) = displaced;
+        let (mut open, mut bytes) = (self.open_count - displaced.len(), self.stored_bytes - freed);
         let mut admission = Admission { displaced, fits: false };
         loop {
             admission.fits = open < max_open as usize && bytes + body_len <= max_bytes;
@@ -118,7 +119,6 @@
             }
             let Some((_, &(key, freed))) = lower.next() else { return admission };
             if admission.displaced.contains(&key) {
-                bytes -= freed;
                 continue;
             }
             admission.displaced.push(key);
@@ -127,15 +127,16 @@
         }
     }
 
-    /// Returns the account's newest request without a grant in the lowest tier that has any, if
-    /// that tier is below `tier`.
+    /// Returns the account's newest request without a grant in the lowest tier that has any, and the
+    /// length of its body, if that tier is below `tier`.
     pub fn newest_waiting_below(
         &self,
         account: &[u8],
         tier: tier::Tier,
-    ) -> Option<open_request::Key> {
-        let ((lowest, _), key) = self.waiting_by_account.get(account)?.last_key_value()?;
-        tier.outranks(*lowest).then_some(*key)
+    ) -> Option<(open_request::Key, u64)> {
+        let (order, _) = self.waiting_by_account.get(account)?.last_key_value()?;
+        let lowest = self.waiting.get(order)?;
+        tier.outranks(order.0).then_some(*lowest)
     }
 
     /// Returns the number of open requests of an account.
--- a/crates/entry/src/filter.rs
+++ b/crates/entry/src/filter.rs
@@ -20,6 +20,8 @@
     pub key: Option<key::Key>,
     /// Open requests of lower tiers that are refused to make capacity for this one.
     pub displaced: Vec<open_request::Key>,
+    /// Bytes of stored bodies that they free.
+    pub displaced_bytes: u64,
 }
 
 impl<'a> Context<'a> {
@@ -34,6 +36,7 @@
             deadline: Duration::ZERO,
             key: None,
             displaced: Vec::new(),
+            displaced_bytes: 0,
         }
     }
 }
@@ -191,7 +194,9 @@
         let name = &context.incoming.account;
         if state.capacity.open_for_account(name) >= account.max_open {
             let lower = state.capacity.newest_waiting_below(name, context.tier);
-            context.displaced.push(lower.ok_or(Reason::AccountLimit)?);
+            let (lower, body_len) = lower.ok_or(Reason::AccountLimit)?;
+            context.displaced.push(lower);
+            context.displaced_bytes += body_len;
         }
         Ok(())
     }
@@ -210,7 +215,7 @@
             context.tier,
             context.incoming.body_len,
             limits,
-            displaced,
+            (displaced, context.displaced_bytes),
         );
         context.displaced = admission.displaced;
         if admission.fits { Ok(()) } else { Err(Reason::Overload) }
--- a/crates/entry/tests/filters.rs
+++ b/crates/entry/tests/filters.rs
@@ -128,6 +128,32 @@
     );
 }
 
+/// Guards against displacing another account's request although the request that the account
+/// displaces for its own limit frees enough bytes.
+#[test]
+fn a_displaced_request_of_the_account_frees_its_bytes() {
+    let mut tree = tree();
+    tree.entry.max_held_bytes = 350;
+    let mut fixture = Fixture::new(tree, 4);
+    let incoming = |caller, tier: &'static str| IncomingRequest {
+        tier: Some(tier.into()),
+        ..incoming(caller)
+    };
+    let small =
+        |caller, tier| IncomingRequest { account: "small".into(), ..incoming(caller, tier) };
+    fixture.open_request(small(1, "batch"));
+    fixture.open_request(small(2, "batch"));
+    fixture.open_request(incoming(3, "batch"));
+    let actions = fixture.receive(small(4, "normal"));
+    assert!(find_offer(&actions).is_some());
+    let displaced = |number| {
+        has!(actions, Action::Refuse { caller, refusal, .. }
+            if *caller == number && refusal.reason == Reason::Displaced)
+    };
+    assert!(displaced(2), "the account is at its limit");
+    assert!(!displaced(3), "there is capacity for the other account's request");
+}
+
 /// Guards against a planned stop that aborts open requests or never ends.
 #[test]
 fn planned_stop_finishes_open_requests() {
