Refuse a body limit that agents can't read

A route could set max_body_bytes up to 256 MiB, but agents refuse commits of more than 65 MiB with 400, so callers within the stated limit failed. The settings accept up to 64 MiB now, and the agent's bound follows from it.

--- a/crates/conf/src/branch.rs
+++ b/crates/conf/src/branch.rs
@@ -102,7 +102,7 @@
     let idempotent = reader.flag("idempotent", default.idempotent);
     let require_key = reader.flag("require_key", default.require_key);
     let max_body_bytes =
-        reader.number("max_body_bytes", default.max_body_bytes, 1..=1 << 28, "bytes");
+        reader.number("max_body_bytes", default.max_body_bytes, 1..=tree::MAX_BODY_BYTES, "bytes");
     Some(tree::Route {
         path: path?,
         model: model.unwrap_or_default(),
--- a/crates/conf/src/tree.rs
+++ b/crates/conf/src/tree.rs
@@ -7,6 +7,10 @@
 
 use crate::{branch, check, merge};
 
+/// Largest body that a route may accept. An agent reads a body together with the rest of its commit
+/// into memory.
+pub const MAX_BODY_BYTES: u64 = 64 << 20;
+
 /// Path of model routes.
 pub const CHAT_PATH: &[u8] = b"/v1/chat/completions";
 
--- a/crates/conf/tests/tree.rs
+++ b/crates/conf/tests/tree.rs
@@ -73,6 +73,20 @@
     assert_eq!(errors.len(), 1);
 }
 
+/// Guards against a route that accepts bodies which its agents refuse as too large.
+#[test]
+fn bodies_fit_into_a_commit() {
+    let route = |bytes: u64| {
+        let text = format!(
+            "[route z]\nkind = service\npath = /z\npool = floor\ntier = urgent\nmax_body_bytes = {bytes}\n"
+        );
+        tree::parse("z", &text)
+    };
+    assert!(route(tree::MAX_BODY_BYTES).is_ok());
+    let errors = route(tree::MAX_BODY_BYTES + 1).expect_err("refused");
+    assert_eq!(errors[0].key, "max_body_bytes");
+}
+
 /// Guards against a merge that lets two accounts share a key or two routes a path.
 #[test]
 fn a_selector_belongs_to_the_first_branch() {
--- a/crates/daemon/src/role_agent.rs
+++ b/crates/daemon/src/role_agent.rs
@@ -32,7 +32,7 @@
 /// Time between probes of the backend server.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// Bound on a commit with its request body.
-const MAX_COMMIT_BYTES: u64 = 65 << 20;
+const MAX_COMMIT_BYTES: u64 = conf::tree::MAX_BODY_BYTES + MAX_SHORT_MESSAGE_BYTES;
 /// Bound on any other message.
 const MAX_SHORT_MESSAGE_BYTES: u64 = 1 << 20;
 
