Write the log lines of the gateway's decisions

A peer's report is logged only for a call in quarantine, so that a burst of lost connections doesn't cost each gateway a line for each of them.

--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -38,16 +38,21 @@
 
 /// Starts logging at a level such as `info`. Buffered lines are written when the guard is dropped.
 pub fn start(level: &str) -> WorkerGuard {
-    let levels = EnvFilter::new(format!("warn,daemon={level},quincespoked={level}"));
     let (writer, worker) = writer();
     WRITER_DROPS.get_or_init(|| writer.error_counter());
     let layer = tracing_logfmt::builder().with_target(false).layer();
     let layer = layer.with_writer(writer).with_filter(LineLimit::new());
     // A second start in the same process keeps the first subscriber.
-    let _ = tracing_subscriber::registry().with(levels).with(layer).try_init();
+    let _ = tracing_subscriber::registry().with(levels(level)).with(layer).try_init();
     worker
 }
 
+/// Returns the levels of the crates that log decisions and dependencies at `level`; all others log
+/// warnings and errors.
+pub fn levels(level: &str) -> EnvFilter {
+    EnvFilter::new(format!("warn,daemon={level},quincespoked={level},gate={level}"))
+}
+
 fn writer() -> (NonBlocking, WorkerGuard) {
     let builder =
         NonBlockingBuilder::default().lossy(true).buffered_lines_limit(MAX_BUFFERED_LINES);
--- a/crates/daemon/tests/log.rs
+++ b/crates/daemon/tests/log.rs
@@ -1,8 +1,8 @@
-//! Limit on the number of log lines.
+//! Levels of the log, and the limit on its lines.
 
 use std::time::Duration;
 
-use daemon::log::{LineLimit, MAX_LINES_PER_S, MAX_SUCCESS_LINES_PER_S};
+use daemon::log::{self, LineLimit, MAX_LINES_PER_S, MAX_SUCCESS_LINES_PER_S};
 
 const FIRST: Duration = Duration::from_millis(300);
 
@@ -21,3 +21,16 @@
     let next = Duration::from_secs(1);
     assert_eq!(admitted(&limit, next, true, 10), 10, "each second has its own limit");
 }
+
+/// Guards against decisions of the gateway that are logged but left out by the level of their crate.
+#[test]
+fn decisions_of_the_gateway_are_logged() {
+    use tracing_subscriber::layer::SubscriberExt;
+
+    let subscriber = tracing_subscriber::registry().with(log::levels("info"));
+    tracing::subscriber::with_default(subscriber, || {
+        assert!(tracing::enabled!(target: "gate::machine::responses", tracing::Level::INFO));
+        assert!(tracing::enabled!(target: "daemon::gateway", tracing::Level::INFO));
+        assert!(!tracing::enabled!(target: "hyper", tracing::Level::INFO));
+    });
+}
--- a/crates/gate/src/machine/peering.rs
+++ b/crates/gate/src/machine/peering.rs
@@ -54,11 +54,15 @@
 
     pub(super) fn receive_suspects(&mut self, now: Instant, reports: &[message::Suspect]) {
         for report in reports {
-            if self.suspects.merge(now, report) {
+            let fingerprint = report.fingerprint;
+            if self.suspects.merge(now, report)
+                && let Some(left) = self.suspects.quarantine_left(now, fingerprint)
+            {
                 tracing::info!(
                     event = "suspect_reported",
-                    fingerprint = %format_args!("{:016x}", report.fingerprint),
-                    ends = self.suspects.total(now, report.fingerprint),
+                    fingerprint = %format_args!("{fingerprint:016x}"),
+                    ends = self.suspects.total(now, fingerprint),
+                    left_ms = left.as_millis() as u64,
                 );
             }
         }
