Disprove the end of a run that the store still lists

Callers would see: a request whose connections to two servers were lost, as in a blip of the network, refused for ten minutes by all gateways, although no server crashed.

A lost connection can't be told from a crash in time, so it counts at first. The record of a server that ended is removed or replaced within some seconds; if the store was confirmed for 10 s since and still lists the run, the end is disproved, by each gateway by itself, and not reported any more. Nothing is disproved while the store can't be reached, or of records without a start time.

lost_connections_to_running_servers_are_disproved fails without it (two ends after 12 s).

--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -170,6 +170,12 @@
         self.keys_by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the runs whose records tell them from later runs under the same identifier.
+    pub fn runs(&self) -> HashSet<u64> {
+        let distinct = self.entries.values().filter(|backend| backend.record.started.is_some());
+        distinct.map(|backend| backend.run).collect()
+    }
+
     /// Returns the backend servers of a service that requests may be sent to.
     pub fn usable(&self, service: &[u8], now: Instant) -> impl Iterator<Item = &Backend> {
         let backends = self.keys_of(service).iter().filter_map(|key| self.get(*key));
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -33,6 +33,9 @@
 const PROBE_PERIOD: Duration = Duration::from_millis(400);
 /// Tier of requests that exceed their account's quota.
 const BEYOND_QUOTA_TIER: u32 = u32::MAX;
+/// Age of the state in force up to which it counts as confirmed: gateways read the store themselves
+/// from about this age on.
+const MAX_CONFIRMED_AGE: Duration = Duration::from_millis(2500);
 /// Part of the grace time during which a stopping gateway still accepts requests.
 const STOP_ACCEPT_SHARE: f64 = 0.35;
 /// Time for which an older version in a store that came back from an older copy is not put in force.
@@ -112,6 +115,8 @@
     next_send: Instant,
     /// Time of the next message with suspects to one peer.
     next_sample: Instant,
+    /// Time since which the state in force was confirmed all the while.
+    confirmed_since: Instant,
     rng: fastrand::Rng,
 }
 
@@ -144,6 +149,7 @@
             round: 0,
             next_send: now,
             next_sample: now,
+            confirmed_since: now,
         }
     }
 
@@ -464,6 +470,9 @@
 
     fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.backends.expire(now);
+        if self.lease.age(now).is_none_or(|age| age > MAX_CONFIRMED_AGE) {
+            self.confirmed_since = now;
+        }
         if let Some((catalog, _)) = self.older_catalog.take_if(|(_, at)| now >= *at) {
             tracing::warn!(event = "version_reverted", version = catalog.version);
             self.put_in_force(now, catalog, actions);
--- a/crates/gate/src/machine/peering.rs
+++ b/crates/gate/src/machine/peering.rs
@@ -72,11 +72,16 @@
     fn share_suspects(&mut self, now: Instant, targets: &[SocketAddr], actions: &mut Vec<Action>) {
         let changes = self.suspects.announce(now);
         self.send_suspects(targets, changes, actions);
-        if now >= self.next_sample && !targets.is_empty() {
+        if now >= self.next_sample {
             self.next_sample = now + SAMPLE_PERIOD;
-            let peer = targets[self.rng.usize(..targets.len())];
+            if !self.suspects.is_empty() {
+                let runs = self.backends.runs();
+                self.suspects.disprove(now, self.confirmed_since, |run| runs.contains(&run));
+            }
             let sample = self.suspects.sample(now);
-            self.send_suspects(&[peer], sample, actions);
+            if let Some(peer) = self.rng.choice(targets) {
+                self.send_suspects(&[*peer], sample, actions);
+            }
         }
     }
 
--- a/crates/gate/src/suspects.rs
+++ b/crates/gate/src/suspects.rs
@@ -17,6 +17,9 @@
 /// Age up to which an end is reported to peers. Without the margin, gateways that received it at
 /// different times could return it to each other after it expired.
 const MAX_REPORTED_AGE: Duration = Duration::from_secs(540);
+/// Time after which an end is disproved if the store still lists the run. The record of a backend
+/// server that ended is removed or replaced within some seconds.
+const VERIFICATION_TIME: Duration = Duration::from_secs(10);
 /// Most suspects kept. In a full table, one with the fewest ends is replaced.
 const MAX_SUSPECTS: usize = 4096;
 /// Most ends kept of one suspect.
@@ -37,6 +40,8 @@
     count: u32,
     /// Time of the last one.
     at: Instant,
+    /// Whether the run went on: its connection was lost for another reason.
+    is_disproved: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -51,7 +56,9 @@
 impl Suspect {
     /// Returns the ends that count, the latest first.
     fn counted(&self, now: Instant) -> Vec<End> {
-        let counts = |end: &&End| Some(end.at) > self.completed_at && now.since(end.at) < RETENTION;
+        let counts = |end: &&End| {
+            !end.is_disproved && Some(end.at) > self.completed_at && now.since(end.at) < RETENTION
+        };
         let mut counted: Vec<End> = self.ends.iter().filter(counts).copied().collect();
         counted.sort_by_key(|end| Reverse(end.at));
         counted
@@ -93,7 +100,8 @@
     }
 
     fn report(&self, now: Instant, fingerprint: u64) -> message::Suspect {
-        let shared = self.ends.iter().filter(|end| now.since(end.at) < MAX_REPORTED_AGE);
+        let is_shared = |end: &&End| !end.is_disproved && now.since(end.at) < MAX_REPORTED_AGE;
+        let shared = self.ends.iter().filter(is_shared);
         let ends = shared.map(|end| message::End {
             run: end.run,
             count: end.count,
@@ -130,7 +138,7 @@
             Some(end) => end.count + 1,
             None => 1,
         };
-        suspect.merge(End { run, count, at: now });
+        suspect.merge(End { run, count, at: now, is_disproved: false });
         suspect.announcements = ANNOUNCEMENTS;
         true
     }
@@ -145,6 +153,20 @@
         }
     }
 
+    /// Disproves the ends of runs that are still listed. `confirmed_since` is the time since which
+    /// the store has confirmed the list all the while.
+    pub fn disprove(
+        &mut self,
+        now: Instant,
+        confirmed_since: Instant,
+        is_listed: impl Fn(u64) -> bool,
+    ) {
+        for end in self.suspects.values_mut().flat_map(|suspect| &mut suspect.ends) {
+            let is_due = now.since(end.at.max(confirmed_since)) >= VERIFICATION_TIME;
+            end.is_disproved |= is_due && is_listed(end.run);
+        }
+    }
+
     /// Merges a peer's report and returns whether it changed the number of ends.
     pub fn merge(&mut self, now: Instant, report: &message::Suspect) -> bool {
         let earlier = |age: Duration| Instant(now.0.saturating_sub(age.as_micros() as u64));
@@ -155,7 +177,8 @@
         let suspect = self.suspect_mut(now, report.fingerprint);
         let before = suspect.total(now);
         for end in report.ends.iter().filter(|end| recent(end.age)).take(MAX_ENDS) {
-            suspect.merge(End { run: end.run, count: end.count, at: earlier(end.age) });
+            let (run, count, at) = (end.run, end.count, earlier(end.age));
+            suspect.merge(End { run, count, at, is_disproved: false });
         }
         suspect.completed_at = suspect.completed_at.max(report.completed.map(earlier));
         suspect.total(now) != before
@@ -177,6 +200,11 @@
         Some(RETENTION.saturating_sub(now.since(deciding.at)))
     }
 
+    /// Returns whether there is no suspect.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
     /// Returns the numbers of suspects and of those in quarantine.
     pub fn counts(&self, now: Instant) -> (usize, usize) {
         let totals = self.suspects.values().map(|suspect| suspect.total(now));
--- a/crates/gate/tests/common/cluster.rs
+++ b/crates/gate/tests/common/cluster.rs
@@ -166,7 +166,7 @@
             let gateway = &mut self.gateways[index];
             gateway.now = self.now;
             gateway.feed(Event::Tick);
-            if self.now.0.is_multiple_of(500_000) {
+            if self.store_up && self.now.0.is_multiple_of(500_000) {
                 gateway.confirm();
             }
             self.take_actions(index);
--- a/crates/gate/tests/poison.rs
+++ b/crates/gate/tests/poison.rs
@@ -284,6 +284,34 @@
     }
 }
 
+/// Guards against a request that is refused for long since its connections to two servers were lost,
+/// although these run on.
+#[test]
+fn lost_connections_to_running_servers_are_disproved() {
+    let mut cluster = Cluster::new(GATEWAYS, SERVERS, Crash::BeforeFirstEvent);
+    let innocent = || gate::request::Request { fingerprint: 99, ..request("essay") };
+    for gateway in [0, 1] {
+        let number = cluster.send(gateway, innocent());
+        cluster.break_connection(gateway, number);
+        cluster.advance(COPY_PERIOD);
+    }
+    let total = |cluster: &Cluster, gateway: usize| {
+        cluster.gateways[gateway].machine.suspects().total(cluster.now, 99)
+    };
+    assert_eq!(total(&cluster, 5), 2);
+    cluster.set_store(false);
+    cluster.advance(Duration::from_secs(12));
+    assert_eq!(total(&cluster, 5), 2, "nothing is disproved while the store is unreachable");
+    cluster.set_store(true);
+    cluster.advance(Duration::from_secs(12));
+    for gateway in 0..GATEWAYS {
+        assert_eq!(total(&cluster, gateway), 0);
+    }
+    cluster.restart(7);
+    cluster.advance(Duration::from_secs(5));
+    assert_eq!(total(&cluster, 7), 0, "it is not reported any more");
+}
+
 /// Guards against a request that is refused since servers sent bytes that were no response.
 #[test]
 fn an_invalid_response_is_no_crash() {
