--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -1,10 +1,11 @@
 //! State of the gateway and the handling of events.
 
+mod configuration;
 mod dispatching;
 mod peering;
 mod responses;
 
-use std::{cmp::Ordering, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use conf::gateway::Bounds;
@@ -38,12 +39,6 @@
 const MAX_CONFIRMED_AGE: Duration = Duration::from_millis(2500);
 /// Part of the grace time during which a stopping gateway still accepts requests.
 const STOP_ACCEPT_SHARE: f64 = 0.35;
-/// Time for which an older version in a store that came back from an older copy is not put in force.
-/// The version that the store lost is usually written again.
-const RESTORED_VERSION_GRACE: Duration = Duration::from_secs(10);
-/// Time for which an older version that was written since then is not put in force, in case the
-/// versions that the store lost are written again one after the other.
-const REWRITTEN_VERSION_GRACE: Duration = Duration::from_millis(1000);
 
 /// Identity and limits of a gateway process.
 #[derive(Clone, Debug)]
@@ -232,12 +227,7 @@
                 self.backends.replace_all(now, records);
                 self.record_peer_loads(now);
             }
-            Event::StoreRestored => {
-                self.restores += 1;
-                self.is_restoring = true;
-                self.older_catalog = None;
-                self.backends.record_restore();
-            }
+            Event::StoreRestored => self.record_restore(),
             Event::StoreRead { at, from, to, entries } => {
                 self.is_restoring = false;
                 self.lease.confirm(at);
@@ -418,65 +408,12 @@
         }
     }
 
-    fn install_catalog(&mut self, now: Instant, catalog: Rc<Catalog>, actions: &mut Vec<Action>) {
-        let Some(current) = &self.catalog else {
-            self.put_in_force(now, catalog, actions);
-            return;
-        };
-        let is_restored = self.catalog_restores < self.restores;
-        match catalog.version.cmp(&current.version) {
-            Ordering::Greater => self.put_in_force(now, catalog, actions),
-            Ordering::Equal if is_restored && catalog != *current => {
-                self.put_in_force(now, catalog, actions);
-            }
-            Ordering::Equal => {
-                self.catalog_restores = self.restores;
-                self.older_catalog = None;
-            }
-            Ordering::Less if is_restored => {
-                let grace = match self.is_restoring {
-                    true => RESTORED_VERSION_GRACE,
-                    false => REWRITTEN_VERSION_GRACE,
-                };
-                let (version, in_force) = (catalog.version, current.version);
-                tracing::warn!(event = "version_older", version, in_force);
-                self.older_catalog = Some((catalog, now + grace));
-            }
-            Ordering::Less => {}
-        }
-    }
-
-    fn put_in_force(&mut self, now: Instant, catalog: Rc<Catalog>, actions: &mut Vec<Action>) {
-        self.older_catalog = None;
-        self.catalog_restores = self.restores;
-        self.quotas.set_accounts(catalog.accounts.iter());
-        self.catalog = Some(catalog);
-        self.recheck_api_keys(now, actions);
-    }
-
-    /// Refuses waiting requests whose API key was withdrawn.
-    fn recheck_api_keys(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let withdrawn = |open: &OpenRequest| {
-            let checked = self.check_api_key(now, &open.entry);
-            open.state == State::Waiting && checked == Err(Reason::UnknownKey)
-        };
-        let withdrawn_numbers = self.open_requests.iter().filter(|(_, open)| withdrawn(open));
-        let withdrawn_numbers: Vec<RequestNumber> =
-            withdrawn_numbers.map(|(number, _)| *number).collect();
-        for number in withdrawn_numbers {
-            self.refuse_waiting(now, number, Reason::UnknownKey, actions);
-        }
-    }
-
     fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.backends.expire(now);
         if self.lease.age(now).is_none_or(|age| age > MAX_CONFIRMED_AGE) {
             self.confirmed_since = now;
         }
-        if let Some((catalog, _)) = self.older_catalog.take_if(|(_, at)| now >= *at) {
-            tracing::warn!(event = "version_reverted", version = catalog.version);
-            self.put_in_force(now, catalog, actions);
-        }
+        self.use_older_catalog(now, actions);
         self.query_peer(now, actions);
         if now >= self.next_send {
             self.send_state(now, actions);
