--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -21,7 +21,7 @@
     Failed,
     /// The connection was lost before the end of the response.
     Broken,
-    /// The response is invalid or belongs to another request. The backend server runs on.
+    /// The response is invalid or belongs to another request. The backend server has not ended.
     Invalid,
 }
 
--- a/crates/gate/src/machine/configuration.rs
+++ b/crates/gate/src/machine/configuration.rs
@@ -53,7 +53,7 @@
                 self.catalog_restores = self.restores;
                 self.older_catalog = None;
             }
-            Ordering::Less if is_restored => {
+            Ordering::Less if is_restored && !self.is_pending(catalog.version) => {
                 let grace = match self.is_restoring {
                     true => RESTORED_VERSION_GRACE,
                     false => REWRITTEN_VERSION_GRACE,
@@ -66,6 +66,12 @@
         }
     }
 
+    /// Returns whether this older version waits to be put in force, so that a repeated read doesn't
+    /// change its time.
+    fn is_pending(&self, version: u64) -> bool {
+        self.older_catalog.as_ref().is_some_and(|(pending, _)| pending.version == version)
+    }
+
     fn put_in_force(&mut self, now: Instant, catalog: Rc<Catalog>, actions: &mut Vec<Action>) {
         self.older_catalog = None;
         self.catalog_restores = self.restores;
--- a/crates/gate/tests/eras.rs
+++ b/crates/gate/tests/eras.rs
@@ -66,6 +66,18 @@
     assert_eq!(gateway.machine.catalog().map(|catalog| catalog.version), Some(7));
 }
 
+/// Guards against a revert that comes early since the store was read once more.
+#[test]
+fn a_repeated_read_does_not_shorten_the_grace_time() {
+    let mut gateway = TestGateway::with_backends(PLAIN, 1);
+    publish(&mut gateway, 7, &["k2"]);
+    restore(&mut gateway, 5, &["k1"], &[("r0", record(PLAIN, 9_000))]);
+    advance(&mut gateway, Duration::from_secs(1));
+    publish(&mut gateway, 5, &["k1"]);
+    advance(&mut gateway, Duration::from_secs(4));
+    assert_eq!(gateway.machine.catalog().map(|catalog| catalog.version), Some(7));
+}
+
 /// Guards against a gateway that keeps a version which the store lost and nobody wrote again.
 #[test]
 fn a_lost_version_does_not_stay_in_force() {
