Deliver nothing after bytes that the proxy discarded

The fault on that link discards the bytes to the gateway; when it ends, the proxy's faults are cleared first and its connections are cut afterwards, and in between it delivered what came next. TCP never delivers bytes after missing ones, so no gateway can notice.

The proxy now cuts a connection of which it discarded bytes. nothing_is_delivered_after_discarded_bytes failed before ("read [2]").

--- a/crates/stand/src/proxy.rs
+++ b/crates/stand/src/proxy.rs
@@ -46,7 +46,8 @@
     pub delay_ms: u64,
     /// Cuts each connection after this many bytes, counted over both directions.
     pub cut_after: Option<u64>,
-    /// Discards the bytes of one direction.
+    /// Discards the bytes of one direction. A connection of which bytes were discarded is cut at its
+    /// next ones after that, since TCP never delivers bytes after missing ones.
     pub drop: Option<Direction>,
 }
 
@@ -179,6 +180,7 @@
         from: from.clone(),
         to: to.clone(),
         direction,
+        has_dropped: false,
     };
     let to_target = relay(&caller, &target, Direction::ToTarget);
     let to_caller = relay(&target, &caller, Direction::ToClient);
@@ -192,6 +194,8 @@
     from: TcpStream,
     to: TcpStream,
     direction: Direction,
+    /// Whether bytes of the connection were discarded.
+    has_dropped: bool,
 }
 
 impl Relay {
@@ -226,8 +230,12 @@
             self.shared.wait_while_frozen().await;
         }
         if faults.drop == Some(self.direction) {
+            self.has_dropped = true;
             return Some(data);
         }
+        if self.has_dropped {
+            return None;
+        }
         let remaining_bytes =
             faults.cut_after.map(|limit| limit.saturating_sub(forwarded_bytes.get()));
         let reaches_cut =
--- a/crates/stand/tests/proxy.rs
+++ b/crates/stand/tests/proxy.rs
@@ -91,3 +91,43 @@
         assert_eq!(service.record(), []);
     });
 }
+
+/// Guards against bytes that arrive after missing ones, which TCP rules out: a stream of the soak
+/// began with its seventh event and looked complete.
+#[test]
+fn nothing_is_delivered_after_discarded_bytes() {
+    use std::io::{Read, Write};
+
+    use compio::io::{AsyncRead, AsyncWriteExt};
+
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (received, receipts) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut byte = [0];
+        while stream.read(&mut byte).is_ok_and(|len| len > 0) {
+            let _ = stream.write_all(&byte);
+            let _ = received.send(byte[0]);
+        }
+    });
+    run(async move {
+        let proxy = proxy::spawn(any_port(), address).expect("a port");
+        let mut stream = compio::net::TcpStream::connect(proxy.address()).await.expect("connected");
+        proxy.set(Faults { drop: Some(Direction::ToClient), ..Faults::default() });
+        stream.write_all(vec![1]).await.0.expect("written");
+        while receipts.try_recv().is_err() {
+            compio::time::sleep(std::time::Duration::from_millis(1)).await;
+        }
+        let _ = compio::time::timeout(
+            std::time::Duration::from_millis(100),
+            stream.read(Vec::with_capacity(1)),
+        )
+        .await
+        .expect_err("the echo is discarded");
+        proxy.set(Faults::default());
+        stream.write_all(vec![2]).await.0.expect("written");
+        let read = stream.read(Vec::with_capacity(1)).await;
+        assert!(matches!(read.0, Ok(0) | Err(_)), "read {:?}", read.1);
+    });
+}
