Handle events of an action after the remaining actions

An agent that detected a pause while settings were put in force fed the distribution from within, and the actions of that event were carried out before the remaining ones of the current event; so did a suspect that cleared itself.

No action of a gateway feeds its driver.

--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::VecDeque,
     rc::Rc,
 };
 
@@ -51,9 +52,8 @@
 
 impl_machine!(agent, entry, gate, sync);
 
-/// Carries out the actions of a state machine. An implementation must not feed the same driver
-/// synchronously, since the actions of that event would be carried out before the remaining
-/// actions of the current one.
+/// Carries out the actions of a state machine. An event that it feeds to the same driver is handled
+/// after the remaining actions of the current one.
 pub trait Execute<A> {
     /// Carries out one action.
     fn execute(&self, action: A);
@@ -63,12 +63,20 @@
 pub struct Driver<M: Machine> {
     machine: RefCell<M>,
     timer: Cell<Option<Instant>>,
+    /// Events that wait while actions are carried out.
+    waiting: RefCell<VecDeque<M::Event>>,
+    executing: Cell<bool>,
 }
 
 impl<M: Machine> Driver<M> {
     /// Returns a driver of `machine`.
     pub fn new(machine: M) -> Rc<Driver<M>> {
-        Rc::new(Driver { machine: RefCell::new(machine), timer: Cell::new(None) })
+        Rc::new(Driver {
+            machine: RefCell::new(machine),
+            timer: Cell::new(None),
+            waiting: RefCell::default(),
+            executing: Cell::new(false),
+        })
     }
 
     /// Feeds one event and carries out the resulting actions.
@@ -81,11 +89,20 @@
         executor: &Rc<impl Execute<M::Action> + 'static>,
         event: M::Event,
     ) {
-        let mut actions = Vec::new();
-        self.machine.borrow_mut().handle(clock::now(), event, &mut actions);
-        for action in actions {
-            executor.execute(action);
+        self.waiting.borrow_mut().push_back(event);
+        if self.executing.replace(true) {
+            return;
+        }
+        loop {
+            let event = self.waiting.borrow_mut().pop_front();
+            let Some(event) = event else { break };
+            let mut actions = Vec::new();
+            self.machine.borrow_mut().handle(clock::now(), event, &mut actions);
+            for action in actions {
+                executor.execute(action);
+            }
         }
+        self.executing.set(false);
         self.schedule(executor);
     }
 
