--- a/crates/gate/tests/limits.rs
+++ b/crates/gate/tests/limits.rs
@@ -37,8 +37,7 @@
     }
 }
 
-/// Guards against a retry budget that each started process grants in full: three restarts of all
-/// gateways within a window.
+/// Guards against a retry budget that each started process grants in full.
 #[test]
 fn restarts_do_not_refill_the_retry_budget() {
     let mut cluster = Cluster::new(GATEWAYS, 4, Crash::BeforeFirstEvent);
--- a/crates/gate/tests/poison.rs
+++ b/crates/gate/tests/poison.rs
@@ -240,8 +240,7 @@
     late_retries
 }
 
-/// Guards against a request that keeps crashing servers in any order of crashes, restarts, pauses,
-/// partitions and outages of the store.
+/// Guards against late retries in any order of crashes, restarts, pauses, partitions and outages.
 #[test]
 fn late_retries_are_bounded_in_random_schedules() {
     let (count, first) = stand::schedules::read(SCHEDULES, 1);
@@ -284,8 +283,7 @@
     }
 }
 
-/// Guards against a request that is refused for long since its connections to two servers were lost,
-/// although these run on.
+/// Guards against a request that is refused for long since it lost connections to running servers.
 #[test]
 fn lost_connections_to_running_servers_are_disproved() {
     let mut cluster = Cluster::new(GATEWAYS, SERVERS, Crash::BeforeFirstEvent);
