Log how a stream's response is framed and how it ended

The gateway writes framing with each answer and one line at the end of each stream. The result of an attempt follows from the framing that the HTTP library applied: a response without body (204, HEAD) has neither header and was counted as one that ends with its connection.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -23,6 +23,7 @@
 use crate::{
     clock,
     connection::{Fault, Pool, Sender},
+    framing::Framing,
     gateway::{Gateway, Instruction, metrics::Metrics, relay},
     http,
 };
@@ -56,6 +57,7 @@
 /// A backend server's response whose body has not been read yet, and its connection.
 pub struct UnreadResponse {
     pub head: response::Parts,
+    pub framing: Framing,
     pub body: body::Incoming,
     pub sender: Sender,
     pub pool: Pool,
@@ -110,21 +112,25 @@
                 Attempt::Received(unread) if dispatch.stream && unread.head.status.is_success() => {
                     match relay::read_first_event(&mut self, &dispatch, *unread).await {
                         Ok(started) => {
-                            let status = started.head.status.as_u16();
-                            self.log_response(&dispatch, status, clock::now().since(sent_at));
+                            let (status, framing) = (started.head.status, started.framing());
+                            let first = clock::now().since(sent_at);
+                            self.log_response(&dispatch, status, framing, first);
                             return relay::build_stream_response(self, dispatch, started);
                         }
                         Err(attempt) => attempt,
                     }
                 }
-                Attempt::Received(unread) => match self.read_response(&dispatch, *unread).await {
-                    Ok(response) => {
-                        let status = response.status().as_u16();
-                        self.log_response(&dispatch, status, clock::now().since(sent_at));
-                        return response;
+                Attempt::Received(unread) => {
+                    let framing = unread.framing;
+                    match self.read_response(&dispatch, *unread).await {
+                        Ok(response) => {
+                            let first = clock::now().since(sent_at);
+                            self.log_response(&dispatch, response.status(), framing, first);
+                            return response;
+                        }
+                        Err(attempt) => attempt,
                     }
-                    Err(attempt) => attempt,
-                },
+                }
                 attempt => attempt,
             };
             match attempt {
@@ -232,7 +238,8 @@
             ResponseKind::Misdirected => Attempt::Failed(Event::Misdirected { number }),
             ResponseKind::Unverified => Attempt::Failed(self.build_ended(AttemptResult::Invalid)),
             ResponseKind::Failed | ResponseKind::Success => {
-                Attempt::Received(Box::new(UnreadResponse { head, body, sender, pool }))
+                let framing = Framing::of(&head.headers, &body);
+                Attempt::Received(Box::new(UnreadResponse { head, framing, body, sender, pool }))
             }
         }
     }
@@ -243,7 +250,7 @@
         dispatch: &Dispatch,
         unread: UnreadResponse,
     ) -> Result<Response<http::Body>, Attempt> {
-        let UnreadResponse { head, body, sender, pool } = unread;
+        let UnreadResponse { head, framing, body, sender, pool } = unread;
         let read = Limited::new(body, MAX_BUFFERED_BYTES).collect();
         let bytes = match self.wait(dispatch, dispatch.failover_timeout, read).await? {
             Ok(body) => body.to_bytes(),
@@ -256,13 +263,19 @@
             self.failure = Some(response);
             return Err(Attempt::Failed(self.build_ended(AttemptResult::Failed)));
         }
-        self.report(self.build_ended(end_result(&head.headers)));
+        self.report(self.build_ended(end_result(framing)));
         Ok(response)
     }
 
     /// Logs and counts a response. `first` is the time from the dispatch to the first event of a
     /// stream, or to the end of any other response.
-    pub fn log_response(&self, dispatch: &Dispatch, status: u16, first: Duration) {
+    pub fn log_response(
+        &self,
+        dispatch: &Dispatch,
+        status: StatusCode,
+        framing: Framing,
+        first: Duration,
+    ) {
         let inputs = &dispatch.inputs;
         self.gateway.metrics.count_outcome("answered");
         self.gateway.metrics.record_response(dispatch, first);
@@ -270,7 +283,8 @@
             event = "answered",
             id = %String::from_utf8_lossy(&self.id),
             replica = %String::from_utf8_lossy(&dispatch.id),
-            status,
+            status = status.as_u16(),
+            framing = framing.name(),
             tier = inputs.tier,
             attempt = inputs.attempt,
             waited_ms = inputs.waited.as_millis() as u64,
@@ -323,6 +337,26 @@
         &self.gateway.metrics
     }
 
+    /// Logs that a backend server ended a stream, and how many bytes it sent after the last complete
+    /// event.
+    pub fn log_stream_end(
+        &self,
+        dispatch: &Dispatch,
+        framing: Framing,
+        partial_bytes: usize,
+        last_event_id: Option<&Bytes>,
+    ) {
+        tracing::info!(
+            event = "stream_ended",
+            id = %String::from_utf8_lossy(&self.id),
+            replica = %String::from_utf8_lossy(&dispatch.id),
+            framing = framing.name(),
+            partial_bytes,
+            attempt = dispatch.inputs.attempt,
+            last_event = %String::from_utf8_lossy(last_event_id.map_or(&[], |id| &id[..])),
+        );
+    }
+
     /// Logs that a stream is cut before its end, and why. `last_event_id` is the identifier of the
     /// last event that was forwarded.
     pub fn log_cut(&self, dispatch: &Dispatch, reason: &str, last_event_id: Option<&Bytes>) {
@@ -376,11 +410,10 @@
 }
 
 /// Returns the result of a response that was read to its end.
-pub fn end_result(headers: &HeaderMap) -> AttemptResult {
-    let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
-    match framing.iter().any(|name| headers.contains_key(name)) {
-        true => AttemptResult::Complete,
-        false => AttemptResult::Unframed,
+pub fn end_result(framing: Framing) -> AttemptResult {
+    match framing {
+        Framing::Length | Framing::Chunks => AttemptResult::Complete,
+        Framing::Close => AttemptResult::Unframed,
     }
 }
 
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -14,6 +14,7 @@
 use crate::{
     clock,
     connection::{Pool, Sender},
+    framing::Framing,
     gateway::{
         Instruction,
         events::EventBuffer,
@@ -39,14 +40,20 @@
     ready: VecDeque<Bytes>,
 }
 
+impl StartedStream {
+    /// Returns the framing of the backend server's response.
+    pub fn framing(&self) -> Framing {
+        self.reader.framing
+    }
+}
+
 /// Body of a backend server's response and its connection.
 struct BodyReader {
     body: body::Incoming,
     sender: Sender,
     pool: Pool,
     idle: Duration,
-    /// Result to report once the response was read to its end.
-    end_result: AttemptResult,
+    framing: Framing,
 }
 
 /// Result of a read from a response body.
@@ -75,10 +82,9 @@
 }
 
 fn split_response(response: UnreadResponse) -> (response::Parts, BodyReader) {
-    let UnreadResponse { head, body, sender, pool } = response;
+    let UnreadResponse { head, framing, body, sender, pool } = response;
     let idle = exchange::idle_time(&head.headers);
-    let end_result = exchange::end_result(&head.headers);
-    (head, BodyReader { body, sender, pool, idle, end_result })
+    (head, BodyReader { body, sender, pool, idle, framing })
 }
 
 /// Reads up to the first complete event, or to the end of a stream without one.
@@ -196,12 +202,15 @@
                     self.reader = Some(reader);
                 }
                 Ok(BodyRead::End) => {
-                    let end_result = reader.end_result;
+                    let (framing, partial) = (reader.framing, self.events.take_partial());
+                    let last_id = self.events.last_id();
+                    self.exchange.log_stream_end(&self.dispatch, framing, partial.len(), last_id);
                     reader.release_connection();
                     let total = clock::now().since(self.first_event_at);
                     self.exchange.metrics().record_stream_end(&self.dispatch, total);
-                    self.exchange.report(self.exchange.build_ended(end_result));
-                    self.ready.push_back(self.events.take_partial());
+                    let result = exchange::end_result(framing);
+                    self.exchange.report(self.exchange.build_ended(result));
+                    self.ready.push_back(partial);
                 }
                 Ok(BodyRead::Broken) => {
                     drop(reader);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod driver;
 pub mod error;
 pub mod exit_code;
+pub mod framing;
 pub mod gateway;
 pub mod http;
 pub mod log;
