Take the end of a stream from its events as well as from its framing

What callers saw: status 200, a last chunk, and a stream that ends inside an event.

Cause: the gateway took the end of the body, as the HTTP library reports it, for the end of the stream. A response with neither a length nor chunks ends with its connection, and a crash closes the connection. Class: the absence of an error is taken for the presence of an end.

Fix: a stream is complete where its framing and an event both end; lines end with LF, CRLF or CR, and comments may follow the last event. An unframed one needs at least one event. What ends elsewhere is reported as broken, and as invalid if its length or last chunk claims the end, so it is retried, resumed or cut like a lost connection, and its connection is not used again. A response of another content type on a streaming route has no events and is read whole.

--- a/crates/daemon/src/gateway/events.rs
+++ b/crates/daemon/src/gateway/events.rs
@@ -1,45 +1,58 @@
 //! Splits the bytes of a stream into complete events.
 
+use std::mem;
+
 use bytes::{Bytes, BytesMut};
 use platform::message;
-
-const EVENT_END: &[u8] = b"\n\n";
+use wire::event_stream::Scanner;
 
 /// Buffers the bytes of an incomplete event, so that an interrupted stream can be resumed at
 /// another backend server after the last complete event.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
+    scanner: Scanner,
     partial: BytesMut,
     last_id: Option<Bytes>,
 }
 
+/// Events that were completed by some bytes.
+#[derive(Debug)]
+pub struct Completed {
+    /// The events and the comments between them.
+    pub bytes: Bytes,
+    pub count: u32,
+}
+
 impl EventBuffer {
-    /// Adds bytes and returns those of the events that are complete now.
-    pub fn push(&mut self, data: Bytes) -> Bytes {
-        let complete = match self.partial.is_empty() && data.ends_with(EVENT_END) {
-            true => data,
-            false => {
-                self.partial.extend_from_slice(&data);
-                let end =
-                    self.partial.windows(EVENT_END.len()).rposition(|window| window == EVENT_END);
-                let end = end.map_or(0, |at| at + EVENT_END.len());
-                self.partial.split_to(end).freeze()
-            }
-        };
-        if let Some(id) = find_last_id(&complete) {
+    /// Adds bytes and returns the events that are complete now.
+    pub fn push(&mut self, mut data: Bytes) -> Completed {
+        let scanned = self.scanner.scan(&data);
+        let mut bytes = data.split_to(scanned.len);
+        if !self.partial.is_empty() && !bytes.is_empty() {
+            self.partial.extend_from_slice(&bytes);
+            bytes = mem::take(&mut self.partial).freeze();
+        }
+        self.partial.extend_from_slice(&data);
+        if let Some(id) = message::parse_last_event_id(&bytes) {
             self.last_id = Some(Bytes::copy_from_slice(id));
         }
-        complete
+        Completed { bytes, count: scanned.events }
     }
 
-    /// Returns the number of complete events in bytes that `push` returned.
-    pub fn count(complete: &[u8]) -> u32 {
-        complete.windows(EVENT_END.len()).filter(|window| *window == EVENT_END).count() as u32
+    /// Returns whether a stream that ends now ends inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        self.scanner.is_inside_event()
     }
 
-    /// Takes the bytes after the last complete event.
+    /// Returns the number of bytes after the last complete event.
+    pub fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
+    /// Takes the bytes after the last complete event. The next bytes begin a new event.
     pub fn take_partial(&mut self) -> Bytes {
-        std::mem::take(&mut self.partial).freeze()
+        self.scanner = Scanner::default();
+        mem::take(&mut self.partial).freeze()
     }
 
     /// Returns the identifier of the last complete event, or of an earlier one if that has none.
@@ -47,16 +60,3 @@
         self.last_id.as_ref()
     }
 }
-
-/// Returns the last identifier in `complete`, which ends with a complete event or is empty.
-fn find_last_id(complete: &[u8]) -> Option<&[u8]> {
-    let mut events = complete.strip_suffix(EVENT_END)?;
-    loop {
-        let end = events.windows(EVENT_END.len()).rposition(|window| window == EVENT_END);
-        let start = end.map_or(0, |at| at + EVENT_END.len());
-        if let Some(id) = message::parse_event_id(&events[start..]) {
-            return Some(id);
-        }
-        events = &events[..end?];
-    }
-}
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -109,7 +109,11 @@
             };
             let sent_at = clock::now();
             let attempt = match self.attempt(&dispatch, None).await {
-                Attempt::Received(unread) if dispatch.stream && unread.head.status.is_success() => {
+                Attempt::Received(unread)
+                    if dispatch.stream
+                        && unread.head.status.is_success()
+                        && relay::is_event_stream(&unread.head) =>
+                {
                     match relay::read_first_event(&mut self, &dispatch, *unread).await {
                         Ok(started) => {
                             let (status, framing) = (started.head.status, started.framing());
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -6,10 +6,10 @@
 use futures_util::stream;
 use gate::{action::Dispatch, event::AttemptResult};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::{Response, body, http::response};
+use hyper::{Response, body, header, http::response};
 use prometheus_client::metrics::histogram::Histogram;
 
-use wire::time::Instant;
+use wire::{event_stream, time::Instant};
 
 use crate::{
     clock,
@@ -81,6 +81,12 @@
     }
 }
 
+/// Returns whether a response on a streaming route has events. One without a content type does.
+pub fn is_event_stream(head: &response::Parts) -> bool {
+    let content_type = head.headers.get(header::CONTENT_TYPE);
+    content_type.is_none_or(|value| event_stream::is_event_stream(value.as_bytes()))
+}
+
 fn split_response(response: UnreadResponse) -> (response::Parts, BodyReader) {
     let UnreadResponse { head, framing, body, sender, pool } = response;
     let idle = exchange::idle_time(&head.headers);
@@ -99,17 +105,20 @@
     loop {
         match exchange.wait(dispatch, dispatch.failover_timeout, reader.read()).await? {
             BodyRead::Data(data) => {
-                let complete = events.push(data);
-                if !complete.is_empty() {
-                    ready.push_back(complete);
+                let completed = events.push(data);
+                if !completed.bytes.is_empty() {
+                    ready.push_back(completed.bytes);
                     exchange.report(exchange.build_first_event());
                     return Ok(StartedStream { head, reader, events, ready });
                 }
             }
-            BodyRead::End => {
-                ready.push_back(events.take_partial());
-                return Ok(StartedStream { head, reader, events, ready });
-            }
+            BodyRead::End => match end_result(reader.framing, &events, false) {
+                AttemptResult::Complete => {
+                    ready.push_back(events.take_partial());
+                    return Ok(StartedStream { head, reader, events, ready });
+                }
+                result => return Err(Attempt::Failed(exchange.build_ended(result))),
+            },
             BodyRead::Broken => {
                 return Err(Attempt::Failed(exchange.build_ended(AttemptResult::Broken)));
             }
@@ -117,6 +126,17 @@
     }
 }
 
+/// Returns the result of a stream whose body was read to its end. A stream is broken if it ends
+/// inside an event, or without any event where its end is that of the connection.
+fn end_result(framing: Framing, events: &EventBuffer, has_event: bool) -> AttemptResult {
+    match (framing, events.is_inside_event()) {
+        (Framing::Close, true) => AttemptResult::Broken,
+        (Framing::Close, false) if !has_event => AttemptResult::Broken,
+        (Framing::Length | Framing::Chunks, true) => AttemptResult::Invalid,
+        (framing, false) => exchange::end_result(framing),
+    }
+}
+
 /// State of a stream's response. It is dropped with the body, which ends the request.
 struct Relay {
     exchange: Exchange,
@@ -196,26 +216,26 @@
             let wait = self.exchange.wait(&self.dispatch, failover_timeout, reader.read());
             match wait.await {
                 Ok(BodyRead::Data(data)) => {
-                    let complete = self.events.push(data);
-                    self.record_data(EventBuffer::count(&complete));
-                    self.ready.push_back(complete);
+                    let completed = self.events.push(data);
+                    self.record_data(completed.count);
+                    self.ready.push_back(completed.bytes);
                     self.reader = Some(reader);
                 }
                 Ok(BodyRead::End) => {
-                    let (framing, partial) = (reader.framing, self.events.take_partial());
-                    let last_id = self.events.last_id();
-                    self.exchange.log_stream_end(&self.dispatch, framing, partial.len(), last_id);
-                    reader.release_connection();
-                    let total = clock::now().since(self.first_event_at);
-                    self.exchange.metrics().record_stream_end(&self.dispatch, total);
-                    let result = exchange::end_result(framing);
-                    self.exchange.report(self.exchange.build_ended(result));
-                    self.ready.push_back(partial);
+                    let result = self.record_end(reader.framing);
+                    if matches!(result, AttemptResult::Complete | AttemptResult::Unframed) {
+                        reader.release_connection();
+                        self.ready.push_back(self.events.take_partial());
+                        continue;
+                    }
+                    drop(reader);
+                    if let Err(reason) = self.resume_broken(result).await {
+                        return Some(Err(self.abort(reason)));
+                    }
                 }
                 Ok(BodyRead::Broken) => {
                     drop(reader);
-                    self.exchange.report(self.exchange.build_ended(AttemptResult::Broken));
-                    if let Err(reason) = self.resume(None, "replica_broke_off").await {
+                    if let Err(reason) = self.resume_broken(AttemptResult::Broken).await {
                         return Some(Err(self.abort(reason)));
                     }
                 }
@@ -230,6 +250,31 @@
         }
     }
 
+    /// Reports and logs the end of the backend server's response and returns its result.
+    fn record_end(&self, framing: Framing) -> AttemptResult {
+        let result = end_result(framing, &self.events, !self.first_event_due);
+        let (partial, last_id) = (self.events.partial_len(), self.events.last_id());
+        self.exchange.log_stream_end(&self.dispatch, framing, partial, last_id);
+        if matches!(result, AttemptResult::Complete | AttemptResult::Unframed) {
+            let total = clock::now().since(self.first_event_at);
+            self.exchange.metrics().record_stream_end(&self.dispatch, total);
+            self.exchange.report(self.exchange.build_ended(result));
+        }
+        result
+    }
+
+    /// Reports a response that was broken off and resumes the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream ends.
+    async fn resume_broken(&mut self, result: AttemptResult) -> Result<(), &'static str> {
+        let event = self.exchange.build_ended(result);
+        self.exchange.log_failure(&self.dispatch, &event);
+        self.exchange.report(event);
+        self.resume(None, "replica_broke_off").await
+    }
+
     /// Logs why the response ends before its last event and returns the error for the body.
     fn abort(&self, reason: &str) -> http::Aborted {
         self.exchange.log_cut(&self.dispatch, reason, self.events.last_id());
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,7 @@
 //! Domain types and messages shared by the processes of the system, with their codec.
 
 pub mod error;
+pub mod event_stream;
 pub mod frame;
 pub mod grant;
 pub mod header;
