Reset the connection of a cut response to a caller of HTTP/1.0

What callers of HTTP/1.0 saw: a stream that the gateway or entry cut, or whose process ended, closed like a complete one.

Cause: HTTP/1.0 has no chunks, so the HTTP library sends a streamed response without framing, and the close of the connection is its end.

Fix: while a response without a known length goes to such a caller, the socket is set to reset on close, which also holds when the kernel closes it for a process that ended. It is cleared once the HTTP library has closed the connection without error.

--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -18,7 +18,8 @@
     future::{self, Either, LocalBoxFuture, Shared},
 };
 use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::{Request, Response, body, header, server::conn::http1, service};
+use hyper::{Request, Response, Version, body, header, server::conn::http1, service};
+use rustix::net::sockopt;
 use serde::Serialize;
 
 use crate::{
@@ -129,9 +130,20 @@
         tcp_stream: net::TcpStream,
         handler: Rc<impl Handler + 'static>,
     ) {
-        let service = service::service_fn(move |request| {
+        let socket = tcp_stream.clone();
+        let resets_on_close = Cell::new(false);
+        let service = service::service_fn(|request: Request<body::Incoming>| {
+            let is_old = request.version() < Version::HTTP_11;
             let response = handler.clone().handle(request);
-            async move { Ok::<_, Infallible>(response.await) }
+            let (socket, resets_on_close) = (&socket, &resets_on_close);
+            async move {
+                let response = response.await;
+                if is_old && body::Body::size_hint(response.body()).exact().is_none() {
+                    set_reset_on_close(socket, true);
+                    resets_on_close.set(true);
+                }
+                Ok::<_, Infallible>(response)
+            }
         });
         let connection = http1::Builder::new()
             .timer(CompioTimer)
@@ -146,8 +158,10 @@
                 connection.await
             }
         };
-        if let Err(error) = result {
-            tracing::debug!(event = "connection_error", %error);
+        match result {
+            Ok(()) if resets_on_close.get() => set_reset_on_close(&socket, false),
+            Ok(()) => {}
+            Err(error) => tracing::debug!(event = "connection_error", %error),
         }
     }
 
@@ -162,6 +176,15 @@
     }
 }
 
+/// Sets whether the connection is reset when it is closed, also at the end of the process. Without
+/// chunks, which HTTP/1.0 lacks, an orderly close marks the end of a streamed response.
+fn set_reset_on_close(socket: &net::TcpStream, is_reset: bool) {
+    let linger = is_reset.then_some(Duration::ZERO);
+    if let Err(error) = sockopt::set_socket_linger(socket, linger) {
+        tracing::warn!(event = "linger_not_set", %error);
+    }
+}
+
 /// Counts one connection as open until dropped.
 struct OpenConnection(Rc<Server>);
 
