Take the end of an agent's response from its content as well as from its framing

What callers saw: a chat or plain response whose unframed connection was closed early, delivered as complete by entries, with an end frame from the agent. A buffered one even got a Content-Length of its short size.

Cause: as in the gateway, the end of the body was taken for the end of the content.

Fix: the driver reports whether the framing or the connection ended a response. The agent finishes a stream only between events, an unframed chat stream only after its [DONE] event, and an unframed chat response only if its JSON text is complete. Anything else is a lost connection, which is resumed at its offset for models. An unframed plain response may end anywhere; nothing in it shows its end. Ends over real sockets are tested for the client and for callers of HTTP/1.0 at the entry. The simulated engines of proof and load now send events under the content type that they state, and half of proof's model responses are unframed.

--- a/crates/agent/src/event.rs
+++ b/crates/agent/src/event.rs
@@ -19,8 +19,10 @@
     Started { status: u16, content_type: Bytes, instance: Bytes },
     /// Bytes of the response from `offset` on.
     Data { offset: u64, bytes: Bytes },
-    /// The response ended as HTTP requires.
+    /// The response ended after its stated length or last chunk.
     End,
+    /// The response, which has neither a length nor chunks, ended with its connection.
+    Closed,
     /// The connection could not be opened, so nothing was sent.
     Unreachable,
     /// The connection was lost after bytes may have been sent.
--- a/crates/agent/src/progress.rs
+++ b/crates/agent/src/progress.rs
@@ -30,7 +30,8 @@
                 self.handle_start(cx, grant, (status, content_type), &instance);
             }
             Progress::Data { offset, bytes } => self.append_data(cx, grant, offset, bytes),
-            Progress::End => self.finish_response(cx, grant),
+            Progress::End => self.handle_end(cx, grant, true),
+            Progress::Closed => self.handle_end(cx, grant, false),
             Progress::Unreachable => self.handle_unreachable(cx, grant),
             Progress::ConnectionLost => self.handle_lost_connection(cx, grant),
             Progress::StreamNotFound { instance } => {
@@ -206,6 +207,19 @@
         self.discard_excess_streams();
     }
 
+    /// Handles the end of a body. If its content isn't complete there, it was broken off.
+    fn handle_end(&mut self, cx: &mut Context<'_>, grant: id::Grant, is_framed: bool) {
+        let Some(stream) = self.streams.open_mut(grant) else { return };
+        if stream.is_complete(is_framed) {
+            return self.finish_response(cx, grant);
+        }
+        let (owner, offset) = (stream.owner, stream.buffer.length());
+        tracing::info!(event = "broken_off", request = %owner, %grant, offset, is_framed);
+        self.count("broken_off");
+        self.trace(cx, owner, Step::MidStream, "broken_off");
+        self.handle_lost_connection(cx, grant);
+    }
+
     fn finish_response(&mut self, cx: &mut Context<'_>, grant: id::Grant) {
         let Some(stream) = self.streams.open_mut(grant) else { return };
         let body =
--- a/crates/agent/src/streams.rs
+++ b/crates/agent/src/streams.rs
@@ -6,7 +6,8 @@
 };
 
 use bytes::Bytes;
-use wire::{frame, id, request, time::Instant};
+use serde::de::IgnoredAny;
+use wire::{event_stream, frame, id, request, time::Instant};
 
 use crate::{Link, limit};
 
@@ -21,6 +22,12 @@
 /// Readers of one stream.
 const MAX_READERS: usize = 16;
 
+const JSON: &[u8] = b"application/json";
+/// Data of the last event of a chat stream.
+const LAST_CHAT_EVENT: &[u8] = b"[DONE]";
+/// Bytes kept to recognise the last event, which its line ends follow.
+const TAIL_BYTES: usize = 16;
+
 /// Buffered bytes of one stream.
 #[derive(Debug, Default)]
 pub(crate) struct Buffer {
@@ -28,11 +35,17 @@
     start_offset: u64,
     bytes: Vec<u8>,
     hasher: crc32fast::Hasher,
+    scanner: event_stream::Scanner,
+    /// The last bytes, which stay when the buffer is dropped.
+    tail: Vec<u8>,
 }
 
 impl Buffer {
     fn push(&mut self, bytes: &[u8]) {
         self.hasher.update(bytes);
+        self.scanner.scan(bytes);
+        self.tail.extend_from_slice(&bytes[bytes.len().saturating_sub(TAIL_BYTES)..]);
+        self.tail.drain(..self.tail.len().saturating_sub(TAIL_BYTES));
         self.bytes.extend_from_slice(bytes);
         if self.bytes.len() > MAX_STREAM_BYTES {
             self.drop_front(self.bytes.len() - MAX_STREAM_BYTES / 2);
@@ -57,6 +70,16 @@
         self.hasher.clone().finalize()
     }
 
+    /// Returns whether the last event of a chat stream was received.
+    fn has_last_chat_event(&self) -> bool {
+        self.tail.trim_ascii_end().ends_with(LAST_CHAT_EVENT)
+    }
+
+    /// Returns whether the bytes are a complete JSON text, as far as they are still buffered.
+    fn is_complete_json(&self) -> bool {
+        self.start_offset > 0 || serde_json::from_slice::<IgnoredAny>(&self.bytes).is_ok()
+    }
+
     /// Returns a copy of the bytes from an offset on, which must not be below `start_offset`.
     pub(crate) fn copy_from(&self, offset: u64) -> Bytes {
         let start = (offset - self.start_offset).min(self.bytes.len() as u64) as usize;
@@ -132,6 +155,22 @@
 }
 
 impl Stream {
+    /// Returns whether the content is complete where the body ends. The end of a body that is not
+    /// framed may be that of the backend server, so the content has to show it where it can.
+    pub(crate) fn is_complete(&self, is_framed: bool) -> bool {
+        let content_type = self.response_head.as_ref().map_or(&[][..], |(_, name)| &name[..]);
+        if event_stream::is_event_stream(content_type) {
+            let has_end = match (is_framed, self.kind) {
+                (true, _) => true,
+                (false, request::Kind::Model) => self.buffer.has_last_chat_event(),
+                (false, request::Kind::Service) => self.buffer.length() > 0,
+            };
+            return has_end && !self.buffer.scanner.is_inside_event();
+        }
+        let may_end_anywhere = self.kind == request::Kind::Service || content_type != JSON;
+        is_framed || may_end_anywhere || self.buffer.is_complete_json()
+    }
+
     /// Returns whether a request may read this stream.
     pub(crate) fn may_read(&self, request: id::Request) -> bool {
         self.owner == request || self.aliases.contains(&request)
--- a/crates/agent/tests/streams.rs
+++ b/crates/agent/tests/streams.rs
@@ -243,3 +243,84 @@
     assert!(limit(&harness) < 8, "{}", limit(&harness));
     assert!(limit(&harness) >= 2);
 }
+
+/// Progress of a body after its head.
+fn started(content_type: &'static str) -> Progress {
+    let (content_type, instance) = (content_type.into(), "run-1".into());
+    Progress::Started { status: 200, content_type, instance }
+}
+
+/// Dispatches a request whose response has this body and end, and returns whether the agent took
+/// the response for a complete one.
+fn looks_complete(
+    kind: request::Kind,
+    content_type: &'static str,
+    text: &str,
+    end: Progress,
+) -> bool {
+    let mut harness = Harness::new(pool());
+    let (grant, link) = harness.dispatch(request::Head { kind, ..head(1) });
+    harness.send_progress(grant, started(content_type));
+    let bytes = text.to_owned().into();
+    harness.send_progress(grant, Progress::Data { offset: 0, bytes });
+    let actions = harness.send_progress(grant, end);
+    frames(&actions, link).iter().any(|body| matches!(body, frame::Body::End { .. }))
+}
+
+/// Guards against a stream that is broken off inside an event and gets an end frame.
+#[test]
+fn a_stream_that_ends_inside_an_event_is_not_complete() {
+    for text in ["data: 1\n\ndata: 2", "data: 1\n\ndata: 2\n", "da"] {
+        for kind in [request::Kind::Model, request::Kind::Service] {
+            for end in [Progress::End, Progress::Closed] {
+                let is_complete = looks_complete(kind, "text/event-stream", text, end.clone());
+                assert!(!is_complete, "{kind:?} {text:?} {end:?}");
+            }
+        }
+    }
+}
+
+/// Guards against a chat stream that ends with its connection between two events, and a chat
+/// response that ends so inside its JSON text, and gets an end frame.
+#[test]
+fn a_chat_response_that_ends_with_its_connection_is_complete_after_its_last_event() {
+    let is_complete = |content_type, text| {
+        looks_complete(request::Kind::Model, content_type, text, Progress::Closed)
+    };
+    assert!(!is_complete("text/event-stream", ""));
+    assert!(!is_complete("text/event-stream", "data: 1\n\n"));
+    assert!(is_complete("text/event-stream", "data: 1\n\ndata: [DONE]\n\n"));
+    assert!(is_complete("text/event-stream; charset=utf-8", "data: 1\r\n\r\ndata: [DONE]\r\n\r\n"));
+    assert!(!is_complete("application/json", "{\"id\":\"1\""));
+    assert!(is_complete("application/json", "{\"id\":\"1\"}"));
+}
+
+/// Guards against whole responses of plain services that count as broken, since they end with their
+/// connection.
+#[test]
+fn a_plain_response_may_end_with_its_connection() {
+    let is_complete = |content_type, text| {
+        looks_complete(request::Kind::Service, content_type, text, Progress::Closed)
+    };
+    assert!(is_complete("text/plain", "sold"));
+    assert!(is_complete("text/event-stream", "data: 1\n\n"));
+}
+
+/// Guards against a stream that is given up, or gets bytes twice, when its unframed response is
+/// broken off inside an event and the engine has the rest.
+#[test]
+fn a_stream_closed_inside_an_event_is_resumed_where_it_ended() {
+    let mut harness = Harness::new(pool());
+    let (grant, link) = harness.dispatch(head(1));
+    harness.send_progress(grant, started("text/event-stream"));
+    harness.send_data(grant, "data: 1\n\nda");
+    harness.send_progress(grant, Progress::Closed);
+    harness.now = harness.now + ms(20);
+    assert_eq!(resumes(&harness.send(Event::Tick)), [11]);
+    harness.send_progress(grant, started("text/event-stream"));
+    harness.send_data(grant, "ta: 2\n\ndata: [DONE]\n\n");
+    let actions = harness.send_progress(grant, Progress::Closed);
+    let text = b"data: 1\n\ndata: 2\n\ndata: [DONE]\n\n";
+    let end = frame::Body::End { length: text.len() as u64, crc32: crc32fast::hash(text) };
+    assert_eq!(frames(&actions, link), [end]);
+}
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -12,7 +12,10 @@
 use serde_json::json;
 use wire::{header as names, id, request};
 
-use crate::connection::{self, Fault};
+use crate::{
+    connection::{self, Fault},
+    framing::Framing,
+};
 
 /// Timeout for connecting; the backend server runs on the same host.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -161,8 +164,8 @@
     }
 }
 
-/// Reports a response, whose body starts at `offset`, as it arrives. Returns whether it is
-/// complete.
+/// Reports a response, whose body starts at `offset`, as it arrives. Returns whether the connection
+/// can be used again.
 async fn report_response(
     response: Response<body::Incoming>,
     mut offset: u64,
@@ -175,6 +178,7 @@
         content_type: content_type.unwrap_or_default(),
         instance: read_instance(&response),
     });
+    let framing = Framing::of(response.headers(), response.body());
     let mut body = response.into_body();
     while let Some(frame) = body.frame().await {
         match frame.map(body::Frame::into_data) {
@@ -190,8 +194,11 @@
             }
         }
     }
-    report(Progress::End);
-    true
+    report(match framing {
+        Framing::Length | Framing::Chunks => Progress::End,
+        Framing::Close => Progress::Closed,
+    });
+    framing != Framing::Close
 }
 
 fn read_instance(response: &Response<body::Incoming>) -> Bytes {
--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -50,7 +50,7 @@
 /// Returns the levels of the crates that log decisions and dependencies at `level`; all others log
 /// warnings and errors.
 pub fn levels(level: &str) -> EnvFilter {
-    EnvFilter::new(format!("warn,daemon={level},quincespoked={level},gate={level}"))
+    EnvFilter::new(format!("warn,daemon={level},quincespoked={level},gate={level},agent={level}"))
 }
 
 fn writer() -> (NonBlocking, WorkerGuard) {
--- /dev/null
+++ b/crates/daemon/tests/backend_ends.rs
@@ -0,0 +1,145 @@
+//! How the agent's client knows the end of a backend server's response, over real sockets.
+
+use std::{
+    cell::RefCell,
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    thread,
+    time::Duration,
+};
+
+use agent::Progress;
+use bytes::Bytes;
+use daemon::backend::Client;
+use rustix::net::sockopt;
+use wire::{id, request, tier};
+
+const BODY: &str = "data: 1\n\ndata: 2\n\n";
+/// Time after which a silent response counts as one that does not end.
+const SILENCE: Duration = Duration::from_millis(300);
+/// Time within which any other response ends, on a slow host too.
+const END_TIMEOUT: Duration = Duration::from_secs(60);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    Length,
+    Chunks,
+    Close,
+    OldClose,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    Closed,
+    Reset,
+    Silent,
+}
+
+/// Starts a server that sends one response, of whose body only `sent` bytes if it is broken, and
+/// then ends the connection.
+fn serve(framing: Framing, end: End, sent: Option<usize>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        read_request(&mut stream);
+        let head = match framing {
+            Framing::Length => format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", BODY.len()),
+            Framing::Chunks => "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n".into(),
+            Framing::Close => "HTTP/1.1 200 OK\r\n\r\n".into(),
+            Framing::OldClose => "HTTP/1.0 200 OK\r\n\r\n".into(),
+        };
+        let body = &BODY[..sent.unwrap_or(BODY.len())];
+        let text = match framing {
+            Framing::Chunks if body.is_empty() => head,
+            Framing::Chunks => format!("{head}{:x}\r\n{body}\r\n", body.len()),
+            _ => head + body,
+        };
+        let is_last = framing == Framing::Chunks && sent.is_none();
+        let text = text + if is_last { "0\r\n\r\n" } else { "" };
+        stream.write_all(text.as_bytes()).expect("the client reads");
+        match end {
+            End::Closed => {}
+            End::Reset => {
+                // The bytes before a reset are read only if they arrive well before it.
+                thread::sleep(Duration::from_millis(20));
+                let linger = Some(Duration::ZERO);
+                sockopt::set_socket_linger(&stream, linger).expect("a socket");
+            }
+            End::Silent => drop(stream.read_to_end(&mut Vec::new())),
+        }
+    });
+    address
+}
+
+fn read_request(stream: &mut TcpStream) {
+    let mut received = Vec::new();
+    while !received.ends_with(b"\r\n\r\nbid") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).expect("a request");
+        received.push(byte[0]);
+    }
+}
+
+/// Returns the last progress of a dispatch, or `None` if the response has not ended within `limit`.
+async fn dispatch(address: SocketAddr, limit: Duration) -> Option<Progress> {
+    let head = request::Head {
+        request: id::Request { process: id::Process(1), seq: 1 },
+        kind: request::Kind::Service,
+        route: "bids".into(),
+        pool: "floor".into(),
+        account: "casa".into(),
+        tier: tier::Tier(0),
+        remaining: Duration::from_secs(30),
+        prompt_tokens: 1,
+        output_tokens: 1,
+        fingerprint: 1,
+        affinity: 1,
+        idempotent: false,
+        beyond_spread: false,
+        key: None,
+        body_len: 3,
+        method: "POST".into(),
+        path: "/bids/lot-7".into(),
+        content_type: "text/plain".into(),
+    };
+    let last = RefCell::new(None);
+    let report = |progress| *last.borrow_mut() = Some(progress);
+    let grant = id::Grant { process: id::Process(9), seq: 1 };
+    let sent = Client::new(address).dispatch(grant, head, Bytes::from_static(b"bid"), report);
+    match compio::time::timeout(limit, sent).await {
+        Ok(()) => last.into_inner(),
+        Err(_) => None,
+    }
+}
+
+/// Guards against a response whose connection is lost, or that ends with its connection, and is
+/// reported as framed to its end.
+#[compio::test]
+async fn the_end_of_each_response_is_reported() {
+    let framings = [Framing::Length, Framing::Chunks, Framing::Close, Framing::OldClose];
+    for framing in framings {
+        let is_framed = matches!(framing, Framing::Length | Framing::Chunks);
+        for end in [End::Closed, End::Reset, End::Silent] {
+            for sent in [Some(0), Some(4), Some(9), None] {
+                let expected = match (end, sent) {
+                    (_, None) if is_framed => Some(Progress::End),
+                    (End::Closed, _) if !is_framed => Some(Progress::Closed),
+                    (End::Silent, _) => None,
+                    _ => Some(Progress::ConnectionLost),
+                };
+                let limit = if expected.is_none() { SILENCE } else { END_TIMEOUT };
+                let last = dispatch(serve(framing, end, sent), limit).await;
+                let last = last.filter(|progress| {
+                    !matches!(progress, Progress::Started { .. } | Progress::Data { .. })
+                });
+                // A reset discards what the client has not read yet.
+                let is_discarded = last == Some(Progress::ConnectionLost) && end == End::Reset;
+                if is_discarded && sent.is_none() {
+                    continue;
+                }
+                assert_eq!(last, expected, "{framing:?} {end:?} after {sent:?} bytes");
+            }
+        }
+    }
+}
--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -2,6 +2,8 @@
 
 mod cluster;
 
+use std::io::{Read, Write};
+
 use bytes::Bytes;
 use cluster::{Cluster, Response, chat_body, expected_response};
 use futures_util::future;
@@ -383,3 +385,37 @@
         }
     });
 }
+
+/// Guards against a chat stream that was cut and looks complete to a caller of HTTP/1.0, for whom
+/// the close of the connection is the end of the response.
+#[test]
+fn a_cut_stream_never_looks_complete_to_an_old_caller() {
+    cluster::run(1, 1, 0, async |cluster| {
+        let callers = cluster.entries[0].callers.expect("an entry serves callers");
+        for crash in [false, true] {
+            let body = chat_body(&format!("old caller {crash}"), LONG_TOKENS, true);
+            let (sender, received) = futures_channel::oneshot::channel();
+            let request = [
+                b"POST /v1/chat/completions HTTP/1.0\r\nx-account: casa\r\n",
+                format!("content-length: {}\r\n\r\n", body.len()).as_bytes(),
+                &body,
+            ]
+            .concat();
+            std::thread::spawn(move || {
+                let mut stream = std::net::TcpStream::connect(callers).expect("connect");
+                stream.write_all(&request).expect("send");
+                let mut response = Vec::new();
+                let result = stream.read_to_end(&mut response);
+                sender.send((result.map(drop).map_err(|e| e.kind()), response))
+            });
+            let engine = cluster.wait_until_streaming(&body).await;
+            if crash {
+                cluster.engines[engine].crash();
+            }
+            let (result, response) = received.await.expect("a caller");
+            let is_whole = response.ends_with(&expected_response(&body));
+            let expected = if crash { Err(std::io::ErrorKind::ConnectionReset) } else { Ok(()) };
+            assert_eq!((result, is_whole), (expected, !crash));
+        }
+    });
+}
--- a/crates/daemon/tests/log.rs
+++ b/crates/daemon/tests/log.rs
@@ -22,14 +22,15 @@
     assert_eq!(admitted(&limit, next, true, 10), 10, "each second has its own limit");
 }
 
-/// Guards against decisions of the gateway that are logged but left out by the level of their crate.
+/// Guards against decisions that are logged but left out by the level of their crate.
 #[test]
-fn decisions_of_the_gateway_are_logged() {
+fn decisions_of_gateways_and_agents_are_logged() {
     use tracing_subscriber::layer::SubscriberExt;
 
     let subscriber = tracing_subscriber::registry().with(log::levels("info"));
     tracing::subscriber::with_default(subscriber, || {
         assert!(tracing::enabled!(target: "gate::machine::responses", tracing::Level::INFO));
+        assert!(tracing::enabled!(target: "agent::progress", tracing::Level::INFO));
         assert!(tracing::enabled!(target: "daemon::gateway", tracing::Level::INFO));
         assert!(!tracing::enabled!(target: "hyper", tracing::Level::INFO));
     });
--- a/crates/load/src/system.rs
+++ b/crates/load/src/system.rs
@@ -26,8 +26,8 @@
 const PROBE_PERIOD: Duration = Duration::from_millis(250);
 /// Time from the failure of hosts until the host list omits them.
 const HOST_LIST_DELAY: Duration = Duration::from_secs(2);
-/// Bytes that represent one token of a response.
-const TOKEN: &[u8] = b"tag ";
+/// Event that represents one token of a response.
+const TOKEN: &[u8] = b"data: tag\n\n";
 
 #[derive(Debug)]
 enum Event {
--- a/crates/proof/src/control.rs
+++ b/crates/proof/src/control.rs
@@ -63,13 +63,15 @@
 
     /// Closes the connections between an agent and its engine; the engine keeps running.
     pub fn disconnect_engine(&mut self, index: usize) {
-        let grants: Vec<id::Grant> = self.engines[index]
+        let closed: Vec<(id::Grant, agent::Progress)> = self.engines[index]
             .streams
             .iter_mut()
-            .filter_map(|(grant, stream)| stream.reader_offset.take().map(|_| *grant))
+            .filter_map(|(grant, stream)| {
+                stream.reader_offset.take().map(|_| (*grant, stream.closed()))
+            })
             .collect();
-        for grant in grants {
-            self.report_progress(index, grant, agent::Progress::ConnectionLost);
+        for (grant, progress) in closed {
+            self.report_progress(index, grant, progress);
         }
     }
 
--- a/crates/proof/src/engine.rs
+++ b/crates/proof/src/engine.rs
@@ -25,6 +25,18 @@
     /// Whether the start of the response was sent to the attached reader.
     pub start_reported: bool,
     pub ended: bool,
+    /// Whether the response is framed. The end of the connection is the end of any other response.
+    pub framed: bool,
+}
+
+impl Stream {
+    /// Returns what the reader observes when its connection is closed.
+    pub fn closed(&self) -> agent::Progress {
+        match self.start_reported && !self.framed {
+            true => agent::Progress::Closed,
+            false => agent::Progress::ConnectionLost,
+        }
+    }
 }
 
 /// An engine with its streams.
@@ -37,15 +49,15 @@
     pub piece_interval: Duration,
 }
 
-/// Returns the response to a request body.
+/// Returns the response to a request body, a stream of events.
 ///
 /// The response depends only on the body, so that the checker detects responses that are
 /// incomplete or belong to another request.
 pub fn response(body: &[u8]) -> Bytes {
     let hash = xxh3::xxh3_64(body);
     let pieces = 1 + (hash % 6) as usize;
-    let text = format!("{hash:016x}|");
-    text.repeat(pieces * PIECE_BYTES / text.len() + 1).into()
+    let text = format!("data: {hash:016x}\n\n");
+    (text.repeat(pieces * PIECE_BYTES / text.len() + 1) + "data: [DONE]\n\n").into()
 }
 
 impl Engine {
@@ -58,6 +70,8 @@
     pub fn start(&mut self, now: Instant, grant: id::Grant, head: request::Head, body: &[u8]) {
         let poison = body.windows(POISON.len()).any(|part| part == POISON);
         let stream = Stream {
+            // A plain response that is not framed doesn't show whether it is complete.
+            framed: head.kind == request::Kind::Service || grant.seq.is_multiple_of(2),
             head,
             response: response(body),
             produced: 0,
--- a/crates/proof/src/engines.rs
+++ b/crates/proof/src/engines.rs
@@ -126,7 +126,8 @@
                 stream.reader_offset = Some(stream.produced);
             }
             if stream.ended && stream.reader_offset.is_some() {
-                out.push((*grant, agent::Progress::End));
+                let end = if stream.framed { agent::Progress::End } else { stream.closed() };
+                out.push((*grant, end));
                 stream.reader_offset = None;
             }
         }
