End a streamed body as complete only where its sender says so

Cause: dropping the sender of a response body ended it as complete, so a cancelled task, a closed link or an early return would have passed for an end.

Fix: the end is sent explicitly, and a dropped sender truncates the body.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -340,7 +340,7 @@
             ResponsePart::Finish => {
                 let total = now.since(timing.started);
                 entry.metrics.record("total_ms", &timing.account, &timing.tier, total);
-                return;
+                return sender.finish();
             }
             ResponsePart::Refuse { refusal, .. } => {
                 let text = refusal::text(&refusal, &request.to_string());
@@ -352,9 +352,8 @@
             ResponsePart::Start { .. } => {}
         }
     }
-    // The last chunk is left out, so that HTTP clients don't take a truncated response for a
-    // complete one.
-    sender.abort();
+    // The sender is dropped without the end of the body, so that HTTP clients don't take a truncated
+    // response for a complete one.
 }
 
 /// Returns the name of a request's tier. If the request names none, this is the tier of its route,
--- a/crates/daemon/src/role_agent.rs
+++ b/crates/daemon/src/role_agent.rs
@@ -299,7 +299,9 @@
             }
             Action::Frame { link, frame } => agent.send_frame(link, &frame),
             Action::Close { link } => {
-                agent.links.borrow_mut().remove(&link);
+                if let Some(PendingReply::Stream(sender)) = agent.links.borrow_mut().remove(&link) {
+                    sender.finish();
+                }
             }
             Action::KeyReply { link, reply } => {
                 if let Some(PendingReply::Key(sender)) = agent.links.borrow_mut().remove(&link) {
--- a/crates/daemon/src/stream.rs
+++ b/crates/daemon/src/stream.rs
@@ -17,23 +17,30 @@
 /// fits within this bound.
 pub const MAX_UNREAD_BYTES: usize = 4 << 20;
 
-/// Sending half; dropping it ends the body as complete.
+enum Part {
+    Data(Bytes),
+    End,
+}
+
+/// Sending half; dropping it ends the body as truncated.
 pub struct Sender {
-    parts: mpsc::UnboundedSender<Result<Bytes, Aborted>>,
+    parts: mpsc::UnboundedSender<Part>,
     unread: Rc<Cell<usize>>,
 }
 
 /// Receiving half.
 pub struct Receiver {
-    parts: mpsc::UnboundedReceiver<Result<Bytes, Aborted>>,
+    parts: mpsc::UnboundedReceiver<Part>,
     unread: Rc<Cell<usize>>,
+    has_ended: bool,
 }
 
 /// Returns the two halves of a body.
 pub fn channel() -> (Sender, Receiver) {
     let (sender, receiver) = mpsc::unbounded();
     let unread = Rc::new(Cell::new(0));
-    (Sender { parts: sender, unread: unread.clone() }, Receiver { parts: receiver, unread })
+    let sender = Sender { parts: sender, unread: unread.clone() };
+    (sender, Receiver { parts: receiver, unread, has_ended: false })
 }
 
 impl Sender {
@@ -44,13 +51,13 @@
             return false;
         }
         self.unread.set(self.unread.get() + bytes.len());
-        let _ = self.parts.unbounded_send(Ok(bytes));
+        let _ = self.parts.unbounded_send(Part::Data(bytes));
         true
     }
 
-    /// Ends the body as truncated.
-    pub fn abort(self) {
-        let _ = self.parts.unbounded_send(Err(Aborted));
+    /// Ends the body as complete.
+    pub fn finish(self) {
+        let _ = self.parts.unbounded_send(Part::End);
     }
 }
 
@@ -58,10 +65,22 @@
     type Item = Result<Bytes, Aborted>;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        let part = ready!(self.parts.poll_next_unpin(cx));
-        if let Some(Ok(bytes)) = &part {
-            self.unread.set(self.unread.get() - bytes.len());
+        if self.has_ended {
+            return Poll::Ready(None);
         }
-        Poll::Ready(part)
+        Poll::Ready(match ready!(self.parts.poll_next_unpin(cx)) {
+            Some(Part::Data(bytes)) => {
+                self.unread.set(self.unread.get() - bytes.len());
+                Some(Ok(bytes))
+            }
+            Some(Part::End) => {
+                self.has_ended = true;
+                None
+            }
+            None => {
+                self.has_ended = true;
+                Some(Err(Aborted))
+            }
+        })
     }
 }
--- a/crates/daemon/tests/bounds.rs
+++ b/crates/daemon/tests/bounds.rs
@@ -27,7 +27,7 @@
     let read = runtime.block_on(receiver.next()).expect("a part").expect("bytes");
     assert!(sender.send(read));
     assert!(!sender.send(part.clone()));
-    sender.abort();
+    drop(sender);
     let remaining: Vec<_> = runtime.block_on(receiver.collect());
     assert_eq!(remaining.iter().flatten().map(Bytes::len).sum::<usize>(), sent);
     assert!(matches!(remaining.last(), Some(Err(Aborted))), "the body ended as if complete");
