Count no crash for a response that is too large to buffer

What callers saw: 502 twice, then 503 for poison for any copy of the request, while the server ran on.

Cause: every error while a whole response is read counted as a lost connection, also the gateway's own limit of 1 MiB.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -13,7 +13,7 @@
     refusal::{Reason, Refusal},
     request::Request as GatewayRequest,
 };
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{
     HeaderMap, Request, Response, StatusCode, body, header,
     http::{request, response},
@@ -258,7 +258,12 @@
         let read = Limited::new(body, MAX_BUFFERED_BYTES).collect();
         let bytes = match self.wait(dispatch, dispatch.failover_timeout, read).await? {
             Ok(body) => body.to_bytes(),
-            Err(_) => return Err(Attempt::Failed(self.build_ended(AttemptResult::Broken))),
+            Err(error) => {
+                let is_too_large = error.is::<LengthLimitError>();
+                let result =
+                    if is_too_large { AttemptResult::Invalid } else { AttemptResult::Broken };
+                return Err(Attempt::Failed(self.build_ended(result)));
+            }
         };
         pool.release(sender, idle_time(&head.headers));
         let mut response = http::buffered(head.status.as_u16(), "", bytes);
