--- a/crates/daemon/examples/cost/caller.rs
+++ b/crates/daemon/examples/cost/caller.rs
@@ -72,7 +72,8 @@
                 let response = caller.sender.send_request(request).await.expect("a response");
                 assert!(response.status().is_success(), "refused: {}", response.status());
                 let mut body = response.into_body();
-                while let Some(Ok(_)) = body.frame().await {
+                while let Some(frame) = body.frame().await {
+                    frame.expect("a complete response");
                     parts.set(parts.get() + 1);
                 }
             }
