Subtract disproved ends from the count of their run

What callers saw: one lost connection to a running server, minutes after another one, counted as two and refused the request for 10 s. A crash under a copy that was sent before a disproved end didn't count at all.

Cause: a disproved end was marked, while its count stayed the base of the next one. Both new tests failed before (2 where 1 is due; a crash not recorded). The number of disproved ends is kept beside the count, which still only grows, so that reports of gateways join as before.

--- a/crates/gate/src/suspects.rs
+++ b/crates/gate/src/suspects.rs
@@ -38,10 +38,16 @@
     /// Ends that followed one another. More than one if the run that followed an end is not
     /// known, for example while the store is unreachable.
     count: u32,
+    /// How many of them did not end the run: its connection was lost for another reason.
+    disproved: u32,
     /// Time of the last one.
     at: Instant,
-    /// Whether the run went on: its connection was lost for another reason.
-    is_disproved: bool,
+}
+
+impl End {
+    fn counted(&self) -> u32 {
+        self.count - self.disproved
+    }
 }
 
 #[derive(Clone, Debug, Default)]
@@ -57,7 +63,7 @@
     /// Returns the ends that count, the latest first.
     fn counted(&self, now: Instant) -> Vec<End> {
         let counts = |end: &&End| {
-            !end.is_disproved && Some(end.at) > self.completed_at && now.since(end.at) < RETENTION
+            end.counted() > 0 && Some(end.at) > self.completed_at && now.since(end.at) < RETENTION
         };
         let mut counted: Vec<End> = self.ends.iter().filter(counts).copied().collect();
         counted.sort_by_key(|end| Reverse(end.at));
@@ -65,7 +71,7 @@
     }
 
     fn total(&self, now: Instant) -> u32 {
-        self.counted(now).iter().map(|end| end.count).sum()
+        self.counted(now).iter().map(End::counted).sum()
     }
 
     /// Returns the sort key by which the suspects that matter most come first.
@@ -89,7 +95,7 @@
                 }
                 return false;
             }
-            Some(known) => *known = end,
+            Some(known) => *known = End { disproved: known.disproved, ..end },
             None => self.ends.push(end),
         }
         if self.ends.len() > MAX_ENDS {
@@ -100,7 +106,7 @@
     }
 
     fn report(&self, now: Instant, fingerprint: u64) -> message::Suspect {
-        let is_shared = |end: &&End| !end.is_disproved && now.since(end.at) < MAX_REPORTED_AGE;
+        let is_shared = |end: &&End| end.counted() > 0 && now.since(end.at) < MAX_REPORTED_AGE;
         let shared = self.ends.iter().filter(is_shared);
         let ends = shared.map(|end| message::End {
             run: end.run,
@@ -134,11 +140,11 @@
         let suspect = self.suspect_mut(now, fingerprint);
         let known = suspect.ends.iter().find(|end| end.run == run);
         let count = match known {
-            Some(end) if dispatched_at < end.at => return false,
+            Some(end) if dispatched_at < end.at && end.counted() > 0 => return false,
             Some(end) => end.count + 1,
             None => 1,
         };
-        suspect.merge(End { run, count, at: now, is_disproved: false });
+        suspect.merge(End { run, count, disproved: 0, at: now });
         suspect.announcements = ANNOUNCEMENTS;
         true
     }
@@ -163,7 +169,9 @@
     ) {
         for end in self.suspects.values_mut().flat_map(|suspect| &mut suspect.ends) {
             let is_due = now.since(end.at.max(confirmed_since)) >= VERIFICATION_TIME;
-            end.is_disproved |= is_due && is_listed(end.run);
+            if is_due && is_listed(end.run) {
+                end.disproved = end.count;
+            }
         }
     }
 
@@ -178,7 +186,7 @@
         let before = suspect.total(now);
         for end in report.ends.iter().filter(|end| recent(end.age)).take(MAX_ENDS) {
             let (run, count, at) = (end.run, end.count, earlier(end.age));
-            suspect.merge(End { run, count, at, is_disproved: false });
+            suspect.merge(End { run, count, disproved: 0, at });
         }
         suspect.completed_at = suspect.completed_at.max(report.completed.map(earlier));
         suspect.total(now) != before
@@ -194,7 +202,7 @@
         let mut total = 0;
         let ends = self.suspects.get(&fingerprint)?.counted(now);
         let deciding = ends.iter().find(|end| {
-            total += end.count;
+            total += end.counted();
             total >= QUARANTINE_ENDS
         })?;
         Some(RETENTION.saturating_sub(now.since(deciding.at)))
--- a/crates/gate/tests/poison.rs
+++ b/crates/gate/tests/poison.rs
@@ -10,7 +10,7 @@
     cluster::{Cluster, Crash, POISON},
     request,
 };
-use gate::{Event, event::AttemptResult, refusal::Reason};
+use gate::{Event, event::AttemptResult, refusal::Reason, suspects::Suspects};
 use wire::time::Instant;
 
 /// Gateways and model servers of the largest deployment with reports of such requests.
@@ -310,6 +310,45 @@
     assert_eq!(total(&cluster, 7), 0, "it is not reported any more");
 }
 
+/// Guards against a disproved end that raises the count of a later one at the same run, so that one
+/// lost connection counts as two.
+#[test]
+fn a_disproved_end_does_not_raise_a_later_count() {
+    const FINGERPRINT: u64 = 99;
+    const RUN: u64 = 7;
+    let at = |seconds: u64| Instant(seconds * 1_000_000);
+    let [mut observer, mut peer] = [Suspects::default(), Suspects::default()];
+    let exchange = |now: Instant, from: &Suspects, to: &mut Suspects| {
+        for report in from.summary(now) {
+            to.merge(now, &report);
+        }
+    };
+    observer.record_end(at(10), FINGERPRINT, RUN, at(9));
+    exchange(at(10), &observer, &mut peer);
+    for gateway in [&mut observer, &mut peer] {
+        gateway.disprove(at(21), at(0), |_| true);
+        assert_eq!(gateway.total(at(21), FINGERPRINT), 0);
+    }
+    assert!(observer.record_end(at(60), FINGERPRINT, RUN, at(59)));
+    exchange(at(60), &observer, &mut peer);
+    for gateway in [&observer, &peer] {
+        assert_eq!(gateway.total(at(60), FINGERPRINT), 1);
+        assert_eq!(gateway.quarantine_left(at(60), FINGERPRINT), None);
+    }
+}
+
+/// Guards against a crash that doesn't count since its copy was sent before a connection to the same
+/// run was lost for another reason.
+#[test]
+fn a_crash_counts_after_a_disproved_end() {
+    let at = |seconds: u64| Instant(seconds * 1_000_000);
+    let mut suspects = Suspects::default();
+    suspects.record_end(at(10), 99, 7, at(8));
+    suspects.disprove(at(21), at(0), |_| true);
+    assert!(suspects.record_end(at(22), 99, 7, at(9)));
+    assert_eq!(suspects.total(at(22), 99), 1);
+}
+
 /// Guards against a request that is refused since servers sent bytes that were no response.
 #[test]
 fn an_invalid_response_is_no_crash() {
