Leave to silent gateways their part of what a quota has left

What callers saw: 429 for an account within its quota, while gateways restarted, were frozen or cut off.

Cause: a silent gateway kept its part of the whole quota, while what all had used before the silence was still counted in full: that usage was reserved twice. Now the silent ones and the others divide only what the usage known to all of them leaves, so the sum stays within the limit from both sides: known + part x rest + (1 - part) x rest.

Two faults of the same account, found by the new test of windows under cuts: - a gateway that was heard again counted as reporting before its usage of the silence was received: 704,000 units ran where 702,500 are allowed. It counts after as many messages as hold a usage report. - a process that starts cut off from all others used its part again, which its predecessor had used: also 704,000. It waits until it is no longer isolated or has a whole window of its own. The test cluster started replaced processes at time 0, which hid the second one.

Failed before: 67 of 647 requests refused to an account at 95 % of its rate with two of four gateways frozen (0 now), and the windows above.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -387,7 +387,7 @@
 
 /// Logs and counts a refusal, and returns the response for it.
 pub fn refuse(metrics: &Metrics, refusal: &Refusal, id: &Bytes) -> Response<http::Body> {
-    let gate::refusal::Inputs { version, gateways, reporting, waiting, usable, .. } =
+    let gate::refusal::Inputs { version, gateways, reporting, waiting, usable, quota, .. } =
         refusal.inputs;
     let reason = refusal.reason.name();
     metrics.count_outcome(reason);
@@ -401,7 +401,9 @@
         heard = reporting,
         waiting,
         usable,
-        quota_used = refusal.inputs.quota_used.map(|used| used as i64),
+        quota_used = quota.map(|quota| quota.used as i64),
+        quota = quota.map(|quota| quota.granted as i64),
+        units = quota.map(|quota| quota.units as i64),
     );
     build_refusal(refusal, id)
 }
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -22,7 +22,7 @@
     peers::Peers,
     queue::{Entry, Queue},
     quota::{self, Admission, Quotas},
-    refusal::{Inputs, Reason, Refusal},
+    refusal::{self, Inputs, Reason, Refusal},
     request::Request,
     retry_budget::RetryBudget,
     source::{self, Source},
@@ -288,11 +288,11 @@
                 self.enqueue(number, entry);
             }
             Err(mut refusal) => {
-                let quota_used = refusal.inputs.quota_used;
+                let quota = refusal.inputs.quota;
                 let route = self.catalog.as_ref().and_then(|catalog| catalog.route(&host, &path));
                 let service = route.and_then(|route| Some(route.split.first()?.0.clone()));
                 let service = service.unwrap_or_default();
-                refusal.inputs = Inputs { quota_used, ..self.refusal_inputs(now, &service) };
+                refusal.inputs = Inputs { quota, ..self.refusal_inputs(now, &service) };
                 actions.push(Action::Refuse { number, refusal });
             }
         }
@@ -328,17 +328,18 @@
         if let Some(account) = &entry.account
             && let Some(account) = catalog.accounts.iter().find(|a| a.name == *account)
         {
-            let counts = quota::GatewayCounts {
-                serving: self.peers.serving_count(now),
-                reporting: self.peers.reporting_count(now),
-            };
+            let counts = self.peers.counts(now);
             let units = quota::cost(account, &entry.request);
             match self.quotas.admit(now, account, units, counts, &self.setup.bounds) {
                 Ok(Admission::Within) => {}
                 Ok(Admission::Beyond) => entry.tier = BEYOND_QUOTA_TIER,
                 Err(wait) => {
-                    let quota_used = self.quotas.used(&account.name);
-                    let inputs = Inputs { quota_used, ..Inputs::default() };
+                    let quota = Some(refusal::Quota {
+                        used: self.quotas.used(&account.name),
+                        units,
+                        granted: quota::granted(account, &self.setup.bounds),
+                    });
+                    let inputs = Inputs { quota, ..Inputs::default() };
                     return Err(Refusal { reason: Reason::Quota, retry_after: Some(wait), inputs });
                 }
             }
@@ -397,14 +398,15 @@
 
     /// Returns the inputs of a refusal.
     fn refusal_inputs(&self, now: Instant, service: &Bytes) -> Inputs {
+        let counts = self.peers.counts(now);
         Inputs {
             version: self.catalog.as_ref().map_or(0, |catalog| catalog.version),
             age: self.lease.age(now),
-            gateways: self.peers.serving_count(now),
-            reporting: self.peers.reporting_count(now),
+            gateways: counts.serving,
+            reporting: counts.serving - counts.silent,
             waiting: self.queues.get(service).map_or(0, Queue::len),
             usable: self.backends.usable(service, now).count(),
-            quota_used: None,
+            quota: None,
         }
     }
 
--- a/crates/gate/src/machine/peering.rs
+++ b/crates/gate/src/machine/peering.rs
@@ -14,8 +14,6 @@
 
 /// Rounds between messages with the addresses of other gateways.
 const PEERS_INTERVAL: u64 = 8;
-/// Rounds between messages with the quota usage.
-const USAGE_INTERVAL: u64 = 2;
 /// Rounds between messages with the speed estimates.
 const SPEEDS_INTERVAL: u64 = 6;
 /// Time between messages with suspects to one peer that may have missed earlier ones.
@@ -206,7 +204,7 @@
             waiting: self.waiting(),
             age: now.since(self.started_at),
             history: None,
-            usage: if every(USAGE_INTERVAL) { self.quotas.usage() } else { Vec::new() },
+            usage: if every(message::USAGE_INTERVAL) { self.quotas.usage() } else { Vec::new() },
             crashes: Vec::new(),
             peers: if every(PEERS_INTERVAL) { self.peers.advertised(now) } else { Vec::new() },
         }
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -6,6 +6,9 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+/// Rounds between messages with the quota usage.
+pub const USAGE_INTERVAL: u64 = 2;
+
 /// One datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -4,7 +4,7 @@
 
 use wire::time::Instant;
 
-use crate::message;
+use crate::{message, quota::GatewayCounts};
 
 /// Age up to which a peer's last message is used.
 const MAX_MESSAGE_AGE: Duration = Duration::from_millis(1500);
@@ -20,6 +20,8 @@
 const MAX_ADVERTISED: usize = 32;
 /// Time between messages to one peer in a deployment with few gateways.
 const MIN_SEND_PERIOD: Duration = Duration::from_millis(100);
+/// Time within which a message is received and handled, as a rule.
+const MAX_LATENCY: Duration = Duration::from_millis(100);
 /// Most messages that one gateway sends per second, which limits the cost with many gateways.
 const MAX_MESSAGES_PER_S: f64 = 120.0;
 
@@ -27,9 +29,37 @@
 struct Peer {
     last_seen: Option<Instant>,
     added_at: Instant,
+    /// A silence that has ended, until the peer's usage of that time was received.
+    silence: Option<Silence>,
     message: message::Message,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    since: Instant,
+    /// Messages received after it.
+    messages: u64,
+}
+
+impl Peer {
+    fn is_serving(&self, now: Instant) -> bool {
+        match self.last_seen {
+            Some(at) => now.since(at) < SERVING_TIMEOUT && !self.message.stopping,
+            None => now.since(self.added_at) < FIRST_MESSAGE_TIMEOUT,
+        }
+    }
+
+    fn is_reporting(&self, now: Instant) -> bool {
+        let is_recent = self.last_seen.is_some_and(|at| now.since(at) < MAX_MESSAGE_AGE);
+        is_recent && self.silence.is_none() && !self.message.stopping
+    }
+
+    /// Returns the time up to which the peer's usage is known.
+    fn reported_until(&self) -> Option<Instant> {
+        self.silence.map(|silence| silence.since).or(self.last_seen)
+    }
+}
+
 /// Peers by address.
 #[derive(Clone, Debug)]
 pub struct Peers {
@@ -55,6 +85,7 @@
         self.peers.entry(address).or_insert_with(|| Peer {
             last_seen: None,
             added_at: now,
+            silence: None,
             message: message::Message::default(),
         });
     }
@@ -91,6 +122,14 @@
             (true, false) => Sender::Replaced(peer.message.process),
             (false, _) => Sender::New,
         };
+        peer.silence = match (sender, peer.silence, peer.last_seen) {
+            (Sender::Returned, None, Some(since)) => Some(Silence { since, messages: 1 }),
+            (Sender::Returned | Sender::Unchanged, Some(silence), _) => {
+                let messages = silence.messages + 1;
+                (messages <= message::USAGE_INTERVAL).then_some(Silence { messages, ..silence })
+            }
+            _ => None,
+        };
         peer.last_seen = Some(now);
         peer.message = message.clone();
         Ok(sender)
@@ -124,24 +163,30 @@
 
     /// Returns the number of gateways that may serve callers, this one included.
     pub fn serving_count(&self, now: Instant) -> usize {
-        let serving = |peer: &&Peer| match peer.last_seen {
-            Some(at) => now.since(at) < SERVING_TIMEOUT && !peer.message.stopping,
-            None => now.since(peer.added_at) < FIRST_MESSAGE_TIMEOUT,
-        };
-        1 + self.peers.values().filter(serving).count()
+        1 + self.peers.values().filter(|peer| peer.is_serving(now)).count()
     }
 
-    /// Returns the number of gateways whose usage is recent, this one included.
-    pub fn reporting_count(&self, now: Instant) -> usize {
-        1 + self.recent_messages(now).filter(|(_, message)| !message.stopping).count()
+    /// Returns which gateways may serve callers and which of them report their usage.
+    pub fn counts(&self, now: Instant) -> GatewayCounts {
+        let silent = |peer: &&Peer| peer.is_serving(now) && !peer.is_reporting(now);
+        let silent = self.peers.values().filter(silent).map(Peer::reported_until);
+        // A peer that never reported may not have received any report either.
+        let reported_until = silent.clone().min().flatten();
+        GatewayCounts {
+            serving: self.serving_count(now),
+            silent: silent.count(),
+            reported_until,
+            report_delay: self.send_period() * message::USAGE_INTERVAL as u32 + MAX_LATENCY,
+        }
     }
 
     /// Returns the addresses to send the state to and the time until the next round.
     pub fn targets(&self) -> (Vec<SocketAddr>, Duration) {
-        let addresses: Vec<_> = self.peers.keys().copied().collect();
-        let period = MIN_SEND_PERIOD
-            .max(Duration::from_secs_f64(addresses.len() as f64 / MAX_MESSAGES_PER_S));
-        (addresses, period)
+        (self.peers.keys().copied().collect(), self.send_period())
+    }
+
+    fn send_period(&self) -> Duration {
+        MIN_SEND_PERIOD.max(Duration::from_secs_f64(self.peers.len() as f64 / MAX_MESSAGES_PER_S))
     }
 
     /// Returns the addresses of recently seen peers, which are sent to other gateways.
--- a/crates/gate/src/quota.rs
+++ b/crates/gate/src/quota.rs
@@ -36,20 +36,30 @@
 /// in a large deployment, one had used 3 % more than its even part.
 const RAMP_DELAY: Duration = Duration::from_secs(1);
 
-/// Numbers of gateways that determine which part of an account's quota this gateway may use.
-#[derive(Clone, Copy, Debug)]
+/// Gateways among which the quota of an account is shared.
+#[derive(Clone, Copy, Debug, Default)]
 pub struct GatewayCounts {
     /// Gateways that may serve callers, this one included.
     pub serving: usize,
-    /// Those among them that report their usage, this one included.
-    pub reporting: usize,
+    /// Those among them whose usage is not known now.
+    pub silent: usize,
+    /// Time up to which the usage of all of them is known; `None` if one has never reported it.
+    pub reported_until: Option<Instant>,
+    /// Time by which gateways may differ on when a request was counted.
+    pub report_delay: Duration,
 }
 
 impl GatewayCounts {
-    /// Returns the part of the quota that may be used here. Gateways that do not report their usage
-    /// may have used theirs, so it is left to them.
-    fn share(self) -> f64 {
-        self.reporting as f64 / self.serving.max(self.reporting).max(1) as f64
+    /// Returns whether no other gateway reports its usage although some may serve callers.
+    fn is_isolated(self) -> bool {
+        self.silent > 0 && self.silent + 1 == self.serving
+    }
+
+    /// Returns the part of a limit that is left to the silent gateways, given the units of the
+    /// window that they know of too. They and the others divide what these units leave.
+    fn reserve(self, limit: f64, known_to_all: f64) -> f64 {
+        let part = self.silent as f64 / self.serving.max(1) as f64;
+        part * (limit - known_to_all).max(0.0)
     }
 }
 
@@ -94,6 +104,14 @@
         }
     }
 
+    /// Returns the units of the window that all gateways have counted.
+    fn known_to_all(&self, now: Instant, window: Duration, counts: GatewayCounts) -> f64 {
+        let Some(until) = counts.reported_until else { return 0.0 };
+        let delay = counts.report_delay;
+        let is_known = |at: Instant| until.since(at) >= delay && now.since(at) + delay <= window;
+        self.slices.iter().filter(|(at, _)| is_known(*at)).map(|(_, units)| units).sum()
+    }
+
     /// Returns the units in equal parts of the window, the latest first.
     fn parts(&self, now: Instant, window: Duration) -> Vec<f32> {
         let mut parts = vec![0.0; HISTORY_PARTS as usize];
@@ -160,6 +178,11 @@
     }
 }
 
+/// Returns the published quota of an account for one window.
+pub fn granted(account: &Account, bounds: &Bounds) -> f64 {
+    account.rate * bounds.quota_window.as_secs_f64() + account.burst
+}
+
 impl Quotas {
     /// Returns quotas without usage. `complete` states that nothing was admitted before.
     pub fn new(now: Instant, complete: bool) -> Quotas {
@@ -189,7 +212,6 @@
             return Ok(Admission::Within);
         }
         let window = bounds.quota_window;
-        let share = counts.share();
         // Usage before the start is assumed to be the whole quota, evenly spread over the window.
         let quota_share = match self.is_complete(now, window) {
             true => 1.0,
@@ -197,22 +219,27 @@
         };
         let tolerance_share =
             if quota_share < 1.0 { INCOMPLETE_TOLERANCE_SHARE } else { TOLERANCE_SHARE };
-        let full = (account.rate * window.as_secs_f64() + account.burst) * share;
-        let tolerance =
-            (full * bounds.quota_overage + bounds.quota_slack * share) * tolerance_share;
+        let full = granted(account, bounds);
         let quota = full * quota_share;
+        // An isolated process can't learn what its predecessor used since the others fell silent.
+        let limit = match counts.is_isolated() && quota_share < 1.0 {
+            true => 0.0,
+            false => quota + (full * bounds.quota_overage + bounds.quota_slack) * tolerance_share,
+        };
         let usage = self.usage_mut(&account.name);
         usage.expire(now, window);
         let total = usage.sum + units;
-        if total > quota + tolerance {
-            let excess = total - quota - tolerance;
+        let known_to_all = usage.known_to_all(now, window, counts);
+        let excess = total + counts.reserve(limit, known_to_all) - limit;
+        if excess > 0.0 {
             return Err(usage
                 .time_until_freed(now, window, excess)
                 .clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER));
         }
+        let is_within = total + counts.reserve(quota, known_to_all) <= quota;
         usage.add(now, units);
         usage.admitted_here += units;
-        Ok(if total <= quota { Admission::Within } else { Admission::Beyond })
+        Ok(if is_within { Admission::Within } else { Admission::Beyond })
     }
 
     /// Refunds the units of a request that has not run.
@@ -263,8 +290,8 @@
     }
 
     /// Returns the units that an account used in the window.
-    pub fn used(&self, account: &Bytes) -> Option<f64> {
-        self.usages.get(account).map(|usage| usage.sum)
+    pub fn used(&self, account: &Bytes) -> f64 {
+        self.usages.get(account).map_or(0.0, |usage| usage.sum)
     }
 
     /// Returns the units that this process admitted, for the message to peers.
--- a/crates/gate/src/refusal.rs
+++ b/crates/gate/src/refusal.rs
@@ -107,8 +107,19 @@
     pub waiting: usize,
     /// Backend servers of the service that requests may be sent to.
     pub usable: usize,
+    /// Quota of the account, if the request exceeds the part of it that is available here.
+    pub quota: Option<Quota>,
+}
+
+/// An account's quota and its use, in units.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Quota {
     /// Units that the account used in the window, at all gateways.
-    pub quota_used: Option<f64>,
+    pub used: f64,
+    /// Units of the refused request.
+    pub units: f64,
+    /// Published quota for the window.
+    pub granted: f64,
 }
 
 impl Refusal {
--- a/crates/gate/tests/common/cluster.rs
+++ b/crates/gate/tests/common/cluster.rs
@@ -103,8 +103,7 @@
         let mut setup = setup(index as u16 + 1, first_start);
         setup.process += 1_000 * self.restarts;
         setup.seeds = (1..=3u16).map(|port| SocketAddr::from(([127, 0, 0, 1], port))).collect();
-        let mut gateway = TestGateway::empty(setup);
-        gateway.now = self.now;
+        let mut gateway = TestGateway::start(setup, self.now);
         gateway.feed(Event::Catalog(std::rc::Rc::new(catalog(1, &["k1", "k2"], 0.0))));
         for server in 0..self.servers.len() {
             write_record(&mut gateway, server, self.servers[server].started);
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -134,7 +134,11 @@
 
     /// Returns a gateway without configuration.
     pub fn empty(setup: Setup) -> TestGateway {
-        let now = Instant(1_000_000);
+        TestGateway::start(setup, Instant(1_000_000))
+    }
+
+    /// Returns a gateway without configuration whose process starts now.
+    pub fn start(setup: Setup, now: Instant) -> TestGateway {
         TestGateway { machine: Machine::new(now, setup), now, actions: Vec::new(), next: 0 }
     }
 
--- a/crates/gate/tests/limits.rs
+++ b/crates/gate/tests/limits.rs
@@ -127,3 +127,89 @@
     assert!(units >= (rate * 8.0 + rate) * 0.9, "{units}");
     assert!(cluster.gateways[0].machine.backends().keys_of(MODEL.as_bytes()).len() == 39);
 }
+
+const RATE: f64 = 50_000.0;
+/// Units of one request.
+const UNITS: f64 = 1_100.0;
+const STEP: Duration = Duration::from_millis(100);
+const WINDOW_STEPS: usize = 80;
+/// Requests that each of four gateways gets in a step: four times the rate.
+const DEMAND_PER_STEP: usize = 5;
+
+fn quota_cluster(gateways: usize) -> Cluster {
+    let mut cluster = Cluster::new(gateways, 39, Crash::BeforeFirstEvent);
+    for gateway in &mut cluster.gateways {
+        gateway.feed(Event::Catalog(std::rc::Rc::new(common::catalog(2, &["k1"], RATE))));
+    }
+    cluster.advance(Duration::from_secs(1));
+    cluster
+}
+
+/// Sends one request and returns whether it was admitted.
+fn admits(gateway: &mut TestGateway) -> bool {
+    let number = gateway.arrive(request("essay"));
+    let is_admitted = gateway.refused(number).is_none();
+    if is_admitted {
+        gateway.feed(Event::Ended { number, result: AttemptResult::Complete });
+    }
+    is_admitted
+}
+
+/// Guards against callers who are refused although their account is within its quota: the usage that
+/// a silent gateway had reported was left to it a second time.
+#[test]
+fn an_account_within_its_quota_is_served_while_gateways_are_frozen() {
+    let mut cluster = quota_cluster(4);
+    // Callers use 95 % of the rate, at whichever gateway is up.
+    let (mut due, mut refused, mut sent) = (0.0, 0, 0);
+    for step in 0..150 {
+        let is_frozen = (100..130).contains(&step);
+        cluster.paused[2..].fill(is_frozen);
+        due += RATE * 0.95 * STEP.as_secs_f64();
+        while due >= UNITS {
+            due -= UNITS;
+            sent += 1;
+            let gateway = sent % if is_frozen { 2 } else { 4 };
+            refused += u32::from(!admits(&mut cluster.gateways[gateway]));
+        }
+        cluster.advance(STEP);
+    }
+    assert_eq!(refused, 0, "of {sent}");
+}
+
+/// Guards against a window with more units than allowed while parts of the gateways are cut off from
+/// each other or restarted and callers send four times the rate.
+#[test]
+fn no_window_exceeds_the_quota_while_gateways_are_cut_off() {
+    let bound = (RATE * 8.0 + RATE) * 1.25 + 140_000.0;
+    for (parts, restarted) in [
+        ([0, 0, 0, 1], None),
+        ([0, 0, 1, 1], None),
+        ([0, 1, 2, 3], None),
+        ([0, 0, 0, 1], Some(3)),
+        ([0, 0, 1, 2], Some(0)),
+    ] {
+        let mut cluster = quota_cluster(4);
+        let mut admitted = Vec::new();
+        for step in 0..300 {
+            // The second cut begins while usage of the first one is still counted.
+            let is_cut = (100..160).contains(&step) || (190..260).contains(&step);
+            cluster.parts = if is_cut { parts.to_vec() } else { vec![0; 4] };
+            if step == 120
+                && let Some(gateway) = restarted
+            {
+                cluster.restart(gateway);
+                let catalog = std::rc::Rc::new(common::catalog(2, &["k1"], RATE));
+                cluster.gateways[gateway].feed(Event::Catalog(catalog));
+            }
+            let requests = cluster.gateways.iter_mut().flat_map(|gateway| {
+                (0..DEMAND_PER_STEP).map(|_| admits(gateway)).collect::<Vec<_>>()
+            });
+            admitted.push(requests.filter(|is_admitted| *is_admitted).count());
+            let window = &admitted[admitted.len().saturating_sub(WINDOW_STEPS)..];
+            let units = window.iter().sum::<usize>() as f64 * UNITS;
+            assert!(units <= bound, "{parts:?} {restarted:?}: {units} of {bound} at step {step}");
+            cluster.advance(STEP);
+        }
+    }
+}
--- a/crates/gate/tests/quotas.rs
+++ b/crates/gate/tests/quotas.rs
@@ -13,7 +13,8 @@
 };
 use wire::time::Instant;
 
-const ALONE: GatewayCounts = GatewayCounts { serving: 1, reporting: 1 };
+const ALONE: GatewayCounts =
+    GatewayCounts { serving: 1, silent: 0, reported_until: None, report_delay: Duration::ZERO };
 
 fn bounds() -> Bounds {
     Bounds { quota_overage: 0.25, quota_slack: 1_000.0, ..Bounds::default() }
@@ -102,8 +103,7 @@
     let window = Duration::from_secs(8);
     quotas.record_report(at(1.0), &message(4_000.0), window);
     quotas.record_report(at(2.0), &message(9_900.0), window);
-    let admitted =
-        admit_until_refused(&mut quotas, at(2.0), GatewayCounts { serving: 2, reporting: 2 });
+    let admitted = admit_until_refused(&mut quotas, at(2.0), GatewayCounts { serving: 2, ..ALONE });
     assert!(admitted < 3_000.0, "{admitted}");
 }
 
@@ -113,7 +113,7 @@
 fn a_gateway_without_reports_uses_its_part_of_the_quota() {
     let mut quotas = Quotas::new(at(0.0), true);
     let admitted =
-        admit_until_refused(&mut quotas, at(0.0), GatewayCounts { serving: 4, reporting: 1 });
+        admit_until_refused(&mut quotas, at(0.0), GatewayCounts { serving: 4, silent: 3, ..ALONE });
     assert!(admitted <= ((8_000.0 + 2_000.0) * 1.25 + 1_000.0) / 4.0, "{admitted}");
 }
 
@@ -167,8 +167,7 @@
         ..message::Message::default()
     };
     quotas.record_report(at(0.1), &message, Duration::from_secs(8));
-    let admitted =
-        admit_until_refused(&mut quotas, at(0.1), GatewayCounts { serving: 2, reporting: 2 });
+    let admitted = admit_until_refused(&mut quotas, at(0.1), GatewayCounts { serving: 2, ..ALONE });
     assert!(admitted > 9_000.0, "{admitted}");
 }
 
@@ -190,8 +189,7 @@
     assert!(!quotas.is_complete(at(0.2), window));
     quotas.record_report(at(0.3), &message(90_000.0), window);
     assert!(quotas.is_complete(at(0.3), window));
-    let admitted =
-        admit_until_refused(&mut quotas, at(0.3), GatewayCounts { serving: 2, reporting: 2 });
+    let admitted = admit_until_refused(&mut quotas, at(0.3), GatewayCounts { serving: 2, ..ALONE });
     assert!(admitted < 3_000.0, "{admitted}");
 }
 
