--- a/crates/stand/src/model.rs
+++ b/crates/stand/src/model.rs
@@ -235,8 +235,10 @@
 
     /// Stops progress for `duration`; jobs are still accepted.
     pub fn freeze(&mut self, now: Instant, duration: Duration) {
-        self.frozen_until = self.frozen_until.max(now + duration);
-        self.step_end = self.step_end.map(|end| end + duration);
+        let until = self.frozen_until.max(now + duration);
+        let extension = until.since(self.frozen_until.max(now));
+        self.frozen_until = until;
+        self.step_end = self.step_end.map(|end| end + extension);
     }
 
     /// Returns the load as it was `load_lag` before `now`.
--- a/crates/stand/tests/model.rs
+++ b/crates/stand/tests/model.rs
@@ -114,6 +114,17 @@
     assert_eq!(end(1.0, 1.0, Duration::from_millis(7)), Instant(57_000));
 }
 
+/// Guards against freezes that overlap and delay a step by the sum of their durations.
+#[test]
+fn overlapping_freezes_last_until_the_later_end() {
+    let mut engine = Engine::new(settings(), 1);
+    engine.submit(Instant(0), job(0, 500, 1));
+    engine.freeze(Instant(0), Duration::from_millis(7));
+    engine.freeze(Instant(2_000), Duration::from_millis(7));
+    engine.freeze(Instant(3_000), Duration::from_millis(1));
+    assert_eq!(run_to_end(&mut engine)[0].at, Instant(59_000));
+}
+
 /// Guards against a poison job that doesn't crash the engine, jobs or a cache that survive the
 /// crash, an instance number used twice, and jobs accepted during the restart.
 #[test]
