Compute the short requests' budget without overflow

The product of budget and percentage overflowed for budgets that the cost example sets; in a debug build the agent panicked, in the new test as well.

--- a/crates/agent/src/limit.rs
+++ b/crates/agent/src/limit.rs
@@ -123,7 +123,7 @@
     }
 
     fn max_short_tokens(&self) -> u64 {
-        self.max_tokens * self.short_percent / 100
+        (u128::from(self.max_tokens) * u128::from(self.short_percent) / 100) as u64
     }
 
     /// Returns whether a request may be granted a slot. A prompt of any size fits into the token
--- a/crates/agent/tests/admission.rs
+++ b/crates/agent/tests/admission.rs
@@ -468,3 +468,11 @@
     let within = request::Head { beyond_spread: false, ..copy };
     assert_eq!(grants(&harness.offer(within).1).len(), 1);
 }
+
+/// Guards against an overflow for a budget that no request can use up.
+#[test]
+fn an_unlimited_token_budget_admits_requests() {
+    let mut harness =
+        Harness::new(tree::Pool { max_prompt_tokens: u64::MAX, short_share_percent: 50, ..pool() });
+    harness.dispatch(head(1));
+}
