Check planned stops of entries as those of agents

The simulation recorded no requests in flight when an entry stopped, so nothing was checked. It records the dispatched requests of that entry now; the existing schedules and the lifecycle cells hold.

--- a/crates/proof/src/control.rs
+++ b/crates/proof/src/control.rs
@@ -147,6 +147,12 @@
     /// Starts a planned stop of an entry.
     pub fn stop_entry(&mut self, index: usize) {
         self.entries[index].stopping = true;
+        let received = self.record.requests.values().filter(|request| request.entry == index);
+        let received: Vec<id::Request> = received.filter_map(|request| request.id).collect();
+        let streams = self.engines.iter().flat_map(|engine| engine.streams.values());
+        let running = streams.filter(|s| s.reader_offset.is_some()).map(|s| s.head.request);
+        let requests = running.filter(|request| received.contains(request)).collect();
+        self.record.planned_stops.push((self.now, requests));
         self.handle_entry_event(index, entry::Event::Stop);
     }
 }
