Require the last event of a chat stream whatever its framing

What callers saw, if an engine ended its stream early with a last chunk between two events: a complete response. docs/guarantees.md listed it as not proved. The chat-completions protocol ends a stream with [DONE], and without it the stream is resumed at its offset or ends incomplete. The new test failed before. The tokens of the load simulation are text again, since it measures no content.

--- a/crates/agent/src/streams.rs
+++ b/crates/agent/src/streams.rs
@@ -158,17 +158,16 @@
     /// Returns whether the content is complete where the body ends. The end of a body that is not
     /// framed may be that of the backend server, so the content has to show it where it can.
     pub(crate) fn is_complete(&self, is_framed: bool) -> bool {
-        let content_type = self.response_head.as_ref().map_or(&[][..], |(_, name)| &name[..]);
+        let Some((status, content_type)) = &self.response_head else { return is_framed };
+        let is_chat = self.kind == request::Kind::Model && (200..300).contains(status);
         if event_stream::is_event_stream(content_type) {
-            let has_end = match (is_framed, self.kind) {
-                (true, _) => true,
-                (false, request::Kind::Model) => self.buffer.has_last_chat_event(),
-                (false, request::Kind::Service) => self.buffer.length() > 0,
+            let has_end = match is_chat {
+                true => self.buffer.has_last_chat_event(),
+                false => is_framed || self.buffer.length() > 0,
             };
             return has_end && !self.buffer.scanner.is_inside_event();
         }
-        let may_end_anywhere = self.kind == request::Kind::Service || content_type != JSON;
-        is_framed || may_end_anywhere || self.buffer.is_complete_json()
+        is_framed || !is_chat || &content_type[..] != JSON || self.buffer.is_complete_json()
     }
 
     /// Returns whether a request may read this stream.
--- a/crates/agent/tests/streams.rs
+++ b/crates/agent/tests/streams.rs
@@ -280,8 +280,20 @@
     }
 }
 
-/// Guards against a chat stream that ends with its connection between two events, and a chat
-/// response that ends so inside its JSON text, and gets an end frame.
+/// Guards against a chat stream that its engine ends early, between two events, and gets an end
+/// frame.
+#[test]
+fn a_chat_stream_without_its_last_event_is_not_complete() {
+    for end in [Progress::End, Progress::Closed] {
+        let is_complete =
+            |text| looks_complete(request::Kind::Model, "text/event-stream", text, end.clone());
+        assert!(!is_complete("data: 1\n\n"), "{end:?}");
+        assert!(is_complete("data: 1\n\ndata: [DONE]\n\n"), "{end:?}");
+    }
+}
+
+/// Guards against a chat response that ends with its connection before its content does and gets an
+/// end frame.
 #[test]
 fn a_chat_response_that_ends_with_its_connection_is_complete_after_its_last_event() {
     let is_complete = |content_type, text| {
--- a/crates/load/src/system.rs
+++ b/crates/load/src/system.rs
@@ -26,8 +26,8 @@
 const PROBE_PERIOD: Duration = Duration::from_millis(250);
 /// Time from the failure of hosts until the host list omits them.
 const HOST_LIST_DELAY: Duration = Duration::from_secs(2);
-/// Event that represents one token of a response.
-const TOKEN: &[u8] = b"data: tag\n\n";
+/// Bytes that represent one token of a response.
+const TOKEN: &[u8] = b"tag ";
 
 #[derive(Debug)]
 enum Event {
@@ -438,7 +438,7 @@
                 continue;
             }
             if output.tokens == 1 {
-                let content_type = Bytes::from_static(b"text/event-stream");
+                let content_type = Bytes::from_static(b"text/plain");
                 let instance = instance.clone();
                 let started = agent::Progress::Started { status: 200, content_type, instance };
                 self.report_progress(index, grant, started);
