Bound the size of an event that is not complete

A stream without an end of an event was buffered without bound. Above 1 MiB it counts as invalid, like bytes that are no response. The test's gateway read on until the test's time limit before. The relay's loop is split into reading and resuming.

--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -29,6 +29,9 @@
 /// one with free capacity.
 const STREAM_FAILOVER_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Largest event that is buffered until it is complete, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Reason for the end of a stream whose deadline passed.
 const DEADLINE: &str = "deadline";
 
@@ -111,6 +114,9 @@
                     exchange.report(exchange.build_first_event());
                     return Ok(StartedStream { head, reader, events, ready });
                 }
+                if events.partial_len() > MAX_EVENT_BYTES {
+                    return Err(Attempt::Failed(exchange.build_ended(AttemptResult::Invalid)));
+                }
             }
             BodyRead::End => match end_result(reader.framing, &events, false) {
                 AttemptResult::Complete => {
@@ -211,45 +217,47 @@
                 }
                 return Some(Ok(data));
             }
-            let mut reader = self.reader.take()?;
-            let failover_timeout = self.dispatch.failover_timeout.map(|_| STREAM_FAILOVER_TIMEOUT);
-            let wait = self.exchange.wait(&self.dispatch, failover_timeout, reader.read());
-            match wait.await {
-                Ok(BodyRead::Data(data)) => {
-                    let completed = self.events.push(data);
-                    self.record_data(completed.count);
-                    self.ready.push_back(completed.bytes);
-                    self.reader = Some(reader);
-                }
-                Ok(BodyRead::End) => {
-                    let result = self.record_end(reader.framing);
-                    if matches!(result, AttemptResult::Complete | AttemptResult::Unframed) {
-                        reader.release_connection();
-                        self.ready.push_back(self.events.take_partial());
-                        continue;
-                    }
-                    drop(reader);
-                    if let Err(reason) = self.resume_broken(result).await {
-                        return Some(Err(self.abort(reason)));
-                    }
-                }
-                Ok(BodyRead::Broken) => {
-                    drop(reader);
-                    if let Err(reason) = self.resume_broken(AttemptResult::Broken).await {
-                        return Some(Err(self.abort(reason)));
-                    }
-                }
+            let reader = self.reader.take()?;
+            let resumed = match self.read(reader).await {
+                Ok(None) => Ok(()),
+                Ok(Some(result)) => self.resume_broken(result).await,
                 Err(Attempt::Moved(dispatch)) => {
-                    drop(reader);
-                    if let Err(reason) = self.resume(Some(dispatch), "replica_silent").await {
-                        return Some(Err(self.abort(reason)));
-                    }
+                    self.resume(Some(dispatch), "replica_silent").await
                 }
-                Err(_) => return Some(Err(self.abort(DEADLINE))),
+                Err(_) => Err(DEADLINE),
+            };
+            if let Err(reason) = resumed {
+                return Some(Err(self.abort(reason)));
             }
         }
     }
 
+    /// Reads on and keeps the connection if the response goes on. Returns the result of a response
+    /// that was broken off.
+    async fn read(&mut self, mut reader: BodyReader) -> Result<Option<AttemptResult>, Attempt> {
+        let failover_timeout = self.dispatch.failover_timeout.map(|_| STREAM_FAILOVER_TIMEOUT);
+        let wait = self.exchange.wait(&self.dispatch, failover_timeout, reader.read());
+        Ok(match wait.await? {
+            BodyRead::Data(data) => {
+                let completed = self.events.push(data);
+                self.record_data(completed.count);
+                self.ready.push_back(completed.bytes);
+                let is_too_large = self.events.partial_len() > MAX_EVENT_BYTES;
+                self.reader = (!is_too_large).then_some(reader);
+                is_too_large.then_some(AttemptResult::Invalid)
+            }
+            BodyRead::End => match self.record_end(reader.framing) {
+                AttemptResult::Complete | AttemptResult::Unframed => {
+                    reader.release_connection();
+                    self.ready.push_back(self.events.take_partial());
+                    None
+                }
+                result => Some(result),
+            },
+            BodyRead::Broken => Some(AttemptResult::Broken),
+        })
+    }
+
     /// Reports and logs the end of the backend server's response and returns its result.
     fn record_end(&self, framing: Framing) -> AttemptResult {
         let result = end_result(framing, &self.events, !self.first_event_due);
