--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -40,26 +40,33 @@
     socket: Rc<net::UdpSocket>,
     mut datagrams: mpsc::UnboundedReceiver<(SocketAddr, message::Datagram)>,
 ) {
-    let mut last_encoded = (None, Vec::new());
+    let mut last = None;
+    let mut encoded = Vec::new();
     while let Some((to, datagram)) = datagrams.next().await {
-        // The same message is sent to every peer in turn and encoded only once.
-        let sequence = match &datagram {
-            message::Datagram::State(message) => Some(message.sequence),
-            message::Datagram::Query(_)
-            | message::Datagram::Reply(_)
-            | message::Datagram::Suspects(_) => None,
-        };
-        if sequence.is_none() || last_encoded.0 != sequence {
-            last_encoded = (sequence, wire::frame::encode(&datagram).to_vec());
+        // The same datagram is sent to every peer in turn and encoded only once.
+        if !last.as_ref().is_some_and(|last| is_same(last, &datagram)) {
+            encoded = wire::frame::encode(&datagram).to_vec();
+            last = Some(datagram);
         }
-        let (result, bytes) = socket.send_to(std::mem::take(&mut last_encoded.1), to).await.into();
-        last_encoded.1 = bytes;
+        let (result, bytes) = socket.send_to(std::mem::take(&mut encoded), to).await.into();
+        encoded = bytes;
         if let Err(error) = result {
             tracing::debug!(event = "peer_send_failed", peer = %to, %error);
         }
     }
 }
 
+/// Returns whether two datagrams have the same content. Queries and replies are sent once each.
+fn is_same(a: &message::Datagram, b: &message::Datagram) -> bool {
+    use message::Datagram;
+
+    match (a, b) {
+        (Datagram::State(a), Datagram::State(b)) => a.sequence == b.sequence,
+        (Datagram::Suspects(a), Datagram::Suspects(b)) => a == b,
+        _ => false,
+    }
+}
+
 async fn receive(gateway: Rc<Gateway>, socket: Rc<net::UdpSocket>) {
     let mut buffer = Vec::with_capacity(RECEIVE_BUFFER_BYTES);
     loop {
--- a/crates/daemon/tests/backend.rs
+++ b/crates/daemon/tests/backend.rs
@@ -1,5 +1,7 @@
 //! Client of the backend server, with idle connections that the server closes.
 
+mod bid;
+
 use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
 use agent::Progress;
@@ -7,7 +9,7 @@
 use daemon::backend::Client;
 use futures_util::future;
 use stand::service;
-use wire::{id, request, tier};
+use wire::id;
 
 const ROUNDS: u64 = 40;
 /// Maximum number of probes sent until a request starts to run.
@@ -15,33 +17,10 @@
 /// Long enough for a crash while a request runs.
 const LATENCY: Duration = Duration::from_millis(20);
 
-fn head() -> request::Head {
-    request::Head {
-        request: id::Request { process: id::Process(1), seq: 1 },
-        kind: request::Kind::Service,
-        route: "bids".into(),
-        pool: "floor".into(),
-        account: "casa".into(),
-        tier: tier::Tier(0),
-        remaining: Duration::from_secs(30),
-        prompt_tokens: 1,
-        output_tokens: 1,
-        fingerprint: 1,
-        affinity: 1,
-        idempotent: false,
-        beyond_spread: false,
-        key: None,
-        body_len: 3,
-        method: "POST".into(),
-        path: "/bids/lot-7".into(),
-        content_type: "text/plain".into(),
-    }
-}
-
 async fn dispatch(client: &Client, grant: id::Grant) -> Option<Progress> {
     let last = RefCell::new(None);
     let report = |progress| *last.borrow_mut() = Some(progress);
-    client.clone().dispatch(grant, head(), Bytes::from_static(b"bid"), report).await;
+    client.clone().dispatch(grant, bid::head(), Bytes::from_static(b"bid"), report).await;
     last.into_inner()
 }
 
--- a/crates/daemon/tests/backend_ends.rs
+++ b/crates/daemon/tests/backend_ends.rs
@@ -1,5 +1,7 @@
 //! How the agent's client knows the end of a backend server's response, over real sockets.
 
+mod bid;
+
 use std::{
     cell::RefCell,
     io::{Read, Write},
@@ -12,7 +14,7 @@
 use bytes::Bytes;
 use daemon::backend::Client;
 use rustix::net::sockopt;
-use wire::{id, request, tier};
+use wire::id;
 
 const BODY: &str = "data: 1\n\ndata: 2\n\n";
 /// Time after which a silent response counts as one that does not end.
@@ -83,30 +85,11 @@
 
 /// Returns the last progress of a dispatch, or `None` if the response has not ended within `limit`.
 async fn dispatch(address: SocketAddr, limit: Duration) -> Option<Progress> {
-    let head = request::Head {
-        request: id::Request { process: id::Process(1), seq: 1 },
-        kind: request::Kind::Service,
-        route: "bids".into(),
-        pool: "floor".into(),
-        account: "casa".into(),
-        tier: tier::Tier(0),
-        remaining: Duration::from_secs(30),
-        prompt_tokens: 1,
-        output_tokens: 1,
-        fingerprint: 1,
-        affinity: 1,
-        idempotent: false,
-        beyond_spread: false,
-        key: None,
-        body_len: 3,
-        method: "POST".into(),
-        path: "/bids/lot-7".into(),
-        content_type: "text/plain".into(),
-    };
     let last = RefCell::new(None);
     let report = |progress| *last.borrow_mut() = Some(progress);
     let grant = id::Grant { process: id::Process(9), seq: 1 };
-    let sent = Client::new(address).dispatch(grant, head, Bytes::from_static(b"bid"), report);
+    let sent =
+        Client::new(address).dispatch(grant, bid::head(), Bytes::from_static(b"bid"), report);
     match compio::time::timeout(limit, sent).await {
         Ok(()) => last.into_inner(),
         Err(_) => None,
