Charge the baselines the way back of a refused connection

A refused connection was tried again at another engine at the moment at which it reached the first one, which favoured the baselines by a latency.

--- a/crates/load/src/baseline.rs
+++ b/crates/load/src/baseline.rs
@@ -37,6 +37,12 @@
         engine: usize,
         failed_connects: usize,
     },
+    /// The refusal of a connection reaches the entry.
+    Refused {
+        request: usize,
+        engine: usize,
+        failed_connects: usize,
+    },
     EngineTick(usize),
     Token {
         request: usize,
@@ -132,6 +138,9 @@
             Event::Submit { request, engine, failed_connects } => {
                 self.submit(request, engine, failed_connects)
             }
+            Event::Refused { request, engine, failed_connects } => {
+                self.retry_refused(request, engine, failed_connects);
+            }
             Event::EngineTick(engine) => self.tick_engine(engine),
             Event::Token { request, last } => self.handle_token(request, last),
             Event::HalfDeadline(request) => {
@@ -233,10 +242,21 @@
             self.schedule_engine(engine);
             return;
         }
+        let entry = self.requests[request].entry;
+        let at = self.now + self.deployment.latency_between(entry, engine);
+        let failed_connects = failed_connects + 1;
+        self.events.push(at, Event::Refused { request, engine, failed_connects });
+    }
+
+    fn retry_refused(&mut self, request: usize, engine: usize, failed_connects: usize) {
+        let Attempt { open, engine: current, .. } = self.attempts[request];
+        if !open || current != engine {
+            return;
+        }
         self.events.push(self.now + HEALTH_CHECK_DELAY, Event::HealthCheck);
         self.release_engine(request);
-        if failed_connects + 1 < MAX_CONNECTS {
-            self.connect(request, failed_connects + 1);
+        if failed_connects < MAX_CONNECTS {
+            self.connect(request, failed_connects);
         }
     }
 
