Grant a small part of the tolerance to a process that starts isolated

A fifth of the tolerance, divided among all gateways, fits beside what the others may admit in the test of windows under cuts, which still holds.

--- a/crates/gate/src/quota.rs
+++ b/crates/gate/src/quota.rs
@@ -31,6 +31,9 @@
 /// more. With even usage, the units that leave the window in that time are about half of the
 /// tolerance.
 const INCOMPLETE_TOLERANCE_SHARE: f64 = 0.4;
+/// Part of the tolerance that all processes together use that have just started and receive no
+/// report.
+const ISOLATED_TOLERANCE_SHARE: f64 = 0.2;
 /// Time after a start with unknown earlier usage before any quota is granted. From then on, the
 /// granted part grows evenly over one window. The delay covers accounts that use a window unevenly:
 /// in a large deployment, one had used 3 % more than its even part.
@@ -217,14 +220,14 @@
             true => 1.0,
             false => now.since(self.started_at + RAMP_DELAY).as_secs_f64() / window.as_secs_f64(),
         };
-        let tolerance_share =
-            if quota_share < 1.0 { INCOMPLETE_TOLERANCE_SHARE } else { TOLERANCE_SHARE };
         let full = granted(account, bounds);
         let quota = full * quota_share;
-        // An isolated process can't learn what its predecessor used since the others fell silent.
-        let limit = match counts.is_isolated() && quota_share < 1.0 {
-            true => 0.0,
-            false => quota + (full * bounds.quota_overage + bounds.quota_slack) * tolerance_share,
+        let tolerance = full * bounds.quota_overage + bounds.quota_slack;
+        let limit = match (quota_share < 1.0, counts.is_isolated()) {
+            // The predecessor may have used its part of the quota since the others fell silent.
+            (true, true) => tolerance * ISOLATED_TOLERANCE_SHARE,
+            (true, false) => quota + tolerance * INCOMPLETE_TOLERANCE_SHARE,
+            (false, _) => quota + tolerance * TOLERANCE_SHARE,
         };
         let usage = self.usage_mut(&account.name);
         usage.expire(now, window);
