Add a schedule in which a third engine crashes

Trace: engine 3 crashes at 1.734 s under the first copy, engine 0 at 1.783 s under the second, whose entry is killed, so its caller has no answer and sends the third copy at 1.786 s. It runs at engine 1 at 1.793 s, before the second crash is known there. A drain changed the spread in between. Whether the guarantee covers a copy that is sent without an answer to the one before isn't decided; the check stays as it is, and the test is listed.

--- a/crates/proof/tests/regressions.rs
+++ b/crates/proof/tests/regressions.rs
@@ -434,3 +434,37 @@
         ],
     });
 }
+
+/// Guards against a third crash by a copy that is sent when the entry of the second one is killed,
+/// before the second crash is known.
+#[test]
+fn third_crash_seed_4417001() {
+    check_plan(Plan {
+        seed: 16115749612190095756,
+        entries: 3,
+        agents: 4,
+        max_queued: 2,
+        max_open: 6,
+        ops: vec![
+            (us(244_182), Op::Request { entry: 2, tier: 2, count: 3 }),
+            (us(119_745), Op::Request { entry: 7, tier: 0, count: 1 }),
+            (us(288_971), Op::Bid { entry: 4, key: 3 }),
+            (
+                us(15_919),
+                Op::Fault { fault: Fault::Drain, entry: 7, agent: 5, duration: us(1_002_000) },
+            ),
+            (
+                us(21_190),
+                Op::Fault { fault: Fault::StopEntry, entry: 6, agent: 1, duration: us(1_000) },
+            ),
+            (
+                us(1),
+                Op::Fault { fault: Fault::Poison, entry: 1, agent: 5, duration: us(3_182_000) },
+            ),
+            (
+                us(91_979),
+                Op::Fault { fault: Fault::KillEntry, entry: 3, agent: 1, duration: us(3_615_000) },
+            ),
+        ],
+    });
+}
