Let a suspect wait for the report of a crash under the copy before

What callers and operators saw: a third engine crashed by a request whose copies run one at a time.

Cause: the caller of the second copy lost its entry and sent the third 2.7 ms after the second crash. Its agent knew of one crash, was idle, and ran it 7 ms later, before the report of the second one arrived.

Fix: an agent grants a suspect its exclusive run only 100 ms after its offer. The report takes some milliseconds unless processes are cut off or paused. A caller of a suspect waits that much longer; other requests go first.

Five tests expected the grant in the moment of the offer; they now check in addition that it isn't given before the delay (grant_suspect), or let the delay pass and assert the same as before.

--- a/crates/agent/src/offers.rs
+++ b/crates/agent/src/offers.rs
@@ -124,7 +124,7 @@
         self.count("queued");
         self.trace(cx, head.request, Step::QueuedAtAgent, "queued");
         let counted_tokens = self.counted_tokens(&head);
-        let key = self.queue.push(link, head, deadline, class, counted_tokens);
+        let key = self.queue.push(cx.now, link, head, deadline, class, counted_tokens);
         self.links.insert(link, LinkUse::Queued(key));
         self.arm_queued(cx.now, key);
     }
--- a/crates/agent/src/queue.rs
+++ b/crates/agent/src/queue.rs
@@ -33,6 +33,7 @@
 pub(crate) struct Entry {
     pub(crate) link: Link,
     pub(crate) head: request::Head,
+    pub(crate) queued_at: Instant,
     pub(crate) deadline: Instant,
     /// When the deadline is checked next.
     pub(crate) check_at: Instant,
@@ -180,6 +181,7 @@
 
     pub(crate) fn push(
         &mut self,
+        now: Instant,
         link: Link,
         head: request::Head,
         deadline: Instant,
@@ -189,7 +191,16 @@
         self.next_seq += 1;
         let seq = self.next_seq;
         let tier = head.tier;
-        let entry = Entry { link, head, deadline, check_at: deadline, class, seq, counted_tokens };
+        let entry = Entry {
+            link,
+            head,
+            queued_at: now,
+            deadline,
+            check_at: deadline,
+            class,
+            seq,
+            counted_tokens,
+        };
         let key = self.entries.insert(entry);
         self.tokens += counted_tokens;
         self.tiers.entry(tier).or_default().offers.insert(seq, key);
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -1,5 +1,7 @@
 //! Slots: granting them to queued offers, exclusive runs, and releasing slots.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use wire::{
     offer,
@@ -12,6 +14,9 @@
     Action, event::Context, grants, limit, machine::Machine, queue, suspects, timers::Timer,
 };
 
+/// Time for which a suspect waits at least, so that a crash under the copy before it is known.
+const SUSPECT_DELAY: Duration = Duration::from_millis(100);
+
 impl Machine {
     /// Reserves slots while the limits allow it and offers are queued.
     pub(crate) fn grant_slots(&mut self, cx: &mut Context<'_>) {
@@ -88,6 +93,7 @@
         while let Some(key) = self.queue.first_exclusive() {
             let Some(entry) = self.queue.get(key) else { return false };
             let fingerprint = entry.head.fingerprint;
+            let settled_at = entry.queued_at + SUSPECT_DELAY;
             let class = self.size_class(&entry.head);
             match self.suspects.restriction(cx.now, &entry.head) {
                 suspects::Restriction::Quarantined(_) => {
@@ -108,6 +114,10 @@
                 self.refuse_queued(cx, key, Reason::Deadline);
                 continue;
             }
+            if cx.now < settled_at {
+                self.timers.arm(settled_at, Timer::Backend);
+                return false;
+            }
             return self.try_grant_exclusive(cx, key, fingerprint);
         }
         self.backend.cancel_preparation();
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -11,6 +11,8 @@
 
 pub const PROCESS: id::Process = id::Process(7);
 pub const HOST: &[u8] = b"agent-1";
+/// Time for which a suspect waits at least.
+pub const SUSPECT_DELAY: Duration = Duration::from_millis(100);
 
 pub fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -139,6 +141,13 @@
         grants(&actions).first().expect("a slot is free").1
     }
 
+    /// Offers a suspect and returns its grant, which it gets after a delay.
+    pub fn grant_suspect(&mut self, head: request::Head) -> id::Grant {
+        let (_, actions) = self.offer(head);
+        assert!(grants(&actions).is_empty(), "a suspect waits");
+        grants(&self.advance(SUSPECT_DELAY)).first().expect("a slot is free").1
+    }
+
     pub fn commit(&mut self, seq: u64, grant: id::Grant) -> (Link, Vec<Action>) {
         let link = self.new_link();
         let commit = grant::Commit { grant, request: head(seq).request };
