--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -14,7 +14,8 @@
     Action, event::Context, grants, limit, machine::Machine, queue, suspects, timers::Timer,
 };
 
-/// Time for which a suspect waits at least, so that a crash under the copy before it is known.
+/// Least time between the offer and the grant of a suspect. The report of a crash under the copy
+/// before it may still be on its way.
 const SUSPECT_DELAY: Duration = Duration::from_millis(100);
 
 impl Machine {
--- a/crates/gate/src/quota.rs
+++ b/crates/gate/src/quota.rs
@@ -31,8 +31,8 @@
 /// more. With even usage, the units that leave the window in that time are about half of the
 /// tolerance.
 const INCOMPLETE_TOLERANCE_SHARE: f64 = 0.4;
-/// Part of the tolerance that all processes together use that have just started and receive no
-/// report.
+/// Part of the tolerance that all processes use together that have just started and receive no
+/// reports. Gateways from which they are cut off may use the rest.
 const ISOLATED_TOLERANCE_SHARE: f64 = 0.2;
 /// Time after a start with unknown earlier usage before any quota is granted. From then on, the
 /// granted part grows evenly over one window. The delay covers accounts that use a window unevenly:
