Log the rate limits that backend servers name

The decoder reads the header in every response, also in failures, rejections and heads of streams, and each one is logged. No decision changes.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -18,7 +18,7 @@
     HeaderMap, Request, Response, StatusCode, body, header,
     http::{request, response},
 };
-use platform::message::{self, ResponseKind};
+use platform::message::{self, RateLimit, ResponseKind};
 
 use crate::{
     clock,
@@ -213,7 +213,7 @@
         };
         let pool = self.gateway.pool(dispatch);
         match self.wait(dispatch, dispatch.failover_timeout, pool.send(request)).await {
-            Ok(Ok((response, sender))) => self.classify(response, sender, pool),
+            Ok(Ok((response, sender))) => self.classify(dispatch, response, sender, pool),
             Ok(Err(Fault::Unsent)) => Attempt::Failed(Event::NotSent { number: self.number }),
             Ok(Err(Fault::Refused)) => Attempt::Failed(Event::Refused { number: self.number }),
             Ok(Err(Fault::Lost)) => Attempt::Failed(self.build_ended(AttemptResult::Broken)),
@@ -232,9 +232,16 @@
         Some(request)
     }
 
-    fn classify(&self, response: Response<body::Incoming>, sender: Sender, pool: Pool) -> Attempt {
+    fn classify(
+        &self,
+        dispatch: &Dispatch,
+        response: Response<body::Incoming>,
+        sender: Sender,
+        pool: Pool,
+    ) -> Attempt {
         let (head, body) = response.into_parts();
         let number = self.number;
+        self.log_rate_limit(dispatch, message::parse_rate_limit(&head, &self.id));
         match message::classify_response(&head, &self.id) {
             ResponseKind::NotRun { retry_after } => {
                 Attempt::Failed(Event::Rejected { number, retry_after })
@@ -318,6 +325,23 @@
         failure
     }
 
+    /// Logs the rate limit that a backend server named in its response.
+    fn log_rate_limit(&self, dispatch: &Dispatch, limit: RateLimit) {
+        let (per_s, malformed) = match limit {
+            RateLimit::Absent | RateLimit::Unverified => return,
+            RateLimit::Named(per_s) => (Some(per_s), false),
+            RateLimit::Malformed => (None, true),
+        };
+        tracing::info!(
+            event = "limit_named",
+            id = %String::from_utf8_lossy(&self.id),
+            replica = %String::from_utf8_lossy(&dispatch.id),
+            per_s,
+            malformed,
+            attempt = dispatch.inputs.attempt,
+        );
+    }
+
     /// Logs why an attempt at a backend server failed.
     pub fn log_failure(&self, dispatch: &Dispatch, event: &Event) {
         let how = match event {
