--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -241,7 +241,7 @@
     ) -> Attempt {
         let (head, body) = response.into_parts();
         let number = self.number;
-        self.log_rate_limit(dispatch, message::parse_rate_limit(&head, &self.id));
+        self.report_rate_limit(dispatch, &head);
         match message::classify_response(&head, &self.id) {
             ResponseKind::NotRun { retry_after } => {
                 Attempt::Failed(Event::Rejected { number, retry_after })
@@ -311,6 +311,7 @@
             tokens = inputs.tokens,
             account = %String::from_utf8_lossy(dispatch.account.as_deref().unwrap_or_default()),
             units = inputs.units as u64,
+            limit = inputs.rate_limit,
         );
     }
 
@@ -325,21 +326,22 @@
         failure
     }
 
-    /// Logs the rate limit that a backend server named in its response.
-    fn log_rate_limit(&self, dispatch: &Dispatch, limit: RateLimit) {
-        let (per_s, malformed) = match limit {
-            RateLimit::Absent | RateLimit::Unverified => return,
-            RateLimit::Named(per_s) => (Some(per_s), false),
-            RateLimit::Malformed => (None, true),
-        };
-        tracing::info!(
-            event = "limit_named",
-            id = %String::from_utf8_lossy(&self.id),
-            replica = %String::from_utf8_lossy(&dispatch.id),
-            per_s,
-            malformed,
-            attempt = dispatch.inputs.attempt,
-        );
+    /// Reports the rate limit that a backend server named in its response.
+    fn report_rate_limit(&self, dispatch: &Dispatch, head: &response::Parts) {
+        let number = self.number;
+        match message::parse_rate_limit(head, &self.id) {
+            RateLimit::Absent => self.report(Event::RateLimitStated { number, per_s: None }),
+            RateLimit::Named(per_s) => {
+                self.report(Event::RateLimitStated { number, per_s: Some(per_s) });
+            }
+            RateLimit::Unverified => {}
+            // The limit named before stays in force.
+            RateLimit::Malformed => tracing::warn!(
+                event = "limit_malformed",
+                id = %String::from_utf8_lossy(&self.id),
+                replica = %String::from_utf8_lossy(&dispatch.id),
+            ),
+        }
     }
 
     /// Logs why an attempt at a backend server failed.
@@ -362,6 +364,7 @@
             how,
             attempt = dispatch.inputs.attempt,
             running = dispatch.inputs.running,
+            limit = dispatch.inputs.rate_limit,
         );
     }
 
@@ -411,8 +414,9 @@
 
 /// Logs and counts a refusal, and returns the response for it.
 pub fn refuse(metrics: &Metrics, refusal: &Refusal, id: &Bytes) -> Response<http::Body> {
-    let gate::refusal::Inputs { version, gateways, reporting, waiting, usable, quota, .. } =
-        refusal.inputs;
+    let gate::refusal::Inputs {
+        version, gateways, reporting, waiting, usable, limited, quota, ..
+    } = refusal.inputs;
     let reason = refusal.reason.name();
     metrics.count_outcome(reason);
     tracing::info!(
@@ -425,6 +429,7 @@
         heard = reporting,
         waiting,
         usable,
+        limited,
         quota_used = quota.map(|quota| quota.used as i64),
         quota = quota.map(|quota| quota.granted as i64),
         units = quota.map(|quota| quota.units as i64),
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -51,6 +51,7 @@
     store_calls: Counter,
     suspects: Gauge,
     quarantined: Gauge,
+    limited: Gauge,
     dropped_log_lines: Gauge,
 }
 
@@ -75,6 +76,7 @@
             store_calls: Counter::default(),
             suspects: Gauge::default(),
             quarantined: Gauge::default(),
+            limited: Gauge::default(),
             dropped_log_lines: Gauge::default(),
         };
         metrics.register();
@@ -107,6 +109,8 @@
         registry.register("suspects", suspects, self.suspects.clone());
         let quarantined = "Those among them that are refused";
         registry.register("quarantined", quarantined, self.quarantined.clone());
+        let limited = "Replicas that named a rate limit";
+        registry.register("limited", limited, self.limited.clone());
         let dropped = "Log lines left out or lost since the start";
         registry.register("dropped_log_lines", dropped, self.dropped_log_lines.clone());
     }
@@ -175,6 +179,7 @@
         let (suspects, quarantined) = machine.suspects().counts(now);
         self.suspects.set(suspects as i64);
         self.quarantined.set(quarantined as i64);
+        self.limited.set(machine.limited_count() as i64);
         self.dropped_log_lines.set(log::dropped_lines() as i64);
         let mut page = String::new();
         text::encode(&mut page, &self.registry)?;
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -63,6 +63,7 @@
     match (a, b) {
         (Datagram::State(a), Datagram::State(b)) => a.sequence == b.sequence,
         (Datagram::Suspects(a), Datagram::Suspects(b)) => a == b,
+        (Datagram::RateLimits(a), Datagram::RateLimits(b)) => a == b,
         _ => false,
     }
 }
@@ -89,6 +90,15 @@
                     Ok(message::Datagram::Suspects(reports)) => {
                         gateway.feed(Event::SuspectsReceived(reports))
                     }
+                    Ok(message::Datagram::RateLimits(reports)) => {
+                        gateway.feed(Event::RateLimitsReceived(reports))
+                    }
+                    Ok(message::Datagram::Demands(demands)) => {
+                        gateway.feed(Event::DemandsReceived(demands))
+                    }
+                    Ok(message::Datagram::Permits(permits)) => {
+                        gateway.feed(Event::PermitsReceived(permits))
+                    }
                     Err(error) => tracing::warn!(event = "peer_unreadable", %from, %error),
                 }
             }
--- a/crates/gate/src/action.rs
+++ b/crates/gate/src/action.rs
@@ -62,4 +62,6 @@
     pub tier: u32,
     /// Units taken from the account's quota.
     pub units: f64,
+    /// Rate limit of the backend server, in requests a second, that the request has a permit for.
+    pub rate_limit: Option<f64>,
 }
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -40,6 +40,9 @@
     Rejected { number: RequestNumber, retry_after: Option<Duration> },
     /// The address belongs to another backend server.
     Misdirected { number: RequestNumber },
+    /// The head of a response was received. `per_s` is the rate limit that it names, in requests a
+    /// second from all gateways together.
+    RateLimitStated { number: RequestNumber, per_s: Option<f64> },
     /// The first event of the response was received.
     FirstEvent { number: RequestNumber },
     /// No response was received for `Dispatch::failover_timeout`, or no data of a stream in
@@ -77,6 +80,12 @@
     StateReceived(message::Message),
     /// A peer sent suspects.
     SuspectsReceived(Vec<message::Suspect>),
+    /// A peer sent rate limits of backend servers.
+    RateLimitsReceived(Vec<message::RateLimit>),
+    /// A peer demands permits.
+    DemandsReceived(message::Demands),
+    /// A peer issued permits.
+    PermitsReceived(message::Permits),
     /// A probe ended.
     Probed { backend: backends::Key, reachable: bool },
     /// A planned stop began.
--- /dev/null
+++ b/crates/gate/src/issuer.rs
@@ -0,0 +1,146 @@
+//! Issue of permits for requests to backend servers with a rate limit.
+//!
+//! A limit is often lower than the number of gateways, so it can't be divided into equal parts.
+//! Instead, one gateway issues a permit for each request, at the rate of the limit, to the gateways
+//! that have requests for the server. Which one is determined by rendezvous hashing among those
+//! that receive each other's messages. An issuer that doesn't receive messages of all gateways
+//! leaves their part of the rate to them, since they may have an issuer of their own.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use wire::time::Instant;
+
+use crate::{message, permits, quota};
+
+/// Part of a second for which permits that nobody demands accumulate.
+const BURST_S: f64 = 0.25;
+
+/// Returns the gateway that issues the permits of a run.
+pub fn choose(run: u64, gateways: impl Iterator<Item = SocketAddr>) -> Option<SocketAddr> {
+    gateways.max_by_key(|gateway| rank(run, gateway))
+}
+
+/// Returns a pseudorandom number that is the same at all gateways.
+pub fn rank(run: u64, gateway: &SocketAddr) -> u64 {
+    let mut name = gateway.to_string().into_bytes();
+    name.extend_from_slice(&run.to_be_bytes());
+    // The hash alone orders names that differ in their first bytes alike for all runs.
+    let hash = quota::hash(&name);
+    (hash ^ (hash >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
+/// Permits that a gateway demands.
+#[derive(Clone, Copy, Debug)]
+struct Demand {
+    /// Most urgent tier of the requests that wait there for the backend server.
+    tier: Option<u32>,
+    count: u16,
+    token: u64,
+    received_at: Instant,
+    last_issue: Instant,
+}
+
+/// Token bucket of one run.
+#[derive(Clone, Debug)]
+struct Bucket {
+    permits: f64,
+    /// Permits a second at the last refill.
+    rate: f64,
+    refilled_at: Instant,
+    demands: HashMap<SocketAddr, Demand>,
+}
+
+impl Bucket {
+    fn refill(&mut self, now: Instant, rate: f64) {
+        let added = now.since(self.refilled_at).as_secs_f64() * rate;
+        self.refilled_at = now;
+        if rate < self.rate {
+            // What accumulated at the higher rate would exceed the lower one.
+            self.permits *= rate / self.rate;
+        }
+        self.rate = rate;
+        self.permits = (self.permits + added).min((rate * BURST_S).max(1.0));
+    }
+
+    /// Takes a permit for the gateway with the most urgent request. Gateways without a waiting
+    /// request get one ahead of their next request if no other gateway needs it.
+    fn issue(&mut self, now: Instant) -> Option<(SocketAddr, u64)> {
+        if self.permits < 1.0 {
+            return None;
+        }
+        let open = self.demands.iter_mut().filter(|(_, demand)| demand.count > 0);
+        let (to, demand) = open.min_by_key(|(to, demand)| {
+            (demand.tier.is_none(), demand.tier, demand.last_issue, **to)
+        })?;
+        demand.count -= 1;
+        demand.last_issue = now;
+        self.permits -= 1.0;
+        Some((*to, demand.token))
+    }
+}
+
+/// A permit and the gateway that it is issued to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Permit {
+    pub to: SocketAddr,
+    pub run: u64,
+    /// Token of the demand.
+    pub token: u64,
+}
+
+/// Permits and demands by run.
+#[derive(Clone, Debug, Default)]
+pub struct Issuer {
+    buckets: HashMap<u64, Bucket>,
+}
+
+impl Issuer {
+    /// Records what a gateway demands, which replaces its earlier demand for the run. A run that is
+    /// new here has no permits yet, since another issuer may just have issued some.
+    pub fn record_demand(
+        &mut self,
+        now: Instant,
+        from: SocketAddr,
+        token: u64,
+        demand: &message::Demand,
+    ) {
+        let bucket = self.buckets.entry(demand.run).or_insert_with(|| Bucket {
+            permits: 0.0,
+            rate: 0.0,
+            refilled_at: now,
+            demands: HashMap::new(),
+        });
+        let message::Demand { tier, count, .. } = *demand;
+        let last_issue = bucket.demands.get(&from).map_or(Instant::default(), |d| d.last_issue);
+        let demand = Demand { tier, count, token, received_at: now, last_issue };
+        bucket.demands.insert(from, demand);
+    }
+
+    /// Issues the permits that are available. `rate` returns the permits a second for a run, or
+    /// `None` if this gateway doesn't issue them.
+    pub fn issue(&mut self, now: Instant, rate: impl Fn(u64) -> Option<f64>) -> Vec<Permit> {
+        let mut issued = Vec::new();
+        self.buckets.retain(|run, bucket| {
+            let Some(rate) = rate(*run) else { return false };
+            bucket.refill(now, rate);
+            bucket.demands.retain(|_, demand| now.since(demand.received_at) < permits::LIFETIME);
+            while let Some((to, token)) = bucket.issue(now) {
+                issued.push(Permit { to, run: *run, token });
+            }
+            true
+        });
+        issued
+    }
+
+    /// Returns when the next permit is available that is demanded.
+    pub fn next_issue(&self, rate: impl Fn(u64) -> Option<f64>) -> Option<Instant> {
+        let is_demanded = |bucket: &Bucket| bucket.demands.values().any(|demand| demand.count > 0);
+        let demanded = self.buckets.iter().filter(|(_, bucket)| is_demanded(bucket));
+        let due = demanded.filter_map(|(run, bucket)| {
+            let missing = (1.0 - bucket.permits).max(0.0);
+            let wait = Duration::try_from_secs_f64(missing / rate(*run)?).ok()?;
+            Some(bucket.refilled_at + wait)
+        });
+        due.min()
+    }
+}
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -6,18 +6,22 @@
 
 pub mod action;
 pub mod admission;
+pub mod arrivals;
 pub mod backends;
 pub mod catalog;
 pub mod deadlines;
 pub mod event;
+pub mod issuer;
 pub mod lease;
 pub mod load;
 pub mod machine;
 pub mod message;
 pub mod peers;
+pub mod permits;
 pub mod placement;
 pub mod queue;
 pub mod quota;
+pub mod rate_limit;
 pub mod refusal;
 pub mod request;
 pub mod retry_budget;
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -2,10 +2,16 @@
 
 mod configuration;
 mod dispatching;
+mod limiting;
 mod peering;
 mod responses;
 
-use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use conf::gateway::Bounds;
@@ -13,15 +19,19 @@
 
 use crate::{
     Action, Event, admission,
+    arrivals::Arrivals,
     backends::{self, Backends},
     catalog::Catalog,
     deadlines::Deadlines,
     event::RequestNumber,
+    issuer::Issuer,
     lease::Lease,
     message,
     peers::Peers,
+    permits::Permits,
     queue::{Entry, Queue},
     quota::{self, Admission, Quotas},
+    rate_limit::RateLimits,
     refusal::{self, Inputs, Reason, Refusal},
     request::Request,
     retry_budget::RetryBudget,
@@ -68,6 +78,8 @@
         dispatched_at: Instant,
         tokens_ahead: u32,
         first_event_at: Option<Instant>,
+        /// Time at which the permit would have expired, if the backend server has a rate limit.
+        permit: Option<Instant>,
     },
 }
 
@@ -94,6 +106,22 @@
     source: Source,
     backends: Backends,
     quotas: Quotas,
+    rate_limits: RateLimits,
+    permits: Permits,
+    issuer: Issuer,
+    /// Issuers of permits by run, as determined last.
+    issuers: HashMap<u64, SocketAddr>,
+    next_issuers: Instant,
+    /// Part of each limit that this gateway may issue.
+    issuer_share: f64,
+    /// Number of the last message with permits.
+    permit_number: u64,
+    next_demand: Instant,
+    /// Runs whose limit changed since the last announcement.
+    unannounced_limits: HashSet<u64>,
+    next_announcement: Instant,
+    /// Arrivals by service.
+    arrivals: HashMap<Bytes, Arrivals>,
     retry_budgets: HashMap<Bytes, RetryBudget>,
     suspects: Suspects,
     unanswered: Unanswered,
@@ -132,6 +160,17 @@
             older_catalog: None,
             backends: Backends::default(),
             started_at: now,
+            rate_limits: RateLimits::default(),
+            permits: Permits::default(),
+            issuer: Issuer::default(),
+            issuers: HashMap::new(),
+            next_issuers: now,
+            issuer_share: 0.0,
+            permit_number: 0,
+            next_demand: now,
+            unannounced_limits: HashSet::new(),
+            next_announcement: now,
+            arrivals: HashMap::new(),
             retry_budgets: HashMap::new(),
             suspects: Suspects::default(),
             unanswered: Unanswered::default(),
@@ -193,6 +232,11 @@
         &self.suspects
     }
 
+    /// Returns the number of backend servers with a rate limit.
+    pub fn limited_count(&self) -> usize {
+        self.backends.iter().filter(|(_, b)| self.rate_limits.is_limited(b.run)).count()
+    }
+
     /// Returns the number of open requests, waiting and dispatched.
     pub fn open_count(&self) -> usize {
         self.open_requests.len()
@@ -211,6 +255,11 @@
                 self.handle_rejection(now, number, retry_after, actions);
             }
             Event::Misdirected { number } => self.handle_misdirected(now, number, actions),
+            Event::RateLimitStated { number, per_s } => {
+                if !self.record_rate_limit(now, number, per_s) {
+                    return;
+                }
+            }
             Event::FirstEvent { number } => self.record_first_event(now, number),
             Event::Unresponsive { number } => self.handle_unresponsive(now, number, actions),
             Event::EventsReceived { number, events, span } => {
@@ -242,6 +291,11 @@
             Event::StoreUnreachable => self.backends.record_store_failure(),
             Event::StateReceived(message) => self.receive_state(now, message, actions),
             Event::SuspectsReceived(reports) => self.receive_suspects(now, &reports),
+            Event::RateLimitsReceived(reports) => self.receive_rate_limits(now, &reports),
+            Event::DemandsReceived(demands) => self.receive_demands(now, &demands, actions),
+            Event::PermitsReceived(permits) => {
+                self.permits.receive(now, &permits);
+            }
             Event::Probed { backend, reachable } => self.handle_probe(now, backend, reachable),
             Event::Stop => self.stopping_since = Some(now),
             Event::Tick => self.tick(now, actions),
@@ -250,6 +304,7 @@
             let attempts = self.unanswered.end_run(now, run);
             self.record_ends(now, &attempts);
         }
+        self.update_permits(now, actions);
         self.dispatch_all_waiting(now, actions);
     }
 
@@ -262,7 +317,8 @@
         let probe = self.probes.values().min().copied();
         let older_catalog = self.older_catalog.as_ref().map(|(_, at)| *at);
         let expiry = self.backends.next_expiry();
-        let times = [Some(self.next_send), wait_until, probe, older_catalog, expiry];
+        let permits = self.next_permit_update();
+        let times = [Some(self.next_send), wait_until, probe, older_catalog, expiry, permits];
         times.into_iter().flatten().min()
     }
 
@@ -285,6 +341,7 @@
                     false => RetryBudget::started(started_at),
                 });
                 budget.record_request(bounds, gateways);
+                self.arrivals.entry(entry.service.clone()).or_default().record(now);
                 self.enqueue(number, entry);
             }
             Err(mut refusal) => {
@@ -399,6 +456,7 @@
     /// Returns the inputs of a refusal.
     fn refusal_inputs(&self, now: Instant, service: &Bytes) -> Inputs {
         let counts = self.peers.counts(now);
+        let is_limited = |backend: &&backends::Backend| self.rate_limits.is_limited(backend.run);
         Inputs {
             version: self.catalog.as_ref().map_or(0, |catalog| catalog.version),
             age: self.lease.age(now),
@@ -406,6 +464,7 @@
             reporting: counts.serving - counts.silent,
             waiting: self.queues.get(service).map_or(0, Queue::len),
             usable: self.backends.usable(service, now).count(),
+            limited: self.backends.usable(service, now).filter(is_limited).count(),
             quota: None,
         }
     }
--- a/crates/gate/src/machine/dispatching.rs
+++ b/crates/gate/src/machine/dispatching.rs
@@ -109,6 +109,7 @@
                 None => placement::reserve_candidates(&self.context(now), &entry, &mut reserved),
             }
         }
+        self.refuse_beyond_limits(now, service, actions);
     }
 
     /// Checks that a request may be sent to a backend server now. What was checked at its arrival
@@ -134,7 +135,13 @@
     }
 
     pub(super) fn context(&self, now: Instant) -> placement::Context<'_> {
-        placement::Context { backends: &self.backends, now, zone: &self.setup.availability_zone }
+        placement::Context {
+            backends: &self.backends,
+            rate_limits: &self.rate_limits,
+            permits: &self.permits,
+            now,
+            zone: &self.setup.availability_zone,
+        }
     }
 
     pub(super) fn choose(
@@ -145,6 +152,8 @@
     ) -> Option<backends::Key> {
         let context = placement::Context {
             backends: &self.backends,
+            rate_limits: &self.rate_limits,
+            permits: &self.permits,
             now,
             zone: &self.setup.availability_zone,
         };
@@ -160,6 +169,8 @@
     ) {
         let Some(open) = self.open_requests.get_mut(&number) else { return };
         let Some(backend) = self.backends.get_mut(key) else { return };
+        let rate_limit = self.rate_limits.limit(backend.run);
+        let permit = rate_limit.and_then(|_| self.permits.take(now, backend.run));
         let entry = &mut open.entry;
         let tokens_ahead = backend.load.backlog();
         let tokens = entry.request.prompt_tokens();
@@ -173,6 +184,7 @@
             attempt: entry.attempts + 1,
             tier: entry.tier,
             units: entry.units,
+            rate_limit,
         };
         backend.load.add_request(tokens);
         entry.attempts += 1;
@@ -182,6 +194,7 @@
             dispatched_at: now,
             tokens_ahead,
             first_event_at: None,
+            permit,
         };
         if let Some(queue) = self.queues.get_mut(&entry.service) {
             queue.remove(entry, number);
--- a/crates/gate/src/machine/peering.rs
+++ b/crates/gate/src/machine/peering.rs
@@ -32,6 +32,7 @@
         }
         if let (Some(to), true) = (message.from, sender != Sender::Unchanged) {
             self.send_suspects(&[to], self.suspects.summary(now), actions);
+            self.send_all_limits(now, to, actions);
         }
         if let (Some(to), Sender::New | Sender::Replaced(_)) = (message.from, sender) {
             // A process that has just started has neither the addresses of the other gateways nor
@@ -167,6 +168,7 @@
             actions.push(Action::Send { to: *to, datagram });
         }
         self.share_suspects(now, &targets, actions);
+        self.repeat_limits(now, &targets, actions);
     }
 
     pub(super) fn record_peer_loads(&mut self, now: Instant) {
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -56,6 +56,10 @@
     }
 
     pub(super) fn handle_not_sent(&mut self, now: Instant, number: RequestNumber) {
+        let state = self.open_requests.get(&number).map(|open| open.state);
+        if let Some(State::Dispatched { run, permit: Some(expires_at), .. }) = state {
+            self.permits.put_back(run, expires_at);
+        }
         let Some(key) = self.withdraw_dispatch(number, false) else { return };
         if let Some(backend) = self.backends.get_mut(key) {
             backend.load.unreachable = true;
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -18,6 +18,55 @@
     #[serde(rename = "Answer")]
     Reply(Reply),
     Suspects(Vec<Suspect>),
+    RateLimits(Vec<RateLimit>),
+    Demands(Demands),
+    Permits(Permits),
+}
+
+/// What a backend server last stated about its rate limit.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RateLimit {
+    /// Hash that identifies the run; see `backends::Backend::run`.
+    pub run: u64,
+    /// Requests a second from all gateways together, or `None` without a limit.
+    pub per_s: Option<f64>,
+    /// Time since the response was received.
+    pub age: Duration,
+}
+
+/// Permits that the sender needs for requests to backend servers with a rate limit.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Demands {
+    pub from: SocketAddr,
+    /// Random number of these demands, which the permits repeat.
+    pub token: u64,
+    pub demands: Vec<Demand>,
+    /// Limits of the runs, as the sender knows them.
+    pub limits: Vec<RateLimit>,
+}
+
+/// Permits needed for one run of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Demand {
+    pub run: u64,
+    /// Most urgent tier of the requests that wait for the backend server; `None` if the permits are
+    /// for requests that may arrive next.
+    pub tier: Option<u32>,
+    /// Permits needed beside those that the sender holds.
+    pub count: u16,
+}
+
+/// Permits for one run of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Permits {
+    /// Random number that identifies the issuing process.
+    pub process: u64,
+    /// Grows with each message of that process.
+    pub number: u64,
+    /// Token of the demands.
+    pub token: u64,
+    pub run: u64,
+    pub count: u16,
 }
 
 /// Query for the receiver's view of the published state and the changes to it.
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -8,6 +8,8 @@
 
 /// Age up to which a peer's last message is used.
 const MAX_MESSAGE_AGE: Duration = Duration::from_millis(1500);
+/// Number of successive messages whose loss makes a peer unreachable in a large deployment.
+const MAX_MISSED_MESSAGES: u32 = 3;
 /// Time without a message after which a peer no longer counts as serving callers. A peer that can't
 /// be reached may serve them all the while, with its part of the shared limits.
 const SERVING_TIMEOUT: Duration = Duration::from_secs(60);
@@ -166,6 +168,16 @@
         1 + self.peers.values().filter(|peer| peer.is_serving(now)).count()
     }
 
+    /// Returns the addresses of the other gateways whose messages are received and that don't stop.
+    pub fn reachable(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
+        let max_age = MAX_MESSAGE_AGE.max(self.send_period() * MAX_MISSED_MESSAGES);
+        let peers = self.peers.iter().filter(move |(_, peer)| {
+            let is_recent = peer.last_seen.is_some_and(|at| now.since(at) < max_age);
+            is_recent && !peer.message.stopping
+        });
+        peers.map(|(address, _)| *address)
+    }
+
     /// Returns which gateways may serve callers and which of them report their usage.
     pub fn counts(&self, now: Instant) -> GatewayCounts {
         let silent = |peer: &&Peer| peer.is_serving(now) && !peer.is_reporting(now);
--- a/crates/gate/src/placement.rs
+++ b/crates/gate/src/placement.rs
@@ -13,7 +13,9 @@
 use crate::{
     backends::{self, Backend, Backends},
     catalog::RouteKind,
+    permits::Permits,
     queue::Entry,
+    rate_limit::RateLimits,
 };
 
 /// Added cost of a backend server in another zone, in ms. Its latency is small, but traffic between
@@ -45,11 +47,20 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Context<'a> {
     pub backends: &'a Backends,
+    pub rate_limits: &'a RateLimits,
+    pub permits: &'a Permits,
     pub now: Instant,
     /// Availability zone of this gateway.
     pub zone: &'a Bytes,
 }
 
+impl Context<'_> {
+    /// Returns whether the rate limit of a backend server allows a request now.
+    fn has_permit(&self, backend: &Backend) -> bool {
+        !self.rate_limits.is_limited(backend.run) || self.permits.count(self.now, backend.run) > 0
+    }
+}
+
 /// Returns the backend server with the lowest expected cost, if one has capacity and is not
 /// `reserved`.
 pub fn choose(
@@ -63,6 +74,7 @@
     for &key in context.backends.keys_of(&entry.service) {
         let Some(backend) = context.backends.get(key) else { continue };
         let is_candidate = has_capacity(backend, entry, context.now)
+            && context.has_permit(backend)
             && !entry.excluded.contains(&key)
             && !reserved.contains(&key);
         if !is_candidate || !limits.admits(backend, entry, backend.load.backlog()) {
@@ -120,7 +132,8 @@
         };
         let is_within_strict_wait =
             context.now.since(entry.arrived_at) < objective.mul_f64(STRICT_WAIT_SHARE);
-        let mut usable = context.backends.usable(&entry.service, context.now);
+        let usable = context.backends.usable(&entry.service, context.now);
+        let mut usable = usable.filter(|backend| context.has_permit(backend));
         match is_within_strict_wait && usable.any(|backend| strict.admits(backend, entry, 0)) {
             true => strict,
             false => relaxed,
--- a/crates/gate/src/refusal.rs
+++ b/crates/gate/src/refusal.rs
@@ -21,6 +21,8 @@
     Overload,
     /// No backend server of the service can be used.
     NoBackend,
+    /// Backend servers named rate limits, which leave no place for the request.
+    RateLimit,
     /// Copies of the request crashed backend servers.
     Poison,
     /// The deadline passed before a backend server was available.
@@ -47,6 +49,7 @@
             | Reason::Stopping
             | Reason::Overload
             | Reason::NoBackend
+            | Reason::RateLimit
             | Reason::Poison
             | Reason::Expired => 503,
             Reason::NoRoute => 404,
@@ -71,6 +74,7 @@
             Reason::Quota => "quota",
             Reason::Overload => "overload",
             Reason::NoBackend => "no_replica",
+            Reason::RateLimit => "limit",
             Reason::Poison => "poison",
             Reason::Expired => "expired",
             Reason::Timeout => "timeout",
@@ -107,6 +111,8 @@
     pub waiting: usize,
     /// Backend servers of the service that requests may be sent to.
     pub usable: usize,
+    /// Those among them that named a rate limit.
+    pub limited: usize,
     /// Quota of the account, if the request exceeds the part of it that is available here.
     pub quota: Option<Quota>,
 }
--- a/crates/gate/tests/common/cluster.rs
+++ b/crates/gate/tests/common/cluster.rs
@@ -183,6 +183,9 @@
                 Datagram::Query(query) => Event::QueryReceived(query),
                 Datagram::Reply(reply) => Event::ReplyReceived(reply),
                 Datagram::Suspects(reports) => Event::SuspectsReceived(reports),
+                Datagram::RateLimits(reports) => Event::RateLimitsReceived(reports),
+                Datagram::Demands(demands) => Event::DemandsReceived(demands),
+                Datagram::Permits(permits) => Event::PermitsReceived(permits),
             };
             self.gateways[to].now = self.now;
             self.gateways[to].feed(event);
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -19,6 +19,7 @@
 use wire::time::Instant;
 
 pub mod cluster;
+pub mod limited;
 
 pub const MS: Duration = Duration::from_millis(1);
 pub const MODEL: &str = "engines";
