Keep the rate limit that a backend server names at its agent

A request of an entry is granted, resumed or adopted, and the server probed, whatever the server names. The agent is the only process that sends requests to its server, so a bucket of its own keeps the sum; the statement and the bucket are now one crate, rate, for gateways too.

--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -4,7 +4,7 @@
 
 use wire::{outcome, request, time::Instant};
 
-use crate::{drain, limit, suspects};
+use crate::{drain, limit, rate_limit, suspects};
 
 /// Time to retry after while this agent accepts no requests.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -15,6 +15,9 @@
     pub(crate) drain: &'a drain::Drain,
     pub(crate) has_settings: bool,
     pub(crate) limit: &'a limit::Limit,
+    pub(crate) rate_limit: &'a rate_limit::RateLimit,
+    /// Queued offers of the same or a higher tier.
+    pub(crate) ahead: usize,
     pub(crate) suspects: &'a suspects::Suspects,
 }
 
@@ -29,7 +32,13 @@
 
 /// Returns the filters in the order in which they run.
 pub(crate) fn filters() -> Vec<Box<dyn Filter>> {
-    vec![Box::new(Ready), Box::new(Leaving), Box::new(Poison), Box::new(Deadline)]
+    vec![
+        Box::new(Ready),
+        Box::new(Leaving),
+        Box::new(Poison),
+        Box::new(Deadline),
+        Box::new(RateLimit),
+    ]
 }
 
 #[derive(Debug)]
@@ -73,3 +82,14 @@
         (head.remaining < needed).then_some((outcome::Reason::Deadline, needed))
     }
 }
+
+#[derive(Debug)]
+struct RateLimit;
+
+impl Filter for RateLimit {
+    fn check(&self, inputs: &Inputs<'_>, head: &request::Head) -> Option<RefusalReason> {
+        let delay = inputs.rate_limit.time_for(inputs.ahead);
+        let needed = delay + inputs.limit.response_time(head);
+        (head.remaining < needed).then_some((outcome::Reason::Overload, delay))
+    }
+}
--- a/crates/agent/src/commit.rs
+++ b/crates/agent/src/commit.rs
@@ -219,7 +219,7 @@
         let slot = self.limit.new_slot(0);
         self.limit.reserve(slot);
         let resume =
-            streams::Resume { since: cx.now, attempts: 1, next_attempt: None, connected: false };
+            streams::Resume { since: cx.now, attempts: 0, next_attempt: None, connected: false };
         let stream = streams::Stream {
             adopted: true,
             fingerprint,
@@ -230,7 +230,7 @@
         self.streams.insert(grant, stream);
         self.count("adopted");
         self.trace(cx, request, Step::Dispatched, "adopted");
-        cx.push(Action::Resume { grant, offset: 0 });
+        self.resume(cx, grant);
     }
 
     /// Replays a stream from an offset. While the stream is open, the link stays as a reader.
--- a/crates/agent/src/event.rs
+++ b/crates/agent/src/event.rs
@@ -68,6 +68,12 @@
     Probe {
         instance: Option<Bytes>,
     },
+    /// The backend server responded to a request or probe that was sent at `sent_at`. `per_s` is
+    /// the rate limit that the response names, in requests a second.
+    RateLimitStated {
+        sent_at: Instant,
+        per_s: Option<f64>,
+    },
     /// Load report of the engine, which lags behind its state.
     Load {
         running: u32,
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -15,6 +15,7 @@
 mod pause;
 mod progress;
 mod queue;
+mod rate_limit;
 mod replies;
 mod report;
 mod serve;
--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     Action, Event, Link, Setup, admission, backend_state, drain, event::Context, grants, keys,
-    limit, pause, queue, streams, suspects, timers, timers::Timer,
+    limit, pause, queue, rate_limit, streams, suspects, timers, timers::Timer,
 };
 
 /// Bounds of a stream that is adopted before settings arrive.
@@ -46,6 +46,7 @@
     pub(crate) backend: backend_state::State,
     pub(crate) queue: queue::Queue,
     pub(crate) limit: limit::Limit,
+    pub(crate) rate_limit: rate_limit::RateLimit,
     pub(crate) grants: grants::Grants,
     pub(crate) streams: streams::Streams,
     pub(crate) suspects: suspects::Suspects,
@@ -70,6 +71,7 @@
             backend: backend_state::State::default(),
             queue: queue::Queue::default(),
             limit: limit::Limit::new(),
+            rate_limit: rate_limit::RateLimit::new(),
             grants: grants::Grants::new(setup.process),
             streams: streams::Streams::default(),
             suspects: suspects::Suspects::default(),
@@ -113,7 +115,15 @@
 
     /// Returns when the next `Tick` is due.
     pub fn next_timer(&self) -> Option<Instant> {
-        self.timers.next_due().into_iter().chain(self.pause.next_heartbeat()).min()
+        let permit = self.rate_limit.next_request().filter(|_| self.queue.len() > 0);
+        let times = [self.timers.next_due(), self.pause.next_heartbeat(), permit];
+        times.into_iter().flatten().min()
+    }
+
+    /// Returns the least time between probes, or zero if the backend server has no rate limit. A
+    /// limited one is not asked for its load.
+    pub fn probe_interval(&self) -> Duration {
+        self.rate_limit.probe_interval()
     }
 
     fn handle_due_timers(&mut self, cx: &mut Context<'_>) {
@@ -145,6 +155,7 @@
             Event::Cancel { commit } => self.handle_cancel(cx, commit),
             Event::KeyRequest { link, route } => self.issue_key(cx, link, route),
             Event::Probe { instance } => self.handle_probe(cx, instance),
+            Event::RateLimitStated { sent_at, per_s } => self.record_rate_limit(cx, sent_at, per_s),
             Event::Load { waiting, .. } => self.limit.record_load(waiting),
             Event::Settings(tree) => self.apply_settings(cx, tree),
             Event::Hosts(hosts) => {
@@ -165,6 +176,13 @@
         }
     }
 
+    fn record_rate_limit(&mut self, cx: &Context<'_>, sent_at: Instant, per_s: Option<f64>) {
+        if let Some(change) = self.rate_limit.record(cx.now, sent_at, per_s) {
+            tracing::info!(event = "limit_changed", change = change.name(), per_s);
+            self.count("limit_changes");
+        }
+    }
+
     fn apply_settings(&mut self, cx: &mut Context<'_>, tree: Arc<tree::Tree>) {
         if let Some(pool) = tree.pools.get(&self.setup.pool) {
             self.limit.apply_settings(pool);
--- a/crates/agent/src/offers.rs
+++ b/crates/agent/src/offers.rs
@@ -43,6 +43,8 @@
             drain: &self.drain,
             has_settings: self.pool.is_some(),
             limit: &self.limit,
+            rate_limit: &self.rate_limit,
+            ahead: self.queue.count_to(head.tier),
             suspects: &self.suspects,
         };
         if let Some((reason, retry_after)) =
--- a/crates/agent/src/progress.rs
+++ b/crates/agent/src/progress.rs
@@ -41,6 +41,7 @@
     }
 
     pub(crate) fn handle_probe(&mut self, cx: &mut Context<'_>, instance: Option<Bytes>) {
+        self.rate_limit.take();
         match instance {
             None => self.backend.count_failed_probe(),
             Some(instance) => {
@@ -247,6 +248,7 @@
             return self.schedule_resume(cx, grant);
         }
         let (key_seq, kind) = (stream.key_seq, stream.kind);
+        self.rate_limit.put_back();
         let retry_after = Some(self.queue_delay());
         let reason = Reason::BackendUnreachable;
         let refusal = self.refusal(Outcome::NotRun, Step::Dispatched, reason, retry_after);
@@ -281,14 +283,23 @@
         self.rearm_stream(grant);
     }
 
-    fn resume(&mut self, cx: &mut Context<'_>, grant: id::Grant) {
+    /// Resumes a stream, or schedules that for the time at which the rate limit allows it.
+    pub(crate) fn resume(&mut self, cx: &mut Context<'_>, grant: id::Grant) {
+        let is_allowed = self.rate_limit.allows_request(cx.now);
+        let next_request = self.rate_limit.next_request();
         let Some(stream) = self.streams.open_mut(grant) else { return };
         let first_attempt =
             streams::Resume { since: cx.now, attempts: 0, next_attempt: None, connected: false };
         let resume = stream.resume.get_or_insert(first_attempt);
+        if !is_allowed {
+            resume.next_attempt = next_request;
+            resume.connected = false;
+            return self.rearm_stream(grant);
+        }
         resume.attempts = resume.attempts.saturating_add(1).min(16);
         resume.next_attempt = None;
         let offset = stream.buffer.length();
+        self.rate_limit.take();
         self.count("resumes");
         cx.push(Action::Resume { grant, offset });
         self.rearm_stream(grant);
--- a/crates/agent/src/queue.rs
+++ b/crates/agent/src/queue.rs
@@ -152,6 +152,11 @@
         self.entries.len()
     }
 
+    /// Returns the number of offers of a tier and the higher ones.
+    pub(crate) fn count_to(&self, tier: tier::Tier) -> usize {
+        self.tiers.range(..=tier).map(|(_, tier_queue)| tier_queue.offers.len()).sum()
+    }
+
     pub(crate) fn tokens(&self) -> u64 {
         self.tokens
     }
--- a/crates/agent/src/replies.rs
+++ b/crates/agent/src/replies.rs
@@ -23,9 +23,12 @@
         outcome::Refusal { outcome, step, reason, peer: self.host(), retry_after }
     }
 
-    /// Returns the time to retry after a refusal: the estimated prefill time of all queued offers.
+    /// Returns the time to retry after a refusal: the estimated prefill time of all queued offers,
+    /// or the time in which the rate limit allows them.
     pub(crate) fn queue_delay(&self) -> Duration {
-        self.limit.prefill_time(self.queue.tokens()).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+        let prefill = self.limit.prefill_time(self.queue.tokens());
+        let limited = self.rate_limit.time_for(self.queue.len());
+        prefill.max(limited).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
     }
 
     pub(crate) fn refuse_offer(
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -22,6 +22,9 @@
     /// Reserves slots while the limits allow it and offers are queued.
     pub(crate) fn grant_slots(&mut self, cx: &mut Context<'_>) {
         while self.can_grant(cx.now) {
+            if !self.rate_limit.allows_request(cx.now) {
+                return;
+            }
             if self.grant_exclusive(cx) || self.backend.exclusive {
                 return;
             }
@@ -158,6 +161,7 @@
         let queue::Entry { link, head, deadline, .. } = entry;
         let slot = self.limit.new_slot(head.prompt_tokens);
         self.limit.reserve(slot);
+        self.rate_limit.take();
         self.add_active_fingerprint(head.kind, head.fingerprint);
         if exclusive {
             self.backend.begin_exclusive_run(cx.now);
@@ -185,6 +189,7 @@
         self.timers.disarm(reservation.expires_at, Timer::Reserved(seq));
         let grants::Reservation { head, slot, exclusive, .. } = reservation;
         self.release_slot(cx.now, slot, exclusive);
+        self.rate_limit.put_back();
         self.remove_active_fingerprint(head.kind, head.fingerprint);
         self.release_request_key(cx, &head);
     }
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -1,18 +1,19 @@
 //! Client of an agent's backend server: dispatch, resume, cancel, probes, load and orders.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use agent::Progress;
 use bytes::Bytes;
 use compio::time;
 use conf::tree;
 use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request, Response, body, header};
+use hyper::{HeaderMap, Method, Request, Response, body, header};
 use serde::Deserialize;
 use serde_json::json;
-use wire::{header as names, id, request};
+use wire::{header as names, id, request, time::Instant};
 
 use crate::{
+    clock,
     connection::{self, Fault},
     framing::Framing,
 };
@@ -32,16 +33,37 @@
     pub waiting: u32,
 }
 
+/// Receives the rate limit that a response names, if any, and the time at which its request was
+/// sent.
+pub type LimitObserver = Rc<dyn Fn(Instant, Option<f64>)>;
+
 /// Client of one backend server.
 #[derive(Clone)]
 pub struct Client {
     connections: connection::Pool,
+    limit_observer: Option<LimitObserver>,
 }
 
 impl Client {
     /// Returns a client without connections.
     pub fn new(address: SocketAddr) -> Client {
-        Client { connections: connection::Pool::new(address, CONNECT_TIMEOUT) }
+        let connections = connection::Pool::new(address, CONNECT_TIMEOUT);
+        Client { connections, limit_observer: None }
+    }
+
+    /// Returns a client that reports the rate limits in responses.
+    pub fn with_limit_observer(self, limit_observer: LimitObserver) -> Client {
+        Client { limit_observer: Some(limit_observer), ..self }
+    }
+
+    /// Reports the rate limit in the headers of a response. One that can't be read is ignored.
+    fn report_limit(&self, sent_at: Instant, headers: &HeaderMap) {
+        let Some(observer) = &self.limit_observer else { return };
+        let Some(value) = headers.get(names::RATE_LIMIT) else { return observer(sent_at, None) };
+        match value.to_str().ok().and_then(rate::statement::parse) {
+            Some(per_s) => observer(sent_at, Some(per_s)),
+            None => tracing::warn!(event = "limit_malformed", peer = %self.connections.address()),
+        }
     }
 
     /// Sends a request once and reports its progress.
@@ -62,8 +84,10 @@
             .header(names::REQUEST_ID, grant.to_string())
             .body(Full::new(body));
         let Ok(request) = request else { return report(Progress::Unreachable) };
+        let sent_at = clock::now();
         match self.connections.send(request).await {
             Ok((response, sender)) => {
+                self.report_limit(sent_at, response.headers());
                 if report_response(response, 0, &report).await {
                     self.connections.release(sender, MAX_IDLE);
                 }
@@ -76,7 +100,12 @@
     /// Resumes a stream from an offset and reports its progress.
     pub async fn resume(self, grant: id::Grant, offset: u64, report: impl Fn(Progress)) {
         let path = format!("/v1/streams/{grant}?from={offset}");
-        match self.send_unpooled(Method::GET, &path, None, Bytes::new()).await {
+        let sent_at = clock::now();
+        let response = self.clone().send_unpooled(Method::GET, &path, None, Bytes::new()).await;
+        if let Some(response) = &response {
+            self.report_limit(sent_at, response.headers());
+        }
+        match response {
             Some(response) if response.status() == 404 => {
                 report(Progress::StreamNotFound { instance: read_instance(&response) });
             }
@@ -101,7 +130,9 @@
         let probe = async {
             let request = self.build_request(Method::GET, "/health", None, Bytes::new())?;
             let mut sender = self.connections.connect().await.ok()?;
+            let sent_at = clock::now();
             let response = sender.send_request(request).await.ok()?;
+            self.report_limit(sent_at, response.headers());
             let instance = response.status().is_success().then(|| read_instance(&response))?;
             if response.into_body().collect().await.is_ok() {
                 self.connections.release(sender, MAX_IDLE);
--- a/crates/daemon/src/role_agent.rs
+++ b/crates/daemon/src/role_agent.rs
@@ -94,9 +94,9 @@
             pool: pool.clone(),
             seed: identity.seed,
         };
-        let agent = Rc::new(Agent {
+        let agent = Rc::new_cyclic(|this: &Weak<Agent>| Agent {
             driver: Driver::new(agent::Machine::new(setup)),
-            backend,
+            backend: backend.with_limit_observer(observe_limit(this.clone())),
             pool,
             serves_models: Cell::new(false),
             links: RefCell::default(),
@@ -258,6 +258,15 @@
     }
 }
 
+/// Returns a function that feeds the rate limits in responses to the state machine.
+fn observe_limit(agent: Weak<Agent>) -> backend::LimitObserver {
+    Rc::new(move |sent_at, per_s| {
+        if let Some(agent) = agent.upgrade() {
+            agent.feed(Event::RateLimitStated { sent_at, per_s });
+        }
+    })
+}
+
 /// Probes the backend server until the process ends. The first probe is sent at once, so that a
 /// crash before the first request is detected.
 async fn probe_backend(agent: Rc<Agent>) {
@@ -266,11 +275,12 @@
         let is_reachable = instance.is_some();
         agent.feed(Event::Probe { instance });
         // A plain service does not report its load.
-        let reports_load = is_reachable && agent.serves_models.get();
+        let min_interval = agent.driver.read(agent::Machine::probe_interval);
+        let reports_load = is_reachable && agent.serves_models.get() && min_interval.is_zero();
         if reports_load && let Some(load) = agent.backend.clone().read_load().await {
             agent.feed(Event::Load { running: load.running, waiting: load.waiting });
         }
-        compio::time::sleep(PROBE_INTERVAL).await;
+        compio::time::sleep(PROBE_INTERVAL.max(min_interval)).await;
     }
 }
 
--- a/crates/daemon/tests/backend_ends.rs
+++ b/crates/daemon/tests/backend_ends.rs
@@ -6,6 +6,7 @@
     cell::RefCell,
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
+    rc::Rc,
     thread,
     time::Duration,
 };
@@ -96,6 +97,38 @@
     }
 }
 
+/// Guards against a rate limit that is missed in a failure, a probe or a missing stream.
+#[compio::test]
+async fn rate_limits_in_all_responses_are_reported() {
+    let address = serve_limited();
+    let limits = Rc::new(RefCell::new(Vec::new()));
+    let recorded = limits.clone();
+    let observer = Rc::new(move |_, per_s| recorded.borrow_mut().push(per_s));
+    let client = Client::new(address).with_limit_observer(observer);
+    let grant = id::Grant { process: id::Process(9), seq: 1 };
+    client.clone().dispatch(grant, bid::head(), Bytes::from_static(b"bid"), |_| {}).await;
+    client.clone().resume(grant, 3, |_| {}).await;
+    assert_eq!(client.probe().await, None);
+    assert_eq!(*limits.borrow(), [Some(1.8); 3]);
+}
+
+/// Starts a server that fails each request and names a limit.
+fn serve_limited() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut request = [0; 4096];
+            if stream.read(&mut request).is_ok_and(|length| length > 0) {
+                let head = "HTTP/1.1 404 X\r\nx-rate-limit: 1.8\r\nconnection: close\r\n";
+                let response = format!("{head}content-length: 0\r\n\r\n");
+                stream.write_all(response.as_bytes()).expect("the client reads");
+            }
+        }
+    });
+    address
+}
+
 /// Guards against a response whose connection is lost, or that ends with its connection, and is
 /// reported as framed to its end.
 #[compio::test]
--- a/crates/gate/src/issuer.rs
+++ b/crates/gate/src/issuer.rs
@@ -6,15 +6,13 @@
 //! that receive each other's messages. An issuer that doesn't receive messages of all gateways
 //! leaves their part of the rate to them, since they may have an issuer of their own.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{collections::HashMap, net::SocketAddr};
 
+use rate::bucket::Bucket;
 use wire::time::Instant;
 
 use crate::{message, permits, quota};
 
-/// Part of a second for which permits that nobody demands accumulate.
-const BURST_S: f64 = 0.25;
-
 /// Returns the gateway that issues the permits of a run.
 pub fn choose(run: u64, gateways: impl Iterator<Item = SocketAddr>) -> Option<SocketAddr> {
     gateways.max_by_key(|gateway| rank(run, gateway))
@@ -40,32 +38,18 @@
     last_issue: Instant,
 }
 
-/// Token bucket of one run.
+/// Permits of one run and the demands for them.
 #[derive(Clone, Debug)]
-struct Bucket {
-    permits: f64,
-    /// Permits a second at the last refill.
-    rate: f64,
-    refilled_at: Instant,
+struct Supply {
+    bucket: Bucket,
     demands: HashMap<SocketAddr, Demand>,
 }
 
-impl Bucket {
-    fn refill(&mut self, now: Instant, rate: f64) {
-        let added = now.since(self.refilled_at).as_secs_f64() * rate;
-        self.refilled_at = now;
-        if rate < self.rate {
-            // What accumulated at the higher rate would exceed the lower one.
-            self.permits *= rate / self.rate;
-        }
-        self.rate = rate;
-        self.permits = (self.permits + added).min((rate * BURST_S).max(1.0));
-    }
-
+impl Supply {
     /// Takes a permit for the gateway with the most urgent request. Gateways without a waiting
     /// request get one ahead of their next request if no other gateway needs it.
     fn issue(&mut self, now: Instant) -> Option<(SocketAddr, u64)> {
-        if self.permits < 1.0 {
+        if !self.bucket.has_permit() {
             return None;
         }
         let open = self.demands.iter_mut().filter(|(_, demand)| demand.count > 0);
@@ -74,9 +58,13 @@
         })?;
         demand.count -= 1;
         demand.last_issue = now;
-        self.permits -= 1.0;
+        self.bucket.take();
         Some((*to, demand.token))
     }
+
+    fn is_demanded(&self) -> bool {
+        self.demands.values().any(|demand| demand.count > 0)
+    }
 }
 
 /// A permit and the gateway that it is issued to.
@@ -88,10 +76,10 @@
     pub token: u64,
 }
 
-/// Permits and demands by run.
+/// Permits to issue, by run.
 #[derive(Clone, Debug, Default)]
 pub struct Issuer {
-    buckets: HashMap<u64, Bucket>,
+    supplies: HashMap<u64, Supply>,
 }
 
 impl Issuer {
@@ -104,27 +92,25 @@
         token: u64,
         demand: &message::Demand,
     ) {
-        let bucket = self.buckets.entry(demand.run).or_insert_with(|| Bucket {
-            permits: 0.0,
-            rate: 0.0,
-            refilled_at: now,
-            demands: HashMap::new(),
-        });
+        let supply = self
+            .supplies
+            .entry(demand.run)
+            .or_insert_with(|| Supply { bucket: Bucket::empty(now), demands: HashMap::new() });
         let message::Demand { tier, count, .. } = *demand;
-        let last_issue = bucket.demands.get(&from).map_or(Instant::default(), |d| d.last_issue);
+        let last_issue = supply.demands.get(&from).map_or(Instant::default(), |d| d.last_issue);
         let demand = Demand { tier, count, token, received_at: now, last_issue };
-        bucket.demands.insert(from, demand);
+        supply.demands.insert(from, demand);
     }
 
     /// Issues the permits that are available. `rate` returns the permits a second for a run, or
     /// `None` if this gateway doesn't issue them.
     pub fn issue(&mut self, now: Instant, rate: impl Fn(u64) -> Option<f64>) -> Vec<Permit> {
         let mut issued = Vec::new();
-        self.buckets.retain(|run, bucket| {
+        self.supplies.retain(|run, supply| {
             let Some(rate) = rate(*run) else { return false };
-            bucket.refill(now, rate);
-            bucket.demands.retain(|_, demand| now.since(demand.received_at) < permits::LIFETIME);
-            while let Some((to, token)) = bucket.issue(now) {
+            supply.bucket.refill(now, rate);
+            supply.demands.retain(|_, demand| now.since(demand.received_at) < permits::LIFETIME);
+            while let Some((to, token)) = supply.issue(now) {
                 issued.push(Permit { to, run: *run, token });
             }
             true
@@ -134,13 +120,7 @@
 
     /// Returns when the next permit is available that is demanded.
     pub fn next_issue(&self, rate: impl Fn(u64) -> Option<f64>) -> Option<Instant> {
-        let is_demanded = |bucket: &Bucket| bucket.demands.values().any(|demand| demand.count > 0);
-        let demanded = self.buckets.iter().filter(|(_, bucket)| is_demanded(bucket));
-        let due = demanded.filter_map(|(run, bucket)| {
-            let missing = (1.0 - bucket.permits).max(0.0);
-            let wait = Duration::try_from_secs_f64(missing / rate(*run)?).ok()?;
-            Some(bucket.refilled_at + wait)
-        });
-        due.min()
+        let demanded = self.supplies.iter().filter(|(_, supply)| supply.is_demanded());
+        demanded.filter_map(|(run, supply)| supply.bucket.next_permit(rate(*run)?)).min()
     }
 }
--- a/crates/gate/src/machine/limiting.rs
+++ b/crates/gate/src/machine/limiting.rs
@@ -3,10 +3,11 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use rate::statement::Change;
 use wire::time::Instant;
 
 use super::{Machine, State};
-use crate::{Action, event::RequestNumber, issuer, message, rate_limit::Change, refusal::Reason};
+use crate::{Action, event::RequestNumber, issuer, message, refusal::Reason};
 
 /// Time between demands in a deployment with few gateways.
 const DEMAND_PERIOD: Duration = Duration::from_millis(50);
--- a/crates/gate/src/rate_limit.rs
+++ b/crates/gate/src/rate_limit.rs
@@ -3,57 +3,14 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use rate::statement::{Change, Statement};
 use wire::time::Instant;
 
 use crate::message;
 
-/// Lowest rate, in requests a second. A backend server that takes none is asked at this rate, since
-/// only a response shows the end of its limit.
-const MIN_RATE: f64 = 0.2;
-/// Highest rate, in requests a second.
-const MAX_RATE: f64 = 1e6;
 /// Time for which the end of a limit is kept, and the limit of a run that isn't listed.
 const RETENTION: Duration = Duration::from_secs(60);
 
-/// How a limit changed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Change {
-    Began,
-    Fell,
-    Rose,
-    Ended,
-}
-
-impl Change {
-    /// Returns the name used in logs.
-    pub fn name(self) -> &'static str {
-        match self {
-            Change::Began => "began",
-            Change::Fell => "fell",
-            Change::Rose => "rose",
-            Change::Ended => "ended",
-        }
-    }
-
-    fn between(old: Option<f64>, new: Option<f64>) -> Option<Change> {
-        match (old, new) {
-            (None, Some(_)) => Some(Change::Began),
-            (Some(_), None) => Some(Change::Ended),
-            (Some(old), Some(new)) if new < old => Some(Change::Fell),
-            (Some(old), Some(new)) if new > old => Some(Change::Rose),
-            _ => None,
-        }
-    }
-}
-
-/// What a backend server last stated.
-#[derive(Clone, Copy, Debug)]
-struct Statement {
-    /// Requests a second, or `None` without a limit.
-    per_s: Option<f64>,
-    received_at: Instant,
-}
-
 /// Rate limits by the run of the backend server; see `backends::Backend::run`.
 #[derive(Clone, Debug, Default)]
 pub struct RateLimits {
@@ -62,8 +19,7 @@
 
 impl RateLimits {
     /// Records what a response stated about the limit, given the time at which its request was
-    /// sent. Responses on different connections may overtake each other, so a limit rises or ends
-    /// only by the response to a request that was sent after the limit was last named.
+    /// sent.
     pub fn record(
         &mut self,
         now: Instant,
@@ -71,20 +27,11 @@
         sent_at: Instant,
         per_s: Option<f64>,
     ) -> Option<Change> {
-        let per_s = per_s.map(|rate| rate.min(MAX_RATE));
-        let Some(current) = self.statements.get(&run).copied() else {
-            per_s?;
-            return self.set(run, Statement { per_s, received_at: now });
-        };
-        let is_lower = match (current.per_s, per_s) {
-            (_, None) => false,
-            (None, Some(_)) => true,
-            (Some(current), Some(stated)) => stated <= current,
-        };
-        if !is_lower && sent_at < current.received_at {
-            return None;
+        match self.statements.get(&run) {
+            Some(current) if !current.is_updated_by(sent_at, per_s) => None,
+            None if per_s.is_none() => None,
+            _ => self.set(run, Statement::new(per_s, now)),
         }
-        self.set(run, Statement { per_s, received_at: now })
     }
 
     /// Merges a peer's report, unless it is older than what is known here.
@@ -95,17 +42,16 @@
         if current.is_some_and(|current| current.received_at >= received_at) {
             return None;
         }
-        // A peer of another build may send any number.
-        let per_s = report.per_s.map(|rate| if rate >= 0.0 { rate.min(MAX_RATE) } else { 0.0 });
-        self.set(report.run, Statement { per_s, received_at })
+        self.set(report.run, Statement::new(report.per_s, received_at))
     }
 
     fn set(&mut self, run: u64, statement: Statement) -> Option<Change> {
         let old = self.statements.insert(run, statement);
-        Change::between(old.and_then(|old| old.per_s), statement.per_s)
+        let old = old.unwrap_or(Statement::unlimited(statement.received_at));
+        old.change_to(&statement)
     }
 
-    /// Returns whether any limit is in force.
+    /// Returns whether no limit is in force.
     pub fn is_empty(&self) -> bool {
         self.statements.values().all(|statement| statement.per_s.is_none())
     }
@@ -122,12 +68,7 @@
 
     /// Returns the rate at which requests may be sent to a run with a limit, per second.
     pub fn rate(&self, run: u64) -> Option<f64> {
-        self.limit(run).map(|limit| limit.max(MIN_RATE))
-    }
-
-    /// Returns whether a run is known to have ended its limit.
-    pub fn has_ended(&self, run: u64) -> bool {
-        self.statements.get(&run).is_some_and(|statement| statement.per_s.is_none())
+        self.statements.get(&run)?.rate()
     }
 
     /// Returns the report on a run for a peer.
--- a/crates/gate/tests/permits.rs
+++ b/crates/gate/tests/permits.rs
@@ -6,8 +6,9 @@
     issuer::{self, Issuer},
     message,
     permits::{LIFETIME, Permits},
-    rate_limit::{Change, RateLimits},
+    rate_limit::RateLimits,
 };
+use rate::statement::Change;
 use wire::time::Instant;
 
 const MS: Duration = Duration::from_millis(1);
--- a/crates/stand/src/engine.rs
+++ b/crates/stand/src/engine.rs
@@ -86,6 +86,8 @@
     controller: Rc<Controller>,
     state: RefCell<State>,
     frozen_until: Cell<Instant>,
+    /// Rate limit that all responses name, in requests a second.
+    rate_limit: Cell<Option<f64>>,
     /// Wakes the task that advances the model.
     changed: Signal,
 }
@@ -120,6 +122,7 @@
         controller: controller.clone(),
         state: RefCell::new(state),
         frozen_until: Cell::default(),
+        rate_limit: Cell::default(),
         changed: Signal::default(),
     });
     let port = handler::serve(address, controller, shared.clone())?;
@@ -153,6 +156,11 @@
         self.shared.crash(None);
     }
 
+    /// Sets the rate limit that all responses name from now on, in requests a second.
+    pub fn set_rate_limit(&self, rate_limit: Option<f64>) {
+        self.shared.rate_limit.set(rate_limit);
+    }
+
     /// Makes every step take `factor` times as long.
     pub fn set_slowdown(&self, factor: f64) {
         self.shared.state.borrow_mut().model.set_slowdown(factor);
--- a/crates/stand/src/engine/handler.rs
+++ b/crates/stand/src/engine/handler.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
-use hyper::{Method, Response, StatusCode};
+use hyper::{Method, Response, StatusCode, header::HeaderValue};
 use serde::Deserialize;
 use wire::header;
 
@@ -50,7 +50,11 @@
         return Err(http::connection_aborted());
     }
     let instance = shared.state.borrow().model.instance();
-    let response = dispatch(&shared, request).await?;
+    let mut response = dispatch(&shared, request).await?;
+    if let Some(limit) = shared.rate_limit.get() {
+        let limit = HeaderValue::try_from(limit.to_string()).map_err(io::Error::other)?;
+        response.headers_mut().insert(header::RATE_LIMIT, limit);
+    }
     Ok(http::add_instance_header(response, instance))
 }
 
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -14,5 +14,8 @@
 pub const OUTCOME: &str = "x-outcome";
 /// Identifies one run of a backend server's process, on each of its responses.
 pub const ENGINE_INSTANCE: &str = "x-engine-instance";
+/// Requests a second that a backend server takes, as a decimal number, on its responses while it
+/// limits them.
+pub const RATE_LIMIT: &str = "x-rate-limit";
 /// Fencing number of an order to an engine.
 pub const FENCE: &str = "x-fence";
