Check at agents to which request a response belongs

What operators of similar systems reported: a server sends a second copy of a response late, on a connection that is in use again, and the next caller gets it.

A response that repeats another identifier is refused as possibly run. A connection whose response has none is not kept. The simulated engine and service repeat the identifier, so their connections are kept as before.

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     clock,
-    connection::{self, Fault},
+    connection::{self, Fault, Sent},
     framing::Framing,
 };
 
@@ -86,9 +86,14 @@
         let Ok(request) = request else { return report(Progress::Unreachable) };
         let sent_at = clock::now();
         match self.connections.send(request).await {
-            Ok((response, sender)) => {
+            Ok(Sent { response, sender, is_reused }) => {
+                let owner = Owner::of(&response, &grant.to_string());
+                if !owner.is_trusted(is_reused) {
+                    tracing::warn!(event = "foreign_response", %grant, is_reused);
+                    return report(Progress::ConnectionLost);
+                }
                 self.report_limit(sent_at, response.headers());
-                if report_response(response, 0, &report).await {
+                if report_response(response, 0, &report).await && owner == Owner::Request {
                     self.connections.release(sender, MAX_IDLE);
                 }
             }
@@ -128,13 +133,16 @@
     /// connections.
     pub async fn probe(self) -> Option<Bytes> {
         let probe = async {
-            let request = self.build_request(Method::GET, "/health", None, Bytes::new())?;
+            let id = control_id();
+            let name = Some((names::REQUEST_ID, &id[..]));
+            let request = self.build_request(Method::GET, "/health", name, Bytes::new())?;
             let mut sender = self.connections.connect().await.ok()?;
             let sent_at = clock::now();
             let response = sender.send_request(request).await.ok()?;
+            let owner = Owner::of(&response, &id);
             self.report_limit(sent_at, response.headers());
             let instance = response.status().is_success().then(|| read_instance(&response))?;
-            if response.into_body().collect().await.is_ok() {
+            if response.into_body().collect().await.is_ok() && owner == Owner::Request {
                 self.connections.release(sender, MAX_IDLE);
             }
             Some(instance)
@@ -145,10 +153,18 @@
     /// Returns the engine's load report.
     pub async fn read_load(self) -> Option<Load> {
         let load = async {
-            let request = self.build_request(Method::GET, "/v1/load", None, Bytes::new())?;
-            let (response, sender) = self.connections.send(request).await.ok()?;
-            let body = response.into_body().collect().await.ok()?.to_bytes();
-            self.connections.release(sender, MAX_IDLE);
+            let id = control_id();
+            let name = Some((names::REQUEST_ID, &id[..]));
+            let request = self.build_request(Method::GET, "/v1/load", name, Bytes::new())?;
+            let sent = self.connections.send(request).await.ok()?;
+            let owner = Owner::of(&sent.response, &id);
+            if !owner.is_trusted(sent.is_reused) {
+                return None;
+            }
+            let body = sent.response.into_body().collect().await.ok()?.to_bytes();
+            if owner == Owner::Request {
+                self.connections.release(sent.sender, MAX_IDLE);
+            }
             serde_json::from_slice(&body).ok()
         };
         time::timeout(CONTROL_TIMEOUT, load).await.ok()?
@@ -195,6 +211,36 @@
     }
 }
 
+/// Request that a response belongs to, by the identifier that it repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Owner {
+    Request,
+    Other,
+    /// The response has no identifier.
+    Unnamed,
+}
+
+impl Owner {
+    fn of(response: &Response<body::Incoming>, id: &str) -> Owner {
+        match response.headers().get(names::REQUEST_ID) {
+            Some(value) if value.as_bytes() == id.as_bytes() => Owner::Request,
+            Some(_) => Owner::Other,
+            None => Owner::Unnamed,
+        }
+    }
+
+    /// Returns whether the response is that to the request. One without an identifier is only
+    /// trusted on a new connection.
+    fn is_trusted(self, is_reused: bool) -> bool {
+        self == Owner::Request || (self == Owner::Unnamed && !is_reused)
+    }
+}
+
+/// Returns an identifier for a probe or a load report.
+fn control_id() -> String {
+    format!("control-{:016x}", fastrand::u64(..))
+}
+
 /// Reports a response, whose body starts at `offset`, as it arrives. Returns whether the connection
 /// can be used again.
 async fn report_response(
--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -18,6 +18,15 @@
 /// Sends requests on one connection.
 pub type Sender = http1::SendRequest<Full<Bytes>>;
 
+/// A response whose body has not been read yet, and its connection.
+pub struct Sent {
+    pub response: Response<body::Incoming>,
+    pub sender: Sender,
+    /// Whether the connection had another request before. What a server sent too much for that one
+    /// may look like the response to this one.
+    pub is_reused: bool,
+}
+
 /// Why a request has no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -56,20 +65,17 @@
     /// # Errors
     ///
     /// Returns an error that says whether the server may have received the request.
-    pub async fn send(
-        &self,
-        mut request: Request<Full<Bytes>>,
-    ) -> Result<(Response<body::Incoming>, Sender), Fault> {
+    pub async fn send(&self, mut request: Request<Full<Bytes>>) -> Result<Sent, Fault> {
         while let Some(mut sender) = self.take_idle() {
             match sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, sender)),
+                Ok(response) => return Ok(Sent { response, sender, is_reused: true }),
                 // The request is returned only if none of it was written.
                 Err(mut error) => request = error.take_message().ok_or(Fault::Lost)?,
             }
         }
         let mut sender = self.connect().await?;
         match sender.send_request(request).await {
-            Ok(response) => Ok((response, sender)),
+            Ok(response) => Ok(Sent { response, sender, is_reused: false }),
             Err(_) => Err(Fault::Lost),
         }
     }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -213,7 +213,7 @@
         };
         let pool = self.gateway.pool(dispatch);
         match self.wait(dispatch, dispatch.failover_timeout, pool.send(request)).await {
-            Ok(Ok((response, sender))) => self.classify(dispatch, response, sender, pool),
+            Ok(Ok(sent)) => self.classify(dispatch, sent.response, sent.sender, pool),
             Ok(Err(Fault::Unsent)) => Attempt::Failed(Event::NotSent { number: self.number }),
             Ok(Err(Fault::Refused)) => Attempt::Failed(Event::Refused { number: self.number }),
             Ok(Err(Fault::Lost)) => Attempt::Failed(self.build_ended(AttemptResult::Broken)),
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -151,7 +151,8 @@
         .body(Full::new(wire::frame::encode(query)))
         .map_err(|error| Error::new(Step::Send, peer, error))?;
     let sent = Pool::new(peer, CONNECT_TIMEOUT).send(request).await;
-    let (response, _) = sent.map_err(|fault| Error::new(Step::Send, peer, format!("{fault:?}")))?;
+    let sent = sent.map_err(|fault| Error::new(Step::Send, peer, format!("{fault:?}")))?;
+    let response = sent.response;
     let status = response.status().as_u16();
     if status != 200 {
         return Err(Error::with_kind(Step::Receive, peer, Kind::Status(status)));
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     clock,
-    connection::Pool,
+    connection::{Pool, Sent},
     error::{Error, Kind, Step},
     gateway::Gateway,
 };
@@ -241,7 +241,7 @@
             .map_err(|error| Error::new(Step::Send, address, error))?;
         let fetched = async {
             let sent = self.pool.send(request).await;
-            let (response, sender) =
+            let Sent { response, sender, .. } =
                 sent.map_err(|fault| Error::new(Step::Send, address, format!("{fault:?}")))?;
             let status = response.status().as_u16();
             let era = store::decode_era(response.headers())
--- a/crates/stand/src/engine/handler.rs
+++ b/crates/stand/src/engine/handler.rs
@@ -50,7 +50,8 @@
         return Err(http::connection_aborted());
     }
     let instance = shared.state.borrow().model.instance();
-    let mut response = dispatch(&shared, request).await?;
+    let id = request.header(header::REQUEST_ID).to_owned();
+    let mut response = http::add_request_id(dispatch(&shared, request).await?, &id);
     if let Some(limit) = shared.rate_limit.get() {
         let limit = HeaderValue::try_from(limit.to_string()).map_err(io::Error::other)?;
         response.headers_mut().insert(header::RATE_LIMIT, limit);
--- a/crates/stand/src/http.rs
+++ b/crates/stand/src/http.rs
@@ -15,7 +15,7 @@
     service,
 };
 use serde::{Serialize, de::DeserializeOwned};
-use wire::header::ENGINE_INSTANCE;
+use wire::header::{ENGINE_INSTANCE, REQUEST_ID};
 
 use crate::port::{Controller, Port};
 
@@ -132,6 +132,16 @@
     response
 }
 
+/// Adds the identifier of the request to its response, if it has one.
+pub fn add_request_id(mut response: Response<Body>, id: &str) -> Response<Body> {
+    if !id.is_empty()
+        && let Ok(value) = header::HeaderValue::try_from(id)
+    {
+        response.headers_mut().insert(REQUEST_ID, value);
+    }
+    response
+}
+
 /// Returns the response to a request that can't be parsed.
 pub fn bad_request(reason: impl Into<Bytes>) -> Response<Body> {
     text(StatusCode::BAD_REQUEST, reason)
--- a/crates/stand/src/service.rs
+++ b/crates/stand/src/service.rs
@@ -114,6 +114,11 @@
 }
 
 async fn handle(shared: Rc<Shared>, request: Request) -> HandlerResult {
+    let id = request.header(header::REQUEST_ID).to_owned();
+    Ok(http::add_request_id(respond(shared, request).await?, &id))
+}
+
+async fn respond(shared: Rc<Shared>, request: Request) -> HandlerResult {
     match request.path.as_str() {
         "/record" => Ok(http::json_lines(&*shared.effects.borrow())),
         "/control" => Ok(control(&shared, &request)),
