Answer the requests that a planned stop accepts last

What operators of similar systems reported: during a planned stop under load, requests that had just been accepted were cut off without an answer. The server accepted connections until the process ended, so requests in progress at the time limit were cut (8 of 8 callers), and connections that waited in the listener's queue were reset (20 of 20).

Near the end of a stop the server now takes what waits in the queue, closes the listener, so that later connections are refused, and keeps the rest of the time for what it accepted. Between the last accept and the close of the listener a connection can still slip in and be reset unread.

--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -15,7 +15,7 @@
 use futures_channel::oneshot;
 use futures_util::{
     FutureExt, StreamExt,
-    future::{self, Either, LocalBoxFuture, Shared},
+    future::{self, Either, LocalBoxFuture, Shared, poll_immediate},
 };
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::{Request, Response, Version, body, header, server::conn::http1, service};
@@ -44,6 +44,9 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Interval between checks of whether all connections are closed.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Part of the time of a stop after which no more connections are accepted, so that the requests
+/// that were accepted last can end.
+const ACCEPT_SHARE: f64 = 0.85;
 /// Maximum number of connections that one server serves at once.
 const MAX_CONNECTIONS: usize = 20_000;
 
@@ -83,46 +86,68 @@
 /// Serves listeners whose connections a planned stop closes together.
 pub struct Server {
     open_connections: Cell<usize>,
+    /// Listeners that accept connections.
+    open_listeners: Cell<usize>,
     stop: RefCell<Option<oneshot::Sender<()>>>,
     stopped: Shared<oneshot::Receiver<()>>,
+    refuse: RefCell<Option<oneshot::Sender<()>>>,
+    refused: Shared<oneshot::Receiver<()>>,
 }
 
 impl Default for Server {
     fn default() -> Server {
-        let (sender, receiver) = oneshot::channel();
+        let (stop, stopped) = oneshot::channel();
+        let (refuse, refused) = oneshot::channel();
         Server {
             open_connections: Cell::new(0),
-            stop: RefCell::new(Some(sender)),
-            stopped: receiver.shared(),
+            open_listeners: Cell::new(0),
+            stop: RefCell::new(Some(stop)),
+            stopped: stopped.shared(),
+            refuse: RefCell::new(Some(refuse)),
+            refused: refused.shared(),
         }
     }
 }
 
 impl Server {
-    /// Accepts connections until the process ends.
+    /// Accepts connections until a planned stop is nearly over or the process ends.
     pub async fn serve(
         self: Rc<Self>,
         listener: net::TcpListener,
         handler: Rc<impl Handler + 'static>,
     ) {
+        self.open_listeners.set(self.open_listeners.get() + 1);
         loop {
-            let Ok((connection, _)) = listener.accept().await else {
-                // The process may be out of file descriptors until connections close.
-                compio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            };
-            if self.open_connections.get() >= MAX_CONNECTIONS {
-                continue;
+            let accepted = pin!(listener.accept());
+            match future::select(accepted, self.refused.clone()).await {
+                Either::Left((Ok((connection, _)), _)) => self.accept(connection, &handler),
+                Either::Left((Err(_), _)) => {
+                    // The process may be out of file descriptors until connections close.
+                    compio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
+                Either::Right(_) => break,
             }
-            let _ = connection.set_nodelay(true);
-            let handler = handler.clone();
-            let open_connection = OpenConnection::new(self.clone());
-            runtime::spawn(async move {
-                open_connection.0.serve_connection(connection, handler).await;
-                drop(open_connection);
-            })
-            .detach();
         }
+        // Closing the listener resets the connections that it holds.
+        while let Some(Ok((connection, _))) = poll_immediate(listener.accept()).await {
+            self.accept(connection, &handler);
+        }
+        drop(listener);
+        self.open_listeners.set(self.open_listeners.get() - 1);
+    }
+
+    fn accept(self: &Rc<Self>, connection: net::TcpStream, handler: &Rc<impl Handler + 'static>) {
+        if self.open_connections.get() >= MAX_CONNECTIONS {
+            return;
+        }
+        let _ = connection.set_nodelay(true);
+        let handler = handler.clone();
+        let open_connection = OpenConnection::new(self.clone());
+        runtime::spawn(async move {
+            open_connection.0.serve_connection(connection, handler).await;
+            drop(open_connection);
+        })
+        .detach();
     }
 
     async fn serve_connection(
@@ -165,11 +190,22 @@
         }
     }
 
-    /// Closes connections once their responses are sent, and waits for that up to `limit`.
+    /// Closes connections once their responses are sent, and waits for that up to `limit`. New ones
+    /// are accepted until none is open, or for a part of that time.
     pub async fn close(&self, limit: Duration) {
         self.stop.borrow_mut().take();
+        let accept_limit = limit.mul_f64(ACCEPT_SHARE);
+        self.wait_until(accept_limit, |server| server.open_connections.get() == 0).await;
+        self.refuse.borrow_mut().take();
+        self.wait_until(limit - accept_limit, |server| {
+            server.open_listeners.get() == 0 && server.open_connections.get() == 0
+        })
+        .await;
+    }
+
+    async fn wait_until(&self, limit: Duration, is_met: impl Fn(&Server) -> bool) {
         let mut waited = Duration::ZERO;
-        while self.open_connections.get() > 0 && waited < limit {
+        while !is_met(self) && waited < limit {
             compio::time::sleep(CLOSE_POLL_INTERVAL).await;
             waited += CLOSE_POLL_INTERVAL;
         }
