Take only complete events as the progress of a stream

A gateway also asked only once whether another server could take a silent stream, and a request whose servers were all excluded waited for 0.6 of its objective for a final answer that could no longer change (6.0 s with one server).

Progress is now a complete event; bytes inside one, comments and a head without a body are none. The question is repeated, and counted once as unanswered. Where all servers of the service are excluded, the answer is final at once.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -19,6 +19,7 @@
     http::{request, response},
 };
 use platform::message::{self, RateLimit, ResponseKind};
+use wire::time::Instant;
 
 use crate::{
     clock,
@@ -63,6 +64,24 @@
     pub pool: Pool,
 }
 
+/// Time at which a request without progress may move to another backend server.
+pub struct Failover {
+    timeout: Duration,
+    due: Instant,
+}
+
+impl Failover {
+    /// Returns a time that is due after `timeout`.
+    pub fn new(timeout: Duration) -> Failover {
+        Failover { timeout, due: clock::now() + timeout }
+    }
+
+    /// Begins anew, since there was progress or the request was not moved.
+    pub fn restart(&mut self) {
+        self.due = clock::now() + self.timeout;
+    }
+}
+
 /// Result of a dispatch.
 pub enum Attempt {
     /// The head of a response was read.
@@ -150,27 +169,31 @@
         }
     }
 
-    /// Waits for `future` up to the dispatch's deadline. If it isn't complete after
-    /// `failover_timeout`, the machine may move the request to another backend server.
+    /// Waits for `future` up to the dispatch's deadline. Each time that `failover` is due, the machine
+    /// may move the request to another backend server.
     pub async fn wait<T>(
         &mut self,
         dispatch: &Dispatch,
-        failover_timeout: Option<Duration>,
+        mut failover: Option<&mut Failover>,
         future: impl Future<Output = T>,
     ) -> Result<T, Attempt> {
         let mut future = pin!(future);
-        let remaining = dispatch.deadline.since(clock::now());
-        if let Some(limit) = failover_timeout.filter(|limit| *limit < remaining) {
-            if let Ok(output) = time::timeout(limit, future.as_mut()).await {
+        loop {
+            let now = clock::now();
+            let due = failover.as_deref_mut().filter(|failover| failover.due < dispatch.deadline);
+            let Some(failover) = due else {
+                let output = time::timeout(dispatch.deadline.since(now), future).await;
+                return output.map_err(|_| Attempt::Timeout);
+            };
+            if let Ok(output) = time::timeout(failover.due.since(now), future.as_mut()).await {
                 return Ok(output);
             }
+            failover.restart();
             self.report(Event::Unresponsive { number: self.number });
             if let Ok(Instruction::Dispatch(dispatch)) = self.instructions.try_recv() {
                 return Err(Attempt::Moved(dispatch));
             }
         }
-        let remaining = dispatch.deadline.since(clock::now());
-        time::timeout(remaining, future).await.map_err(|_| Attempt::Timeout)
     }
 
     /// Waits for the machine's next instruction.
@@ -212,7 +235,8 @@
             return Attempt::Failed(Event::NotSent { number: self.number });
         };
         let pool = self.gateway.pool(dispatch);
-        match self.wait(dispatch, dispatch.failover_timeout, pool.send(request)).await {
+        let mut failover = dispatch.failover_timeout.map(Failover::new);
+        match self.wait(dispatch, failover.as_mut(), pool.send(request)).await {
             Ok(Ok(sent)) => self.classify(dispatch, sent.response, sent.sender, pool),
             Ok(Err(Fault::Unsent)) => Attempt::Failed(Event::NotSent { number: self.number }),
             Ok(Err(Fault::Refused)) => Attempt::Failed(Event::Refused { number: self.number }),
@@ -263,7 +287,8 @@
     ) -> Result<Response<http::Body>, Attempt> {
         let UnreadResponse { head, framing, body, sender, pool } = unread;
         let read = Limited::new(body, MAX_BUFFERED_BYTES).collect();
-        let bytes = match self.wait(dispatch, dispatch.failover_timeout, read).await? {
+        let mut failover = dispatch.failover_timeout.map(Failover::new);
+        let bytes = match self.wait(dispatch, failover.as_mut(), read).await? {
             Ok(body) => body.to_bytes(),
             Err(error) => {
                 let is_too_large = error.is::<LengthLimitError>();
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -18,15 +18,15 @@
     gateway::{
         Instruction,
         events::EventBuffer,
-        exchange::{self, Attempt, Exchange, UnreadResponse},
+        exchange::{self, Attempt, Exchange, Failover, UnreadResponse},
     },
     http,
 };
 
 /// Events between two reports of a stream's speed.
 const EVENTS_PER_REPORT: u32 = 8;
-/// Time without data after which a stream that may be resumed at another backend server is moved to
-/// one with free capacity.
+/// Time without a complete event after which a stream that may be resumed at another backend server
+/// is moved to one with free capacity. Parts of an event and comments are no progress.
 const STREAM_FAILOVER_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Largest event that is buffered until it is complete, in bytes.
@@ -105,8 +105,9 @@
     let (head, mut reader) = split_response(response);
     let mut events = EventBuffer::default();
     let mut ready = VecDeque::new();
+    let mut failover = dispatch.failover_timeout.map(Failover::new);
     loop {
-        match exchange.wait(dispatch, dispatch.failover_timeout, reader.read()).await? {
+        match exchange.wait(dispatch, failover.as_mut(), reader.read()).await? {
             BodyRead::Data(data) => {
                 let completed = events.push(data);
                 if !completed.bytes.is_empty() {
@@ -151,6 +152,8 @@
     events: EventBuffer,
     ready: VecDeque<Bytes>,
     unreported: Unreported,
+    /// `None` if the stream may not move.
+    failover: Option<Failover>,
     pauses: Histogram,
     /// Time at which the first complete event was received.
     first_event_at: Instant,
@@ -183,6 +186,7 @@
     let (unreported, now) = (Unreported::new(), clock::now());
     let pauses = exchange.metrics().pause_histogram(&dispatch);
     let reader = Some(reader);
+    let failover = stream_failover(&dispatch);
     let relay = Relay {
         exchange,
         dispatch,
@@ -190,6 +194,7 @@
         events,
         ready,
         unreported,
+        failover,
         pauses,
         first_event_at: now,
         last_data_at: now,
@@ -206,6 +211,11 @@
     response
 }
 
+/// Returns when a stream in progress may move, if it may.
+fn stream_failover(dispatch: &Dispatch) -> Option<Failover> {
+    dispatch.failover_timeout.map(|_| Failover::new(STREAM_FAILOVER_TIMEOUT))
+}
+
 impl Relay {
     /// Returns the next bytes for the caller, an error if the stream can't be completed, or
     /// `None` at its end.
@@ -235,8 +245,7 @@
     /// Reads on and keeps the connection if the response goes on. Returns the result of a response
     /// that was broken off.
     async fn read(&mut self, mut reader: BodyReader) -> Result<Option<AttemptResult>, Attempt> {
-        let failover_timeout = self.dispatch.failover_timeout.map(|_| STREAM_FAILOVER_TIMEOUT);
-        let wait = self.exchange.wait(&self.dispatch, failover_timeout, reader.read());
+        let wait = self.exchange.wait(&self.dispatch, self.failover.as_mut(), reader.read());
         Ok(match wait.await? {
             BodyRead::Data(data) => {
                 let completed = self.events.push(data);
@@ -295,6 +304,11 @@
         let now = clock::now();
         self.pauses.observe(now.since(self.last_data_at).as_secs_f64());
         self.last_data_at = now;
+        if events > 0
+            && let Some(failover) = &mut self.failover
+        {
+            failover.restart();
+        }
         if events > 0 && std::mem::take(&mut self.first_event_due) {
             self.exchange.report(self.exchange.build_first_event());
             self.unreported = Unreported::new();
@@ -335,6 +349,7 @@
                 Attempt::Received(response) if response.head.status.is_success() => {
                     let (_, reader) = split_response(*response);
                     self.reader = Some(reader);
+                    self.failover = stream_failover(&dispatch);
                     self.dispatch = dispatch;
                     self.unreported = Unreported::new();
                     self.first_event_due = true;
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -78,6 +78,8 @@
         dispatched_at: Instant,
         tokens_ahead: u32,
         first_event_at: Option<Instant>,
+        /// Whether the request was reported as unresponsive there.
+        unresponsive: bool,
         /// Time at which the permit would have expired, if the backend server has a rate limit.
         permit: Option<Instant>,
     },
@@ -249,8 +251,8 @@
                 self.handle_arrival(now, number, request, actions)
             }
             Event::Closed { number } => self.close(now, number),
-            Event::NotSent { number } => self.handle_not_sent(now, number),
-            Event::Refused { number } => self.handle_refused(now, number),
+            Event::NotSent { number } => self.handle_not_sent(now, number, actions),
+            Event::Refused { number } => self.handle_refused(now, number, actions),
             Event::Rejected { number, retry_after } => {
                 self.handle_rejection(now, number, retry_after, actions);
             }
--- a/crates/gate/src/machine/dispatching.rs
+++ b/crates/gate/src/machine/dispatching.rs
@@ -194,6 +194,7 @@
             dispatched_at: now,
             tokens_ahead,
             first_event_at: None,
+            unresponsive: false,
             permit,
         };
         if let Some(queue) = self.queues.get_mut(&entry.service) {
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -55,7 +55,21 @@
         }
     }
 
-    pub(super) fn handle_not_sent(&mut self, now: Instant, number: RequestNumber) {
+    /// Returns whether the service of a request has a backend server that it was not sent to. If
+    /// not, a wait would serve nobody.
+    fn has_candidate(&self, number: RequestNumber) -> bool {
+        self.open_requests.get(&number).is_some_and(|open| {
+            let mut keys = self.backends.keys_of(&open.entry.service).iter();
+            keys.any(|key| !open.entry.excluded.contains(key))
+        })
+    }
+
+    pub(super) fn handle_not_sent(
+        &mut self,
+        now: Instant,
+        number: RequestNumber,
+        actions: &mut Vec<Action>,
+    ) {
         let state = self.open_requests.get(&number).map(|open| open.state);
         if let Some(State::Dispatched { run, permit: Some(expires_at), .. }) = state {
             self.permits.put_back(run, expires_at);
@@ -65,13 +79,21 @@
             backend.load.unreachable = true;
             self.probes.entry(key).or_insert(now + PROBE_PERIOD);
         }
-        self.requeue(number);
+        match self.has_candidate(number) {
+            true => self.requeue(number),
+            false => self.refuse_waiting(now, number, Reason::NoBackend, actions),
+        }
     }
 
     /// Handles a refused connection: the run that listened there has ended.
-    pub(super) fn handle_refused(&mut self, now: Instant, number: RequestNumber) {
+    pub(super) fn handle_refused(
+        &mut self,
+        now: Instant,
+        number: RequestNumber,
+        actions: &mut Vec<Action>,
+    ) {
         self.record_ends_at_backend_of(now, number);
-        self.handle_not_sent(now, number);
+        self.handle_not_sent(now, number, actions);
     }
 
     /// Counts the end of a dispatched request's backend server against the requests that were given
@@ -118,7 +140,7 @@
         if let Some(backend) = self.backends.get_mut(key) {
             backend.load.full_until = now + FULL_COOLDOWN;
         }
-        if self.take_retry(now, number) {
+        if self.has_candidate(number) && self.take_retry(now, number) {
             self.requeue(number);
             return;
         }
@@ -144,7 +166,7 @@
             backend.load.eject(now);
             backend.load.eject(now);
         }
-        match self.take_retry(now, number) {
+        match self.has_candidate(number) && self.take_retry(now, number) {
             true => self.requeue(number),
             false => self.refuse_waiting(now, number, Reason::NoBackend, actions),
         }
@@ -248,7 +270,10 @@
                 ends = self.suspects.total(now, fingerprint),
             );
         }
-        if self.may_continue_elsewhere(now, number) && self.take_retry(now, number) {
+        if self.may_continue_elsewhere(now, number)
+            && self.has_candidate(number)
+            && self.take_retry(now, number)
+        {
             self.requeue(number);
             return;
         }
@@ -261,9 +286,13 @@
         number: RequestNumber,
         actions: &mut Vec<Action>,
     ) {
-        let Some(open) = self.open_requests.get(&number).cloned() else { return };
-        let State::Dispatched { backend, .. } = open.state else { return };
-        self.give_up(now, &open);
+        let Some(open) = self.open_requests.get_mut(&number) else { return };
+        let State::Dispatched { backend, unresponsive, .. } = &mut open.state else { return };
+        let (backend, is_first) = (*backend, !std::mem::replace(unresponsive, true));
+        let open = open.clone();
+        if is_first {
+            self.give_up(now, &open);
+        }
         let mut entry = open.entry;
         entry.excluded.push(backend);
         let other = self.choose(now, &entry, &HashSet::new());
