Keep the closed ports of simulated servers

The proxy closes its port to refuse connections, and a server of another test process got the port. A closed port is now bound without listening, so it refuses connections and nobody else gets it; crates/stand/tests/port.rs fails without that.

--- a/crates/stand/src/port.rs
+++ b/crates/stand/src/port.rs
@@ -5,7 +5,7 @@
     future::Future,
     io,
     net::{self, SocketAddr},
-    os::fd::AsFd,
+    os::fd::{AsFd, OwnedFd},
     pin::pin,
     rc::Rc,
     time::Duration,
@@ -18,6 +18,7 @@
 };
 use futures_channel::oneshot;
 use futures_util::future::{Either, select};
+use rustix::net::{AddressFamily, SocketType, sockopt};
 
 use crate::signal::Signal;
 
@@ -121,6 +122,16 @@
     TcpListener::from_std(net::TcpListener::bind(address)?)
 }
 
+/// Binds an address without listening, so that connections are refused and no other process gets
+/// the port. A listener may be bound to it meanwhile.
+fn reserve(address: SocketAddr) -> io::Result<OwnedFd> {
+    let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let socket = rustix::net::socket(family, SocketType::STREAM, None)?;
+    sockopt::set_socket_reuseaddr(&socket, true)?;
+    rustix::net::bind(&socket, &address)?;
+    Ok(socket)
+}
+
 async fn accept_loop<F, S>(
     listener: TcpListener,
     address: SocketAddr,
@@ -131,18 +142,24 @@
     S: Fn(TcpStream, u64) -> F + 'static,
 {
     let mut listening = Some(listener);
+    let mut reserved = None;
     loop {
         let seen_changes = controller.changed.changes();
         if controller.closed.get() {
             if let Some(listener) = listening.take() {
                 listener.close().await.ok();
             }
+            if reserved.is_none() {
+                reserved = reserve(address).ok();
+            }
             controller.changed.wait(seen_changes).await;
             continue;
         }
         let Some(listener) = &listening else {
             listening = bind(address).ok();
-            if listening.is_none() {
+            if listening.is_some() {
+                reserved = None;
+            } else {
                 time::sleep(RETRY_DELAY).await;
             }
             continue;
