--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -124,7 +124,10 @@
                     ready.push_back(events.take_partial());
                     return Ok(StartedStream { head, reader, events, ready });
                 }
-                result => return Err(Attempt::Failed(exchange.build_ended(result))),
+                result => {
+                    exchange.log_stream_end(dispatch, reader.framing, events.partial_len(), None);
+                    return Err(Attempt::Failed(exchange.build_ended(result)));
+                }
             },
             BodyRead::Broken => {
                 return Err(Attempt::Failed(exchange.build_ended(AttemptResult::Broken)));
@@ -255,14 +258,14 @@
                 self.reader = (!is_too_large).then_some(reader);
                 is_too_large.then_some(AttemptResult::Invalid)
             }
-            BodyRead::End => match self.record_end(reader.framing) {
-                AttemptResult::Complete | AttemptResult::Unframed => {
+            BodyRead::End => {
+                let result = self.record_end(reader.framing);
+                if result.is_whole() {
                     reader.release_connection();
                     self.ready.push_back(self.events.take_partial());
-                    None
                 }
-                result => Some(result),
-            },
+                (!result.is_whole()).then_some(result)
+            }
             BodyRead::Broken => Some(AttemptResult::Broken),
         })
     }
@@ -272,7 +275,7 @@
         let result = end_result(framing, &self.events, !self.first_event_due);
         let (partial, last_id) = (self.events.partial_len(), self.events.last_id());
         self.exchange.log_stream_end(&self.dispatch, framing, partial, last_id);
-        if matches!(result, AttemptResult::Complete | AttemptResult::Unframed) {
+        if result.is_whole() {
             let total = clock::now().since(self.first_event_at);
             self.exchange.metrics().record_stream_end(&self.dispatch, total);
             self.exchange.report(self.exchange.build_ended(result));
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -25,6 +25,13 @@
     Invalid,
 }
 
+impl AttemptResult {
+    /// Returns whether the response is passed on as whole.
+    pub fn is_whole(self) -> bool {
+        matches!(self, AttemptResult::Complete | AttemptResult::Unframed)
+    }
+}
+
 /// An event for the machine to handle.
 #[derive(Clone, Debug)]
 pub enum Event {
