--- a/crates/gate/tests/retries.rs
+++ b/crates/gate/tests/retries.rs
@@ -127,6 +127,36 @@
     assert_eq!(gateway.machine.open_count(), 0);
 }
 
+/// Guards against running work that is started elsewhere or given up since its backend server was
+/// silent towards the store for a while, so that its record lapsed.
+#[test]
+fn requests_at_a_server_whose_record_lapsed_go_on() {
+    for path in ["status", "bid"] {
+        let mut gateway = TestGateway::with_backends(PLAIN, 2);
+        let number = gateway.arrive(request(path));
+        let first = gateway.dispatched(number).expect("dispatched");
+        gateway.feed(Event::Record { id: first.id.clone(), record: None });
+        gateway.advance_confirmed(Duration::from_secs(3));
+        assert!(gateway.dispatched(number).is_none(), "{path} was started again");
+        assert!(gateway.refused(number).is_none(), "{path} was given up");
+        gateway.add("r0", common::record(PLAIN, 9_000));
+        gateway.end(number, AttemptResult::Complete);
+        assert_eq!(gateway.machine.open_count(), 0);
+    }
+}
+
+/// Guards against a question to an unresponsive backend server that is repeated and counts as
+/// another end of it each time.
+#[test]
+fn a_repeated_question_counts_once() {
+    let mut gateway = TestGateway::with_backends(MODEL, 1);
+    let number = gateway.arrive(request("resumable"));
+    let dispatch = gateway.dispatched(number).expect("dispatched");
+    (0..5).for_each(|_| gateway.feed(Event::Unresponsive { number }));
+    gateway.feed(Event::Record { id: dispatch.id, record: None });
+    assert_eq!(gateway.machine.suspects().total(gateway.now, 7), 1);
+}
+
 /// Guards against a resumable stream that waits for an unresponsive backend server although another
 /// has a free slot.
 #[test]
