Give the places of limited servers to the most urgent requests at all gateways

With limits on all servers and urgent requests for half of what they allow, 56 of 66 urgent requests got a place, the others waited in vain while less urgent ones were served. A gateway demanded permits for all that wait with the tier of the first one, each issuer granted one for the same request, and servers that named their limits at the same time had their places at the same times, up to one period apart.

Demands are now by tier, they are stated again soon after a permit came, those that are no longer needed end, and each supply begins with another debt. urgent_requests_get_the_places_at_all_gateways, with a bound of nine tenths, failed before.

--- a/crates/gate/src/issuer.rs
+++ b/crates/gate/src/issuer.rs
@@ -27,43 +27,55 @@
     (hash ^ (hash >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15)
 }
 
-/// Permits that a gateway demands.
+/// Permits that a gateway demands for requests of one tier.
 #[derive(Clone, Copy, Debug)]
 struct Demand {
+    from: SocketAddr,
     /// Most urgent tier of the requests that wait there for the backend server.
     tier: Option<u32>,
     count: u16,
     token: u64,
     received_at: Instant,
-    last_issue: Instant,
 }
 
 /// Permits of one run and the demands for them.
 #[derive(Clone, Debug)]
 struct Supply {
     bucket: Bucket,
-    demands: HashMap<SocketAddr, Demand>,
+    demands: Vec<Demand>,
+    /// Time of the last permit of each gateway.
+    last_issues: HashMap<SocketAddr, Instant>,
 }
 
 impl Supply {
+    /// Returns a supply without permits. Its debt, which differs between runs, keeps servers that
+    /// named their limits at the same time from having their places at the same times.
+    fn empty(now: Instant, run: u64) -> Supply {
+        let debt = (run >> 32) as f64 / f64::from(u32::MAX);
+        let bucket = Bucket::with_debt(now, debt);
+        Supply { bucket, demands: Vec::new(), last_issues: HashMap::new() }
+    }
+
     /// Takes a permit for the gateway with the most urgent request. Gateways without a waiting
     /// request get one ahead of their next request if no other gateway needs it.
     fn issue(&mut self, now: Instant) -> Option<(SocketAddr, u64)> {
         if !self.bucket.has_permit() {
             return None;
         }
-        let open = self.demands.iter_mut().filter(|(_, demand)| demand.count > 0);
-        let (to, demand) = open.min_by_key(|(to, demand)| {
-            (demand.tier.is_none(), demand.tier, demand.last_issue, **to)
+        let open = self.demands.iter_mut().filter(|demand| demand.count > 0);
+        let last_issues = &mut self.last_issues;
+        let demand = open.min_by_key(|demand| {
+            let last_issue = last_issues.get(&demand.from).copied();
+            (demand.tier.is_none(), demand.tier, last_issue, demand.from)
         })?;
         demand.count -= 1;
-        demand.last_issue = now;
+        last_issues.insert(demand.from, now);
         self.bucket.take();
-        Some((*to, demand.token))
+        Some((demand.from, demand.token))
     }
 
     fn is_demanded(&self) -> bool {
-        self.demands.values().any(|demand| demand.count > 0)
+        self.demands.iter().any(|demand| demand.count > 0)
     }
 }
 
@@ -83,8 +95,8 @@
 }
 
 impl Issuer {
-    /// Records what a gateway demands, which replaces its earlier demand for the run. A run that is
-    /// new here has no permits yet, since another issuer may just have issued some.
+    /// Records what a gateway demands, which replaces its demands for the run with another token. A
+    /// run that is new here has no permits yet, since another issuer may just have issued some.
     pub fn record_demand(
         &mut self,
         now: Instant,
@@ -92,14 +104,11 @@
         token: u64,
         demand: &message::Demand,
     ) {
-        let supply = self
-            .supplies
-            .entry(demand.run)
-            .or_insert_with(|| Supply { bucket: Bucket::empty(now), demands: HashMap::new() });
+        let supply =
+            self.supplies.entry(demand.run).or_insert_with(|| Supply::empty(now, demand.run));
         let message::Demand { tier, count, .. } = *demand;
-        let last_issue = supply.demands.get(&from).map_or(Instant::default(), |d| d.last_issue);
-        let demand = Demand { tier, count, token, received_at: now, last_issue };
-        supply.demands.insert(from, demand);
+        supply.demands.retain(|other| other.from != from || other.token == token);
+        supply.demands.push(Demand { from, tier, count, token, received_at: now });
     }
 
     /// Issues the permits that are available. `rate` returns the permits a second for a run, or
@@ -109,7 +118,7 @@
         self.supplies.retain(|run, supply| {
             let Some(rate) = rate(*run) else { return false };
             supply.bucket.refill(now, rate);
-            supply.demands.retain(|_, demand| now.since(demand.received_at) < permits::LIFETIME);
+            supply.demands.retain(|demand| now.since(demand.received_at) < permits::LIFETIME);
             while let Some((to, token)) = supply.issue(now) {
                 issued.push(Permit { to, run: *run, token });
             }
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -7,7 +7,7 @@
 mod responses;
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -119,8 +119,11 @@
     /// Number of the last message with permits.
     permit_number: u64,
     next_demand: Instant,
+    demand_period: Duration,
+    /// Runs that permits were demanded for when demands were last sent.
+    demanded_runs: BTreeSet<u64>,
     /// Runs whose limit changed since the last announcement.
-    unannounced_limits: HashSet<u64>,
+    unannounced_limits: BTreeSet<u64>,
     next_announcement: Instant,
     /// Arrivals by service.
     arrivals: HashMap<Bytes, Arrivals>,
@@ -170,7 +173,9 @@
             issuer_share: 0.0,
             permit_number: 0,
             next_demand: now,
-            unannounced_limits: HashSet::new(),
+            demand_period: Duration::ZERO,
+            demanded_runs: BTreeSet::new(),
+            unannounced_limits: BTreeSet::new(),
             next_announcement: now,
             arrivals: HashMap::new(),
             retry_budgets: HashMap::new(),
@@ -295,9 +300,7 @@
             Event::SuspectsReceived(reports) => self.receive_suspects(now, &reports),
             Event::RateLimitsReceived(reports) => self.receive_rate_limits(now, &reports),
             Event::DemandsReceived(demands) => self.receive_demands(now, &demands, actions),
-            Event::PermitsReceived(permits) => {
-                self.permits.receive(now, &permits);
-            }
+            Event::PermitsReceived(permits) => self.receive_permits(now, &permits),
             Event::Probed { backend, reachable } => self.handle_probe(now, backend, reachable),
             Event::Stop => self.stopping_since = Some(now),
             Event::Tick => self.tick(now, actions),
--- a/crates/gate/src/machine/limiting.rs
+++ b/crates/gate/src/machine/limiting.rs
@@ -1,6 +1,10 @@
 //! Rate limits of backend servers: what they stated, and the permits for requests to them.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use rate::statement::Change;
@@ -124,13 +128,14 @@
             return;
         }
         let period = Duration::from_secs_f64(by_issuer.len() as f64 / MAX_DEMANDS_PER_S);
-        self.next_demand = now + DEMAND_PERIOD.max(period);
+        self.demand_period = DEMAND_PERIOD.max(period);
+        self.next_demand = now + self.demand_period;
         let from = self.own_address();
         for (to, demands) in by_issuer {
             let token = self.rng.u64(..);
             self.permits.record_demand(now, token);
-            let limits =
-                demands.iter().filter_map(|demand| self.rate_limits.report(now, demand.run));
+            let runs: BTreeSet<u64> = demands.iter().map(|demand| demand.run).collect();
+            let limits = runs.into_iter().filter_map(|run| self.rate_limits.report(now, run));
             let demands = message::Demands { from, token, limits: limits.collect(), demands };
             if to == from {
                 self.receive_demands(now, &demands, actions);
@@ -140,35 +145,63 @@
         }
     }
 
-    /// Returns the permits that this gateway needs beside those that it holds.
-    fn demands(&self, now: Instant) -> Vec<message::Demand> {
-        let own_address = self.own_address();
-        let mut demands = Vec::new();
+    /// Adds permits. The other issuers get the new demands soon, so that they don't issue more for
+    /// the same requests.
+    pub(super) fn receive_permits(&mut self, now: Instant, permits: &message::Permits) {
+        if self.permits.receive(now, permits) {
+            self.next_demand = self.next_demand.min(now + self.demand_period / 4);
+        }
+    }
+
+    /// Returns the permits that this gateway needs beside those that it holds, and ends the demands
+    /// for runs that it needs none for any more.
+    fn demands(&mut self, now: Instant) -> Vec<message::Demand> {
+        let mut demands = self.needed_permits(now);
+        let runs: BTreeSet<u64> = demands.iter().map(|demand| demand.run).collect();
+        let ended = self.demanded_runs.difference(&runs);
+        demands.extend(ended.map(|run| message::Demand { run: *run, tier: None, count: 0 }));
+        self.demanded_runs = runs;
+        demands
+    }
+
+    fn needed_permits(&self, now: Instant) -> Vec<message::Demand> {
+        let mut by_run = Vec::new();
         for (_, backend) in self.backends.iter() {
             let run = backend.run;
             let Some(rate) = self.rate_limits.rate(run) else { continue };
             if !backend.load.is_usable(now) {
                 continue;
             }
-            let queue = self.queues.get(&backend.record.service);
-            let first = queue.and_then(|queue| queue.numbers().next());
-            let first = first.and_then(|number| self.open_requests.get(&number));
-            let waiting = queue.map_or(0, |queue| queue.len());
-            let arrivals = self.arrivals.get(&backend.record.service);
+            let service = &backend.record.service;
+            let waiting = self.waiting_tiers(service);
+            let arrivals = self.arrivals.get(service);
             let expected = arrivals.map_or(0.0, |arrivals| arrivals.expected(now, AHEAD)).ceil();
+            let needed = waiting.len().max(expected as usize);
+            let needed = needed.min(rate.ceil() as usize).min(usize::from(u16::MAX));
             let held = self.permits.count(now, run);
-            let needed = (waiting.max(expected as usize)).min(rate.ceil() as usize);
-            let count = needed.saturating_sub(held).min(usize::from(u16::MAX)) as u16;
-            let tier = first.map(|open| open.entry.tier);
-            if count > 0 {
-                demands.push(message::Demand { run, tier, count });
+            let tiers: Vec<_> = (held..needed).map(|n| waiting.get(n).copied()).collect();
+            let of_tier = |tiers: &[Option<u32>]| message::Demand {
+                run,
+                tier: tiers[0],
+                count: tiers.len() as u16,
+            };
+            let demands: Vec<_> = tiers.chunk_by(|a, b| a == b).map(of_tier).collect();
+            if !demands.is_empty() {
+                by_run.push((run, demands));
             }
         }
-        if demands.len() > MAX_DEMANDED_RUNS {
-            demands.sort_by_key(|demand| issuer::rank(demand.run, &own_address));
-            demands.truncate(MAX_DEMANDED_RUNS);
+        if by_run.len() > MAX_DEMANDED_RUNS {
+            let own_address = self.own_address();
+            by_run.sort_by_key(|(run, _)| issuer::rank(*run, &own_address));
+            by_run.truncate(MAX_DEMANDED_RUNS);
         }
-        demands
+        by_run.into_iter().flat_map(|(_, demands)| demands).collect()
+    }
+
+    /// Returns the tiers of the requests that wait for a service, in the order of dispatch.
+    fn waiting_tiers(&self, service: &Bytes) -> Vec<u32> {
+        let numbers = self.queues.get(service).into_iter().flat_map(|queue| queue.numbers());
+        numbers.filter_map(|number| Some(self.open_requests.get(&number)?.entry.tier)).collect()
     }
 
     fn issue_permits(&mut self, now: Instant, actions: &mut Vec<Action>) {
@@ -181,7 +214,7 @@
             let count = same.len() as u16;
             let permits = message::Permits { process, number, token, run, count };
             if to == own_address {
-                self.permits.receive(now, &permits);
+                self.receive_permits(now, &permits);
             } else {
                 actions.push(Action::Send { to, datagram: message::Datagram::Permits(permits) });
             }
--- a/crates/rate/src/bucket.rs
+++ b/crates/rate/src/bucket.rs
@@ -22,6 +22,11 @@
         Bucket { permits: 0.0, rate: 0.0, refilled_at: now }
     }
 
+    /// Returns a bucket that first has to make up for a part of a permit.
+    pub fn with_debt(now: Instant, debt: f64) -> Bucket {
+        Bucket { permits: -debt, ..Bucket::empty(now) }
+    }
+
     /// Adds the permits of the time since the last refill.
     pub fn refill(&mut self, now: Instant, rate: f64) {
         let added = now.since(self.refilled_at).as_secs_f64() * rate;
