Issue permits only while a gateway is the issuer of a server

A gateway that another one replaced as issuer went on with the demands that it had, for up to a second. The state of the permits is a type of its own, and the order in which permits are issued doesn't depend on a hash seed.

--- a/crates/gate/src/issuer.rs
+++ b/crates/gate/src/issuer.rs
@@ -6,7 +6,10 @@
 //! that receive each other's messages. An issuer that doesn't receive messages of all gateways
 //! leaves their part of the rate to them, since they may have an issuer of their own.
 
-use std::{collections::HashMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+};
 
 use rate::bucket::Bucket;
 use wire::time::Instant;
@@ -31,7 +34,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Demand {
     from: SocketAddr,
-    /// Most urgent tier of the requests that wait there for the backend server.
+    /// Tier of the requests that wait there; `None` if they may arrive next.
     tier: Option<u32>,
     count: u16,
     token: u64,
@@ -91,7 +94,7 @@
 /// Permits to issue, by run.
 #[derive(Clone, Debug, Default)]
 pub struct Issuer {
-    supplies: HashMap<u64, Supply>,
+    supplies: BTreeMap<u64, Supply>,
 }
 
 impl Issuer {
@@ -111,8 +114,13 @@
         supply.demands.push(Demand { from, tier, count, token, received_at: now });
     }
 
+    /// Returns the runs that permits were demanded for.
+    pub fn runs(&self) -> Vec<u64> {
+        self.supplies.keys().copied().collect()
+    }
+
     /// Issues the permits that are available. `rate` returns the permits a second for a run, or
-    /// `None` if this gateway doesn't issue them.
+    /// `None` if this gateway doesn't issue them any more.
     pub fn issue(&mut self, now: Instant, rate: impl Fn(u64) -> Option<f64>) -> Vec<Permit> {
         let mut issued = Vec::new();
         self.supplies.retain(|run, supply| {
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -6,12 +6,7 @@
 mod peering;
 mod responses;
 
-use std::{
-    collections::{BTreeSet, HashMap},
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
-};
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use conf::gateway::Bounds;
@@ -24,7 +19,6 @@
     catalog::Catalog,
     deadlines::Deadlines,
     event::RequestNumber,
-    issuer::Issuer,
     lease::Lease,
     message,
     peers::Peers,
@@ -110,21 +104,7 @@
     quotas: Quotas,
     rate_limits: RateLimits,
     permits: Permits,
-    issuer: Issuer,
-    /// Issuers of permits by run, as determined last.
-    issuers: HashMap<u64, SocketAddr>,
-    next_issuers: Instant,
-    /// Part of each limit that this gateway may issue.
-    issuer_share: f64,
-    /// Number of the last message with permits.
-    permit_number: u64,
-    next_demand: Instant,
-    demand_period: Duration,
-    /// Runs that permits were demanded for when demands were last sent.
-    demanded_runs: BTreeSet<u64>,
-    /// Runs whose limit changed since the last announcement.
-    unannounced_limits: BTreeSet<u64>,
-    next_announcement: Instant,
+    limiting: limiting::State,
     /// Arrivals by service.
     arrivals: HashMap<Bytes, Arrivals>,
     retry_budgets: HashMap<Bytes, RetryBudget>,
@@ -167,16 +147,7 @@
             started_at: now,
             rate_limits: RateLimits::default(),
             permits: Permits::default(),
-            issuer: Issuer::default(),
-            issuers: HashMap::new(),
-            next_issuers: now,
-            issuer_share: 0.0,
-            permit_number: 0,
-            next_demand: now,
-            demand_period: Duration::ZERO,
-            demanded_runs: BTreeSet::new(),
-            unannounced_limits: BTreeSet::new(),
-            next_announcement: now,
+            limiting: limiting::State::default(),
             arrivals: HashMap::new(),
             retry_budgets: HashMap::new(),
             suspects: Suspects::default(),
--- a/crates/gate/src/machine/limiting.rs
+++ b/crates/gate/src/machine/limiting.rs
@@ -1,7 +1,7 @@
 //! Rate limits of backend servers: what they stated, and the permits for requests to them.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     time::Duration,
 };
@@ -10,8 +10,14 @@
 use rate::statement::Change;
 use wire::time::Instant;
 
-use super::{Machine, State};
-use crate::{Action, event::RequestNumber, issuer, message, refusal::Reason};
+use super::Machine;
+use crate::{
+    Action,
+    event::RequestNumber,
+    issuer::{self, Issuer},
+    message,
+    refusal::Reason,
+};
 
 /// Time between demands in a deployment with few gateways.
 const DEMAND_PERIOD: Duration = Duration::from_millis(50);
@@ -29,6 +35,26 @@
 /// Most limits in one datagram.
 const MAX_REPORTS: usize = 128;
 
+/// State of a gateway's part in the permits of all gateways.
+#[derive(Debug, Default)]
+pub(super) struct State {
+    issuer: Issuer,
+    /// Issuers of permits by run, as determined last.
+    issuers: HashMap<u64, SocketAddr>,
+    next_issuers: Instant,
+    /// Part of each limit that this gateway may issue.
+    issuer_share: f64,
+    /// Number of the last message with permits.
+    permit_number: u64,
+    next_demand: Instant,
+    demand_period: Duration,
+    /// Runs that permits were demanded for when demands were last sent.
+    demanded_runs: BTreeSet<u64>,
+    /// Runs whose limit changed since the last announcement.
+    unannounced_limits: BTreeSet<u64>,
+    next_announcement: Instant,
+}
+
 impl Machine {
     /// Records the limit that a response named, and returns whether it changed.
     pub(super) fn record_rate_limit(
@@ -38,14 +64,14 @@
         per_s: Option<f64>,
     ) -> bool {
         let state = self.open_requests.get(&number).map(|open| open.state);
-        let Some(State::Dispatched { run, dispatched_at, .. }) = state else {
+        let Some(super::State::Dispatched { run, dispatched_at, .. }) = state else {
             return false;
         };
         let Some(change) = self.rate_limits.record(now, run, dispatched_at, per_s) else {
             return false;
         };
         self.apply_limit_change(run, change, "response");
-        self.unannounced_limits.insert(run);
+        self.limiting.unannounced_limits.insert(run);
         true
     }
 
@@ -87,7 +113,7 @@
             if !self.rate_limits.is_limited(demand.run) {
                 ended.extend(self.rate_limits.report(now, demand.run));
             } else if self.issuer_of(now, demand.run) == self.own_address() {
-                self.issuer.record_demand(now, demands.from, demands.token, demand);
+                self.limiting.issuer.record_demand(now, demands.from, demands.token, demand);
             }
         }
         if !ended.is_empty() {
@@ -102,7 +128,7 @@
         if self.rate_limits.is_empty() {
             return;
         }
-        if now >= self.next_demand {
+        if now >= self.limiting.next_demand {
             self.send_demands(now, actions);
         }
         self.issue_permits(now, actions);
@@ -113,10 +139,11 @@
         if self.rate_limits.is_empty() {
             return None;
         }
-        let share = self.issuer_share;
-        let issue = self.issuer.next_issue(|run| Some(self.rate_limits.rate(run)? * share));
+        let share = self.limiting.issuer_share;
+        let issue =
+            self.limiting.issuer.next_issue(|run| Some(self.rate_limits.rate(run)? * share));
         let waits = self.queues.values().any(|queue| !queue.is_empty());
-        [issue, waits.then_some(self.next_demand)].into_iter().flatten().min()
+        [issue, waits.then_some(self.limiting.next_demand)].into_iter().flatten().min()
     }
 
     fn send_demands(&mut self, now: Instant, actions: &mut Vec<Action>) {
@@ -128,8 +155,8 @@
             return;
         }
         let period = Duration::from_secs_f64(by_issuer.len() as f64 / MAX_DEMANDS_PER_S);
-        self.demand_period = DEMAND_PERIOD.max(period);
-        self.next_demand = now + self.demand_period;
+        self.limiting.demand_period = DEMAND_PERIOD.max(period);
+        self.limiting.next_demand = now + self.limiting.demand_period;
         let from = self.own_address();
         for (to, demands) in by_issuer {
             let token = self.rng.u64(..);
@@ -149,7 +176,8 @@
     /// the same requests.
     pub(super) fn receive_permits(&mut self, now: Instant, permits: &message::Permits) {
         if self.permits.receive(now, permits) {
-            self.next_demand = self.next_demand.min(now + self.demand_period / 4);
+            self.limiting.next_demand =
+                self.limiting.next_demand.min(now + self.limiting.demand_period / 4);
         }
     }
 
@@ -158,9 +186,9 @@
     fn demands(&mut self, now: Instant) -> Vec<message::Demand> {
         let mut demands = self.needed_permits(now);
         let runs: BTreeSet<u64> = demands.iter().map(|demand| demand.run).collect();
-        let ended = self.demanded_runs.difference(&runs);
+        let ended = self.limiting.demanded_runs.difference(&runs);
         demands.extend(ended.map(|run| message::Demand { run: *run, tier: None, count: 0 }));
-        self.demanded_runs = runs;
+        self.limiting.demanded_runs = runs;
         demands
     }
 
@@ -205,12 +233,16 @@
     }
 
     fn issue_permits(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let (own_address, share) = (self.own_address(), self.issuer_share);
-        let issued = self.issuer.issue(now, |run| Some(self.rate_limits.rate(run)? * share));
+        let own_address = self.own_address();
+        let mut runs = self.limiting.issuer.runs();
+        runs.retain(|run| self.issuer_of(now, *run) == own_address);
+        let share = self.limiting.issuer_share;
+        let rate = |run| Some(self.rate_limits.rate(run).filter(|_| runs.contains(&run))? * share);
+        let issued = self.limiting.issuer.issue(now, rate);
         for same in issued.chunk_by(|a, b| a == b) {
             let issuer::Permit { to, run, token } = same[0];
-            self.permit_number += 1;
-            let (process, number) = (self.setup.process, self.permit_number);
+            self.limiting.permit_number += 1;
+            let (process, number) = (self.setup.process, self.limiting.permit_number);
             let count = same.len() as u16;
             let permits = message::Permits { process, number, token, run, count };
             if to == own_address {
@@ -223,19 +255,19 @@
 
     /// Returns the gateway that issues the permits of a run.
     fn issuer_of(&mut self, now: Instant, run: u64) -> SocketAddr {
-        if now >= self.next_issuers {
-            self.next_issuers = now + ISSUER_PERIOD;
-            self.issuers.clear();
+        if now >= self.limiting.next_issuers {
+            self.limiting.next_issuers = now + ISSUER_PERIOD;
+            self.limiting.issuers.clear();
             self.update_issuer_share(now);
         }
-        if let Some(issuer) = self.issuers.get(&run) {
+        if let Some(issuer) = self.limiting.issuers.get(&run) {
             return *issuer;
         }
         let own_address = self.own_address();
         let own = self.stopping_since.is_none().then_some(own_address);
         let issuer = issuer::choose(run, self.peers.reachable(now).chain(own));
         let issuer = issuer.unwrap_or(own_address);
-        self.issuers.insert(run, issuer);
+        self.limiting.issuers.insert(run, issuer);
         issuer
     }
 
@@ -244,17 +276,18 @@
     fn update_issuer_share(&mut self, now: Instant) {
         let serving = self.peers.serving_count(now);
         let reachable = 1 + self.peers.reachable(now).count();
-        self.issuer_share = (reachable as f64 / serving.max(1) as f64).min(1.0);
+        self.limiting.issuer_share = (reachable as f64 / serving.max(1) as f64).min(1.0);
     }
 
     /// Sends changed limits to all peers at once, but no more often than the state.
     fn announce_limits(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if self.unannounced_limits.is_empty() || now < self.next_announcement {
+        if self.limiting.unannounced_limits.is_empty() || now < self.limiting.next_announcement {
             return;
         }
         let (targets, period) = self.peers.targets();
-        self.next_announcement = now + period;
-        let runs: Vec<u64> = std::mem::take(&mut self.unannounced_limits).into_iter().collect();
+        self.limiting.next_announcement = now + period;
+        let runs: Vec<u64> =
+            std::mem::take(&mut self.limiting.unannounced_limits).into_iter().collect();
         self.send_rate_limits(now, &targets, &runs, actions);
     }
 
@@ -267,8 +300,8 @@
         period: Duration,
         actions: &mut Vec<Action>,
     ) {
-        let runs = self.backends.runs();
-        self.rate_limits.expire(now, |run| runs.contains(&run));
+        let listed: BTreeSet<u64> = self.backends.iter().map(|(_, backend)| backend.run).collect();
+        self.rate_limits.expire(now, |run| listed.contains(&run));
         let own_address = self.own_address();
         let mut runs: Vec<u64> = self.rate_limits.runs().collect();
         runs.retain(|run| self.issuer_of(now, *run) == own_address);
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -49,8 +49,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Demand {
     pub run: u64,
-    /// Most urgent tier of the requests that wait for the backend server; `None` if the permits are
-    /// for requests that may arrive next.
+    /// Tier of the requests that wait for the backend server; `None` if the permits are for requests
+    /// that may arrive next.
     pub tier: Option<u32>,
     /// Permits needed beside those that the sender holds.
     pub count: u16,
