--- a/crates/daemon/src/gateway/process.rs
+++ b/crates/daemon/src/gateway/process.rs
@@ -27,11 +27,10 @@
 };
 
 const SIGTERM: i32 = 15;
-/// Part of the grace time in which new connections are accepted after a stop began, since the load
-/// balancer opens connections until two of its readiness checks have failed.
+/// Part of the grace time in which connections stay open after a stop began, since the load balancer
+/// opens connections until two of its readiness checks have failed.
 const ACCEPT_SHARE: f64 = 0.4;
-/// Part of the grace time in which open requests may end, after new connections are no longer
-/// accepted.
+/// Part of the grace time after that in which connections are closed as their requests end.
 const DRAIN_SHARE: f64 = 0.55;
 
 /// Longest time for which callers' connections wait at the start of the process. Callers give up a
