Take only complete events as progress at agents

An agent took any byte as progress, so a stream that sent one each 200 ms was neither resumed nor ended (0 resumes in 10 s). Progress of an event stream is now a complete event, as at gateways; other responses go by their bytes.

--- a/crates/agent/src/progress.rs
+++ b/crates/agent/src/progress.rs
@@ -191,8 +191,12 @@
         }
         let duplicates = (start - offset).min(bytes.len() as u64) as usize;
         bytes.advance(duplicates);
-        stream.last_progress = cx.now;
-        let resumed = stream.resume.take().is_some();
+        let has_progress = self.streams.append(grant, &bytes);
+        let Some(stream) = self.streams.open_mut(grant) else { return };
+        let resumed = has_progress && stream.resume.take().is_some();
+        if has_progress {
+            stream.last_progress = cx.now;
+        }
         let end = start + bytes.len() as u64;
         for reader in stream.readers.iter_mut().filter(|reader| reader.offset < end) {
             let skip = reader.offset.saturating_sub(start) as usize;
@@ -201,7 +205,6 @@
             let frame = wire::Frame { request: reader.request, grant, body };
             cx.push(Action::Frame { link: reader.link, frame });
         }
-        self.streams.append(grant, &bytes);
         if resumed {
             self.rearm_stream(grant);
         }
--- a/crates/agent/src/streams.rs
+++ b/crates/agent/src/streams.rs
@@ -41,15 +41,17 @@
 }
 
 impl Buffer {
-    fn push(&mut self, bytes: &[u8]) {
+    /// Adds bytes and returns the number of events that they complete.
+    fn push(&mut self, bytes: &[u8]) -> u32 {
         self.hasher.update(bytes);
-        self.scanner.scan(bytes);
+        let events = self.scanner.scan(bytes).events;
         self.tail.extend_from_slice(&bytes[bytes.len().saturating_sub(TAIL_BYTES)..]);
         self.tail.drain(..self.tail.len().saturating_sub(TAIL_BYTES));
         self.bytes.extend_from_slice(bytes);
         if self.bytes.len() > MAX_STREAM_BYTES {
             self.drop_front(self.bytes.len() - MAX_STREAM_BYTES / 2);
         }
+        events
     }
 
     fn drop_front(&mut self, count: usize) {
@@ -257,16 +259,23 @@
 
     /// Buffers received bytes. If the buffers exceed their total limit and no finished stream can
     /// be discarded, the whole buffer of this stream is dropped.
-    pub(crate) fn append(&mut self, grant: id::Grant, bytes: &[u8]) {
-        let Some(stream) = self.map.get_mut(&grant) else { return };
+    /// Appends bytes of a response and returns whether they are progress: a complete event, or any
+    /// byte of a response without events.
+    pub(crate) fn append(&mut self, grant: id::Grant, bytes: &[u8]) -> bool {
+        let Some(stream) = self.map.get_mut(&grant) else { return false };
         self.buffered_bytes -= stream.buffer.bytes.len();
-        stream.buffer.push(bytes);
+        let events = stream.buffer.push(bytes);
+        let has_events = stream
+            .response_head
+            .as_ref()
+            .is_some_and(|(_, content_type)| event_stream::is_event_stream(content_type));
         if self.buffered_bytes + stream.buffer.bytes.len() > MAX_TOTAL_BYTES
             && self.finished.is_empty()
         {
             stream.buffer.drop_front(stream.buffer.bytes.len());
         }
         self.buffered_bytes += stream.buffer.bytes.len();
+        events > 0 || !has_events
     }
 
     pub(crate) fn finish(&mut self, grant: id::Grant) {
--- a/crates/agent/tests/streams.rs
+++ b/crates/agent/tests/streams.rs
@@ -336,3 +336,32 @@
     let end = frame::Body::End { length: text.len() as u64, crc32: crc32fast::hash(text) };
     assert_eq!(frames(&actions, link), [end]);
 }
+
+/// Returns the number of resumes and whether the stream was cut while it gets `text` each 200 ms.
+fn feed(text: &'static str) -> (usize, bool) {
+    let mut harness = Harness::new(pool());
+    let (grant, link) = harness.dispatch(head(1));
+    harness.send_progress(grant, started("text/event-stream"));
+    harness.send_data(grant, "data: 1\n\n");
+    let (mut resume_count, mut is_cut) = (0, false);
+    for _ in 0..50 {
+        let actions = harness.advance(ms(200));
+        if !resumes(&actions).is_empty() {
+            resume_count += 1;
+            harness.send_progress(grant, started("text/event-stream"));
+        }
+        is_cut |= refusals(&actions).iter().any(|(to, ..)| *to == link);
+        harness.send_data(grant, text);
+    }
+    (resume_count, is_cut)
+}
+
+/// Guards against a stalled stream that never ends since it sends a byte now and then, and against a
+/// slow but sound one that is cut.
+#[test]
+fn only_events_are_the_progress_of_a_stream() {
+    assert_eq!(feed("data: 2\n\n"), (0, false));
+    for text in ["x", ":\n"] {
+        assert_eq!(feed(text), (1, true), "{text:?}");
+    }
+}
