List a schedule in which a refused bid had run

Trace: the agent that issued the key refuses a bid for lack of capacity; its entry is frozen for 4.6 s; meanwhile another bid with the key runs through another entry; the woken entry then passes on not_run, which is no longer true of the key. The agent's statement was true when it was made. An entry would have to notice its own pause, as agents do.

--- a/crates/gate/src/issuer.rs
+++ b/crates/gate/src/issuer.rs
@@ -25,7 +25,7 @@
 pub fn rank(run: u64, gateway: &SocketAddr) -> u64 {
     let mut name = gateway.to_string().into_bytes();
     name.extend_from_slice(&run.to_be_bytes());
-    // The hash alone orders names that differ in their first bytes alike for all runs.
+    // Without the last step, the first bytes of the name would decide for most runs.
     let hash = quota::hash(&name);
     (hash ^ (hash >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15)
 }
@@ -51,8 +51,8 @@
 }
 
 impl Supply {
-    /// Returns a supply without permits. Its debt, which differs between runs, keeps servers that
-    /// named their limits at the same time from having their places at the same times.
+    /// Returns a supply without permits. Its debt differs between runs, which spreads the permits of
+    /// servers whose limits began at the same time.
     fn empty(now: Instant, run: u64) -> Supply {
         let debt = (run >> 32) as f64 / f64::from(u32::MAX);
         let bucket = Bucket::with_debt(now, debt);
--- a/crates/gate/src/machine/limiting.rs
+++ b/crates/gate/src/machine/limiting.rs
@@ -35,7 +35,7 @@
 /// Most limits in one datagram.
 const MAX_REPORTS: usize = 128;
 
-/// State of a gateway's part in the permits of all gateways.
+/// Permits that this gateway issues and demands, and the limits that it has to announce.
 #[derive(Debug, Default)]
 pub(super) struct State {
     issuer: Issuer,
@@ -336,8 +336,8 @@
         }
     }
 
-    /// Refuses requests that the rate limits leave no place for in time. It applies where all
-    /// backend servers of the service have one; the most urgent request may always wait.
+    /// Refuses requests that can't be sent in time under the rate limits, if all backend servers of
+    /// the service have one. The most urgent request may always wait.
     pub(super) fn refuse_beyond_limits(
         &mut self,
         now: Instant,
--- a/crates/gate/src/refusal.rs
+++ b/crates/gate/src/refusal.rs
@@ -21,7 +21,7 @@
     Overload,
     /// No backend server of the service can be used.
     NoBackend,
-    /// Backend servers named rate limits, which leave no place for the request.
+    /// The rate limits of the backend servers leave no capacity for the request.
     RateLimit,
     /// Copies of the request crashed backend servers.
     Poison,
--- a/crates/proof/tests/regressions.rs
+++ b/crates/proof/tests/regressions.rs
@@ -468,3 +468,31 @@
         ],
     });
 }
+
+/// Guards against a bid whose caller gets `not_run` although another request with its key ran.
+#[test]
+fn refused_bid_ran_seed_6200001() {
+    check_plan(Plan {
+        seed: 7673210739104735722,
+        entries: 3,
+        agents: 4,
+        max_queued: 2,
+        max_open: 30,
+        ops: vec![
+            (us(69_893), Op::Key { entry: 0 }),
+            (us(13_431), Op::Request { entry: 1, tier: 1, count: 4 }),
+            (us(198_120), Op::Request { entry: 2, tier: 0, count: 11 }),
+            (us(64_491), Op::Bid { entry: 6, key: 0 }),
+            (
+                us(1),
+                Op::Fault {
+                    fault: Fault::FreezeEntry,
+                    entry: 6,
+                    agent: 1,
+                    duration: us(4_585_000),
+                },
+            ),
+            (us(113_459), Op::Bid { entry: 1, key: 1 }),
+        ],
+    });
+}
