Let a paused entry report the outcome of a keyed call as unknown

Callers: not_run for a bid although another one with its key had run. Cause: a refusal of the agent was true when it was made; the entry was frozen before it handled it, and the key was used through another entry meanwhile.

A refusal that the network holds back while its entry runs is still passed on as it is.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod machine;
 mod offers;
 mod open_request;
+mod pause;
 mod retry_budget;
 pub mod route;
 mod state;
--- a/crates/entry/src/machine.rs
+++ b/crates/entry/src/machine.rs
@@ -41,6 +41,7 @@
         let state = &mut self.state;
         state.now = state.now.max(now);
         mem::swap(&mut state.actions, actions);
+        state.detect_pause();
         // The event is handled before timers that are due, so that after a pause of this process
         // a reply that was received takes precedence over a deadline that has passed.
         self.dispatch(event);
@@ -49,6 +50,7 @@
             state.handle_timer(owner);
         }
         state.check_stopped();
+        state.pause.restart(state.now, state.keyed_count > 0);
         mem::swap(&mut state.actions, actions);
     }
 
@@ -105,7 +107,8 @@
 
     /// Returns when the next `Event::Tick` is due.
     pub fn next_timer(&self) -> Option<Instant> {
-        self.state.timers.next_due()
+        let heartbeat = self.state.pause.next_heartbeat();
+        self.state.timers.next_due().into_iter().chain(heartbeat).min()
     }
 
     /// Returns whether new requests are accepted.
@@ -150,10 +153,12 @@
             hedge_at: None,
             refused_by: Vec::new(),
             fallback_refusal: None,
+            was_paused: false,
             ended_grants: Vec::new(),
             grant: None,
             armed_for: None,
         };
+        self.keyed_count += usize::from(open_request.is_keyed());
         let key = self.open_requests.insert(open_request);
         self.capacity.add_request(&self.open_requests[key].usage(key));
         self.by_seq.insert(request.seq, key);
--- a/crates/entry/src/open_request.rs
+++ b/crates/entry/src/open_request.rs
@@ -58,6 +58,8 @@
     pub refused_by: Vec<view::Key>,
     /// The refusal that the caller gets if no agent is left to offer the request to.
     pub fallback_refusal: Option<outcome::Refusal>,
+    /// Whether the process was paused while the request was open.
+    pub was_paused: bool,
     /// Grants that their agents ended without a run of the request.
     pub ended_grants: Vec<id::Grant>,
     pub grant: Option<Grant>,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -24,6 +24,7 @@
     incoming::Setup,
     key_requests::KeyRequests,
     open_request::{self, OpenRequest},
+    pause::Pause,
     retry_budget::RetryBudget,
     timers::{Owner, Timers},
 };
@@ -45,6 +46,9 @@
     pub by_caller: HashMap<u64, open_request::Key>,
     pub next_seq: u64,
     pub timers: Timers,
+    pub pause: Pause,
+    /// Number of open requests with an idempotency key.
+    pub keyed_count: usize,
     pub capacity: Capacity,
     pub retry_budget: RetryBudget,
     pub grant_rate: GrantRate,
@@ -75,6 +79,8 @@
             by_caller: HashMap::new(),
             next_seq: 1,
             timers: Timers::default(),
+            pause: Pause::default(),
+            keyed_count: 0,
             capacity: Capacity::default(),
             retry_budget: RetryBudget::default(),
             grant_rate: GrantRate::default(),
@@ -156,9 +162,24 @@
         is_temporary.then(|| self.grant_rate.retry_after(self.capacity.waiting_count()))
     }
 
+    /// Marks the open requests if this process was paused.
+    pub fn detect_pause(&mut self) {
+        if self.pause.detect(self.now) {
+            self.counters.count("pauses");
+            for open_request in self.open_requests.values_mut() {
+                open_request.was_paused = true;
+            }
+        }
+    }
+
     /// Refuses a request and closes it.
     pub fn refuse_request(&mut self, key: open_request::Key, mut refusal: Refusal) {
         let Some(open_request) = self.open_requests.get(key) else { return };
+        if open_request.is_keyed() && open_request.was_paused && refusal.outcome == Outcome::NotRun
+        {
+            // Another request with the key may have run during the pause.
+            refusal.outcome = Outcome::Unknown;
+        }
         let (caller, request) = (open_request.caller, open_request.head.request);
         if refusal.retry_after.is_none() && refusal.outcome == Outcome::NotRun {
             refusal.retry_after = self.retry_after(refusal.reason);
@@ -177,6 +198,7 @@
         let peer = self.setup.host.clone();
         self.enter_step(key, Step::Answered, event, peer);
         let Some(open_request) = self.open_requests.remove(key) else { return };
+        self.keyed_count -= usize::from(open_request.is_keyed());
         self.by_seq.remove(&open_request.head.request.seq);
         self.by_caller.remove(&open_request.caller);
         self.timers.disarm(Owner::Request(key), open_request.armed_for);
