Check that an agent wakes when a permit is due

Without the timer of the permit the test passed, since its last step found the permits of the whole time. It now also checks when the next timer is due, and fails without that timer (200 ms instead of 50).

--- a/crates/agent/tests/rate_limit.rs
+++ b/crates/agent/tests/rate_limit.rs
@@ -76,6 +76,9 @@
 fn a_place_is_granted_when_it_is_due() {
     let mut harness = limited(20.0);
     (1..=3).for_each(|seq| assert!(grants(&harness.offer(head(seq)).1).is_empty()));
+    // One place in 50 ms.
+    let due = harness.machine.next_timer().expect("a timer").since(harness.now);
+    assert!(due <= ms(51), "{due:?}");
     assert_eq!(grants(&harness.advance(ms(110))).len(), 2);
 }
 
