--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -248,8 +248,7 @@
         let State::Dispatched { run, dispatched_at, first_event_at, .. } = open.state else {
             return;
         };
-        let had_first_event = first_event_at.is_some();
-        let id = open.entry.request.id.clone();
+        let first_event_ms = first_event_at.map(|at| now.since(at).as_millis() as u64);
         if result == AttemptResult::Invalid {
             self.give_up(now, &open);
         }
@@ -262,11 +261,13 @@
             let backend = self.backends.get(key).map(|backend| &backend.id[..]);
             tracing::info!(
                 event = "suspect",
-                id = %String::from_utf8_lossy(&id),
+                id = %String::from_utf8_lossy(&open.entry.request.id),
                 fingerprint = %format_args!("{fingerprint:016x}"),
+                parts = open.entry.request.parts_text(),
                 replica = %String::from_utf8_lossy(backend.unwrap_or_default()),
                 counted,
-                had_first_event,
+                had_first_event = first_event_at.is_some(),
+                first_event_ms,
                 ends = self.suspects.total(now, fingerprint),
             );
         }
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -25,11 +25,18 @@
     pub tokens: Option<Tokens>,
     /// Output tokens that the caller expects.
     pub output_hint: Option<u32>,
+    /// Identifiers of the parts of the prompt that other requests may share, in their order.
+    pub parts: Vec<Bytes>,
     /// Hash of path, query, API key and body; equal for copies of a request.
     pub fingerprint: u64,
 }
 
 impl Request {
+    /// Returns the identifiers of the shared parts of the prompt for a log line.
+    pub fn parts_text(&self) -> String {
+        String::from_utf8_lossy(&self.parts.join(&b","[..])).into_owned()
+    }
+
     /// Returns the prompt tokens.
     pub fn prompt_tokens(&self) -> u32 {
         self.tokens.map_or(0, |tokens| tokens.prompt)
