--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -13,7 +13,7 @@
 }
 
 /// A request that was read completely.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Request {
     /// Identifier set by the caller.
     pub id: Bytes,
--- a/crates/gate/tests/common/cluster.rs
+++ b/crates/gate/tests/common/cluster.rs
@@ -3,6 +3,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use bytes::Bytes;
 use gate::{
     Action, Event,
     action::Dispatch,
@@ -23,11 +24,19 @@
 /// Time after which a caller without a response leaves.
 const PATIENCE: Duration = Duration::from_millis(2500);
 
+/// Times after the dispatch at which a request with prompt parts gets its first event, further ones
+/// and its end.
+const TIME_TO_FIRST_EVENT: Duration = Duration::from_millis(100);
+const TIME_TO_EVENTS: Duration = Duration::from_millis(400);
+const TIME_TO_END: Duration = Duration::from_millis(700);
+
 /// How a crash appears to the gateway whose request caused it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Crash {
     BeforeFirstEvent,
     AfterFirstEvent,
+    /// As the end of a response that ends with its connection, after its first event.
+    Unframed,
     /// The connection is lost only after the backend server has written its record again.
     AfterRestart,
     /// The connection stays open without data.
@@ -46,11 +55,24 @@
     gateway: usize,
     number: RequestNumber,
     server: usize,
-    fingerprint: u64,
+    request: Request,
+    /// Position in `Cluster::sound`.
+    sound: Option<usize>,
     caller_leaves_at: Instant,
+    first_event_at: Option<Instant>,
+    events_at: Option<Instant>,
     completes_at: Option<Instant>,
 }
 
+/// A request that crashes no backend server.
+#[derive(Clone, Debug)]
+pub struct Sound {
+    pub sent_at: Instant,
+    pub gateway: usize,
+    pub request: Request,
+    pub began: bool,
+}
+
 /// A deployment in which time advances by steps.
 pub struct Cluster {
     pub gateways: Vec<TestGateway>,
@@ -60,6 +82,10 @@
     pub crashes: Vec<Instant>,
     /// Times at which a poison request was dispatched, and the gateways that did.
     pub runs: Vec<(Instant, usize)>,
+    /// Prompt parts that crash each backend server which begins to answer a request with them.
+    pub bad_parts: Vec<Bytes>,
+    /// Requests with prompt parts, none of which is bad.
+    pub sound: Vec<Sound>,
     /// Part of the partitioned network in which each gateway is.
     pub parts: Vec<u8>,
     /// Gateways that handle nothing until they are resumed.
@@ -68,6 +94,8 @@
     pub store_up: bool,
     servers: Vec<Server>,
     attempts: Vec<Attempt>,
+    /// Requests that were dispatched to a backend server that is down, by the gateway.
+    refused: Vec<(usize, RequestNumber)>,
     /// Datagrams in the network, by the gateway that receives them.
     datagrams: Vec<(usize, Datagram)>,
     restarts: u64,
@@ -82,11 +110,14 @@
             crash,
             crashes: Vec::new(),
             runs: Vec::new(),
+            bad_parts: Vec::new(),
+            sound: Vec::new(),
             parts: vec![0; gateways],
             paused: vec![false; gateways],
             store_up: true,
             servers: vec![Server { started: 1, crashes_at: None, restarts_at: None }; servers],
             attempts: Vec::new(),
+            refused: Vec::new(),
             datagrams: Vec::new(),
             restarts: 0,
         };
@@ -128,18 +159,44 @@
     pub fn send(&mut self, gateway: usize, request: Request) -> RequestNumber {
         self.gateways[gateway].now = self.now;
         let number = self.gateways[gateway].arrive(request.clone());
+        let is_sound = !request.parts.is_empty() && !self.is_poison(&request);
+        let sound = is_sound.then_some(self.sound.len());
+        if is_sound {
+            let (sent_at, request) = (self.now, request.clone());
+            self.sound.push(Sound { sent_at, gateway, request, began: false });
+        }
         self.attempts.push(Attempt {
             gateway,
             number,
             server: usize::MAX,
-            fingerprint: request.fingerprint,
+            request,
+            sound,
             caller_leaves_at: self.now + PATIENCE,
+            first_event_at: None,
+            events_at: None,
             completes_at: None,
         });
         self.take_actions(gateway);
         number
     }
 
+    /// Returns whether a request crashes the backend servers that run it.
+    pub fn is_poison(&self, request: &Request) -> bool {
+        let has_bad_part = request.parts.iter().any(|part| self.bad_parts.contains(part));
+        has_bad_part || request.parts.is_empty() && request.fingerprint == POISON
+    }
+
+    /// Returns the number of requests that crash backend servers and were dispatched later than
+    /// `contact` after the fifth crash, by gateways for which `counts` returns true.
+    pub fn late_runs(&self, contact: Duration, counts: impl Fn(Instant, usize) -> bool) -> usize {
+        let Some(fifth) = self.crashes.get(4) else { return 0 };
+        let late = self
+            .runs
+            .iter()
+            .filter(|(at, gateway)| *at > *fifth + contact && counts(*at, *gateway));
+        late.count()
+    }
+
     /// Ends a dispatched request as if its connection was lost.
     pub fn break_connection(&mut self, gateway: usize, number: RequestNumber) {
         self.attempts.retain(|a| (a.gateway, a.number) != (gateway, number));
@@ -195,6 +252,10 @@
 
     fn run_servers(&mut self) {
         let now = self.now;
+        for (gateway, number) in std::mem::take(&mut self.refused) {
+            self.gateways[gateway].feed(Event::Refused { number });
+            self.take_actions(gateway);
+        }
         for index in 0..self.servers.len() {
             if self.servers[index].crashes_at.is_some_and(|at| now >= at) {
                 self.crash_server(index);
@@ -204,6 +265,24 @@
             }
         }
         let is_due = |at: Option<Instant>| at.is_some_and(|at| now >= at);
+        for index in 0..self.attempts.len() {
+            let attempt = &mut self.attempts[index];
+            let (gateway, number) = (attempt.gateway, attempt.number);
+            if self.paused[gateway] {
+                continue;
+            }
+            if attempt.first_event_at.take_if(|at| now >= *at).is_some() {
+                if let Some(sound) = attempt.sound {
+                    self.sound[sound].began = true;
+                }
+                self.gateways[gateway].feed(Event::FirstEvent { number });
+                self.take_actions(gateway);
+            } else if attempt.events_at.take_if(|at| now >= *at).is_some() {
+                let span = TIME_TO_EVENTS - TIME_TO_FIRST_EVENT;
+                self.gateways[gateway].feed(Event::EventsReceived { number, events: 3, span });
+                self.take_actions(gateway);
+            }
+        }
         for attempt in self.take_attempts(|attempt| is_due(attempt.completes_at)) {
             self.gateways[attempt.gateway].end(attempt.number, AttemptResult::Complete);
             self.take_actions(attempt.gateway);
@@ -214,10 +293,24 @@
         }
     }
 
+    /// Crashes a backend server for another reason than a request.
+    pub fn crash_other(&mut self, server: usize) {
+        if self.servers[server].restarts_at.is_none() {
+            self.stop_server(server);
+        }
+    }
+
     fn crash_server(&mut self, index: usize) {
         self.crashes.push(self.now);
+        self.stop_server(index);
+    }
+
+    fn stop_server(&mut self, index: usize) {
         self.servers[index].crashes_at = None;
         self.servers[index].restarts_at = Some(self.now + TIME_TO_RESTART);
+        for attempt in self.attempts.iter_mut().filter(|a| a.server == index && a.sound.is_some()) {
+            (attempt.first_event_at, attempt.events_at, attempt.completes_at) = (None, None, None);
+        }
         if !matches!(self.crash, Crash::Silent | Crash::AfterRestart) {
             self.break_connections(index);
         }
@@ -254,10 +347,14 @@
         for attempt in self.take_attempts(|attempt| attempt.server == server) {
             let gateway = &mut self.gateways[attempt.gateway];
             gateway.now = self.now;
-            if self.crash == Crash::AfterFirstEvent {
+            if matches!(self.crash, Crash::AfterFirstEvent | Crash::Unframed) {
                 gateway.feed(Event::FirstEvent { number: attempt.number });
             }
-            gateway.end(attempt.number, AttemptResult::Broken);
+            let result = match self.crash {
+                Crash::Unframed => AttemptResult::Unframed,
+                _ => AttemptResult::Broken,
+            };
+            gateway.end(attempt.number, result);
             self.take_actions(attempt.gateway);
         }
     }
@@ -277,7 +374,8 @@
                 Action::Dispatch(dispatch) => self.run(index, &dispatch),
                 Action::Send { to, datagram } => {
                     let to = usize::from(to.port()) - 1;
-                    if self.parts[to] == self.parts[index] {
+                    // The seeds may be more than the gateways.
+                    if self.parts.get(to) == Some(&self.parts[index]) {
                         self.datagrams.push((to, datagram));
                     }
                 }
@@ -291,17 +389,26 @@
         let server = usize::from(dispatch.address.port()) - 9_000;
         let now = self.now;
         let is_this = |a: &&mut Attempt| (a.gateway, a.number) == (gateway, dispatch.number);
-        let is_poison = match self.attempts.iter_mut().find(is_this) {
-            Some(attempt) => {
-                attempt.server = server;
-                let is_poison = attempt.fingerprint == POISON;
-                attempt.completes_at = (!is_poison).then_some(now + 100 * MS);
-                is_poison
+        // The connection of an earlier attempt was lost, and the request was requeued.
+        let Some(attempt) = self.attempts.iter_mut().find(is_this) else { return };
+        attempt.server = server;
+        let (has_parts, is_sound) = (!attempt.request.parts.is_empty(), attempt.sound.is_some());
+        let (first, events, end) = (TIME_TO_FIRST_EVENT, TIME_TO_EVENTS, TIME_TO_END);
+        let is_down = self.servers[server].restarts_at.is_some();
+        if has_parts && is_down {
+            if self.crash != Crash::Silent {
+                self.refused.push((gateway, dispatch.number));
             }
-            // The connection of an earlier attempt was lost, and the request was requeued.
-            None => return,
-        };
-        if !is_poison {
+            return;
+        }
+        if is_sound {
+            attempt.first_event_at = Some(now + first);
+            attempt.events_at = Some(now + events);
+            attempt.completes_at = Some(now + end);
+            return;
+        }
+        if !has_parts && attempt.request.fingerprint != POISON {
+            attempt.completes_at = Some(now + 100 * MS);
             return;
         }
         self.runs.push((now, gateway));
