Contain prompt parts that crash backend servers

Cause: ends were counted against the fingerprint of the whole request only. No two of these requests are alike, so each had one end. The class is an observation kept under a key that is finer than its cause.

Fix: ends are counted against the parts of requests that a server had just begun to answer, in the same table and messages as fingerprints. An answer that goes on acquits its parts, and a part is not held for ends that something outside the request explains. An end is also not held any more against a request whose caller left, if the server answered another one since.

Ruled out: lost reports and paths without a check (the fingerprints would have more ends).

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -218,6 +218,11 @@
         Event::FirstEvent { number: self.number }
     }
 
+    /// Returns `Event::Continued` for this request.
+    pub fn build_continued(&self) -> Event {
+        Event::Continued { number: self.number }
+    }
+
     /// Returns `Event::EventsReceived` for this request.
     pub fn build_events_received(&self, events: u32, span: Duration) -> Event {
         Event::EventsReceived { number: self.number, events, span }
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use futures_util::stream;
-use gate::{action::Dispatch, event::AttemptResult};
+use gate::{
+    action::Dispatch,
+    event::{AttemptResult, CONTINUATION_TIME},
+};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{Response, body, header, http::response};
 use prometheus_client::metrics::histogram::Histogram;
@@ -164,6 +167,8 @@
     last_data_at: Instant,
     /// Whether no event was received since the stream was resumed.
     first_event_due: bool,
+    /// Time from which an event shows that the stream goes on, until that was reported.
+    continuation_due: Option<Instant>,
 }
 
 /// Events since the last report.
@@ -202,6 +207,7 @@
         first_event_at: now,
         last_data_at: now,
         first_event_due: false,
+        continuation_due: Some(now + CONTINUATION_TIME),
     };
     let frames = stream::unfold(relay, |mut relay| async move {
         let frame = relay.next().await?;
@@ -314,9 +320,13 @@
         }
         if events > 0 && std::mem::take(&mut self.first_event_due) {
             self.exchange.report(self.exchange.build_first_event());
+            self.continuation_due = Some(now + CONTINUATION_TIME);
             self.unreported = Unreported::new();
             return;
         }
+        if events > 0 && self.continuation_due.take_if(|due| now >= *due).is_some() {
+            self.exchange.report(self.exchange.build_continued());
+        }
         self.unreported.events += events;
         if self.unreported.events >= EVENTS_PER_REPORT {
             let span = clock::now().since(self.unreported.since);
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -10,6 +10,10 @@
 /// Number of a request within its process.
 pub type RequestNumber = u64;
 
+/// Time after the first event of a response from which further ones show that the request does not
+/// crash its backend server. One that does so ends its server as soon as it is answered.
+pub const CONTINUATION_TIME: Duration = Duration::from_millis(250);
+
 /// How one attempt at a backend server ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptResult {
@@ -52,6 +56,8 @@
     RateLimitStated { number: RequestNumber, per_s: Option<f64> },
     /// The first event of the response was received.
     FirstEvent { number: RequestNumber },
+    /// A further event of the response was received `CONTINUATION_TIME` after the first one or later.
+    Continued { number: RequestNumber },
     /// No response was received for `Dispatch::failover_timeout`, or no data of a stream in
     /// progress for the driver's limit. The request moves to another backend server if one has
     /// capacity now, and otherwise stays where it is.
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod peers;
 pub mod permits;
 pub mod placement;
+pub mod quarantine;
 pub mod queue;
 pub mod quota;
 pub mod rate_limit;
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -72,6 +72,8 @@
         dispatched_at: Instant,
         tokens_ahead: u32,
         first_event_at: Option<Instant>,
+        /// Whether the backend server went on to answer the request.
+        went_on: bool,
         /// Whether the request was reported as unresponsive there.
         unresponsive: bool,
         /// Time at which the permit would have expired, if the backend server has a rate limit.
@@ -240,6 +242,10 @@
             }
             Event::FirstEvent { number } => self.record_first_event(now, number),
             Event::Unresponsive { number } => self.handle_unresponsive(now, number, actions),
+            Event::Continued { number } => {
+                self.record_continuation(now, number);
+                return;
+            }
             Event::EventsReceived { number, events, span } => {
                 self.record_events(number, events, span);
                 return;
@@ -340,15 +346,18 @@
         let catalog = self.catalog.clone();
         let catalog =
             catalog.ok_or_else(|| admission::retry_later(Reason::NotReady, left, &mut self.rng))?;
-        if let Some(left) = self.suspects.quarantine_left(now, request.fingerprint) {
+        if let Some(verdict) = self.suspects.verdict(now, &request) {
+            let part = verdict.part.and_then(|part| request.parts.get(part));
             tracing::info!(
                 event = "quarantined",
                 id = %String::from_utf8_lossy(&request.id),
                 fingerprint = %format_args!("{:016x}", request.fingerprint),
-                ends = self.suspects.total(now, request.fingerprint),
-                left_ms = left.as_millis() as u64,
+                part = %String::from_utf8_lossy(part.map_or(&[], |part| &part[..])),
+                ends = verdict.ends,
+                left_ms = verdict.left.as_millis() as u64,
             );
-            return Err(Refusal { retry_after: Some(left), ..Refusal::new(Reason::Poison) });
+            let retry_after = Some(verdict.left);
+            return Err(Refusal { retry_after, ..Refusal::new(Reason::Poison) });
         }
         let mut entry = admission::build_entry(
             &catalog,
--- a/crates/gate/src/machine/dispatching.rs
+++ b/crates/gate/src/machine/dispatching.rs
@@ -75,8 +75,8 @@
         match entry.attempts {
             0 if reason == Reason::UnknownKey => Refusal::new(reason),
             0 if reason == Reason::Poison => {
-                let fingerprint = entry.request.fingerprint;
-                let retry_after = self.suspects.quarantine_left(now, fingerprint);
+                let verdict = self.suspects.verdict(now, &entry.request);
+                let retry_after = verdict.map(|verdict| verdict.left);
                 Refusal { retry_after, ..Refusal::new(reason) }
             }
             0 => admission::retry_later(reason, entry.deadline.since(now), &mut self.rng),
@@ -116,7 +116,7 @@
     /// may have changed while it waited or ran elsewhere.
     pub(super) fn check_dispatch(&self, now: Instant, entry: &Entry) -> Result<(), Reason> {
         self.check_api_key(now, entry)?;
-        match self.suspects.quarantine_left(now, entry.request.fingerprint) {
+        match self.suspects.verdict(now, &entry.request) {
             Some(_) => Err(Reason::Poison),
             None => Ok(()),
         }
@@ -194,6 +194,7 @@
             dispatched_at: now,
             tokens_ahead,
             first_event_at: None,
+            went_on: false,
             unresponsive: false,
             permit,
         };
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -7,7 +7,8 @@
 use super::{Machine, OpenRequest, PROBE_PERIOD, State};
 use crate::{
     Action, backends,
-    event::{AttemptResult, RequestNumber},
+    event::{AttemptResult, CONTINUATION_TIME, RequestNumber},
+    quarantine,
     refusal::{Reason, Refusal},
     unanswered::Attempt,
 };
@@ -108,16 +109,26 @@
 
     /// Records that a dispatched request is given up without a response.
     pub(super) fn give_up(&mut self, now: Instant, open: &OpenRequest) {
+        self.give_up_as(now, open, None);
+    }
+
+    /// Records that the response to a dispatched request ended with its connection. It is whole,
+    /// since `whole_since`, if the backend server has not ended.
+    fn give_up_as(&mut self, now: Instant, open: &OpenRequest, whole_since: Option<Instant>) {
         let State::Dispatched { run, dispatched_at, .. } = open.state else { return };
         let fingerprint = open.entry.request.fingerprint;
-        let attempt = Attempt { fingerprint, run, dispatched_at };
-        if self.unanswered.give_up(now, attempt) {
+        let parts = suspected_parts(now, open);
+        let attempt = Attempt { fingerprint, parts, run, dispatched_at, whole_since };
+        if self.unanswered.give_up(now, &attempt) {
             self.record_ends(now, &[attempt]);
         }
     }
 
     pub(super) fn record_ends(&mut self, now: Instant, attempts: &[Attempt]) {
-        for Attempt { fingerprint, run, dispatched_at } in attempts {
+        for Attempt { fingerprint, parts, run, dispatched_at, .. } in attempts {
+            for part in parts {
+                self.suspects.record_end(now, *part, *run, *dispatched_at);
+            }
             if self.suspects.record_end(now, *fingerprint, *run, *dispatched_at) {
                 tracing::info!(
                     event = "suspect_unanswered",
@@ -182,19 +193,50 @@
     pub(super) fn record_first_event(&mut self, now: Instant, number: RequestNumber) {
         let Some(open) = self.open_requests.get_mut(&number) else { return };
         let tokens = open.entry.request.prompt_tokens();
-        let State::Dispatched { backend, dispatched_at, tokens_ahead, first_event_at, .. } =
-            &mut open.state
+        let State::Dispatched { dispatched_at, tokens_ahead, first_event_at, .. } = &mut open.state
         else {
             return;
         };
+        let tokens_ahead = *tokens_ahead;
         if first_event_at.is_some() {
             return;
         }
         *first_event_at = Some(now);
-        let Some(backend) = self.backends.get_mut(*backend) else { return };
+        let dispatched_at = *dispatched_at;
+        let State::Dispatched { backend, run, .. } = open.state else { return };
+        self.record_answer(now, run, dispatched_at);
+        let Some(backend) = self.backends.get_mut(backend) else { return };
         backend.load.pending = backend.load.pending.saturating_sub(tokens);
-        let waited = now.since(*dispatched_at).as_secs_f64() * 1e3;
-        backend.load.record_first_event(waited, tokens.saturating_add(*tokens_ahead));
+        let waited = now.since(dispatched_at).as_secs_f64() * 1e3;
+        backend.load.record_first_event(waited, tokens.saturating_add(tokens_ahead));
+    }
+
+    /// Records that a backend server answers a request that was dispatched at `dispatched_at`.
+    fn record_answer(&mut self, now: Instant, run: u64, dispatched_at: Instant) {
+        for attempt in self.unanswered.record_answer(run, dispatched_at) {
+            if let Some(since) = attempt.whole_since {
+                self.acquit_parts(now, &attempt.parts, since);
+            }
+        }
+    }
+
+    /// Records that a backend server began to answer a request with these parts at a time and went
+    /// on.
+    fn acquit_parts(&mut self, now: Instant, parts: &[u64], at: Instant) {
+        for part in parts {
+            self.suspects.acquit_part(now, *part, at);
+        }
+    }
+
+    /// Records that the response to a request went on for `CONTINUATION_TIME`.
+    pub(super) fn record_continuation(&mut self, now: Instant, number: RequestNumber) {
+        let Some(open) = self.open_requests.get_mut(&number) else { return };
+        let State::Dispatched { first_event_at: Some(at), went_on, .. } = &mut open.state else {
+            return;
+        };
+        *went_on = true;
+        let (at, parts) = (*at, quarantine::part_keys(&open.entry.request));
+        self.acquit_parts(now, &parts, at);
     }
 
     pub(super) fn record_events(&mut self, number: RequestNumber, events: u32, span: Duration) {
@@ -225,12 +267,18 @@
     pub(super) fn complete(&mut self, now: Instant, number: RequestNumber, result: AttemptResult) {
         let Some(open) = self.open_requests.remove(&number) else { return };
         self.release_slot(&open);
-        let State::Dispatched { backend, run, .. } = open.state else { return };
+        let State::Dispatched { backend, run, dispatched_at, first_event_at, .. } = open.state
+        else {
+            return;
+        };
+        let answered_at = first_event_at.unwrap_or(dispatched_at);
         if result == AttemptResult::Unframed {
-            self.give_up(now, &open);
+            self.give_up_as(now, &open, Some(answered_at));
         } else {
             self.suspects.record_completion(now, open.entry.request.fingerprint);
+            self.acquit_parts(now, &quarantine::part_keys(&open.entry.request), answered_at);
             self.unanswered.record_completion(run);
+            self.record_answer(now, run, dispatched_at);
         }
         let Some(backend) = self.backends.get_mut(backend) else { return };
         backend.load.record_success();
@@ -257,6 +305,9 @@
             backend.load.record_failure(now);
         }
         if result == AttemptResult::Broken {
+            for part in suspected_parts(now, &open) {
+                self.suspects.record_end(now, part, run, dispatched_at);
+            }
             let counted = self.suspects.record_end(now, fingerprint, run, dispatched_at);
             let backend = self.backends.get(key).map(|backend| &backend.id[..]);
             tracing::info!(
@@ -324,3 +375,13 @@
         })
     }
 }
+
+/// Returns the keys of a dispatched request's parts that may have crashed its backend server: all,
+/// until it went on to answer the request.
+fn suspected_parts(now: Instant, open: &OpenRequest) -> Vec<u64> {
+    let State::Dispatched { first_event_at, went_on, .. } = open.state else { return Vec::new() };
+    match went_on || first_event_at.is_some_and(|at| now.since(at) >= CONTINUATION_TIME) {
+        true => Vec::new(),
+        false => quarantine::part_keys(&open.entry.request),
+    }
+}
--- /dev/null
+++ b/crates/gate/src/quarantine.rs
@@ -0,0 +1,115 @@
+//! Decides which requests are not sent to backend servers, since copies of them or requests with the
+//! same prompt part crashed some.
+//!
+//! An end is counted against a request and all parts that may have caused it. Parts that a backend
+//! server went on to answer are acquitted. What stood beside the cause by chance has the same ends
+//! only in part, or is acquitted by other requests.
+
+use std::{collections::HashSet, time::Duration};
+
+use wire::time::Instant;
+
+use crate::{
+    quota,
+    request::Request,
+    suspects::{End, QUARANTINE_ENDS, RETENTION, Suspects},
+};
+
+/// Time within which several ends count as one for a part: many connections may be lost at once for
+/// a reason that has nothing to do with what ran there.
+const END_SPACING: Duration = Duration::from_millis(300);
+/// Number of ends from which a part is in quarantine although this gateway has seen backend servers
+/// answer requests with it. Servers may end for other reasons while several such requests begin.
+const KNOWN_PART_ENDS: u32 = 3;
+
+/// Reason for which a request is not sent to a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Verdict {
+    /// Position of the part in the prompt, or `None` for the request as a whole.
+    pub part: Option<usize>,
+    /// Number of ends of backend servers that count.
+    pub ends: u32,
+    /// Remaining time of the quarantine.
+    pub left: Duration,
+}
+
+/// Returns the key under which ends are counted against a part of a prompt.
+pub fn part_key(id: &[u8]) -> u64 {
+    quota::hash(&[b"part ", id].concat())
+}
+
+/// Returns the keys of a request's shared parts.
+pub fn part_keys(request: &Request) -> Vec<u64> {
+    request.parts.iter().map(|id| part_key(id)).collect()
+}
+
+impl Suspects {
+    /// Returns the quarantine of a request, if there is one.
+    pub fn verdict(&self, now: Instant, request: &Request) -> Option<Verdict> {
+        if self.is_empty() {
+            return None;
+        }
+        let parts = part_keys(request);
+        let mut own = parts.clone();
+        own.push(request.fingerprint);
+        self.request_verdict(now, request.fingerprint, &own).or_else(|| {
+            parts.iter().enumerate().find_map(|(part, key)| {
+                let verdict = self.part_verdict(now, *key, &own)?;
+                Some(Verdict { part: Some(part), ..verdict })
+            })
+        })
+    }
+
+    fn request_verdict(&self, now: Instant, key: u64, own: &[u64]) -> Option<Verdict> {
+        let left = self.quarantine_left(now, key)?;
+        let ends = self.ends(now, key);
+        // Two requests that crashed servers together each explain the ends of the other.
+        let is_explained = self.explains(now, &ends, own, |others| others.len() > ends.len());
+        let total = ends.iter().map(End::counted).sum();
+        (!is_explained).then_some(Verdict { part: None, ends: total, left })
+    }
+
+    fn part_verdict(&self, now: Instant, key: u64, own: &[u64]) -> Option<Verdict> {
+        let ends = self.ends(now, key);
+        let spaced = spaced(&ends);
+        let total = spaced.iter().map(End::counted).sum();
+        let most = if self.is_known(key) { KNOWN_PART_ENDS } else { QUARANTINE_ENDS };
+        if total < most {
+            return None;
+        }
+        let left = RETENTION.saturating_sub(now.since(spaced.first()?.at));
+        let is_explained = self.explains(now, &ends, own, |_| true);
+        (!is_explained).then_some(Verdict { part: None, ends: total, left })
+    }
+
+    /// Returns whether another request or part, not among `own`, explains the ends: those that it
+    /// does not have are too few for a quarantine.
+    fn explains(
+        &self,
+        now: Instant,
+        ends: &[End],
+        own: &[u64],
+        may_explain: impl Fn(&[End]) -> bool,
+    ) -> bool {
+        self.all_ends(now).filter(|(key, _)| !own.contains(key)).any(|(_, others)| {
+            let runs: HashSet<u64> = others.iter().map(|end| end.run).collect();
+            let count = |is_common: bool| -> u32 {
+                let some = ends.iter().filter(|end| runs.contains(&end.run) == is_common);
+                some.map(End::counted).sum()
+            };
+            count(true) >= QUARANTINE_ENDS && count(false) < QUARANTINE_ENDS && may_explain(&others)
+        })
+    }
+}
+
+/// Returns the ends without those that followed another one within `END_SPACING`, the latest first.
+fn spaced(ends: &[End]) -> Vec<End> {
+    let mut spaced: Vec<End> = Vec::new();
+    for end in ends.iter().rev() {
+        if spaced.last().is_none_or(|last| end.at.since(last.at) >= END_SPACING) {
+            spaced.push(*end);
+        }
+    }
+    spaced.reverse();
+    spaced
+}
--- a/crates/gate/src/suspects.rs
+++ b/crates/gate/src/suspects.rs
@@ -1,19 +1,23 @@
-//! Requests under which backend servers ended, joined from all gateways.
+//! Requests and prompt parts under which backend servers ended, joined from all gateways.
 //!
 //! An end is identified by the run of the backend server and not by the gateway that observed it.
 //! Reports can therefore arrive in any order, repeatedly and through any gateway, and what a
 //! gateway observed outlives its process.
 
-use std::{cmp::Reverse, collections::HashMap, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 use wire::time::Instant;
 
 use crate::message;
 
 /// Number of ends from which a request is refused.
-const QUARANTINE_ENDS: u32 = 2;
+pub(crate) const QUARANTINE_ENDS: u32 = 2;
 /// Time for which an end counts.
-const RETENTION: Duration = Duration::from_secs(600);
+pub(crate) const RETENTION: Duration = Duration::from_secs(600);
 /// Age up to which an end is reported to peers. Without the margin, gateways that received it at
 /// different times could return it to each other after it expired.
 const MAX_REPORTED_AGE: Duration = Duration::from_secs(540);
@@ -22,8 +26,12 @@
 const VERIFICATION_TIME: Duration = Duration::from_secs(10);
 /// Most suspects kept. In a full table, one with the fewest ends is replaced.
 const MAX_SUSPECTS: usize = 4096;
+/// Most keys kept of parts that were acquitted.
+const MAX_KNOWN: usize = 8192;
 /// Most ends kept of one suspect.
-const MAX_ENDS: usize = 4;
+const MAX_ENDS: usize = 16;
+/// Most ends of one suspect in a message, the latest ones.
+const MAX_REPORTED_ENDS: usize = 4;
 /// Number of rounds in which a change is sent to all peers, since datagrams may be lost.
 const ANNOUNCEMENTS: u8 = 6;
 /// Most suspects in one message of a round, which keeps it within one datagram.
@@ -33,19 +41,19 @@
 
 /// Ends of one run of a backend server under copies of a request.
 #[derive(Clone, Copy, Debug)]
-struct End {
-    run: u64,
+pub(crate) struct End {
+    pub run: u64,
     /// Ends that followed one another. More than one if the run that followed an end is not
     /// known, for example while the store is unreachable.
     count: u32,
     /// How many of them did not end the run: its connection was lost for another reason.
     disproved: u32,
     /// Time of the last one.
-    at: Instant,
+    pub at: Instant,
 }
 
 impl End {
-    fn counted(&self) -> u32 {
+    pub fn counted(&self) -> u32 {
         self.count - self.disproved
     }
 }
@@ -53,7 +61,8 @@
 #[derive(Clone, Debug, Default)]
 struct Suspect {
     ends: Vec<End>,
-    /// Time at which a copy last completed. Earlier ends don't count.
+    /// Time at which a copy last completed, or at which a backend server that went on began to answer
+    /// a request with the part. Earlier ends don't count.
     completed_at: Option<Instant>,
     /// Rounds in which the last change is still to be sent.
     announcements: u8,
@@ -108,20 +117,22 @@
     fn report(&self, now: Instant, fingerprint: u64) -> message::Suspect {
         let is_shared = |end: &&End| end.counted() > 0 && now.since(end.at) < MAX_REPORTED_AGE;
         let shared = self.ends.iter().filter(is_shared);
-        let ends = shared.map(|end| message::End {
-            run: end.run,
-            count: end.count,
-            age: now.since(end.at),
-        });
+        let mut ends: Vec<message::End> = shared
+            .map(|end| message::End { run: end.run, count: end.count, age: now.since(end.at) })
+            .collect();
+        ends.sort_by_key(|end| end.age);
+        ends.truncate(MAX_REPORTED_ENDS);
         let completed = self.completed_at.map(|at| now.since(at));
-        message::Suspect { fingerprint, completed, ends: ends.collect() }
+        message::Suspect { fingerprint, completed, ends }
     }
 }
 
-/// Suspects by the fingerprint of the request.
+/// Suspects by the fingerprint of the request or the key of the part; see `quarantine::part_key`.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
     suspects: HashMap<u64, Suspect>,
+    /// Keys of parts that were acquitted here.
+    known: HashSet<u64>,
     /// Position in the table from which the next sample is taken.
     sampled: usize,
 }
@@ -151,14 +162,43 @@
 
     /// Records that a copy completed, so that earlier ends don't count.
     pub fn record_completion(&mut self, now: Instant, fingerprint: u64) {
-        if let Some(suspect) = self.suspects.get_mut(&fingerprint)
-            && suspect.total(now) > 0
-        {
-            suspect.completed_at = Some(now);
+        self.discard_ends(now, fingerprint, now);
+    }
+
+    /// Records that a backend server began to answer a request with the part `key` at a time and went
+    /// on, so that earlier ends don't count.
+    pub fn acquit_part(&mut self, now: Instant, key: u64, at: Instant) {
+        if self.known.len() >= MAX_KNOWN && !self.known.contains(&key) {
+            self.known.clear();
+        }
+        self.known.insert(key);
+        self.discard_ends(now, key, at);
+    }
+
+    fn discard_ends(&mut self, now: Instant, key: u64, until: Instant) {
+        let Some(suspect) = self.suspects.get_mut(&key) else { return };
+        let before = suspect.total(now);
+        suspect.completed_at = suspect.completed_at.max(Some(until));
+        if suspect.total(now) < before {
             suspect.announcements = ANNOUNCEMENTS;
         }
     }
 
+    /// Returns whether this gateway has acquitted a part.
+    pub(crate) fn is_known(&self, key: u64) -> bool {
+        self.known.contains(&key)
+    }
+
+    /// Returns the ends that count against a request or part, the latest first.
+    pub(crate) fn ends(&self, now: Instant, key: u64) -> Vec<End> {
+        self.suspects.get(&key).map(|suspect| suspect.counted(now)).unwrap_or_default()
+    }
+
+    /// Returns the ends that count against each request and part.
+    pub(crate) fn all_ends(&self, now: Instant) -> impl Iterator<Item = (u64, Vec<End>)> {
+        self.suspects.iter().map(move |(key, suspect)| (*key, suspect.counted(now)))
+    }
+
     /// Disproves the ends of runs that are still listed. `confirmed_since` is the time since which
     /// the store has confirmed the list all the while.
     pub fn disprove(
--- a/crates/gate/src/unanswered.rs
+++ b/crates/gate/src/unanswered.rs
@@ -14,12 +14,16 @@
 /// Most attempts kept.
 const MAX_ATTEMPTS: usize = 4096;
 
-/// A dispatch without a response.
-#[derive(Clone, Copy, Debug)]
+/// A dispatch without a response, or with one whose end may be that of the backend server.
+#[derive(Clone, Debug)]
 pub struct Attempt {
     pub fingerprint: u64,
+    /// Keys of the prompt parts that may crash the backend server; see `quarantine::part_key`.
+    pub parts: Vec<u64>,
     pub run: u64,
     pub dispatched_at: Instant,
+    /// Time of the first event of a response that is whole if the backend server has not ended.
+    pub whole_since: Option<Instant>,
 }
 
 /// Attempts without a response and ended runs.
@@ -32,7 +36,7 @@
 
 impl Unanswered {
     /// Records that an attempt was given up. Returns whether its run is known to have ended.
-    pub fn give_up(&mut self, now: Instant, attempt: Attempt) -> bool {
+    pub fn give_up(&mut self, now: Instant, attempt: &Attempt) -> bool {
         self.expire(now);
         if self.ended_runs.contains_key(&attempt.run) {
             return true;
@@ -40,7 +44,7 @@
         if self.attempts.len() >= MAX_ATTEMPTS {
             self.attempts.pop_front();
         }
-        self.attempts.push_back((now, attempt));
+        self.attempts.push_back((now, attempt.clone()));
         false
     }
 
@@ -60,6 +64,21 @@
         taken.into_iter().map(|(_, attempt)| attempt).collect()
     }
 
+    /// Records that a run answers a request that was dispatched at `dispatched_at`, so that what was
+    /// given up before did not end it. Returns these attempts.
+    pub fn record_answer(&mut self, run: u64, dispatched_at: Instant) -> Vec<Attempt> {
+        let is_disproved =
+            |at: Instant, attempt: &Attempt| attempt.run == run && at <= dispatched_at;
+        if !self.attempts.iter().any(|(at, attempt)| is_disproved(*at, attempt)) {
+            return Vec::new();
+        }
+        let (disproved, rest) = std::mem::take(&mut self.attempts)
+            .into_iter()
+            .partition::<VecDeque<_>, _>(|(at, attempt)| is_disproved(*at, attempt));
+        self.attempts = rest;
+        disproved.into_iter().map(|(_, attempt)| attempt).collect()
+    }
+
     /// Records that a run completed a request, so that it has not ended.
     pub fn record_completion(&mut self, run: u64) {
         self.ended_runs.remove(&run);
--- a/crates/gate/tests/common/cluster.rs
+++ b/crates/gate/tests/common/cluster.rs
@@ -278,8 +278,7 @@
                 self.gateways[gateway].feed(Event::FirstEvent { number });
                 self.take_actions(gateway);
             } else if attempt.events_at.take_if(|at| now >= *at).is_some() {
-                let span = TIME_TO_EVENTS - TIME_TO_FIRST_EVENT;
-                self.gateways[gateway].feed(Event::EventsReceived { number, events: 3, span });
+                self.gateways[gateway].feed(Event::Continued { number });
                 self.take_actions(gateway);
             }
         }
--- a/crates/gate/tests/parts.rs
+++ b/crates/gate/tests/parts.rs
@@ -7,11 +7,18 @@
 
 use bytes::Bytes;
 use common::{
-    MS,
+    MS, TestGateway,
     cluster::{Cluster, Crash},
     request,
 };
-use gate::{refusal::Reason, request::Request};
+use gate::{
+    Event,
+    event::{AttemptResult, CONTINUATION_TIME},
+    quarantine,
+    refusal::Reason,
+    request::Request,
+    suspects::Suspects,
+};
 use wire::time::Instant;
 
 /// Model servers of the smallest deployment with reports of such requests.
@@ -53,7 +60,8 @@
     cluster.bad_parts = vec!["bad".into()];
     let mut bad_parts: Vec<&str> = SHARED_PARTS[..storm.place.max(1)].to_vec();
     bad_parts.insert(storm.place, "bad");
-    let (end, mut next_bad, mut next_sound) = (cluster.now + storm.span, cluster.now, cluster.now);
+    let (end, mut next_sound) = (cluster.now + storm.span, cluster.now);
+    let mut next_bad = cluster.now + storm.bad_period.mul_f64(rng.f64());
     let mut number = cluster.now.0;
     while cluster.now < end {
         let gateway = rng.usize(..cluster.gateways.len());
@@ -201,12 +209,11 @@
         cluster.bad_parts = vec!["bad".into()];
         for round in 0..20 {
             let storm = Storm { span: Duration::from_millis(700), ..quiet };
-            let before = cluster.runs.len();
             play(&mut cluster, storm, &mut rng);
-            cluster.runs.truncate(before);
             let servers = if round % 5 == 0 { 6 } else { 1 };
             (0..servers).for_each(|_| cluster.crash_other(rng.usize(..SERVERS)));
         }
+        assert!(cluster.runs.is_empty(), "no request had a bad part");
         let refused: usize = cluster.gateways.iter_mut().map(count_poison).sum();
         let sent = cluster.sound.len();
         assert!(refused * 50 <= sent, "seed {seed}: {refused} of {sent} refused as poison");
@@ -304,3 +311,142 @@
         assert!(share >= 0.5, "seed {seed}: {share:.2} of the sound requests began");
     }
 }
+
+/// Records the ends of backend servers, given by run, under requests or parts.
+fn suspects(ends: &[(u64, &[u64])]) -> Suspects {
+    let mut suspects = Suspects::default();
+    for (key, runs) in ends {
+        for run in *runs {
+            let at = Instant(run * 1_000_000);
+            suspects.record_end(at, *key, *run, at);
+        }
+    }
+    suspects
+}
+
+/// Guards against a request that is refused since it was sent again after it had stood beside a bad
+/// part twice.
+#[test]
+fn a_request_beside_a_bad_part_is_not_refused_when_it_comes_again() {
+    let bad = quarantine::part_key(b"bad");
+    let again = with_parts("tag", 1, &["system", "session"]);
+    let now = Instant(9_000_000);
+    let beside = suspects(&[(bad, &[1, 2, 3]), (again.fingerprint, &[1, 3])]);
+    assert_eq!(beside.verdict(now, &again), None);
+    let alone = suspects(&[(again.fingerprint, &[1, 3])]);
+    assert!(alone.verdict(now, &again).is_some_and(|verdict| verdict.part.is_none()));
+}
+
+/// Guards against a shared part that stays in quarantine beside a bad one although no request
+/// acquits it, and against one that is taken for sound because of the other.
+#[test]
+fn a_shared_part_is_not_refused_for_the_ends_of_a_bad_one() {
+    let [bad, system] = [b"bad".as_slice(), b"system"].map(quarantine::part_key);
+    let now = Instant(9_000_000);
+    let sound = with_parts("tag", 1, &["system", "good"]);
+    let both = with_parts("tag", 2, &["system", "bad"]);
+    let beside = suspects(&[(bad, &[1, 2, 3]), (system, &[1, 2, 3, 4])]);
+    assert_eq!(beside.verdict(now, &sound), None);
+    assert!(beside.verdict(now, &both).is_some());
+    let cause = suspects(&[(bad, &[1, 2, 3]), (system, &[1, 2, 3, 4, 5])]);
+    assert!(cause.verdict(now, &sound).is_some_and(|verdict| verdict.part == Some(0)));
+}
+
+/// Guards against a part that many servers lost requests with at the same moment.
+#[test]
+fn ends_at_one_moment_count_once_for_a_part() {
+    let mut suspects = Suspects::default();
+    let system = quarantine::part_key(b"system");
+    let at = |ms: u64| Instant(1_000_000 + ms * 1_000);
+    for run in 0..9 {
+        suspects.record_end(at(run * 20), system, run, at(0));
+    }
+    let request = with_parts("tag", 1, &["system"]);
+    assert_eq!(suspects.verdict(at(200), &request), None);
+    suspects.record_end(at(500), system, 9, at(400));
+    assert!(suspects.verdict(at(500), &request).is_some());
+    suspects.acquit_part(at(900), system, at(600));
+    assert_eq!(suspects.verdict(at(900), &request), None);
+}
+
+/// Returns the ends that count against the part `system` at a gateway.
+fn total(gateway: &TestGateway) -> u32 {
+    gateway.machine.suspects().total(gateway.now, quarantine::part_key(b"system"))
+}
+
+/// Sends a request with the part `system` and returns its number once it was dispatched.
+fn send_system(gateway: &mut TestGateway) -> u64 {
+    let number = gateway.arrive(with_parts("tag", gateway.now.0, &["system"]));
+    gateway.dispatched(number).expect("dispatched");
+    number
+}
+
+/// Loses the connection of a request with the part `system` and lets its server be used again.
+fn lose_connection(gateway: &mut TestGateway) {
+    let number = send_system(gateway);
+    gateway.end(number, AttemptResult::Broken);
+    gateway.advance_confirmed(Duration::from_secs(4));
+}
+
+/// Guards against a part that is accused although short responses to it completed in between.
+#[test]
+fn a_completed_response_acquits_its_parts() {
+    let mut gateway = TestGateway::with_backends(common::MODEL, 6);
+    for _ in 0..4 {
+        lose_connection(&mut gateway);
+        assert_eq!(total(&gateway), 1);
+        let number = send_system(&mut gateway);
+        gateway.feed(Event::FirstEvent { number });
+        gateway.advance(20 * MS);
+        gateway.end(number, AttemptResult::Complete);
+        assert_eq!(total(&gateway), 0);
+    }
+}
+
+/// Guards against a part that is accused although a response to it ended with its connection and
+/// the server went on.
+#[test]
+fn a_response_that_ends_with_its_connection_acquits_once_its_server_answers() {
+    let mut gateway = TestGateway::with_backends(common::MODEL, 1);
+    lose_connection(&mut gateway);
+    let number = send_system(&mut gateway);
+    gateway.feed(Event::FirstEvent { number });
+    gateway.advance(20 * MS);
+    gateway.end(number, AttemptResult::Unframed);
+    assert_eq!(total(&gateway), 1, "the server may have ended");
+    gateway.advance(100 * MS);
+    let number = send_system(&mut gateway);
+    gateway.feed(Event::FirstEvent { number });
+    assert_eq!(total(&gateway), 0);
+}
+
+/// Guards against a part that is accused of the end of a server which answered other requests since.
+#[test]
+fn a_request_whose_caller_left_is_not_accused_once_its_server_answers() {
+    for answers in [false, true] {
+        let mut gateway = TestGateway::with_backends(common::MODEL, 1);
+        let number = send_system(&mut gateway);
+        gateway.feed(Event::Closed { number });
+        gateway.advance(100 * MS);
+        if answers {
+            let number = gateway.arrive(request("tag"));
+            gateway.dispatched(number).expect("dispatched");
+            gateway.feed(Event::FirstEvent { number });
+        }
+        gateway.feed(Event::Record { id: "r0".into(), record: None });
+        assert_eq!(total(&gateway), u32::from(!answers));
+    }
+}
+
+/// Guards against a part that is accused of the end of a server that went on to answer it.
+#[test]
+fn a_response_that_went_on_accuses_no_part() {
+    for (wait, ends) in [(100 * MS, 1), (CONTINUATION_TIME, 0)] {
+        let mut gateway = TestGateway::with_backends(common::MODEL, 1);
+        let number = send_system(&mut gateway);
+        gateway.feed(Event::FirstEvent { number });
+        gateway.advance(wait);
+        gateway.end(number, AttemptResult::Broken);
+        assert_eq!(total(&gateway), ends, "{wait:?} after the first event");
+    }
+}
