--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -44,6 +44,8 @@
     parts: request::Parts,
     body: Bytes,
     id: Bytes,
+    /// Identifier of the caller's attempt that began the stream, if the caller takes one up.
+    resumes: Option<Bytes>,
     /// The last failure response of a backend server. The caller gets it if the machine refuses the
     /// request afterwards.
     failure: Option<Response<http::Body>>,
@@ -106,8 +108,9 @@
     ) -> Exchange {
         let (number, instructions) = gateway.open_request();
         let id = request.id.clone();
+        let resumes = request.resumption.as_ref().and_then(|from| from.first_attempt.clone());
         gateway.feed(Event::Arrived { number, request });
-        Exchange { gateway, number, instructions, parts, body, id, failure: None }
+        Exchange { gateway, number, instructions, parts, body, id, resumes, failure: None }
     }
 
     /// Carries out the machine's instructions and returns the response for the caller.
@@ -342,6 +345,20 @@
             account = %String::from_utf8_lossy(dispatch.account.as_deref().unwrap_or_default()),
             units = inputs.units as u64,
             limit = inputs.rate_limit,
+            version = %String::from_utf8_lossy(&dispatch.version),
+            resumes = %String::from_utf8_lossy(self.resumes.as_deref().unwrap_or_default()),
+        );
+    }
+
+    /// Logs that a stream goes on at a backend server within its response.
+    pub fn log_resumed(&self, dispatch: &Dispatch, last_event_id: Option<&Bytes>) {
+        tracing::info!(
+            event = "stream_resumed",
+            id = %String::from_utf8_lossy(&self.id),
+            replica = %String::from_utf8_lossy(&dispatch.id),
+            version = %String::from_utf8_lossy(&dispatch.version),
+            attempt = dispatch.inputs.attempt,
+            last_event = %String::from_utf8_lossy(last_event_id.map_or(&[], |id| &id[..])),
         );
     }
 
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -360,6 +360,7 @@
             let last_event_id = self.events.last_id().cloned();
             match self.exchange.attempt(&dispatch, last_event_id.as_deref()).await {
                 Attempt::Received(response) if response.head.status.is_success() => {
+                    self.exchange.log_resumed(&dispatch, self.events.last_id());
                     let (_, reader) = split_response(*response);
                     self.reader = Some(reader);
                     self.failover = stream_failover(&dispatch);
--- a/crates/gate/src/action.rs
+++ b/crates/gate/src/action.rs
@@ -38,6 +38,8 @@
     /// Time without a response after which `Event::Unresponsive` is due; `None` if the request may
     /// not be sent to another backend server.
     pub failover_timeout: Option<Duration>,
+    /// Version of the backend server's software, for the log.
+    pub version: Bytes,
     /// Decision inputs, for the log.
     pub inputs: Inputs,
     /// Whether the response is a stream of events.
--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -33,6 +33,8 @@
     pub service: Bytes,
     pub address: SocketAddr,
     pub zone: Bytes,
+    /// Version of its software; empty if it states none.
+    pub version: Bytes,
     /// Requests that the backend server processes concurrently.
     pub slots: u32,
     pub draining: bool,
--- a/crates/gate/src/machine/dispatching.rs
+++ b/crates/gate/src/machine/dispatching.rs
@@ -213,6 +213,7 @@
             address: backend.record.address,
             account: entry.account.clone(),
             deadline: entry.deadline,
+            version: backend.record.version.clone(),
             failover_timeout: may_fail_over.then_some(failover_timeout),
             inputs,
             stream: entry.kind == RouteKind::Stream,
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -12,6 +12,13 @@
     pub max_output: u32,
 }
 
+/// A stream that a caller takes up.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Resumption {
+    /// Identifier of the caller's attempt that brought the first event, if the caller states it.
+    pub first_attempt: Option<Bytes>,
+}
+
 /// A request that was read completely.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Request {
@@ -25,6 +32,8 @@
     pub tokens: Option<Tokens>,
     /// Output tokens that the caller expects.
     pub output_hint: Option<u32>,
+    /// Set if the caller has received a part of the stream.
+    pub resumption: Option<Resumption>,
     /// Identifiers of the parts of the prompt that other requests may share, in their order.
     pub parts: Vec<Bytes>,
     /// Hash of path, query, API key and body; equal for copies of a request.
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -102,6 +102,7 @@
         service: service.to_owned().into(),
         address: SocketAddr::from(([127, 0, 0, 1], port)),
         zone: "a".into(),
+        version: "v1".into(),
         slots: 2,
         draining: false,
         started: Some(1),
