--- a/crates/gate/tests/common/cluster.rs
+++ b/crates/gate/tests/common/cluster.rs
@@ -235,17 +235,8 @@
                 self.datagrams.push((to, datagram));
                 continue;
             }
-            let event = match datagram {
-                Datagram::State(message) => Event::StateReceived(*message),
-                Datagram::Query(query) => Event::QueryReceived(query),
-                Datagram::Reply(reply) => Event::ReplyReceived(reply),
-                Datagram::Suspects(reports) => Event::SuspectsReceived(reports),
-                Datagram::RateLimits(reports) => Event::RateLimitsReceived(reports),
-                Datagram::Demands(demands) => Event::DemandsReceived(demands),
-                Datagram::Permits(permits) => Event::PermitsReceived(permits),
-            };
             self.gateways[to].now = self.now;
-            self.gateways[to].feed(event);
+            self.gateways[to].feed_datagram(datagram);
             self.take_actions(to);
         }
     }
--- a/crates/gate/tests/common/limited.rs
+++ b/crates/gate/tests/common/limited.rs
@@ -227,17 +227,8 @@
             if self.stopped[to] || self.parts[from] != self.parts[to] {
                 continue;
             }
-            let event = match datagram {
-                Datagram::State(message) => Event::StateReceived(*message),
-                Datagram::Query(query) => Event::QueryReceived(query),
-                Datagram::Reply(reply) => Event::ReplyReceived(reply),
-                Datagram::Suspects(reports) => Event::SuspectsReceived(reports),
-                Datagram::RateLimits(reports) => Event::RateLimitsReceived(reports),
-                Datagram::Demands(demands) => Event::DemandsReceived(demands),
-                Datagram::Permits(permits) => Event::PermitsReceived(permits),
-            };
             self.gateways[to].now = now;
-            self.gateways[to].feed(event);
+            self.gateways[to].feed_datagram(datagram);
             self.take_actions(to);
         }
     }
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -13,6 +13,7 @@
     catalog::{Account, Catalog, Limits, Route, RouteKind, Service},
     event::{AttemptResult, RequestNumber},
     machine::Setup,
+    message::Datagram,
     refusal::{Reason, Refusal},
     request::{Request, Tokens},
 };
@@ -165,6 +166,18 @@
         self.machine.handle(self.now, event, &mut self.actions);
     }
 
+    pub fn feed_datagram(&mut self, datagram: Datagram) {
+        self.feed(match datagram {
+            Datagram::State(message) => Event::StateReceived(*message),
+            Datagram::Query(query) => Event::QueryReceived(query),
+            Datagram::Reply(reply) => Event::ReplyReceived(reply),
+            Datagram::Suspects(reports) => Event::SuspectsReceived(reports),
+            Datagram::RateLimits(reports) => Event::RateLimitsReceived(reports),
+            Datagram::Demands(demands) => Event::DemandsReceived(demands),
+            Datagram::Permits(permits) => Event::PermitsReceived(permits),
+        });
+    }
+
     /// Advances the clock and feeds the ticks.
     pub fn advance(&mut self, span: Duration) {
         let end = self.now + span;
--- /dev/null
+++ b/crates/gate/tests/versions.rs
@@ -0,0 +1,475 @@
+//! Streams go on only at the software version of a backend server that began them: within one
+//! response, in a later request of the caller at any gateway, and after the gateway that began them
+//! is gone.
+
+mod common;
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use common::{MODEL, MS, TestGateway, catalog, record, request, setup};
+use gate::{
+    Action, Event,
+    action::Dispatch,
+    event::{AttemptResult, RequestNumber},
+    message::Datagram,
+    refusal::Reason,
+    request::{Request, Resumption},
+};
+use wire::time::Instant;
+
+const FIRST_PORT: u16 = 9_000;
+/// Time after which a process knows the versions that streams in progress may have begun at.
+const STREAM_LIFE: Duration = Duration::from_secs(61);
+
+/// A backend server and the version that its record states, if it runs.
+#[derive(Clone, Debug)]
+struct Server {
+    version: Option<&'static str>,
+    started: u64,
+}
+
+/// Gateways that exchange datagrams, and backend servers of several versions.
+struct Fleet {
+    gateways: Vec<TestGateway>,
+    servers: Vec<Server>,
+    now: Instant,
+    /// Gateways whose datagrams are lost, in both directions.
+    cut: Vec<bool>,
+    paused: Vec<bool>,
+    /// Share of the datagrams that are lost.
+    loss: f64,
+    datagrams: Vec<(usize, Datagram)>,
+    /// Backend server of each open request, by gateway.
+    running: HashMap<(usize, RequestNumber), usize>,
+    restarts: u64,
+    rng: fastrand::Rng,
+}
+
+impl Fleet {
+    fn new(gateways: usize, versions: &[&'static str]) -> Fleet {
+        let server = |version: &&'static str| Server { version: Some(*version), started: 1 };
+        let mut fleet = Fleet {
+            gateways: Vec::new(),
+            servers: versions.iter().map(server).collect(),
+            now: Instant(1_000_000),
+            cut: vec![false; gateways],
+            paused: vec![false; gateways],
+            loss: 0.0,
+            datagrams: Vec::new(),
+            running: HashMap::new(),
+            restarts: 0,
+            rng: fastrand::Rng::with_seed(1),
+        };
+        for index in 0..gateways {
+            let gateway = fleet.start(index);
+            fleet.gateways.push(gateway);
+        }
+        fleet.advance(Duration::from_secs(2));
+        fleet
+    }
+
+    fn start(&self, index: usize) -> TestGateway {
+        let mut setup = setup(index as u16 + 1, self.restarts == 0);
+        setup.process += 1_000 * self.restarts;
+        setup.seeds = (1..=self.cut.len().min(3) as u16)
+            .map(|port| SocketAddr::from(([127, 0, 0, 1], port)))
+            .collect();
+        let mut gateway = TestGateway::start(setup, self.now);
+        gateway.feed(Event::Catalog(std::rc::Rc::new(catalog(1, &["k1", "k2"], 0.0))));
+        for (index, server) in self.servers.iter().enumerate() {
+            write_record(&mut gateway, index, server);
+        }
+        gateway.confirm();
+        gateway
+    }
+
+    fn restart(&mut self, index: usize) {
+        self.restarts += 1;
+        self.running.retain(|(gateway, _), _| *gateway != index);
+        self.paused[index] = false;
+        self.gateways[index] = self.start(index);
+    }
+
+    /// Starts a backend server with a version in the place of another one, or ends it.
+    fn replace(&mut self, server: usize, version: Option<&'static str>) {
+        let broken: Vec<_> = self.running.iter().filter(|(_, at)| **at == server).collect();
+        let broken: Vec<_> = broken.into_iter().map(|(open, _)| *open).collect();
+        self.servers[server].started += 1;
+        self.servers[server].version = version;
+        for gateway in 0..self.gateways.len() {
+            self.gateways[gateway].now = self.now;
+            write_record(&mut self.gateways[gateway], server, &self.servers[server]);
+            self.take_actions(gateway);
+        }
+        for (gateway, number) in broken {
+            self.lose_connection(gateway, number);
+        }
+    }
+
+    fn send(&mut self, gateway: usize, request: Request) -> RequestNumber {
+        self.gateways[gateway].now = self.now;
+        let number = self.gateways[gateway].arrive(request);
+        self.take_actions(gateway);
+        number
+    }
+
+    /// Sends a request and its first event, and returns its number and version.
+    fn begin(&mut self, gateway: usize, id: &str) -> (RequestNumber, &'static str) {
+        let number = self.send(gateway, stream(id));
+        let version = self.version_of(gateway, number).expect("dispatched");
+        self.gateways[gateway].feed(Event::FirstEvent { number });
+        self.advance(50 * MS);
+        (number, version)
+    }
+
+    fn lose_connection(&mut self, gateway: usize, number: RequestNumber) {
+        self.running.remove(&(gateway, number));
+        self.gateways[gateway].now = self.now;
+        self.gateways[gateway].end(number, AttemptResult::Broken);
+        self.take_actions(gateway);
+    }
+
+    /// Returns the version at which an open request runs.
+    fn version_of(&self, gateway: usize, number: RequestNumber) -> Option<&'static str> {
+        self.servers[*self.running.get(&(gateway, number))?].version
+    }
+
+    fn advance(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + 10 * MS;
+            for (to, datagram) in std::mem::take(&mut self.datagrams) {
+                if self.paused[to] {
+                    self.datagrams.push((to, datagram));
+                    continue;
+                }
+                self.gateways[to].now = self.now;
+                self.gateways[to].feed_datagram(datagram);
+                self.take_actions(to);
+            }
+            for index in 0..self.gateways.len() {
+                if self.paused[index] {
+                    continue;
+                }
+                self.gateways[index].now = self.now;
+                self.gateways[index].feed(Event::Tick);
+                if self.now.0.is_multiple_of(500_000) {
+                    self.gateways[index].confirm();
+                }
+                self.take_actions(index);
+            }
+        }
+    }
+
+    fn take_actions(&mut self, index: usize) {
+        for action in std::mem::take(&mut self.gateways[index].actions) {
+            match action {
+                Action::Dispatch(Dispatch { number, address, .. }) => {
+                    let server = usize::from(address.port() - FIRST_PORT);
+                    self.running.insert((index, number), server);
+                }
+                Action::Send { to, datagram } => {
+                    let to = usize::from(to.port()) - 1;
+                    let is_lost = self.cut[index] || self.cut[to] || self.rng.f64() < self.loss;
+                    if !is_lost {
+                        self.datagrams.push((to, datagram));
+                    }
+                }
+                action => self.gateways[index].actions.push(action),
+            }
+        }
+    }
+}
+
+fn write_record(gateway: &mut TestGateway, index: usize, server: &Server) {
+    let id: Bytes = format!("r{index}").into();
+    let record = server.version.map(|version| gate::backends::Record {
+        version: version.into(),
+        started: Some(server.started),
+        slots: 20,
+        ..record(MODEL, FIRST_PORT + index as u16)
+    });
+    gateway.feed(Event::Record { id, record });
+}
+
+/// Returns a request for a new stream that may be resumed.
+fn stream(id: &str) -> Request {
+    let fingerprint = id.bytes().fold(7, |hash: u64, byte| hash * 31 + u64::from(byte));
+    Request { id: id.to_owned().into(), fingerprint, ..request("resumable") }
+}
+
+/// Returns a request that takes up the stream that began with the attempt `first`.
+fn take_up(id: &str, first: Option<&str>) -> Request {
+    let first_attempt = first.map(|first| Bytes::from(first.to_owned()));
+    Request { resumption: Some(Resumption { first_attempt }), ..stream(id) }
+}
+
+/// Guards against a stream that goes on at another version within one response.
+#[test]
+fn a_broken_stream_goes_on_at_its_version() {
+    for run in 0..20 {
+        let mut fleet = Fleet::new(1, &["v1", "v2", "v2", "v2", "v1", "v2"]);
+        let (number, version) = fleet.begin(0, &format!("a{run}"));
+        fleet.lose_connection(0, number);
+        assert_eq!(fleet.version_of(0, number), Some(version));
+    }
+}
+
+/// Guards against a request without any event that is kept at one version.
+#[test]
+fn a_request_without_events_goes_anywhere() {
+    let mut fleet = Fleet::new(1, &["v1", "v2"]);
+    let number = fleet.send(0, stream("a"));
+    let version = fleet.version_of(0, number).expect("dispatched");
+    fleet.lose_connection(0, number);
+    assert_ne!(fleet.version_of(0, number).expect("dispatched"), version);
+}
+
+/// Guards against a stream that waits, or goes on, where no server of its version is left.
+#[test]
+fn a_broken_stream_ends_at_once_without_a_server_of_its_version() {
+    let mut fleet = Fleet::new(1, &["v1", "v2", "v2"]);
+    fleet.replace(1, None);
+    fleet.replace(2, None);
+    let (number, version) = fleet.begin(0, "a");
+    assert_eq!(version, "v1");
+    fleet.replace(1, Some("v2"));
+    fleet.lose_connection(0, number);
+    assert_eq!(fleet.version_of(0, number), None);
+    assert_eq!(fleet.gateways[0].reason(number), Some(Reason::Lost));
+}
+
+/// Guards against a silent stream that moves to another version.
+#[test]
+fn a_silent_stream_moves_only_to_its_version() {
+    for run in 0..20 {
+        let mut fleet = Fleet::new(1, &["v1", "v2", "v2", "v2", "v1", "v2"]);
+        let (number, version) = fleet.begin(0, &format!("a{run}"));
+        let server = fleet.running[&(0, number)];
+        fleet.gateways[0].feed(Event::Unresponsive { number });
+        fleet.take_actions(0);
+        assert_eq!(fleet.version_of(0, number), Some(version));
+        assert_ne!(fleet.running[&(0, number)], server, "another server of the version is free");
+    }
+}
+
+/// Guards against streams that callers take up at another version, at any gateway, also after the
+/// gateway that began them is gone.
+#[test]
+fn a_stream_is_taken_up_at_its_version() {
+    for gateways in [1, 2, 4, 28] {
+        for run in 0..6 {
+            let mut fleet = Fleet::new(gateways, &["v1", "v2", "v2", "v1", "v2", "v1"]);
+            let first = run % gateways;
+            let (number, version) = fleet.begin(first, "a");
+            let is_killed = run % 2 == 1 && gateways > 1;
+            match is_killed {
+                true => fleet.restart(first),
+                false => fleet.lose_connection(first, number),
+            }
+            fleet.advance(100 * MS);
+            for gateway in 0..gateways {
+                let next = fleet.send(gateway, take_up(&format!("b{gateway}"), Some("a")));
+                fleet.advance(200 * MS);
+                let at = fleet.version_of(gateway, next);
+                let name = format!("{gateways} gateways, at {gateway} from {first}");
+                assert_eq!(at, Some(version), "{name}");
+            }
+        }
+    }
+}
+
+/// Guards against the versions of streams that are forgotten while all gateways restart in turn.
+#[test]
+fn versions_survive_rolling_restarts() {
+    let mut fleet = Fleet::new(4, &["v1", "v2", "v2", "v1"]);
+    let streams: Vec<_> =
+        (0..8).map(|n| (format!("a{n}"), fleet.begin(n % 4, &format!("a{n}")).1)).collect();
+    for gateway in 0..4 {
+        fleet.restart(gateway);
+        fleet.advance(Duration::from_millis(1300));
+    }
+    for (n, (id, version)) in streams.iter().enumerate() {
+        let number = fleet.send(n % 4, take_up(&format!("b{n}"), Some(id)));
+        fleet.advance(200 * MS);
+        assert_eq!(fleet.version_of(n % 4, number), Some(*version), "{id}");
+    }
+}
+
+/// Guards against a stream that goes on anywhere since nobody knows which version began it, and
+/// against a caller that waits for that.
+#[test]
+fn a_stream_of_an_unknown_version_is_refused_at_once() {
+    for first in [Some("unknown"), None] {
+        let mut fleet = Fleet::new(4, &["v1", "v2"]);
+        let number = fleet.send(1, take_up("b", first));
+        fleet.advance(300 * MS);
+        assert_eq!(fleet.version_of(1, number), None);
+        let refusal = fleet.gateways[1].refused(number).expect("refused");
+        assert_eq!((refusal.reason.name(), refusal.reason.status()), ("no_version", 503));
+    }
+}
+
+/// Guards against streams of an unknown version that are refused although all servers have had one
+/// version for longer than a stream takes.
+#[test]
+fn a_stream_of_an_unknown_version_goes_on_where_there_is_one() {
+    let mut fleet = Fleet::new(2, &["v1", "v1"]);
+    let number = fleet.send(0, take_up("b", Some("unknown")));
+    fleet.advance(300 * MS);
+    assert_eq!(fleet.version_of(0, number), None, "an earlier process may have begun it elsewhere");
+    fleet.advance(STREAM_LIFE);
+    let number = fleet.send(0, take_up("c", Some("unknown")));
+    fleet.advance(300 * MS);
+    assert_eq!(fleet.version_of(0, number), Some("v1"));
+    fleet.replace(1, Some("v2"));
+    fleet.advance(Duration::from_secs(1));
+    fleet.replace(1, Some("v1"));
+    let number = fleet.send(0, take_up("d", Some("unknown")));
+    fleet.advance(300 * MS);
+    assert_eq!(fleet.version_of(0, number), None, "it may have begun at v2");
+}
+
+/// Guards against a taken-up stream that waits although the last server of its version has left.
+#[test]
+fn a_waiting_stream_is_refused_once_its_version_is_gone() {
+    let mut fleet = Fleet::new(1, &["v1", "v2"]);
+    let (number, version) = fleet.begin(0, "a");
+    let server = fleet.running[&(0, number)];
+    let others = (0..19).map(|n| take_up(&format!("b{n}"), Some("a")));
+    let others: Vec<_> = others.map(|request| fleet.send(0, request)).collect();
+    assert!(others.iter().all(|other| fleet.version_of(0, *other) == Some(version)));
+    let waiting = fleet.send(0, take_up("c", Some("a")));
+    assert_eq!(fleet.version_of(0, waiting), None, "all slots are taken");
+    assert_eq!(fleet.gateways[0].reason(waiting), None);
+    fleet.servers[server].version = None;
+    write_record(&mut fleet.gateways[0], server, &fleet.servers[server]);
+    assert_eq!(fleet.gateways[0].refused(waiting).expect("refused").reason.name(), "no_version");
+}
+
+/// Guards against a version that isn't known since a datagram was lost or a gateway was paused.
+#[test]
+fn versions_are_known_despite_lost_datagrams_and_pauses() {
+    let mut fleet = Fleet::new(4, &["v1", "v2", "v2", "v1"]);
+    fleet.loss = 0.1;
+    fleet.paused[3] = true;
+    let mut known = 0;
+    for n in 0..40 {
+        let id = format!("a{n}");
+        let (_, version) = fleet.begin(n % 3, &id);
+        let number = fleet.send((n + 1) % 3, take_up(&format!("b{n}"), Some(&id)));
+        fleet.advance(200 * MS);
+        let at = fleet.version_of((n + 1) % 3, number);
+        assert!(at.is_none() || at == Some(version), "{id}");
+        known += usize::from(at.is_some());
+        fleet.gateways[(n + 1) % 3].feed(Event::Closed { number });
+    }
+    assert!(known >= 36, "{known} of 40 went on");
+    fleet.paused[3] = false;
+    fleet.advance(200 * MS);
+    let number = fleet.send(3, take_up("c", Some("a39")));
+    fleet.advance(200 * MS);
+    assert!(fleet.version_of(3, number).is_some(), "it asks the others");
+}
+
+/// Number of random schedules in CI; see `stand::schedules`.
+const SCHEDULES: u64 = 40;
+
+struct Begun {
+    id: String,
+    version: &'static str,
+    at: Instant,
+    /// Gateway and number of the request that brings its events.
+    open: Option<(usize, RequestNumber)>,
+}
+
+/// Plays streams, callers that take them up anywhere, servers of several versions that come and go,
+/// and gateways that restart, pause and are cut off. Returns the streams that hold events of two
+/// versions, and of those taken up at gateways that were not disturbed while two servers of their
+/// version ran, how many there were and how many went on.
+fn run_schedule(seed: u64) -> (usize, usize, usize) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let gateways = rng.usize(1..9);
+    let names = ["v1", "v1.1", "v2"];
+    let versions: Vec<&'static str> = (0..rng.usize(4..14)).map(|n| names[n % 3]).collect();
+    let mut fleet = Fleet::new(gateways, &versions);
+    fleet.rng.seed(seed);
+    fleet.loss = [0.0, 0.02][rng.usize(..2)];
+    let (mut begun, mut mixed, mut taken, mut went_on) = (Vec::<Begun>::new(), 0, 0, 0);
+    let mut disturbed_at = fleet.now;
+    for step in 0..150 {
+        let gateway = rng.usize(..gateways);
+        let server = rng.usize(..versions.len());
+        match rng.u32(..60) {
+            0 => fleet.restart(gateway),
+            1 => fleet.paused[gateway] = true,
+            2 => fleet.cut[gateway] = true,
+            3..8 => {
+                fleet.paused.fill(false);
+                fleet.cut.fill(false);
+            }
+            8 | 9 => fleet.replace(server, None),
+            10..14 => fleet.replace(server, Some(names[rng.usize(..3)])),
+            _ => {}
+        }
+        let is_calm = !fleet.paused.contains(&true) && !fleet.cut.contains(&true);
+        if !is_calm {
+            disturbed_at = fleet.now;
+        }
+        let mut check = |fleet: &Fleet, stream: &mut Begun| {
+            let Some((gateway, number)) = stream.open else { return };
+            let at = fleet.version_of(gateway, number);
+            mixed += usize::from(at.is_some_and(|at| at != stream.version));
+            if at.is_none() {
+                stream.open = None;
+            }
+        };
+        begun.iter_mut().for_each(|stream| check(&fleet, stream));
+        if fleet.paused[gateway] {
+            fleet.advance(100 * MS);
+            continue;
+        }
+        let old = begun.iter_mut().filter(|stream| fleet.now.since(stream.at) < STREAM_LIFE / 4);
+        let old: Vec<&mut Begun> = old.collect();
+        if rng.bool() && !old.is_empty() {
+            let choice = rng.usize(..old.len());
+            let stream = old.into_iter().nth(choice).expect("a stream");
+            let request = take_up(&format!("t{step}"), Some(&stream.id));
+            let number = fleet.send(gateway, request);
+            fleet.advance(200 * MS);
+            stream.open = Some((gateway, number));
+            let is_on = fleet.version_of(gateway, number).is_some();
+            check(&fleet, stream);
+            let same = fleet.servers.iter().filter(|s| s.version == Some(stream.version)).count();
+            let was_calm = fleet.now.since(disturbed_at) > Duration::from_secs(3);
+            if is_calm && was_calm && same >= 2 {
+                taken += 1;
+                went_on += usize::from(is_on);
+            }
+        } else {
+            let id = format!("s{step}");
+            let number = fleet.send(gateway, stream(&id));
+            if let Some(version) = fleet.version_of(gateway, number) {
+                fleet.gateways[gateway].feed(Event::FirstEvent { number });
+                let (at, open) = (fleet.now, Some((gateway, number)));
+                begun.push(Begun { id, version, at, open });
+            }
+            fleet.advance(100 * MS);
+        }
+    }
+    (mixed, taken, went_on)
+}
+
+/// Guards against mixed versions, and streams that don't go on, in any order of events.
+#[test]
+fn no_stream_mixes_versions_in_random_schedules() {
+    let (count, first) = stand::schedules::read(SCHEDULES, 1);
+    let (mut all_taken, mut all_went_on) = (0, 0);
+    for seed in first..first + count {
+        let (mixed, taken, went_on) = run_schedule(seed);
+        assert_eq!(mixed, 0, "seed {seed}: streams hold events of two versions");
+        (all_taken, all_went_on) = (all_taken + taken, all_went_on + went_on);
+    }
+    assert!(all_went_on * 2 >= all_taken, "{all_went_on} of {all_taken} went on");
+}
