Resume streams only at the software version that began them

Callers got streams that hold events of two software versions within one response, whose parts do not fit together.

Cause: a stream that was broken off or stalled was sent to the server with the lowest expected cost; the version in the records of servers was not read.

Fix: a stream takes the service and version of the server that brings its first event, as its record stated them when the request was sent there, and is placed only at servers with the same. Where none is left it ends at once. Requests without events go anywhere.

--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -10,7 +10,7 @@
 use slotmap::{SlotMap, new_key_type};
 use wire::time::Instant;
 
-use crate::{load::Load, message, quota};
+use crate::{load::Load, message, origin, quota};
 
 /// Time after an outage of the store within which a running backend server writes its expired
 /// record again.
@@ -60,6 +60,8 @@
     pub hash: u32,
     /// Hash that identifies the run of the backend server, the same at all gateways.
     pub run: u64,
+    /// Key of the service and the software version; see `origin::key`.
+    pub origin: u64,
     pub record: Record,
     pub load: Load,
     /// Time at which the backend server is removed, set if its record is missing after an outage of
@@ -255,6 +257,7 @@
                 && backend.record.service == record.service
                 && backend.record.started == record.started;
             if is_same {
+                backend.origin = origin::key(&record);
                 backend.record = record;
                 backend.remove_at = None;
                 return;
@@ -268,6 +271,7 @@
             id: id.clone(),
             hash,
             run,
+            origin: origin::key(&record),
             record,
             load: Load::default(),
             remove_at: None,
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod load;
 pub mod machine;
 pub mod message;
+pub mod origin;
 pub mod peers;
 pub mod permits;
 pub mod placement;
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -69,6 +69,8 @@
         backend: backends::Key,
         /// Run of the backend server, which may have ended since.
         run: u64,
+        /// Service and software version of the backend server when the request was sent there.
+        origin: u64,
         dispatched_at: Instant,
         tokens_ahead: u32,
         first_event_at: Option<Instant>,
--- a/crates/gate/src/machine/dispatching.rs
+++ b/crates/gate/src/machine/dispatching.rs
@@ -191,6 +191,7 @@
         open.state = State::Dispatched {
             backend: key,
             run: backend.run,
+            origin: backend.origin,
             dispatched_at: now,
             tokens_ahead,
             first_event_at: None,
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -8,6 +8,7 @@
 use crate::{
     Action, backends,
     event::{AttemptResult, CONTINUATION_TIME, RequestNumber},
+    origin::Origin,
     quarantine,
     refusal::{Reason, Refusal},
     unanswered::Attempt,
@@ -56,12 +57,13 @@
         }
     }
 
-    /// Returns whether the service of a request has a backend server that it was not sent to. If
-    /// not, a wait would serve nobody.
+    /// Returns whether the service of a request has a backend server that it may be sent to, now or
+    /// later. If not, a wait would serve nobody.
     fn has_candidate(&self, number: RequestNumber) -> bool {
         self.open_requests.get(&number).is_some_and(|open| {
-            let mut keys = self.backends.keys_of(&open.entry.service).iter();
-            keys.any(|key| !open.entry.excluded.contains(key))
+            let keys = self.backends.keys_of(&open.entry.service).iter();
+            let mut backends = keys.filter_map(|key| Some((*key, self.backends.get(*key)?)));
+            backends.any(|(key, backend)| open.entry.admits(key, backend))
         })
     }
 
@@ -193,7 +195,8 @@
     pub(super) fn record_first_event(&mut self, now: Instant, number: RequestNumber) {
         let Some(open) = self.open_requests.get_mut(&number) else { return };
         let tokens = open.entry.request.prompt_tokens();
-        let State::Dispatched { dispatched_at, tokens_ahead, first_event_at, .. } = &mut open.state
+        let State::Dispatched { origin, dispatched_at, tokens_ahead, first_event_at, .. } =
+            &mut open.state
         else {
             return;
         };
@@ -202,6 +205,9 @@
             return;
         }
         *first_event_at = Some(now);
+        if open.entry.origin == Origin::None {
+            open.entry.origin = Origin::Known(*origin);
+        }
         let dispatched_at = *dispatched_at;
         let State::Dispatched { backend, run, .. } = open.state else { return };
         self.record_answer(now, run, dispatched_at);
--- a/crates/gate/src/placement.rs
+++ b/crates/gate/src/placement.rs
@@ -75,7 +75,7 @@
         let Some(backend) = context.backends.get(key) else { continue };
         let is_candidate = has_capacity(backend, entry, context.now)
             && context.has_permit(backend)
-            && !entry.excluded.contains(&key)
+            && entry.admits(key, backend)
             && !reserved.contains(&key);
         if !is_candidate || !limits.admits(backend, entry, backend.load.backlog()) {
             continue;
@@ -98,7 +98,7 @@
     let limits = Limits::for_request(context, entry);
     for &key in context.backends.keys_of(&entry.service) {
         let Some(backend) = context.backends.get(key) else { continue };
-        if !entry.excluded.contains(&key) && limits.admits(backend, entry, 0) {
+        if entry.admits(key, backend) && limits.admits(backend, entry, 0) {
             reserved.insert(key);
         }
     }
@@ -133,7 +133,8 @@
         let is_within_strict_wait =
             context.now.since(entry.arrived_at) < objective.mul_f64(STRICT_WAIT_SHARE);
         let usable = context.backends.usable(&entry.service, context.now);
-        let mut usable = usable.filter(|backend| context.has_permit(backend));
+        let mut usable =
+            usable.filter(|backend| context.has_permit(backend) && entry.origin.admits(backend));
         match is_within_strict_wait && usable.any(|backend| strict.admits(backend, entry, 0)) {
             true => strict,
             false => relaxed,
--- a/crates/gate/src/queue.rs
+++ b/crates/gate/src/queue.rs
@@ -5,7 +5,14 @@
 use bytes::Bytes;
 use wire::time::Instant;
 
-use crate::{admission, backends, catalog::RouteKind, event::RequestNumber, request::Request};
+use crate::{
+    admission,
+    backends::{self, Backend},
+    catalog::RouteKind,
+    event::RequestNumber,
+    origin::Origin,
+    request::Request,
+};
 
 /// A request with the properties of its route and account.
 #[derive(Clone, Debug)]
@@ -36,6 +43,8 @@
     pub deadline: Instant,
     /// Time until which the request waits for a backend server.
     pub wait_until: Instant,
+    /// Where the request may run, if its caller has received events.
+    pub origin: Origin,
     /// Number of backend servers that may have run the request.
     pub attempts: u32,
     /// Backend servers that the request was sent to and is not sent to again.
@@ -43,6 +52,11 @@
 }
 
 impl Entry {
+    /// Returns whether the request may be sent to a backend server, apart from its load.
+    pub fn admits(&self, key: backends::Key, backend: &Backend) -> bool {
+        !self.excluded.contains(&key) && self.origin.admits(backend)
+    }
+
     /// Returns the expected number of events of a stream.
     pub fn expected_events(&self) -> f64 {
         f64::from(self.request.output_tokens()) / f64::from(self.tokens_per_event.max(1))
