Let callers take up streams at the version that began them, at any gateway

Cause: the request of a caller that takes a stream up was placed like a new one, and no gateway knew which version had begun it. The gateway that knew is often gone, which is why the caller comes back.

Fix: a gateway records the service and version of each resumable stream at its first event and tells two others, chosen by rendezvous hashing. Another gateway asks them by the attempt in the request. The request waits for up to 200 ms and is then refused as not run, as it is at once where no server of the version is left. A gateway that starts or returns gets the streams that it keeps from all others.

Ruled out: asking all gateways only (those that know may be gone), telling of streams that ended early only (a killed gateway tells nothing); see docs/platform.md.

--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -99,6 +99,12 @@
                     Ok(message::Datagram::Permits(permits)) => {
                         gateway.feed(Event::PermitsReceived(permits))
                     }
+                    Ok(message::Datagram::Streams(reports)) => {
+                        gateway.feed(Event::StreamsReceived(reports))
+                    }
+                    Ok(message::Datagram::StreamQuery(query)) => {
+                        gateway.feed(Event::StreamQueryReceived(query))
+                    }
                     Err(error) => tracing::warn!(event = "peer_unreadable", %from, %error),
                 }
             }
--- a/crates/gate/src/admission.rs
+++ b/crates/gate/src/admission.rs
@@ -6,7 +6,7 @@
 use wire::time::Instant;
 
 use crate::{
-    catalog::{Account, Catalog, Route},
+    catalog::{Account, Catalog, Route, RouteKind},
     deadlines::Deadlines,
     lease::Lease,
     origin::Origin,
@@ -113,7 +113,10 @@
         overdue: false,
         deadline: now + time_allowed,
         wait_until: now + max_wait,
-        origin: Origin::None,
+        origin: match route.kind == RouteKind::Stream && request.resumption.is_some() {
+            true => Origin::Unknown,
+            false => Origin::None,
+        },
         attempts: 0,
         excluded: Vec::new(),
         request,
--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -81,6 +81,8 @@
     /// Runs whose record was removed or replaced, other than by draining, since the last call of
     /// `take_ended_runs`.
     ended_runs: Vec<u64>,
+    /// Services and origins of backend servers that left since the last call of `take_departures`.
+    departures: Vec<(Bytes, u64)>,
     /// Whether the next read of all records is of a store that came back from an older copy.
     is_restored: bool,
     /// Runs that were removed, the oldest first.
@@ -96,7 +98,8 @@
         self.withheld.retain(|(withheld, _, _)| *withheld != id);
         match record {
             Some(record) if !record.draining => self.insert(id, record),
-            Some(_) => {
+            Some(record) => {
+                self.departures.push((record.service.clone(), origin::key(&record)));
                 self.remove(&id);
             }
             None => self.remove_ended(&id),
@@ -109,6 +112,11 @@
         std::mem::take(&mut self.ended_runs)
     }
 
+    /// Returns the services and origins of the backend servers that left since the last call.
+    pub fn take_departures(&mut self) -> Vec<(Bytes, u64)> {
+        std::mem::take(&mut self.departures)
+    }
+
     /// Applies a read of all records. Backend servers whose records expired during an outage of the
     /// store have some time to write them again.
     pub fn replace_all(&mut self, now: Instant, records: Vec<(Bytes, Record)>) {
@@ -125,6 +133,7 @@
         }
         for (id, record) in records {
             if is_restored && self.departed.contains(&record.hash_run(&id)) {
+                self.departures.push((record.service.clone(), origin::key(&record)));
                 self.withheld.push((id, record, now + RESTORED_GRACE));
             } else {
                 self.apply_record(id, Some(record));
@@ -180,9 +189,14 @@
         distinct.map(|backend| backend.run).collect()
     }
 
+    /// Returns the backend servers of a service.
+    pub fn of_service(&self, service: &[u8]) -> impl Iterator<Item = &Backend> {
+        self.keys_of(service).iter().filter_map(|key| self.get(*key))
+    }
+
     /// Returns the backend servers of a service that requests may be sent to.
     pub fn usable(&self, service: &[u8], now: Instant) -> impl Iterator<Item = &Backend> {
-        let backends = self.keys_of(service).iter().filter_map(|key| self.get(*key));
+        let backends = self.of_service(service);
         backends.filter(move |backend| backend.load.is_usable(now))
     }
 
@@ -257,7 +271,11 @@
                 && backend.record.service == record.service
                 && backend.record.started == record.started;
             if is_same {
-                backend.origin = origin::key(&record);
+                let origin = origin::key(&record);
+                if backend.origin != origin {
+                    self.departures.push((record.service.clone(), backend.origin));
+                }
+                backend.origin = origin;
                 backend.record = record;
                 backend.remove_at = None;
                 return;
@@ -301,6 +319,7 @@
         if let Some(keys) = self.keys_by_service.get_mut(&backend.record.service) {
             keys.retain(|other| *other != key);
         }
+        self.departures.push((backend.record.service.clone(), backend.origin));
         if self.departed.len() >= MAX_DEPARTED {
             self.departed.pop_front();
         }
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -99,6 +99,10 @@
     DemandsReceived(message::Demands),
     /// A peer issued permits.
     PermitsReceived(message::Permits),
+    /// A peer sent origins of streams.
+    StreamsReceived(Vec<message::Stream>),
+    /// A peer asks for the origin of a stream.
+    StreamQueryReceived(message::StreamQuery),
     /// A probe ended.
     Probed { backend: backends::Key, reachable: bool },
     /// A planned stop began.
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -5,6 +5,7 @@
 mod limiting;
 mod peering;
 mod responses;
+mod resuming;
 
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -30,6 +31,7 @@
     request::Request,
     retry_budget::RetryBudget,
     source::{self, Source},
+    streams::Streams,
     suspects::Suspects,
     unanswered::Unanswered,
 };
@@ -114,6 +116,9 @@
     retry_budgets: HashMap<Bytes, RetryBudget>,
     suspects: Suspects,
     unanswered: Unanswered,
+    streams: Streams,
+    /// Searches for the origins of streams that callers take up.
+    lookups: Vec<resuming::Lookup>,
     deadlines: Deadlines,
     peers: Peers,
     open_requests: HashMap<RequestNumber, OpenRequest>,
@@ -156,6 +161,8 @@
             retry_budgets: HashMap::new(),
             suspects: Suspects::default(),
             unanswered: Unanswered::default(),
+            streams: Streams::default(),
+            lookups: Vec::new(),
             deadlines: Deadlines::default(),
             open_requests: HashMap::new(),
             queues: HashMap::new(),
@@ -280,6 +287,11 @@
             Event::RateLimitsReceived(reports) => self.receive_rate_limits(now, &reports),
             Event::DemandsReceived(demands) => self.receive_demands(now, &demands, actions),
             Event::PermitsReceived(permits) => self.receive_permits(now, &permits),
+            Event::StreamsReceived(reports) => self.streams.merge(now, &reports),
+            Event::StreamQueryReceived(query) => {
+                self.receive_stream_query(now, &query, actions);
+                return;
+            }
             Event::Probed { backend, reachable } => self.handle_probe(now, backend, reachable),
             Event::Stop => self.stopping_since = Some(now),
             Event::Tick => self.tick(now, actions),
@@ -288,6 +300,10 @@
             let attempts = self.unanswered.end_run(now, run);
             self.record_ends(now, &attempts);
         }
+        for (service, origin) in self.backends.take_departures() {
+            self.streams.record_departure(now, service, origin);
+        }
+        self.update_streams(now, actions);
         self.update_permits(now, actions);
         self.dispatch_all_waiting(now, actions);
     }
@@ -302,7 +318,9 @@
         let older_catalog = self.older_catalog.as_ref().map(|(_, at)| *at);
         let expiry = self.backends.next_expiry();
         let permits = self.next_permit_update();
-        let times = [Some(self.next_send), wait_until, probe, older_catalog, expiry, permits];
+        let streams = self.next_stream_update();
+        let times =
+            [Some(self.next_send), wait_until, probe, older_catalog, expiry, permits, streams];
         times.into_iter().flatten().min()
     }
 
@@ -327,6 +345,7 @@
                 budget.record_request(bounds, gateways);
                 self.arrivals.entry(entry.service.clone()).or_default().record(now);
                 self.enqueue(number, entry);
+                self.find_origin(now, number, actions);
             }
             Err(mut refusal) => {
                 let quota = refusal.inputs.quota;
--- a/crates/gate/src/machine/dispatching.rs
+++ b/crates/gate/src/machine/dispatching.rs
@@ -12,6 +12,7 @@
     admission, backends,
     catalog::RouteKind,
     event::RequestNumber,
+    origin::Origin,
     placement,
     queue::Entry,
     refusal::{Reason, Refusal},
@@ -104,6 +105,10 @@
                 self.refuse_waiting(now, number, reason, actions);
                 continue;
             }
+            if matches!(entry.origin, Origin::Known(_)) && !self.has_candidate(number) {
+                self.refuse_waiting(now, number, Reason::NoVersion, actions);
+                continue;
+            }
             match self.choose(now, &entry, &reserved) {
                 Some(key) => self.dispatch(now, number, key, actions),
                 None => placement::reserve_candidates(&self.context(now), &entry, &mut reserved),
--- a/crates/gate/src/machine/peering.rs
+++ b/crates/gate/src/machine/peering.rs
@@ -33,6 +33,7 @@
         if let (Some(to), true) = (message.from, sender != Sender::Unchanged) {
             self.send_suspects(&[to], self.suspects.summary(now), actions);
             self.send_all_limits(now, to, actions);
+            self.send_kept_streams(now, to, actions);
         }
         if let (Some(to), Sender::New | Sender::Replaced(_)) = (message.from, sender) {
             // A process that has just started has neither the addresses of the other gateways nor
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -7,10 +7,12 @@
 use super::{Machine, OpenRequest, PROBE_PERIOD, State};
 use crate::{
     Action, backends,
+    catalog::RouteKind,
     event::{AttemptResult, CONTINUATION_TIME, RequestNumber},
     origin::Origin,
     quarantine,
     refusal::{Reason, Refusal},
+    streams,
     unanswered::Attempt,
 };
 
@@ -59,7 +61,7 @@
 
     /// Returns whether the service of a request has a backend server that it may be sent to, now or
     /// later. If not, a wait would serve nobody.
-    fn has_candidate(&self, number: RequestNumber) -> bool {
+    pub(super) fn has_candidate(&self, number: RequestNumber) -> bool {
         self.open_requests.get(&number).is_some_and(|open| {
             let keys = self.backends.keys_of(&open.entry.service).iter();
             let mut backends = keys.filter_map(|key| Some((*key, self.backends.get(*key)?)));
@@ -208,6 +210,10 @@
         if open.entry.origin == Origin::None {
             open.entry.origin = Origin::Known(*origin);
         }
+        if open.entry.kind == RouteKind::Stream && open.entry.is_repeatable {
+            let attempt = streams::attempt_key(&open.entry.request.id);
+            self.streams.record(now, attempt, *origin);
+        }
         let dispatched_at = *dispatched_at;
         let State::Dispatched { backend, run, .. } = open.state else { return };
         self.record_answer(now, run, dispatched_at);
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -21,6 +21,27 @@
     RateLimits(Vec<RateLimit>),
     Demands(Demands),
     Permits(Permits),
+    Streams(Vec<Stream>),
+    StreamQuery(StreamQuery),
+}
+
+/// A stream in progress that its caller may take up at another gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Stream {
+    /// Hash of the identifier of the caller's attempt that began it.
+    pub attempt: u64,
+    /// Service and version that began it; see `origin::key`.
+    pub origin: u64,
+    /// Time since its first event.
+    pub age: Duration,
+}
+
+/// Query for the origin of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StreamQuery {
+    pub from: SocketAddr,
+    /// Hash of the identifier of the caller's attempt that began it.
+    pub attempt: u64,
 }
 
 /// What a backend server last stated about its rate limit.
--- a/crates/gate/src/origin.rs
+++ b/crates/gate/src/origin.rs
@@ -12,6 +12,8 @@
     /// The caller has received no event.
     #[default]
     None,
+    /// It isn't known yet where the stream began.
+    Unknown,
     /// The service and version that began the stream; see `key`.
     Known(u64),
 }
@@ -21,6 +23,7 @@
     pub fn admits(self, backend: &Backend) -> bool {
         match self {
             Origin::None => true,
+            Origin::Unknown => false,
             Origin::Known(key) => backend.origin == key,
         }
     }
--- a/crates/gate/src/refusal.rs
+++ b/crates/gate/src/refusal.rs
@@ -21,6 +21,8 @@
     Overload,
     /// No backend server of the service can be used.
     NoBackend,
+    /// No backend server of the version that began the stream is left, or it isn't known.
+    NoVersion,
     /// The rate limits of the backend servers leave no capacity for the request.
     RateLimit,
     /// Copies of the request crashed backend servers.
@@ -49,6 +51,7 @@
             | Reason::Stopping
             | Reason::Overload
             | Reason::NoBackend
+            | Reason::NoVersion
             | Reason::RateLimit
             | Reason::Poison
             | Reason::Expired => 503,
@@ -74,6 +77,7 @@
             Reason::Quota => "quota",
             Reason::Overload => "overload",
             Reason::NoBackend => "no_replica",
+            Reason::NoVersion => "no_version",
             Reason::RateLimit => "limit",
             Reason::Poison => "poison",
             Reason::Expired => "expired",
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -175,6 +175,8 @@
             Datagram::RateLimits(reports) => Event::RateLimitsReceived(reports),
             Datagram::Demands(demands) => Event::DemandsReceived(demands),
             Datagram::Permits(permits) => Event::PermitsReceived(permits),
+            Datagram::Streams(reports) => Event::StreamsReceived(reports),
+            Datagram::StreamQuery(query) => Event::StreamQueryReceived(query),
         });
     }
 
--- a/crates/gate/tests/versions.rs
+++ b/crates/gate/tests/versions.rs
@@ -297,6 +297,21 @@
     }
 }
 
+/// Guards against the version of a stream that is lost with two gateways.
+#[test]
+fn versions_survive_two_gateways() {
+    for other in 1..9 {
+        let mut fleet = Fleet::new(10, &["v1", "v2", "v2", "v1"]);
+        let (_, version) = fleet.begin(0, "a");
+        fleet.advance(50 * MS);
+        fleet.restart(0);
+        fleet.restart(other);
+        let number = fleet.send(9, take_up("b", Some("a")));
+        fleet.advance(200 * MS);
+        assert_eq!(fleet.version_of(9, number), Some(version), "lost with {other}");
+    }
+}
+
 /// Guards against a stream that goes on anywhere since nobody knows which version began it, and
 /// against a caller that waits for that.
 #[test]
@@ -307,7 +322,7 @@
         fleet.advance(300 * MS);
         assert_eq!(fleet.version_of(1, number), None);
         let refusal = fleet.gateways[1].refused(number).expect("refused");
-        assert_eq!((refusal.reason.name(), refusal.reason.status()), ("no_version", 503));
+        assert_eq!((refusal.reason, refusal.reason.status()), (Reason::NoVersion, 503));
     }
 }
 
@@ -345,7 +360,7 @@
     assert_eq!(fleet.gateways[0].reason(waiting), None);
     fleet.servers[server].version = None;
     write_record(&mut fleet.gateways[0], server, &fleet.servers[server]);
-    assert_eq!(fleet.gateways[0].refused(waiting).expect("refused").reason.name(), "no_version");
+    assert_eq!(fleet.gateways[0].reason(waiting), Some(Reason::NoVersion));
 }
 
 /// Guards against a version that isn't known since a datagram was lost or a gateway was paused.
@@ -471,5 +486,42 @@
         assert_eq!(mixed, 0, "seed {seed}: streams hold events of two versions");
         (all_taken, all_went_on) = (all_taken + taken, all_went_on + went_on);
     }
+    println!("{all_went_on} of {all_taken} went on");
     assert!(all_went_on * 2 >= all_taken, "{all_went_on} of {all_taken} went on");
 }
+
+/// Publishes a configuration that splits the route of streams between services.
+fn split_route(gateway: &mut TestGateway, version: u64, services: &[&str]) {
+    let mut catalog = catalog(version, &["k1"], 0.0);
+    let route = catalog.routes.iter_mut().find(|route| &route.name[..] == b"resumable");
+    let split = services.iter().map(|service| (Bytes::from((*service).to_owned()), 1));
+    route.expect("a route").split = split.collect();
+    gateway.feed(Event::Catalog(std::rc::Rc::new(catalog)));
+    gateway.confirm();
+}
+
+/// Guards against a stream that goes on at another service, which may have the same version, and
+/// against one that goes on where the configuration doesn't allow it any more.
+#[test]
+fn a_stream_is_taken_up_at_its_service() {
+    let mut gateway = TestGateway::with_backends(MODEL, 2);
+    gateway.add("other", record("others", 9_100));
+    split_route(&mut gateway, 2, &[MODEL, "others"]);
+    for n in 0..20 {
+        let id = format!("a{n}");
+        let number = gateway.arrive(stream(&id));
+        let first = gateway.dispatched(number).expect("dispatched").id;
+        gateway.feed(Event::FirstEvent { number });
+        gateway.feed(Event::Closed { number });
+        let number = gateway.arrive(take_up("b", Some(&id)));
+        let again = gateway.dispatched(number).expect("dispatched").id;
+        assert_eq!(first == "other", again == "other");
+        gateway.feed(Event::Closed { number });
+    }
+    let number = gateway.arrive(stream("c"));
+    let is_other = gateway.dispatched(number).expect("dispatched").id == "other";
+    gateway.feed(Event::FirstEvent { number });
+    split_route(&mut gateway, 3, if is_other { &[MODEL] } else { &["others"] });
+    let number = gateway.arrive(take_up("d", Some("c")));
+    assert_eq!(gateway.reason(number), Some(Reason::NoVersion));
+}
