--- a/crates/gate/src/streams.rs
+++ b/crates/gate/src/streams.rs
@@ -26,7 +26,7 @@
 /// Time for which new streams are collected before the others are told.
 const SEND_DELAY: Duration = Duration::from_millis(50);
 /// Most streams in one datagram.
-const MAX_REPORTED: usize = 64;
+const MAX_REPORTED: usize = 48;
 
 #[derive(Clone, Copy, Debug)]
 struct Stream {
