Obey what backend servers state of themselves: leaving and pauses

Over real sockets, a server that said in each answer that it leaves got 60 of 60 requests beside a free one, and one that answered 503 with Retry-After got 27 within a pause of 1.5 s. Callers of an only server that paused were told to come back after the whole pause, 30 s, with 3 s left.

Cause: Server-Leaving was read nowhere, and the Retry-After of a rejection only reached callers that were refused for it.

Fix: the head of an answer to the request itself is decoded into one statement, which binds the run of the server at this gateway, also if its record lapses. Placement, resumption, moves and queued requests go by it. After a pause one request is sent first.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -12,6 +12,7 @@
     event::{AttemptResult, RequestNumber},
     refusal::{Reason, Refusal},
     request::Request as GatewayRequest,
+    statement::Statement,
 };
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{
@@ -274,6 +275,10 @@
         let (head, body) = response.into_parts();
         let number = self.number;
         self.report_rate_limit(dispatch, &head);
+        let statement = message::parse_statement(&head, &self.id);
+        if statement != Statement::default() {
+            self.report(Event::Stated { number, statement });
+        }
         match message::classify_response(&head, &self.id) {
             ResponseKind::NotRun { retry_after } => {
                 Attempt::Failed(Event::Rejected { number, retry_after })
--- a/crates/gate/src/admission.rs
+++ b/crates/gate/src/admission.rs
@@ -25,6 +25,8 @@
 /// wait for up to a third of their remaining time. A later retry more likely comes after the burst,
 /// and the random choice keeps callers that were refused together from retrying together.
 const RETRY_SHARES: ops::Range<f64> = 0.1..0.3;
+/// Part of its remaining time for which a caller waits at most before it retries.
+const MAX_RETRY_SHARE: f64 = 1.0 / 3.0;
 /// Remaining time assumed for the time to retry after if the caller states no deadline.
 const DEFAULT_TIME_LEFT: Duration = Duration::from_secs(4);
 
@@ -34,6 +36,11 @@
     Refusal { retry_after: Some(left.mul_f64(share)), ..Refusal::new(reason) }
 }
 
+/// Returns the longest time to retry after that a caller with `left` of its time accepts.
+pub fn max_retry_after(left: Duration) -> Duration {
+    left.mul_f64(MAX_RETRY_SHARE)
+}
+
 /// Returns the remaining time that the caller stated, or a default, for the choice of a time to
 /// retry after.
 pub fn time_left(request: &Request) -> Duration {
--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -10,7 +10,11 @@
 use slotmap::{SlotMap, new_key_type};
 use wire::time::Instant;
 
-use crate::{load::Load, message, origin, quota};
+use crate::{
+    load::Load,
+    message, origin, quota,
+    statement::{Stated, Statement},
+};
 
 /// Time after an outage of the store within which a running backend server writes its expired
 /// record again.
@@ -83,6 +87,8 @@
     ended_runs: Vec<u64>,
     /// Services and origins of backend servers that left since the last call of `take_departures`.
     departures: Vec<(Bytes, u64)>,
+    /// Statements of runs, also of those whose record is away for a while.
+    stated: HashMap<u64, Stated>,
     /// Whether the next read of all records is of a store that came back from an older copy.
     is_restored: bool,
     /// Runs that were removed, the oldest first.
@@ -112,6 +118,28 @@
         std::mem::take(&mut self.ended_runs)
     }
 
+    /// Records what a run of a backend server states of itself. Returns whether that changes which
+    /// requests it gets.
+    pub fn record_statement(&mut self, now: Instant, run: u64, statement: Statement) -> bool {
+        let pause = statement.pause.map(|pause| now + pause.span()).filter(|until| *until > now);
+        if !statement.leaving && pause.is_none() {
+            return false;
+        }
+        if self.stated.len() >= MAX_DEPARTED {
+            let listed: HashSet<u64> = self.entries.values().map(|backend| backend.run).collect();
+            self.stated.retain(|run, _| listed.contains(run));
+        }
+        let stated = self.stated.entry(run).or_default();
+        let before = *stated;
+        stated.leaving |= statement.leaving;
+        stated.paused_until = stated.paused_until.max(pause);
+        let stated = *stated;
+        if let Some(backend) = self.entries.values_mut().find(|backend| backend.run == run) {
+            backend.load.stated = stated;
+        }
+        stated != before
+    }
+
     /// Returns the services and origins of the backend servers that left since the last call.
     pub fn take_departures(&mut self) -> Vec<(Bytes, u64)> {
         std::mem::take(&mut self.departures)
@@ -285,13 +313,15 @@
         let hash = quota::hash(&id) as u32;
         let run = record.hash_run(&id);
         let service = record.service.clone();
+        let mut load = Load::default();
+        load.stated = self.stated.get(&run).copied().unwrap_or_default();
         let backend = Backend {
             id: id.clone(),
             hash,
             run,
             origin: origin::key(&record),
             record,
-            load: Load::default(),
+            load,
             remove_at: None,
             peer_samples: HashMap::new(),
         };
@@ -316,6 +346,10 @@
     fn remove(&mut self, id: &Bytes) -> Option<u64> {
         let key = self.keys_by_id.remove(id)?;
         let backend = self.entries.remove(key)?;
+        if backend.record.started.is_none() {
+            // A later run under the identifier has the same hash.
+            self.stated.remove(&backend.run);
+        }
         if let Some(keys) = self.keys_by_service.get_mut(&backend.record.service) {
             keys.retain(|other| *other != key);
         }
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use wire::time::Instant;
 
-use crate::{backends, catalog::Catalog, message, request::Request, source};
+use crate::{backends, catalog::Catalog, message, request::Request, source, statement::Statement};
 
 /// Number of a request within its process.
 pub type RequestNumber = u64;
@@ -54,6 +54,8 @@
     /// The head of a response was received. `per_s` is the rate limit that it names, in requests a
     /// second from all gateways together.
     RateLimitStated { number: RequestNumber, per_s: Option<f64> },
+    /// The head of a response states something of the backend server.
+    Stated { number: RequestNumber, statement: Statement },
     /// The first event of the response was received.
     FirstEvent { number: RequestNumber },
     /// A further event of the response was received `CONTINUATION_TIME` after the first one or later.
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod retry_budget;
 pub mod revision;
 pub mod source;
+pub mod statement;
 pub mod streams;
 pub mod suspects;
 pub mod unanswered;
--- a/crates/gate/src/load.rs
+++ b/crates/gate/src/load.rs
@@ -4,7 +4,7 @@
 
 use wire::time::Instant;
 
-use crate::message;
+use crate::{message, statement::Stated};
 
 /// Part of the time to the first event that does not depend on the prompt.
 const FIRST_EVENT_BASE_MS: f64 = 20.0;
@@ -46,6 +46,10 @@
     ejected_until: Instant,
     /// The backend server refused a request as overloaded and gets none until this time.
     pub full_until: Instant,
+    /// What the backend server stated of itself.
+    pub stated: Stated,
+    /// Time at which the first request after a pause was sent, while it is in flight.
+    trial: Option<Instant>,
     /// Connections fail; no requests are sent until a probe succeeds.
     pub unreachable: bool,
 }
@@ -66,6 +70,8 @@
             ejections: 0,
             ejected_until: Instant::default(),
             full_until: Instant::default(),
+            stated: Stated::default(),
+            trial: None,
             unreachable: false,
         }
     }
@@ -201,7 +207,24 @@
 
     /// Returns whether requests may be sent to the backend server.
     pub fn is_usable(&self, now: Instant) -> bool {
-        !self.unreachable && now >= self.ejected_until && now >= self.full_until
+        !self.unreachable
+            && now >= self.ejected_until
+            && now >= self.full_until
+            && self.stated.is_open(now)
+            && self.trial.is_none()
+    }
+
+    /// Records that a request is sent. The first one after a pause is sent alone.
+    pub fn begin_trial(&mut self, now: Instant) {
+        self.trial = self.stated.paused_until.map(|_| now);
+    }
+
+    /// Records that a request which was sent at `dispatched_at` was answered or has ended.
+    pub fn end_trial(&mut self, dispatched_at: Instant, is_answered: bool) {
+        self.trial.take_if(|sent_at| *sent_at == dispatched_at);
+        if is_answered && self.stated.paused_until.is_some_and(|until| dispatched_at >= until) {
+            self.stated.paused_until = None;
+        }
     }
 }
 
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -249,6 +249,7 @@
                     return;
                 }
             }
+            Event::Stated { number, statement } => self.record_statement(now, number, statement),
             Event::FirstEvent { number } => self.record_first_event(now, number),
             Event::Unresponsive { number } => self.handle_unresponsive(now, number, actions),
             Event::Continued { number } => {
--- a/crates/gate/src/machine/dispatching.rs
+++ b/crates/gate/src/machine/dispatching.rs
@@ -109,6 +109,9 @@
                 self.refuse_waiting(now, number, Reason::NoVersion, actions);
                 continue;
             }
+            if self.refuse_unless_open(now, number, &entry, actions) {
+                continue;
+            }
             match self.choose(now, &entry, &reserved) {
                 Some(key) => self.dispatch(now, number, key, actions),
                 None => placement::reserve_candidates(&self.context(now), &entry, &mut reserved),
@@ -117,6 +120,48 @@
         self.refuse_beyond_limits(now, service, actions);
     }
 
+    /// Refuses a waiting request if all backend servers that it may be sent to have stated that they
+    /// leave, or that they pause for longer than it waits. Returns whether it did.
+    fn refuse_unless_open(
+        &mut self,
+        now: Instant,
+        number: RequestNumber,
+        entry: &Entry,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let keys = self.backends.keys_of(&entry.service).iter();
+        let backends = keys.filter_map(|key| Some((*key, self.backends.get(*key)?)));
+        let mut stated = backends
+            .filter(|(key, backend)| entry.admits(*key, backend))
+            .map(|(_, backend)| backend.load.stated)
+            .peekable();
+        if stated.peek().is_none() {
+            return false;
+        }
+        let mut pause = None;
+        for stated in stated {
+            if stated.is_open(now) {
+                return false;
+            }
+            if let Some(until) = stated.paused_until.filter(|_| !stated.leaving) {
+                pause = Some(pause.map_or(until, |earliest: Instant| earliest.min(until)));
+            }
+        }
+        let Some(until) = pause else {
+            self.refuse_waiting(now, number, Reason::NoBackend, actions);
+            return true;
+        };
+        if until < entry.wait_until {
+            return false;
+        }
+        self.dequeue(entry, number);
+        let refusal = self.build_refusal(now, entry, Reason::Paused);
+        let most = admission::max_retry_after(entry.deadline.since(now));
+        let retry_after = refusal.retry_after.map(|_| until.since(now).min(most));
+        self.refuse(now, number, Refusal { retry_after, ..refusal }, actions);
+        true
+    }
+
     /// Checks that a request may be sent to a backend server now. What was checked at its arrival
     /// may have changed while it waited or ran elsewhere.
     pub(super) fn check_dispatch(&self, now: Instant, entry: &Entry) -> Result<(), Reason> {
@@ -192,6 +237,7 @@
             rate_limit,
         };
         backend.load.add_request(tokens);
+        backend.load.begin_trial(now);
         entry.attempts += 1;
         open.state = State::Dispatched {
             backend: key,
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -6,12 +6,13 @@
 
 use super::{Machine, OpenRequest, PROBE_PERIOD, State};
 use crate::{
-    Action, backends,
+    Action, admission, backends,
     catalog::RouteKind,
     event::{AttemptResult, CONTINUATION_TIME, RequestNumber},
     origin::Origin,
     quarantine,
     refusal::{Reason, Refusal},
+    statement::{Pause, Statement},
     streams,
     unanswered::Attempt,
 };
@@ -22,8 +23,11 @@
 impl Machine {
     /// Releases the slot and the prompt tokens of a dispatched request at its backend server.
     pub(super) fn release_slot(&mut self, open: &OpenRequest) {
-        let State::Dispatched { backend, first_event_at, .. } = open.state else { return };
+        let State::Dispatched { backend, dispatched_at, first_event_at, .. } = open.state else {
+            return;
+        };
         let Some(backend) = self.backends.get_mut(backend) else { return };
+        backend.load.end_trial(dispatched_at, false);
         let unprocessed_tokens =
             if first_event_at.is_none() { open.entry.request.prompt_tokens() } else { 0 };
         backend.load.remove_request(unprocessed_tokens);
@@ -65,7 +69,9 @@
         self.open_requests.get(&number).is_some_and(|open| {
             let keys = self.backends.keys_of(&open.entry.service).iter();
             let mut backends = keys.filter_map(|key| Some((*key, self.backends.get(*key)?)));
-            backends.any(|(key, backend)| open.entry.admits(key, backend))
+            backends.any(|(key, backend)| {
+                !backend.load.stated.leaving && open.entry.admits(key, backend)
+            })
         })
     }
 
@@ -163,7 +169,8 @@
             return;
         };
         let refusal = self.build_refusal(now, &entry, Reason::Overload);
-        let retry_after = refusal.retry_after.map(|own| retry_after.unwrap_or(own));
+        let most = admission::max_retry_after(entry.deadline.since(now));
+        let retry_after = refusal.retry_after.map(|own| retry_after.unwrap_or(own).min(most));
         self.refuse(now, number, Refusal { retry_after, ..refusal }, actions);
     }
 
@@ -187,6 +194,27 @@
         }
     }
 
+    /// Records what the backend server of a dispatched request states of itself.
+    pub(super) fn record_statement(
+        &mut self,
+        now: Instant,
+        number: RequestNumber,
+        statement: Statement,
+    ) {
+        let state = self.open_requests.get(&number).map(|open| open.state);
+        let Some(State::Dispatched { backend, run, .. }) = state else { return };
+        if self.backends.record_statement(now, run, statement) {
+            let backend = self.backends.get(backend).map(|backend| &backend.id[..]);
+            tracing::info!(
+                event = "replica_stated",
+                replica = %String::from_utf8_lossy(backend.unwrap_or_default()),
+                leaving = statement.leaving,
+                pause_ms = statement.pause.map(|pause| pause.span().as_millis() as u64),
+                unreadable = statement.pause == Some(Pause::Unreadable),
+            );
+        }
+    }
+
     pub(super) fn take_retry(&mut self, now: Instant, number: RequestNumber) -> bool {
         let Some(open) = self.open_requests.get(&number) else { return false };
         let gateways = self.peers.serving_count(now);
@@ -218,6 +246,7 @@
         let State::Dispatched { backend, run, .. } = open.state else { return };
         self.record_answer(now, run, dispatched_at);
         let Some(backend) = self.backends.get_mut(backend) else { return };
+        backend.load.end_trial(dispatched_at, true);
         backend.load.pending = backend.load.pending.saturating_sub(tokens);
         let waited = now.since(dispatched_at).as_secs_f64() * 1e3;
         backend.load.record_first_event(waited, tokens.saturating_add(tokens_ahead));
@@ -293,6 +322,7 @@
             self.record_answer(now, run, dispatched_at);
         }
         let Some(backend) = self.backends.get_mut(backend) else { return };
+        backend.load.end_trial(dispatched_at, true);
         backend.load.record_success();
     }
 
--- a/crates/gate/src/refusal.rs
+++ b/crates/gate/src/refusal.rs
@@ -23,6 +23,8 @@
     NoBackend,
     /// No backend server of the version that began the stream is left, or it isn't known.
     NoVersion,
+    /// All backend servers of the service asked for a pause.
+    Paused,
     /// The rate limits of the backend servers leave no capacity for the request.
     RateLimit,
     /// Copies of the request crashed backend servers.
@@ -52,6 +54,7 @@
             | Reason::Overload
             | Reason::NoBackend
             | Reason::NoVersion
+            | Reason::Paused
             | Reason::RateLimit
             | Reason::Poison
             | Reason::Expired => 503,
@@ -78,6 +81,7 @@
             Reason::Overload => "overload",
             Reason::NoBackend => "no_replica",
             Reason::NoVersion => "no_version",
+            Reason::Paused => "paused",
             Reason::RateLimit => "limit",
             Reason::Poison => "poison",
             Reason::Expired => "expired",
