Let connections give way, and bound responses that are read whole

A server that sent interim responses without end stopped a whole gateway: of calls to another server none was answered, and the call did not end at its deadline. A response of the store without end took 170 MB of memory in a debug build before its call timed out.

Cause: the HTTP library reads on within one poll while it discards interim responses, so bytes that are always there keep all other tasks waiting. Responses of the store, of peers over HTTP, and of engines to probes were collected without a limit.

Fix: a connection returns Pending after eight reads with data and wakes itself, so the deadline and all others have their turn, and the ended call closes it.

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -16,12 +16,15 @@
     clock,
     connection::{self, Fault, Sent},
     framing::Framing,
+    http,
 };
 
 /// Timeout for connecting; the backend server runs on the same host.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Timeout of a probe, load report, cancellation or order.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest response to a probe or a query of the load, in bytes.
+const MAX_CONTROL_BYTES: usize = 1 << 20;
 /// Idle time after which a connection is not reused. Servers close idle connections after some
 /// seconds, and a request sent at that moment would have an unknown outcome.
 const MAX_IDLE: Duration = Duration::from_secs(1);
@@ -142,7 +145,8 @@
             let owner = Owner::of(&response, &id);
             self.report_limit(sent_at, response.headers());
             let instance = response.status().is_success().then(|| read_instance(&response))?;
-            if response.into_body().collect().await.is_ok() && owner == Owner::Request {
+            let body = http::read_limited(response.into_body(), MAX_CONTROL_BYTES).await;
+            if body.is_ok() && owner == Owner::Request {
                 self.connections.release(sender, MAX_IDLE);
             }
             Some(instance)
@@ -161,7 +165,8 @@
             if !owner.is_trusted(sent.is_reused) {
                 return None;
             }
-            let body = sent.response.into_body().collect().await.ok()?.to_bytes();
+            let body = sent.response.into_body();
+            let body = http::read_limited(body, MAX_CONTROL_BYTES).await.ok()?;
             if owner == Owner::Request {
                 self.connections.release(sent.sender, MAX_IDLE);
             }
--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -4,13 +4,12 @@
 
 use bytes::Bytes;
 use compio::{net, runtime, time};
-use cyper_core::HyperStream;
 use futures_util::FutureExt;
 use http_body_util::Full;
 use hyper::{Request, Response, body, client::conn::http1};
 use wire::time::Instant;
 
-use crate::clock;
+use crate::{clock, paced::Paced};
 
 /// Maximum number of idle connections in a pool.
 const MAX_IDLE_CONNECTIONS: usize = 64;
@@ -105,7 +104,7 @@
             _ => Fault::Unsent,
         })?;
         let _ = stream.set_nodelay(true);
-        let handshake = http1::handshake(HyperStream::new_plain(stream)).await;
+        let handshake = http1::handshake(Paced::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| Fault::Unsent)?;
         runtime::spawn(connection.map(drop)).detach();
         Ok(sender)
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -2,12 +2,11 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
-use bytes::Bytes;
 use compio::{net, runtime, time};
 use futures_channel::mpsc;
 use futures_util::{StreamExt, future::LocalBoxFuture};
 use gate::{Event, message, source};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::{Request, Response, body, header};
 
 use crate::{
@@ -21,6 +20,9 @@
 /// Largest query over HTTP, in bytes.
 const MAX_QUERY_BYTES: u64 = 1 << 10;
 
+/// Largest reply over HTTP, in bytes: the entries of one and their encoding.
+const MAX_REPLY_BYTES: usize = 2 * source::MAX_FETCHED_BYTES;
+
 /// Content type of replies over HTTP.
 const CONTENT_TYPE: &str = "application/msgpack";
 /// Size of the receive buffer; longer datagrams are truncated.
@@ -163,7 +165,7 @@
     if status != 200 {
         return Err(Error::with_kind(Step::Receive, peer, Kind::Status(status)));
     }
-    let body = response.into_body().collect().await;
-    let body: Bytes = body.map_err(|error| Error::new(Step::Receive, peer, error))?.to_bytes();
+    let body = http::read_limited(response.into_body(), MAX_REPLY_BYTES).await;
+    let body = body.map_err(|error| Error::new(Step::Receive, peer, error))?;
     wire::frame::decode(&body).map_err(|error| Error::new(Step::Decode, peer, error))
 }
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use compio::time;
 use gate::{Event, Machine, revision::Revision, source::Update};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::{Request, header};
 use platform::store::{self, Change, Page};
 
@@ -14,6 +14,7 @@
     connection::{Pool, Sent},
     error::{Error, Kind, Step},
     gateway::Gateway,
+    http,
 };
 
 /// Time that the store waits for a change before it responds to a watch. Each watch is a request
@@ -43,6 +44,9 @@
 const MAX_CONFIRMED_AGE: Duration = Duration::from_millis(2000);
 /// Wait after a failure while peers confirm the cached view.
 const CONFIRMED_RETRY_DELAY: Duration = Duration::from_millis(1000);
+/// Largest response of the store, in bytes. A page has about 500 items or 1 MB; a watch returns all
+/// changes since the last one.
+const MAX_RESPONSE_BYTES: usize = 32 << 20;
 /// Idle time after which a connection to the store is not used again.
 const MAX_IDLE: Duration = Duration::from_secs(5);
 
@@ -246,10 +250,10 @@
             let status = response.status().as_u16();
             let era = store::decode_era(response.headers())
                 .map_err(|error| Error::new(Step::Decode, address, error))?;
-            let body = response.into_body().collect().await;
+            let body = http::read_limited(response.into_body(), MAX_RESPONSE_BYTES).await;
             let body = body.map_err(|error| Error::new(Step::Receive, address, error))?;
             self.pool.release(sender, MAX_IDLE);
-            Ok(Response { status, era, text: body.to_bytes() })
+            Ok(Response { status, era, text: body })
         };
         let fetched = time::timeout(limit, fetched).await;
         fetched.map_err(|_| Error::with_kind(Step::Receive, address, Kind::Timeout))?
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -11,19 +11,20 @@
 
 use bytes::{Bytes, BytesMut};
 use compio::{net, runtime};
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::CompioTimer;
 use futures_channel::oneshot;
 use futures_util::{
     FutureExt, StreamExt,
     future::{self, Either, LocalBoxFuture, Shared, poll_immediate},
 };
-use http_body_util::{BodyExt, Full, StreamBody};
+use http_body_util::{BodyExt, Full, Limited, StreamBody};
 use hyper::{Request, Response, Version, body, header, server::conn::http1, service};
 use rustix::net::sockopt;
 use serde::Serialize;
 
 use crate::{
     error::{Error, Step},
+    paced::Paced,
     stream,
 };
 
@@ -174,7 +175,7 @@
             .timer(CompioTimer)
             .header_read_timeout(HEADER_TIMEOUT)
             .max_buf_size(MAX_HEADER_BYTES)
-            .serve_connection(HyperStream::new_plain(tcp_stream), service);
+            .serve_connection(Paced::new(tcp_stream), service);
         let mut connection = pin!(connection);
         let result = match future::select(connection.as_mut(), self.stopped.clone()).await {
             Either::Left((result, _)) => result,
@@ -276,6 +277,18 @@
     read
 }
 
+/// Reads a response body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Returns an error if the body is over the limit or truncated.
+pub async fn read_limited(
+    body: body::Incoming,
+    limit: usize,
+) -> Result<Bytes, Box<dyn std::error::Error + Send + Sync>> {
+    Ok(Limited::new(body, limit).collect().await?.to_bytes())
+}
+
 /// Reads and discards the rest of a refused body, within the bounds on bytes and time.
 async fn discard(mut body: body::Incoming) {
     let read = async {
