Let streams of an unknown version go on while no process has started before

Cause: a gateway waited 60 s before it took the servers that it had seen for all that streams in progress may have begun at. Where all gateways start for the first time there is nothing before.

The test of unknown versions expected a refusal at that start. That was wrong: no earlier process exists that may have begun a stream. It now expects the refusal of gateways that were restarted, and that streams go on before.

--- a/crates/gate/src/machine/resuming.rs
+++ b/crates/gate/src/machine/resuming.rs
@@ -20,6 +20,10 @@
 /// Time after which they are asked again, since datagrams may be lost.
 const LOOKUP_PERIOD: Duration = Duration::from_millis(60);
 
+/// Time within which a process has read the store. If all gateways start for the first time, no stream
+/// has begun before.
+const MAX_START_TIME: Duration = Duration::from_secs(5);
+
 /// A search for the origin of a stream.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Lookup {
@@ -91,7 +95,9 @@
 
     /// Returns the origin of a request's services if streams in progress have no other.
     fn only_origin(&self, now: Instant, number: RequestNumber) -> Option<u64> {
-        if now.since(self.confirmed_since) < streams::RETENTION {
+        let since = self.confirmed_since;
+        let is_first = self.setup.first_start && since.since(self.started_at) < MAX_START_TIME;
+        if !is_first && now.since(since) < streams::RETENTION {
             return None;
         }
         let mut origins = HashSet::new();
--- a/crates/gate/tests/versions.rs
+++ b/crates/gate/tests/versions.rs
@@ -331,6 +331,12 @@
 #[test]
 fn a_stream_of_an_unknown_version_goes_on_where_there_is_one() {
     let mut fleet = Fleet::new(2, &["v1", "v1"]);
+    let number = fleet.send(0, take_up("a", Some("unknown")));
+    fleet.advance(300 * MS);
+    assert_eq!(fleet.version_of(0, number), Some("v1"), "there is no earlier process");
+    fleet.restart(0);
+    fleet.restart(1);
+    fleet.advance(Duration::from_secs(2));
     let number = fleet.send(0, take_up("b", Some("unknown")));
     fleet.advance(300 * MS);
     assert_eq!(fleet.version_of(0, number), None, "an earlier process may have begun it elsewhere");
