Give back permits of agents only where one was taken

A grant that was issued before a rate limit began, and expired or found its engine unreachable after that, added a permit to the bucket of the limit, so one request more than the limit allows was sent.

Fix: a permit names the limit that it was taken from. The test failed before for an expired grant.

--- a/crates/agent/src/commit.rs
+++ b/crates/agent/src/commit.rs
@@ -97,7 +97,8 @@
     /// Turns a reservation into a stream and dispatches its request.
     fn accept_commit(&mut self, cx: &mut Context<'_>, link: Link, grant: id::Grant, body: Bytes) {
         let Some(reservation) = self.grants.remove(grant.seq) else { return };
-        let grants::Reservation { head, expires_at, deadline, mut slot, exclusive } = reservation;
+        let grants::Reservation { head, expires_at, deadline, mut slot, permit, exclusive } =
+            reservation;
         self.timers.disarm(expires_at, Timer::Reserved(grant.seq));
         let key_seq = head.key.as_ref().map(|key| key.seq);
         let tokens_at_dispatch = self.limit.dispatch(&mut slot);
@@ -111,6 +112,7 @@
         let stream = streams::Stream {
             fingerprint: head.fingerprint,
             key_seq,
+            permit,
             exclusive,
             tokens_at_dispatch,
             output_tokens: head.output_tokens,
@@ -144,6 +146,7 @@
             adopted: false,
             exclusive: false,
             slot,
+            permit: None,
             instance: self.backend.instance.clone(),
             counted_crash: None,
             dispatched_at: cx.now,
--- a/crates/agent/src/grants.rs
+++ b/crates/agent/src/grants.rs
@@ -4,7 +4,7 @@
 
 use wire::{id, request, time::Instant};
 
-use crate::limit;
+use crate::{limit, rate_limit};
 
 /// A slot reserved for a request until its commit arrives.
 #[derive(Debug)]
@@ -13,6 +13,8 @@
     pub(crate) expires_at: Instant,
     pub(crate) deadline: Instant,
     pub(crate) slot: limit::Slot,
+    /// Permit for the request, if the backend server had a rate limit.
+    pub(crate) permit: Option<rate_limit::Permit>,
     /// Whether the request has to run alone.
     pub(crate) exclusive: bool,
 }
--- a/crates/agent/src/progress.rs
+++ b/crates/agent/src/progress.rs
@@ -250,8 +250,8 @@
         if stream.resume.is_some() || stream.response_head.is_some() {
             return self.schedule_resume(cx, grant);
         }
-        let (key_seq, kind) = (stream.key_seq, stream.kind);
-        self.rate_limit.put_back();
+        let (key_seq, kind, permit) = (stream.key_seq, stream.kind, stream.permit.take());
+        self.rate_limit.put_back(permit);
         let retry_after = Some(self.queue_delay());
         let reason = Reason::BackendUnreachable;
         let refusal = self.refusal(Outcome::NotRun, Step::Dispatched, reason, retry_after);
--- a/crates/agent/src/rate_limit.rs
+++ b/crates/agent/src/rate_limit.rs
@@ -12,18 +12,28 @@
 /// Part of the limit that probes may use.
 const PROBE_SHARE: f64 = 0.25;
 
+/// A permit that was taken for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Permit {
+    /// Number of the limit that it was taken from.
+    limit: u64,
+}
+
 /// The limit and the permits that are left.
 #[derive(Debug)]
 pub(crate) struct RateLimit {
     statement: Statement,
     bucket: Bucket,
+    /// Number of limits that have begun.
+    begun: u64,
 }
 
 impl RateLimit {
     /// Returns no limit.
     pub(crate) fn new() -> RateLimit {
         let start = Instant::default();
-        RateLimit { statement: Statement::unlimited(start), bucket: Bucket::empty(start) }
+        let (statement, bucket) = (Statement::unlimited(start), Bucket::empty(start));
+        RateLimit { statement, bucket, begun: 0 }
     }
 
     /// Records what a response states, given the time at which its request was sent.
@@ -40,6 +50,7 @@
         let change = self.statement.change_to(&statement);
         if change == Some(Change::Began) {
             self.bucket = Bucket::empty(now);
+            self.begun += 1;
         }
         self.statement = statement;
         change
@@ -57,16 +68,16 @@
         self.bucket.has_permit()
     }
 
-    /// Counts a request.
-    pub(crate) fn take(&mut self) {
-        if self.rate().is_some() {
-            self.bucket.take();
-        }
+    /// Counts a request and returns its permit, if there is a limit.
+    pub(crate) fn take(&mut self) -> Option<Permit> {
+        self.rate()?;
+        self.bucket.take();
+        Some(Permit { limit: self.begun })
     }
 
-    /// Returns the permit of a request that was not sent.
-    pub(crate) fn put_back(&mut self) {
-        if self.rate().is_some() {
+    /// Returns the permit of a request that was not sent, unless another limit has begun since.
+    pub(crate) fn put_back(&mut self, permit: Option<Permit>) {
+        if permit.is_some_and(|permit| permit.limit == self.begun) {
             self.bucket.put_back();
         }
     }
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -161,7 +161,7 @@
         let queue::Entry { link, head, deadline, .. } = entry;
         let slot = self.limit.new_slot(head.prompt_tokens);
         self.limit.reserve(slot);
-        self.rate_limit.take();
+        let permit = self.rate_limit.take();
         self.add_active_fingerprint(head.kind, head.fingerprint);
         if exclusive {
             self.backend.begin_exclusive_run(cx.now);
@@ -169,7 +169,8 @@
         self.count("ready");
         self.trace(cx, head.request, Step::Granted, "ready");
         let expires_at = cx.now + ttl;
-        let reservation = grants::Reservation { head, expires_at, deadline, slot, exclusive };
+        let reservation =
+            grants::Reservation { head, expires_at, deadline, slot, permit, exclusive };
         let grant = self.grants.reserve(reservation);
         self.timers.arm(expires_at, Timer::Reserved(grant.seq));
         cx.push(Action::Reply { link, reply: offer::Reply::Ready { grant, ttl } });
@@ -187,9 +188,9 @@
     pub(crate) fn cancel_reservation(&mut self, cx: &mut Context<'_>, seq: u64) {
         let Some(reservation) = self.grants.remove(seq) else { return };
         self.timers.disarm(reservation.expires_at, Timer::Reserved(seq));
-        let grants::Reservation { head, slot, exclusive, .. } = reservation;
+        let grants::Reservation { head, slot, permit, exclusive, .. } = reservation;
         self.release_slot(cx.now, slot, exclusive);
-        self.rate_limit.put_back();
+        self.rate_limit.put_back(permit);
         self.remove_active_fingerprint(head.kind, head.fingerprint);
         self.release_request_key(cx, &head);
     }
--- a/crates/agent/src/streams.rs
+++ b/crates/agent/src/streams.rs
@@ -9,7 +9,7 @@
 use serde::de::IgnoredAny;
 use wire::{event_stream, frame, id, request, time::Instant};
 
-use crate::{Link, limit};
+use crate::{Link, limit, rate_limit};
 
 /// Bytes buffered for one stream. Of a longer one only the end can be replayed.
 const MAX_STREAM_BYTES: usize = 4 << 20;
@@ -121,6 +121,8 @@
     pub(crate) adopted: bool,
     pub(crate) exclusive: bool,
     pub(crate) slot: limit::Slot,
+    /// Permit for the request, if the backend server had a rate limit.
+    pub(crate) permit: Option<rate_limit::Permit>,
     /// Instance of the backend server: the one last seen at the dispatch, then the one that sent
     /// the start of the response.
     pub(crate) instance: Option<Bytes>,
--- a/crates/agent/tests/rate_limit.rs
+++ b/crates/agent/tests/rate_limit.rs
@@ -188,3 +188,24 @@
     harness.advance(ms(300));
     assert_eq!(grants(&harness.offer(head(3)).1).len(), 1);
 }
+
+/// Guards against a place that is given back although it was never taken, since the limit began
+/// after the grant.
+#[test]
+fn a_grant_from_before_the_limit_gives_back_no_place() {
+    let mut expired = Harness::new(pool());
+    expired.grant(head(1));
+    state(&mut expired, Some(1.0));
+    // The grant expires without a commit.
+    expired.advance(ms(300));
+    assert!(grants(&expired.offer(head(2)).1).is_empty());
+
+    let mut unreachable = Harness::new(pool());
+    let grant = unreachable.grant(head(1));
+    unreachable.commit(1, grant);
+    state(&mut unreachable, Some(1.0));
+    unreachable.send_progress(grant, Progress::Unreachable);
+    // Grants are paused for a moment after a failed connection.
+    unreachable.advance(ms(300));
+    assert!(grants(&unreachable.offer(head(2)).1).is_empty());
+}
