Give each test process loopback hosts of its own

Cause: all test processes took their addresses from 127.0.0.1, at offsets that depend on the process identifier and overlap for some pairs of them (those 98 apart, among others). An address is only probed, so while a gateway is down another process finds it free and listens there. The gateway then ends since it can't bind, and a start after it is taken as bound as soon as it was spawned, since the other listener accepts the connection of the test. The SIGHUP comes before the process has installed its handler and ends it.

Ruled out: a slow start, which no run showed; the handler, which is installed before the first address is bound.

--- a/crates/stand/src/address.rs
+++ b/crates/stand/src/address.rs
@@ -1,7 +1,7 @@
 //! Free addresses for the processes that tests start.
 
 use std::{
-    net::{SocketAddr, TcpListener},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     process,
     sync::{
         Mutex, MutexGuard, PoisonError,
@@ -20,15 +20,31 @@
     SPAWN_LOCK.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Returns an address that was not in use when it was probed. Its port is below the range that
-/// the system uses for outgoing connections, so none of these takes it before the process binds it.
+/// Number of loopback hosts of each process.
+pub const HOSTS: u8 = 4;
+
+/// Returns a loopback host that belongs to this process alone. A port of a host that several test
+/// processes shared could be taken by another one while the process that uses it is down.
+///
+/// # Panics
+///
+/// Panics if `index` is not below `HOSTS`.
+pub fn host(index: u8) -> IpAddr {
+    assert!(index < HOSTS, "a process has {HOSTS} hosts");
+    // Process identifiers have at most 22 bits, and loopback addresses differ in 24.
+    let number = process::id() * u32::from(HOSTS) + u32::from(index);
+    IpAddr::V4(Ipv4Addr::from(u32::from(Ipv4Addr::new(127, 0, 0, 0)) | number))
+}
+
+/// Returns an address of this process's first host that was not in use when it was probed. Its port
+/// is below the range that the system uses for outgoing connections, so none of these takes it
+/// before the process binds it.
 pub fn find_free() -> SocketAddr {
     static NEXT_OFFSET: AtomicU32 = AtomicU32::new(0);
     let _lock = lock_spawn();
     loop {
         let offset = NEXT_OFFSET.fetch_add(1, Ordering::Relaxed);
-        let sequence = process::id().wrapping_mul(613).wrapping_add(offset);
-        let address = SocketAddr::from(([127, 0, 0, 1], 10_000 + (sequence % 20_000) as u16));
+        let address = SocketAddr::new(host(0), 10_000 + (offset % 20_000) as u16);
         if TcpListener::bind(address).is_ok() {
             return address;
         }
