Play random schedules of a gateway that freezes

Gateways of the large deployment freeze for seconds and wake. The schedules advanced the clock by ticks only, so a timer was always handled before the next event. In the new test the clock jumps by up to 9 s before any step, so a response, a request or a record may be the first thing that a gateway handles after it wakes. It checks what the other schedules do: one run, true refusals, no key that may be withdrawn, no draining server, no occupied slot.

--- a/crates/gate/tests/schedules.rs
+++ b/crates/gate/tests/schedules.rs
@@ -297,3 +297,48 @@
         .max_tests(u64::MAX)
         .quickcheck(holds as fn(Vec<Step>, bool) -> Result<(), String>);
 }
+
+/// Longest time for which a process freezes, longer than anything that a gateway may use without a
+/// confirmation.
+const MAX_FREEZE_MS: u64 = 9_000;
+/// One in how many steps follows a freeze.
+const FREEZE_PERIOD: u64 = 8;
+
+/// A time for which the process handles nothing before a step; 0 for most steps.
+#[derive(Clone, Copy, Debug)]
+struct Freeze {
+    ms: u64,
+}
+
+impl Arbitrary for Freeze {
+    fn arbitrary(g: &mut Gen) -> Freeze {
+        let ms = match u64::arbitrary(g) % FREEZE_PERIOD {
+            0 => u64::arbitrary(g) % MAX_FREEZE_MS,
+            _ => 0,
+        };
+        Freeze { ms }
+    }
+}
+
+/// Guards against a gateway that acts on what expired while it was frozen: keys, records, deadlines
+/// and waiting times. Any event may be the first one after it wakes, so no timer is handled before.
+#[test]
+fn guarantees_hold_when_the_process_freezes() {
+    fn holds(steps: Vec<(Freeze, Step)>, first_start: bool) -> Result<(), String> {
+        let mut run = Run::new(first_start);
+        for (id, state) in [(0, 0), (1, 0), (3, 0), (4, 0)] {
+            run.backend(id, state);
+        }
+        for (freeze, step) in &steps {
+            run.gateway.now = run.gateway.now + Duration::from_millis(freeze.ms);
+            run.step(step)?;
+        }
+        run.finish()
+    }
+    let (count, seed) = stand::schedules::read(SCHEDULES, SEED);
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(120, seed))
+        .tests(count)
+        .max_tests(u64::MAX)
+        .quickcheck(holds as fn(Vec<(Freeze, Step)>, bool) -> Result<(), String>);
+}
