Send each change of the load to the gateways of the zone at once

Cause: with 68 gateways a load message goes to each of them every 0.56 s, so the gateways place some 350 requests with the same view of the load, fill the slots of the fastest engines several times over, and the requests wait there for a slot. Engines admit in order of arrival, so nothing can be done later.

Now each change of a gateway's load goes to the gateways of its availability zone after 25 ms at the latest. Servers of the zone are preferred to those of others, whose load is known late and of which a slot is left free. Up to 12 other gateways, all are near. Waiting requests of gateways get fractions of a slot anew each 100 ms in deployments of any size.

A request at a plain service costs by what runs there with it, so servers that seem idle are chosen at random, not always the first.

Test: requests at 40 gateways and 64 modelled engines.

--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     load::Load,
-    message, origin, quota,
+    message, origin, peers, quota,
     statement::{Stated, Statement},
 };
 
@@ -75,6 +75,40 @@
     peer_samples: HashMap<u64, u32>,
 }
 
+/// What this gateway has received of the load of others.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    pub reports: &'a [peers::Report<'a>],
+    /// Whether some gateways don't report each change of their load. The load of backend servers
+    /// in other availability zones is then received late.
+    pub has_far: bool,
+    /// Availability zone of this gateway.
+    pub zone: &'a Bytes,
+    /// Number of requests that wait here, by the hash of the service's name.
+    pub own_waiting: &'a [(u64, u32)],
+    /// Whether fractions of a slot are assigned anew.
+    pub divides_anew: bool,
+}
+
+impl View<'_> {
+    /// Returns the part of the free slots of a service's backend servers that this gateway may use,
+    /// if requests wait at other gateways too. Backend servers that are not far are left to the
+    /// gateways near them.
+    fn own_share(&self, service: u64, is_far: bool) -> f64 {
+        let count = |waiting: &[(u64, u32)]| {
+            waiting.iter().find(|(hash, _)| *hash == service).map_or(0, |(_, count)| *count)
+        };
+        let rivals = || self.reports.iter().filter(|report| is_far || report.is_near);
+        let waiting_at_others: u32 = rivals().map(|report| count(report.waiting)).sum();
+        if waiting_at_others == 0 {
+            return 1.0;
+        }
+        // The added 1 for each gateway stands for the requests that arrive next.
+        let here = f64::from(count(self.own_waiting) + 1);
+        here / (here + f64::from(waiting_at_others) + rivals().count() as f64)
+    }
+}
+
 /// Backend servers by key, identifier and service.
 #[derive(Clone, Debug, Default)]
 pub struct Backends {
@@ -228,6 +262,12 @@
         backends.filter(move |backend| backend.load.is_usable(now))
     }
 
+    /// Returns the mean number of requests in flight at a service's backend servers.
+    pub fn mean_running(&self, service: &[u8]) -> f64 {
+        let running: u32 = self.of_service(service).map(|b| b.load.total_running()).sum();
+        f64::from(running) / self.keys_of(service).len().max(1) as f64
+    }
+
     /// Returns a backend server, unless it was removed.
     pub fn get(&self, key: Key) -> Option<&Backend> {
         self.entries.get(key)
@@ -243,40 +283,27 @@
         self.entries.iter()
     }
 
-    /// Records the loads and the numbers of waiting requests from the last messages of other
-    /// gateways, each with its age. `own_waiting` has the number of requests that wait here, by the
-    /// hash of the service.
-    pub fn record_peer_loads(
-        &mut self,
-        messages: &[(Duration, &message::Message)],
-        own_waiting: &[(u64, u32)],
-        rng: &mut fastrand::Rng,
-    ) {
-        let mut loads_by_hash: HashMap<u32, Vec<(Duration, message::Load)>> = HashMap::new();
-        let mut waiting: HashMap<u64, u32> = HashMap::new();
-        for (age, message) in messages {
-            for load in &message.loads {
-                loads_by_hash.entry(load.backend).or_default().push((*age, *load));
-            }
-            for (service, count) in &message.waiting {
-                *waiting.entry(*service).or_default() += count;
-            }
+    /// Records the loads and the numbers of waiting requests that other gateways reported.
+    pub fn record_peer_loads(&mut self, view: &View<'_>, rng: &mut fastrand::Rng) {
+        let mut loads: Vec<(u32, Duration, message::Load)> = Vec::new();
+        for report in view.reports {
+            loads.extend(report.loads.iter().map(|load| (load.backend, report.age, *load)));
         }
+        loads.sort_unstable_by_key(|(backend, _, _)| *backend);
+        let mut shares: HashMap<(u64, bool), f64> = HashMap::new();
         for backend in self.entries.values_mut() {
+            let first = loads.partition_point(|(hash, _, _)| *hash < backend.hash);
+            let count = loads[first..].partition_point(|(hash, _, _)| *hash == backend.hash);
+            let is_far = view.has_far && backend.record.zone != *view.zone;
             let service = quota::hash(&backend.record.service);
-            let waiting_at_others = waiting.get(&service).copied().unwrap_or(0);
-            let waiting_here =
-                own_waiting.iter().find(|(hash, _)| *hash == service).map_or(0, |(_, n)| *n);
-            // The added 1 for each gateway stands for the requests that arrive next.
-            let own_share = match waiting_at_others {
-                0 => 1.0,
-                _ => {
-                    f64::from(waiting_here + 1)
-                        / f64::from(waiting_here + waiting_at_others + 1 + messages.len() as u32)
-                }
-            };
-            let loads = loads_by_hash.get(&backend.hash).map_or(&[][..], Vec::as_slice);
-            backend.load.record_peer_loads(loads, backend.record.slots, own_share, rng);
+            let own_share =
+                *shares.entry((service, is_far)).or_insert_with(|| view.own_share(service, is_far));
+            if view.divides_anew && own_share < 1.0 {
+                backend.load.divide_anew(rng);
+            }
+            let slots = backend.record.slots;
+            let others = &loads[first..first + count];
+            backend.load.record_peer_loads(others, slots, own_share, is_far);
         }
     }
 
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -93,6 +93,8 @@
     StoreUnreachable,
     /// A peer sent its state.
     StateReceived(message::Message),
+    /// A nearby peer sent its load.
+    LoadsReceived(message::Loads),
     /// A peer sent suspects.
     SuspectsReceived(Vec<message::Suspect>),
     /// A peer sent rate limits of backend servers.
--- a/crates/gate/src/load.rs
+++ b/crates/gate/src/load.rs
@@ -22,6 +22,8 @@
 const MAX_SAMPLE_RATIO: f64 = 4.0;
 /// Smallest prompt whose first event is a sample of the prefill speed.
 const MIN_SAMPLE_TOKENS: u32 = 300;
+/// Slots of a far backend server that are left for requests whose reports are on the way.
+const UNSEEN_REQUESTS: f64 = 1.0;
 /// Consecutive failures after which a backend server is ejected.
 const FAILURES_TO_EJECT: u32 = 4;
 /// Duration of the first ejection; each further one doubles it.
@@ -38,8 +40,13 @@
     pub pending: u32,
     /// Requests and pending prompt tokens of other gateways.
     pub others: (u32, u32),
+    /// Whether the load of other gateways is received late, since the backend server is in another
+    /// availability zone of a large deployment.
+    pub is_far: bool,
     /// Slots that this gateway may still use before it receives the next reports of the others.
     free_slots: f64,
+    /// Random number from 0 to 1 below which a fraction of a slot is one for this gateway.
+    division: f64,
     speed: message::Speed,
     failures: u32,
     ejections: u32,
@@ -60,7 +67,9 @@
             running: 0,
             pending: 0,
             others: (0, 0),
+            is_far: false,
             free_slots: 0.0,
+            division: 0.0,
             speed: message::Speed {
                 prompt_ms: (1.0 / INITIAL_PROMPT_TOKENS_PER_MS) as f32,
                 event_ms: INITIAL_EVENT_MS as f32,
@@ -94,25 +103,32 @@
     /// continued since the reports.
     pub fn record_peer_loads(
         &mut self,
-        loads: &[(Duration, message::Load)],
+        loads: &[(u32, Duration, message::Load)],
         slots: u32,
         own_share: f64,
-        rng: &mut fastrand::Rng,
+        is_far: bool,
     ) {
-        let running: u32 = loads.iter().map(|(_, load)| u32::from(load.running)).sum();
-        let pending: f64 = loads.iter().map(|(_, load)| f64::from(load.pending)).sum();
-        let ages: f64 = loads.iter().map(|(age, _)| age.as_secs_f64() * 1e3).sum();
+        let running: u32 = loads.iter().map(|(_, _, load)| u32::from(load.running)).sum();
+        let pending: f64 = loads.iter().map(|(_, _, load)| f64::from(load.pending)).sum();
+        let ages: f64 = loads.iter().map(|(_, age, _)| age.as_secs_f64() * 1e3).sum();
         let processed = ages / loads.len().max(1) as f64 / f64::from(self.speed.prompt_ms);
         self.others = (running, (pending - processed).max(0.0) as u32);
+        self.is_far = is_far;
         let free = f64::from(slots) - f64::from(self.total_running());
+        let free = if is_far { free - UNSEEN_REQUESTS } else { free };
         self.free_slots = free;
         if free > 0.0 && own_share < 1.0 {
             let part = free * own_share;
-            let rounds_up = rng.f64() < part.fract();
+            let rounds_up = self.division < part.fract();
             self.free_slots = part.floor() + if rounds_up { 1.0 } else { 0.0 };
         }
     }
 
+    /// Assigns the fractions of a slot anew to the gateways whose requests wait for it.
+    pub fn divide_anew(&mut self, rng: &mut fastrand::Rng) {
+        self.division = rng.f64();
+    }
+
     /// Takes a slot and adds the tokens of the prompt to the pending ones.
     pub fn add_request(&mut self, prompt_tokens: u32) {
         self.running += 1;
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -3,6 +3,7 @@
 mod configuration;
 mod dispatching;
 mod limiting;
+mod loads;
 mod peering;
 mod responses;
 mod resuming;
@@ -130,6 +131,8 @@
     /// Number of rounds in which the state was sent to all peers.
     round: u64,
     next_send: Instant,
+    /// Exchange of the load with nearby gateways.
+    load_exchange: loads::State,
     /// Time of the next message with suspects to one peer.
     next_sample: Instant,
     /// Time since which the state in force was confirmed all the while.
@@ -142,7 +145,12 @@
     pub fn new(now: Instant, setup: Setup) -> Machine {
         Machine {
             lease: Lease::new(setup.bounds.revoke),
-            peers: Peers::new(now, setup.address, &setup.seeds),
+            peers: Peers::new(
+                now,
+                setup.address,
+                quota::hash(&setup.availability_zone),
+                &setup.seeds,
+            ),
             rng: fastrand::Rng::with_seed(setup.seed),
             quotas: Quotas::new(now, setup.first_start),
             setup,
@@ -171,6 +179,7 @@
             sequence: 0,
             round: 0,
             next_send: now,
+            load_exchange: loads::State::new(now),
             next_sample: now,
             confirmed_since: now,
         }
@@ -284,6 +293,10 @@
             Event::ReplyReceived(reply) => self.process_reply(now, reply, actions),
             Event::StoreUnreachable => self.backends.record_store_failure(),
             Event::StateReceived(message) => self.receive_state(now, message, actions),
+            Event::LoadsReceived(loads) => {
+                self.receive_loads(now, loads);
+                return;
+            }
             Event::SuspectsReceived(reports) => self.receive_suspects(now, &reports),
             Event::RateLimitsReceived(reports) => self.receive_rate_limits(now, &reports),
             Event::DemandsReceived(demands) => self.receive_demands(now, &demands, actions),
@@ -307,6 +320,7 @@
         self.update_streams(now, actions);
         self.update_permits(now, actions);
         self.dispatch_all_waiting(now, actions);
+        self.send_loads(now, actions);
     }
 
     /// Returns when the next tick is due.
@@ -320,8 +334,17 @@
         let expiry = self.backends.next_expiry();
         let permits = self.next_permit_update();
         let streams = self.next_stream_update();
-        let times =
-            [Some(self.next_send), wait_until, probe, older_catalog, expiry, permits, streams];
+        let loads = self.next_load_update();
+        let times = [
+            Some(self.next_send),
+            wait_until,
+            probe,
+            older_catalog,
+            expiry,
+            permits,
+            streams,
+            loads,
+        ];
         times.into_iter().flatten().min()
     }
 
--- a/crates/gate/src/machine/dispatching.rs
+++ b/crates/gate/src/machine/dispatching.rs
@@ -92,6 +92,7 @@
         service: &Bytes,
         actions: &mut Vec<Action>,
     ) {
+        self.refresh_loads(now);
         let Some(queue) = self.queues.get(service) else { return };
         let numbers: Vec<RequestNumber> = queue.numbers().collect();
         let mut reserved = HashSet::new();
@@ -238,6 +239,7 @@
         };
         backend.load.add_request(tokens);
         backend.load.begin_trial(now);
+        self.load_exchange.mark_changed();
         entry.attempts += 1;
         open.state = State::Dispatched {
             backend: key,
--- a/crates/gate/src/machine/peering.rs
+++ b/crates/gate/src/machine/peering.rs
@@ -8,7 +8,6 @@
 use crate::{
     Action, backends, message,
     peers::Sender,
-    quota,
     source::{self, Decision},
 };
 
@@ -44,6 +43,9 @@
             let datagram = message::Datagram::State(Box::new(message));
             actions.push(Action::Send { to, datagram });
         }
+        if let (Some(to), true) = (message.from, sender != Sender::Unchanged) {
+            self.send_loads_to(&[to], actions);
+        }
         if let Some(from) = message.from {
             self.source.record_view(now, from, message.process, message.view);
         }
@@ -168,31 +170,16 @@
             let datagram = message::Datagram::State(Box::new(message.clone()));
             actions.push(Action::Send { to: *to, datagram });
         }
+        if round.is_multiple_of(PEERS_INTERVAL) {
+            self.send_loads_to(&targets, actions);
+        }
         self.share_suspects(now, &targets, actions);
         self.repeat_limits(now, targets, period, actions);
     }
 
-    pub(super) fn record_peer_loads(&mut self, now: Instant) {
-        let own_waiting = self.waiting();
-        let recent: Vec<_> = self.peers.recent_messages(now).collect();
-        self.backends.record_peer_loads(&recent, &own_waiting, &mut self.rng);
-    }
-
-    /// Returns the number of waiting requests by the hash of the service.
-    pub(super) fn waiting(&self) -> Vec<(u64, u32)> {
-        let busy = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
-        busy.map(|(service, queue)| (quota::hash(service), queue.len() as u32)).collect()
-    }
-
     /// Returns the state of this gateway. A part that is only sent every few rounds is included if
     /// `every` returns true for that number of rounds.
     pub(super) fn message(&self, now: Instant, every: impl Fn(u64) -> bool) -> message::Message {
-        let busy = self.backends.iter().filter(|(_, backend)| backend.load.running > 0);
-        let loads = busy.map(|(_, backend)| message::Load {
-            backend: backend.hash,
-            running: backend.load.running.min(u32::from(u16::MAX)) as u16,
-            pending: backend.load.pending,
-        });
         let sampled =
             self.backends.iter().filter(|(_, backend)| backend.load.speed_estimate().samples > 0);
         let speeds = sampled.map(|(_, backend)| (backend.hash, backend.load.speed_estimate()));
@@ -202,7 +189,7 @@
             sequence: self.sequence,
             view: self.source.view(now, self.lease.age(now)),
             stopping: self.stopping_since.is_some(),
-            loads: loads.collect(),
+            loads: self.own_loads(),
             speeds: if every(SPEEDS_INTERVAL) { speeds.collect() } else { Vec::new() },
             waiting: self.waiting(),
             age: now.since(self.started_at),
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -31,6 +31,7 @@
         let unprocessed_tokens =
             if first_event_at.is_none() { open.entry.request.prompt_tokens() } else { 0 };
         backend.load.remove_request(unprocessed_tokens);
+        self.load_exchange.mark_changed();
     }
 
     /// Sets a dispatched request back to waiting: releases its slot and excludes its backend server
@@ -248,6 +249,7 @@
         let Some(backend) = self.backends.get_mut(backend) else { return };
         backend.load.end_trial(dispatched_at, true);
         backend.load.pending = backend.load.pending.saturating_sub(tokens);
+        self.load_exchange.mark_changed();
         let waited = now.since(dispatched_at).as_secs_f64() * 1e3;
         backend.load.record_first_event(waited, tokens.saturating_add(tokens_ahead));
     }
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -23,6 +23,24 @@
     Permits(Permits),
     Streams(Vec<Stream>),
     StreamQuery(StreamQuery),
+    Loads(Loads),
+}
+
+/// Load of one gateway, sent to nearby gateways soon after it changed, and to all others now and
+/// then, so that they learn where it is.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Loads {
+    /// Random number that identifies this run of the process.
+    pub process: u64,
+    pub from: SocketAddr,
+    /// Grows with each of these messages and of `Message`.
+    pub sequence: u64,
+    /// Hash of the name of the sender's availability zone.
+    pub availability_zone: u64,
+    /// As in `Message`.
+    pub loads: Vec<Load>,
+    /// As in `Message`.
+    pub waiting: Vec<(u64, u32)>,
 }
 
 /// A stream in progress that its caller may take up at another gateway.
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -26,6 +26,12 @@
 const MAX_LATENCY: Duration = Duration::from_millis(100);
 /// Most messages that one gateway sends per second, which limits the cost with many gateways.
 const MAX_MESSAGES_PER_S: f64 = 120.0;
+/// Number of other gateways up to which all of them are near.
+const MAX_NEAR_WITHOUT_ZONES: usize = 12;
+/// Shortest time between load messages to nearby gateways.
+const MIN_LOADS_PERIOD: Duration = Duration::from_millis(25);
+/// Most load messages that one gateway sends per second to nearby ones.
+const MAX_LOADS_PER_S: f64 = 400.0;
 
 #[derive(Clone, Debug)]
 struct Peer {
@@ -34,6 +40,11 @@
     /// A silence that has ended, until the peer's usage of that time was received.
     silence: Option<Silence>,
     message: message::Message,
+    /// Hash of the name of its availability zone, once received.
+    zone: Option<u64>,
+    /// Sequence number of the message that the load is from, and when it was received.
+    load_sequence: u64,
+    loads_at: Instant,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -62,18 +73,37 @@
     }
 }
 
+/// Load that a peer last reported.
+#[derive(Clone, Copy, Debug)]
+pub struct Report<'a> {
+    pub age: Duration,
+    /// Whether the peer reports each change of its load.
+    pub is_near: bool,
+    pub loads: &'a [message::Load],
+    /// Number of requests that wait at the peer, by the hash of the service's name.
+    pub waiting: &'a [(u64, u32)],
+}
+
 /// Peers by address.
 #[derive(Clone, Debug)]
 pub struct Peers {
     own_address: Option<SocketAddr>,
+    /// Hash of the name of this gateway's availability zone.
+    own_zone: u64,
     seeds: Vec<SocketAddr>,
     peers: HashMap<SocketAddr, Peer>,
 }
 
 impl Peers {
     /// Returns the seeds as peers without a message so far.
-    pub fn new(now: Instant, own_address: Option<SocketAddr>, seeds: &[SocketAddr]) -> Peers {
-        let mut peers = Peers { own_address, seeds: seeds.to_vec(), peers: HashMap::new() };
+    pub fn new(
+        now: Instant,
+        own_address: Option<SocketAddr>,
+        own_zone: u64,
+        seeds: &[SocketAddr],
+    ) -> Peers {
+        let seeds_kept = seeds.to_vec();
+        let mut peers = Peers { own_address, own_zone, seeds: seeds_kept, peers: HashMap::new() };
         for seed in seeds {
             peers.add(now, *seed);
         }
@@ -89,6 +119,9 @@
             added_at: now,
             silence: None,
             message: message::Message::default(),
+            zone: None,
+            load_sequence: 0,
+            loads_at: now,
         });
     }
 
@@ -133,10 +166,38 @@
             _ => None,
         };
         peer.last_seen = Some(now);
-        peer.message = message.clone();
+        let mut message = message.clone();
+        if was_seen && is_same_process && peer.load_sequence > message.sequence {
+            // A load message overtook this one.
+            message.loads = std::mem::take(&mut peer.message.loads);
+            message.waiting = std::mem::take(&mut peer.message.waiting);
+        } else {
+            peer.load_sequence = message.sequence;
+            peer.loads_at = now;
+        }
+        peer.message = message;
         Ok(sender)
     }
 
+    /// Records the load of a nearby peer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error for a message out of order, or of a process that has not sent its state yet.
+    pub fn receive_loads(&mut self, now: Instant, loads: message::Loads) -> Result<(), Discarded> {
+        let peer = self.peers.get_mut(&loads.from).ok_or(Discarded)?;
+        let is_known = peer.last_seen.is_some() && peer.message.process == loads.process;
+        if !is_known || peer.load_sequence >= loads.sequence {
+            return Err(Discarded);
+        }
+        peer.zone = Some(loads.availability_zone);
+        peer.load_sequence = loads.sequence;
+        peer.loads_at = now;
+        peer.message.loads = loads.loads;
+        peer.message.waiting = loads.waiting;
+        Ok(())
+    }
+
     /// Removes peers that timed out and returns their process numbers.
     pub fn expire(&mut self, now: Instant) -> Vec<u64> {
         let seeds = &self.seeds;
@@ -152,17 +213,39 @@
         removed
     }
 
-    /// Returns the last messages of peers that are recent enough, each with its age.
-    pub fn recent_messages(
-        &self,
-        now: Instant,
-    ) -> impl Iterator<Item = (Duration, &message::Message)> {
+    /// Returns the loads that peers reported recently enough.
+    pub fn reports(&self, now: Instant) -> impl Iterator<Item = Report<'_>> {
+        let has_far = self.has_far(now);
         self.peers.values().filter_map(move |peer| {
-            let age = now.since(peer.last_seen?);
-            (age < MAX_MESSAGE_AGE).then_some((age, &peer.message))
+            let age = now.since(peer.last_seen.map(|_| peer.loads_at)?);
+            (age < MAX_MESSAGE_AGE).then_some(Report {
+                age,
+                is_near: !has_far || peer.zone == Some(self.own_zone),
+                loads: &peer.message.loads,
+                waiting: &peer.message.waiting,
+            })
         })
     }
 
+    /// Returns whether some gateways don't report each change of their load to this one. In a small
+    /// deployment all do.
+    pub fn has_far(&self, now: Instant) -> bool {
+        self.reachable(now).count() > MAX_NEAR_WITHOUT_ZONES
+    }
+
+    /// Returns the addresses of the peers that each change of the load is sent to, and the shortest
+    /// time between two such messages.
+    pub fn near(&self, now: Instant) -> (Vec<SocketAddr>, Duration) {
+        let has_far = self.has_far(now);
+        let is_near = |address: &SocketAddr| {
+            let peer = self.peers.get(address);
+            !has_far || peer.is_some_and(|peer| peer.zone == Some(self.own_zone))
+        };
+        let near: Vec<SocketAddr> = self.reachable(now).filter(is_near).collect();
+        let period = Duration::from_secs_f64(near.len() as f64 / MAX_LOADS_PER_S);
+        (near, period.max(MIN_LOADS_PERIOD))
+    }
+
     /// Returns the number of gateways that may serve callers, this one included.
     pub fn serving_count(&self, now: Instant) -> usize {
         1 + self.peers.values().filter(|peer| peer.is_serving(now)).count()
--- a/crates/gate/src/placement.rs
+++ b/crates/gate/src/placement.rs
@@ -21,7 +21,8 @@
 /// Added cost of a backend server in another zone, in ms. Its latency is small, but traffic between
 /// zones is charged.
 const OTHER_ZONE_MS: f64 = 2.0;
-/// Cost of one request in flight at a backend server of a plain service, in ms.
+/// Cost of one request in flight at a backend server of a plain service, the one that is placed
+/// included, in ms.
 const RUNNING_MS: f64 = 10.0;
 /// Part of the remaining time to the objective that the expected first event may take.
 const FIRST_EVENT_SHARE: f64 = 0.9;
@@ -39,6 +40,8 @@
 /// Most prompt tokens that are processed between two events of a stream: engines process prompts in
 /// chunks and generate a token for each running stream between two chunks.
 const MAX_PAUSE_TOKENS: u32 = 10_000;
+/// Factor on the cost of a far backend server, whose load is known late.
+const FAR_COST_RATIO: f64 = 1.5;
 /// Random spread of the costs, so that gateways with the same view don't all choose the same
 /// backend server.
 const COST_SPREAD: f64 = 0.15;
@@ -70,6 +73,7 @@
     rng: &mut fastrand::Rng,
 ) -> Option<backends::Key> {
     let limits = Limits::for_request(context, entry);
+    let mean_running = context.backends.mean_running(&entry.service);
     let mut best = None;
     for &key in context.backends.keys_of(&entry.service) {
         let Some(backend) = context.backends.get(key) else { continue };
@@ -80,7 +84,8 @@
         if !is_candidate || !limits.admits(backend, entry, backend.load.backlog()) {
             continue;
         }
-        let cost = cost(backend, entry, context.zone) * (1.0 + COST_SPREAD * rng.f64());
+        let cost = cost(backend, entry, context.zone, mean_running);
+        let cost = cost * (1.0 + COST_SPREAD * rng.f64());
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, key));
         }
@@ -168,14 +173,21 @@
     load.is_usable(now) && has_slot
 }
 
-fn cost(backend: &Backend, entry: &Entry, zone: &Bytes) -> f64 {
+/// Returns the expected cost of a request at a backend server. Requests of plain services end before
+/// the load of a far backend server is received, so the mean of the service is used there.
+fn cost(backend: &Backend, entry: &Entry, zone: &Bytes, mean_running: f64) -> f64 {
     let zone_cost = if backend.record.zone == *zone { 0.0 } else { OTHER_ZONE_MS };
     let load = &backend.load;
+    let ratio = if load.is_far { FAR_COST_RATIO } else { 1.0 };
     match entry.request.tokens {
         Some(_) => {
             let first = load.first_event_ms(load.backlog(), entry.request.prompt_tokens());
-            zone_cost + first + load.events_ms(entry.expected_events())
+            zone_cost + ratio * (first + load.events_ms(entry.expected_events()))
         }
-        None => zone_cost + RUNNING_MS * f64::from(load.total_running()),
+        None if load.is_far => {
+            let running = mean_running.max(f64::from(load.running));
+            zone_cost + ratio * RUNNING_MS * (running + 1.0)
+        }
+        None => zone_cost + RUNNING_MS * f64::from(load.total_running() + 1),
     }
 }
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -20,6 +20,7 @@
 use wire::time::Instant;
 
 pub mod cluster;
+pub mod engines;
 pub mod limited;
 
 pub const MS: Duration = Duration::from_millis(1);
@@ -169,6 +170,7 @@
     pub fn feed_datagram(&mut self, datagram: Datagram) {
         self.feed(match datagram {
             Datagram::State(message) => Event::StateReceived(*message),
+            Datagram::Loads(loads) => Event::LoadsReceived(loads),
             Datagram::Query(query) => Event::QueryReceived(query),
             Datagram::Reply(reply) => Event::ReplyReceived(reply),
             Datagram::Suspects(reports) => Event::SuspectsReceived(reports),
