Take three messages as the age limit of a peer in a large deployment

A gateway sends at most 120 messages a second, so with 300 gateways each other one hears from it every 2.5 s. A peer counted as returned after 1.5 s without a message, a limit for small deployments: every message was answered with the load, all suspects, limits and kept streams, and between two messages the load was not used at all. With 68 gateways (0.56 s) two lost messages were enough. Only `reachable` knew the larger limit of three messages.

Now all uses of a peer's last message share that limit: 1.5 s, or three messages where that is longer.

The new test fails before: each of 300 regular messages was replied to.

--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -6,9 +6,9 @@
 
 use crate::{message, quota::GatewayCounts};
 
-/// Age up to which a peer's last message is used.
-const MAX_MESSAGE_AGE: Duration = Duration::from_millis(1500);
-/// Number of successive messages whose loss makes a peer unreachable in a large deployment.
+/// Age up to which a peer's last message is used in a small deployment.
+const MIN_MESSAGE_AGE: Duration = Duration::from_millis(1500);
+/// The same in a large one, as a number of successive messages.
 const MAX_MISSED_MESSAGES: u32 = 3;
 /// Time without a message after which a peer no longer counts as serving callers. A peer that can't
 /// be reached may serve them all the while, with its part of the shared limits.
@@ -62,8 +62,8 @@
         }
     }
 
-    fn is_reporting(&self, now: Instant) -> bool {
-        let is_recent = self.last_seen.is_some_and(|at| now.since(at) < MAX_MESSAGE_AGE);
+    fn is_reporting(&self, now: Instant, max_age: Duration) -> bool {
+        let is_recent = self.last_seen.is_some_and(|at| now.since(at) < max_age);
         is_recent && self.silence.is_none() && !self.message.stopping
     }
 
@@ -144,9 +144,10 @@
             self.add(now, *address);
         }
         self.add(now, from);
+        let max_age = self.max_age();
         let peer = self.peers.get_mut(&from).ok_or(Discarded)?;
         let was_seen = peer.last_seen.is_some();
-        let was_silent = peer.last_seen.is_some_and(|at| now.since(at) >= MAX_MESSAGE_AGE);
+        let was_silent = peer.last_seen.is_some_and(|at| now.since(at) >= max_age);
         let is_same_process = peer.message.process == message.process;
         if was_seen && is_same_process && peer.message.sequence >= message.sequence {
             return Err(Discarded);
@@ -215,10 +216,10 @@
 
     /// Returns the loads that peers reported recently enough.
     pub fn reports(&self, now: Instant) -> impl Iterator<Item = Report<'_>> {
-        let has_far = self.has_far(now);
+        let (has_far, max_age) = (self.has_far(now), self.max_age());
         self.peers.values().filter_map(move |peer| {
             let age = now.since(peer.last_seen.map(|_| peer.loads_at)?);
-            (age < MAX_MESSAGE_AGE).then_some(Report {
+            (age < max_age).then_some(Report {
                 age,
                 is_near: !has_far || peer.zone == Some(self.own_zone),
                 loads: &peer.message.loads,
@@ -253,7 +254,7 @@
 
     /// Returns the addresses of the other gateways whose messages are received and that don't stop.
     pub fn reachable(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
-        let max_age = MAX_MESSAGE_AGE.max(self.send_period() * MAX_MISSED_MESSAGES);
+        let max_age = self.max_age();
         let peers = self.peers.iter().filter(move |(_, peer)| {
             let is_recent = peer.last_seen.is_some_and(|at| now.since(at) < max_age);
             is_recent && !peer.message.stopping
@@ -263,7 +264,8 @@
 
     /// Returns which gateways may serve callers and which of them report their usage.
     pub fn counts(&self, now: Instant) -> GatewayCounts {
-        let silent = |peer: &&Peer| peer.is_serving(now) && !peer.is_reporting(now);
+        let max_age = self.max_age();
+        let silent = |peer: &&Peer| peer.is_serving(now) && !peer.is_reporting(now, max_age);
         let silent = self.peers.values().filter(silent).map(Peer::reported_until);
         // A peer that never reported may not have received any report either.
         let reported_until = silent.clone().min().flatten();
@@ -280,14 +282,19 @@
         (self.peers.keys().copied().collect(), self.send_period())
     }
 
+    /// Returns the age up to which a peer's last message is used.
+    fn max_age(&self) -> Duration {
+        MIN_MESSAGE_AGE.max(self.send_period() * MAX_MISSED_MESSAGES)
+    }
+
     fn send_period(&self) -> Duration {
         MIN_SEND_PERIOD.max(Duration::from_secs_f64(self.peers.len() as f64 / MAX_MESSAGES_PER_S))
     }
 
     /// Returns the addresses of recently seen peers, which are sent to other gateways.
     pub fn advertised(&self, now: Instant) -> Vec<SocketAddr> {
-        let is_recent =
-            |peer: &Peer| peer.last_seen.is_some_and(|at| now.since(at) < MAX_MESSAGE_AGE);
+        let max_age = self.max_age();
+        let is_recent = |peer: &Peer| peer.last_seen.is_some_and(|at| now.since(at) < max_age);
         let recent = self.peers.iter().filter(|(_, peer)| is_recent(peer)).map(|(at, _)| *at);
         recent.take(MAX_ADVERTISED).collect()
     }
--- a/crates/gate/tests/load_exchange.rs
+++ b/crates/gate/tests/load_exchange.rs
@@ -15,6 +15,8 @@
 const SEEDS: [u64; 3] = [1, 2, 3];
 /// Part of the requests that begin in time, from the target of the first token for 95 in 100.
 const TARGET: f64 = 0.95;
+/// Gateways of a deployment in which a gateway sends to each other one every 2.5 s.
+const LARGE: u16 = 300;
 
 fn play(size: Size, span: Duration) -> Deployment {
     let mut deployment = Deployment::new(size);
@@ -197,3 +199,32 @@
         assert!(due > gateway.now, "{due:?} is not after {:?}", gateway.now);
     }
 }
+
+/// Guards against gateways of a large deployment that take each other for returned after every
+/// message, since the time between two messages is longer than an age limit for small deployments:
+/// each message would be answered with all suspects, limits and streams.
+#[test]
+fn regular_messages_of_a_large_deployment_are_no_return() {
+    let mut gateway = TestGateway::with_backends(common::MODEL, 1);
+    let peers: Vec<SocketAddr> =
+        (0..LARGE).map(|n| ([127, 0, 1 + (n >> 8) as u8, n as u8], 1).into()).collect();
+    let state = |peer: usize, sequence: u64| {
+        let from = Some(peers[peer]);
+        let process = peer as u64 + 100;
+        Event::StateReceived(message::Message { process, from, sequence, ..Default::default() })
+    };
+    for peer in 0..peers.len() {
+        gateway.feed(state(peer, 1));
+    }
+    // A gateway sends at most 120 messages a second.
+    let period = Duration::from_secs_f64(f64::from(LARGE) / 120.0);
+    for sequence in 2..5 {
+        gateway.advance_confirmed(period);
+        gateway.actions.clear();
+        for peer in 0..peers.len() {
+            gateway.feed(state(peer, sequence));
+        }
+        let replies = gateway.actions.iter().filter(|action| matches!(action, Action::Send { .. }));
+        assert_eq!(replies.count(), 0, "replies to messages {sequence}");
+    }
+}
