--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -285,15 +285,15 @@
 
     /// Records the loads and the numbers of waiting requests that other gateways reported.
     pub fn record_peer_loads(&mut self, view: &View<'_>, rng: &mut fastrand::Rng) {
-        let mut loads: Vec<(u32, Duration, message::Load)> = Vec::new();
+        let mut loads: Vec<(Duration, message::Load)> = Vec::new();
         for report in view.reports {
-            loads.extend(report.loads.iter().map(|load| (load.backend, report.age, *load)));
+            loads.extend(report.loads.iter().map(|load| (report.age, *load)));
         }
-        loads.sort_unstable_by_key(|(backend, _, _)| *backend);
+        loads.sort_unstable_by_key(|(_, load)| load.backend);
         let mut shares: HashMap<(u64, bool), f64> = HashMap::new();
         for backend in self.entries.values_mut() {
-            let first = loads.partition_point(|(hash, _, _)| *hash < backend.hash);
-            let count = loads[first..].partition_point(|(hash, _, _)| *hash == backend.hash);
+            let first = loads.partition_point(|(_, load)| load.backend < backend.hash);
+            let count = loads[first..].partition_point(|(_, load)| load.backend == backend.hash);
             let is_far = view.has_far && backend.record.zone != *view.zone;
             let service = quota::hash(&backend.record.service);
             let own_share =
--- a/crates/gate/src/load.rs
+++ b/crates/gate/src/load.rs
@@ -103,14 +103,14 @@
     /// continued since the reports.
     pub fn record_peer_loads(
         &mut self,
-        loads: &[(u32, Duration, message::Load)],
+        loads: &[(Duration, message::Load)],
         slots: u32,
         own_share: f64,
         is_far: bool,
     ) {
-        let running: u32 = loads.iter().map(|(_, _, load)| u32::from(load.running)).sum();
-        let pending: f64 = loads.iter().map(|(_, _, load)| f64::from(load.pending)).sum();
-        let ages: f64 = loads.iter().map(|(_, age, _)| age.as_secs_f64() * 1e3).sum();
+        let running: u32 = loads.iter().map(|(_, load)| u32::from(load.running)).sum();
+        let pending: f64 = loads.iter().map(|(_, load)| f64::from(load.pending)).sum();
+        let ages: f64 = loads.iter().map(|(age, _)| age.as_secs_f64() * 1e3).sum();
         let processed = ages / loads.len().max(1) as f64 / f64::from(self.speed.prompt_ms);
         self.others = (running, (pending - processed).max(0.0) as u32);
         self.is_far = is_far;
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -102,8 +102,8 @@
         own_zone: u64,
         seeds: &[SocketAddr],
     ) -> Peers {
-        let seeds_kept = seeds.to_vec();
-        let mut peers = Peers { own_address, own_zone, seeds: seeds_kept, peers: HashMap::new() };
+        let mut peers =
+            Peers { own_address, own_zone, seeds: seeds.to_vec(), peers: HashMap::new() };
         for seed in seeds {
             peers.add(now, *seed);
         }
--- a/crates/gate/tests/schedules.rs
+++ b/crates/gate/tests/schedules.rs
@@ -275,20 +275,29 @@
     }
 }
 
+/// Plays the steps, each after a time for which the process is frozen.
+fn play<'a>(
+    steps: impl Iterator<Item = (Duration, &'a Step)>,
+    first_start: bool,
+) -> Result<(), String> {
+    let mut run = Run::new(first_start);
+    for (id, state) in [(0, 0), (1, 0), (3, 0), (4, 0)] {
+        run.backend(id, state);
+    }
+    for (frozen, step) in steps {
+        run.gateway.now = run.gateway.now + frozen;
+        run.step(step)?;
+    }
+    run.finish()
+}
+
 /// Guards against a request that runs more often than its route allows, a refusal as not run after
 /// it may have run, requests to a draining backend server or with a withdrawn API key, a second
 /// refusal, and slots that are not released.
 #[test]
 fn guarantees_hold_in_any_order_of_events() {
     fn holds(steps: Vec<Step>, first_start: bool) -> Result<(), String> {
-        let mut run = Run::new(first_start);
-        for (id, state) in [(0, 0), (1, 0), (3, 0), (4, 0)] {
-            run.backend(id, state);
-        }
-        for step in &steps {
-            run.step(step)?;
-        }
-        run.finish()
+        play(steps.iter().map(|step| (Duration::ZERO, step)), first_start)
     }
     let (count, seed) = stand::schedules::read(SCHEDULES, SEED);
     QuickCheck::new()
@@ -325,15 +334,8 @@
 #[test]
 fn guarantees_hold_when_the_process_freezes() {
     fn holds(steps: Vec<(Freeze, Step)>, first_start: bool) -> Result<(), String> {
-        let mut run = Run::new(first_start);
-        for (id, state) in [(0, 0), (1, 0), (3, 0), (4, 0)] {
-            run.backend(id, state);
-        }
-        for (freeze, step) in &steps {
-            run.gateway.now = run.gateway.now + Duration::from_millis(freeze.ms);
-            run.step(step)?;
-        }
-        run.finish()
+        let frozen = |freeze: &Freeze| Duration::from_millis(freeze.ms);
+        play(steps.iter().map(|(freeze, step)| (frozen(freeze), step)), first_start)
     }
     let (count, seed) = stand::schedules::read(SCHEDULES, SEED);
     QuickCheck::new()
