Ignore events while the runtime of a gateway is dropped

Cause, by reading: the runtime drops the tasks that remain at the end. One that holds a request reports its end to the machine, and the driver then starts a timer task in the runtime that is being dropped. The library asserts that there is none in debug builds only. The load exchange makes it more likely, since the end of a request now makes an earlier timer due.

The driver of a gateway is now closed before that and ignores further events.

--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -66,6 +66,7 @@
     /// Events that wait while actions are carried out.
     waiting: RefCell<VecDeque<M::Event>>,
     executing: Cell<bool>,
+    closed: Cell<bool>,
 }
 
 impl<M: Machine> Driver<M> {
@@ -76,9 +77,16 @@
             timer: Cell::new(None),
             waiting: RefCell::default(),
             executing: Cell::new(false),
+            closed: Cell::new(false),
         })
     }
 
+    /// Ignores all further events. The runtime drops the remaining tasks at the end of the process,
+    /// and one that reported its end then would start a timer in a runtime that is being dropped.
+    pub fn close(&self) {
+        self.closed.set(true);
+    }
+
     /// Feeds one event and carries out the resulting actions.
     ///
     /// # Panics
@@ -89,6 +97,9 @@
         executor: &Rc<impl Execute<M::Action> + 'static>,
         event: M::Event,
     ) {
+        if self.closed.get() {
+            return;
+        }
         self.waiting.borrow_mut().push_back(event);
         if self.executing.replace(true) {
             return;
--- a/crates/daemon/src/gateway/process.rs
+++ b/crates/daemon/src/gateway/process.rs
@@ -91,6 +91,7 @@
         tracing::error!(event = "signal_failed", %error);
     }
     stop(&gateway, &server, settings.bounds.grace).await;
+    gateway.driver.close();
     Ok(())
 }
 
