--- a/review/stand/cases/mod.rs
+++ b/review/stand/cases/mod.rs
@@ -2,6 +2,7 @@
 
 mod late_rejection;
 mod moved_stream;
+mod rejoined;
 mod revoked_key;
 mod versions;
 
@@ -35,8 +36,8 @@
         "late_rejection" => late_rejection::run(&record, trouble),
         "moved_stream" => moved_stream::run(&record, trouble),
         "versions" => versions::run(&record, trouble),
-        "restarted" => revoked_key::run_restart(&record, trouble),
-        "rewritten" => revoked_key::run_rewritten(&record, trouble),
+        "rejoined" => rejoined::run(&record, trouble),
+        "revoked_key" => revoked_key::run(&record, trouble),
         _ => panic!("no case has this name"),
     };
     record.line(if held { "the rule held" } else { "the rule was broken" });
--- a/review/stand/cases/moved_stream.rs
+++ b/review/stand/cases/moved_stream.rs
@@ -23,6 +23,9 @@
 const PREEMPTED: usize = 2;
 const PREEMPTION: Duration = Duration::from_millis(1500);
 
+/// Time between two tries of a client.
+const PAUSE: Duration = Duration::from_millis(100);
+
 pub fn run(record: &Arc<Record>, trouble: bool) -> bool {
     let site = Site::start(record, CONFIG, "4.1", &[PACE; 4]);
     let front = site.fronts()[0];
@@ -87,6 +90,7 @@
             deadline: Duration::from_secs(15),
             tries: 1,
             gateways: &[address],
+            pause: PAUSE,
         };
         then(client::stream(&order, &record));
     })
--- a/review/stand/cases/versions.rs
+++ b/review/stand/cases/versions.rs
@@ -37,6 +37,9 @@
 /// More streams of two versions than this break the rule.
 const MAX_JOINED: usize = 2;
 
+/// Time between two tries of a client.
+const PAUSE: Duration = Duration::from_millis(100);
+
 pub fn run(record: &Arc<Record>, trouble: bool) -> bool {
     let mut paces = [SLOW; REPLICAS];
     paces[0] = FAST;
@@ -74,6 +77,7 @@
                     deadline: Duration::from_secs(15),
                     tries: 2,
                     gateways: &gateways,
+                    pause: PAUSE,
                 };
                 let stream = client::stream(&order, &record);
                 streams.lock().expect("lock").push(stream);
@@ -104,7 +108,10 @@
     if let Some(pair) = at {
         record.line(&format!(
             "joined     {}: \"{}\" is followed by \"{}\", tries: {}",
-            stream.name, pair[0].1, pair[1].1, stream.tries
+            stream.name,
+            pair[0].1,
+            pair[1].1,
+            stream.tries.len()
         ));
     }
     true
--- a/review/stand/client.rs
+++ b/review/stand/client.rs
@@ -65,7 +65,16 @@
     /// Identifier and text of each event.
     pub events: Vec<(u32, String)>,
     pub is_complete: bool,
-    pub tries: u32,
+    pub tries: Vec<Try>,
+}
+
+/// One try of a client.
+#[derive(Clone, Copy, Debug)]
+pub struct Try {
+    pub sent_at: Duration,
+    /// Number of events that the client had before, and that this try brought.
+    pub before: usize,
+    pub got: usize,
 }
 
 /// What a client asks for.
@@ -75,9 +84,11 @@
     pub key: &'a str,
     pub deadline: Duration,
     /// Tries, the first one included.
-    pub tries: u32,
+    pub tries: usize,
     /// Where each try goes.
     pub gateways: &'a [SocketAddr],
+    /// Time between two tries, unless the answer has a `Retry-After`.
+    pub pause: Duration,
 }
 
 /// Opens a stream and takes it up again where it breaks off.
@@ -85,10 +96,9 @@
     let end = Instant::now() + order.deadline;
     let mut stream = Stream { name: order.name.to_owned(), ..Stream::default() };
     let mut first_attempt = String::new();
-    while stream.tries < order.tries && !stream.is_complete {
-        let attempt = format!("{}-{}", order.name, stream.tries);
-        let gateway = order.gateways[stream.tries as usize % order.gateways.len()];
-        stream.tries += 1;
+    while stream.tries.len() < order.tries && !stream.is_complete {
+        let attempt = format!("{}-{}", order.name, stream.tries.len());
+        let gateway = order.gateways[stream.tries.len() % order.gateways.len()];
         let left = end.saturating_duration_since(Instant::now());
         if left.is_zero() {
             break;
@@ -103,35 +113,46 @@
         }
         let before = stream.events.len();
         record.line(&format!("client     {attempt} is sent to {gateway}, {before} events so far"));
+        let sent_at = record.elapsed();
         let result = attempt_stream(gateway, order.path, &headers, &mut stream);
         let got = stream.events.len() - before;
         if before == 0 && got > 0 {
             first_attempt = attempt.clone();
         }
-        let shown = match &result {
-            Ok(answer) => answer.clone(),
-            Err(error) => format!("connection ended: {error}"),
+        stream.tries.push(Try { sent_at, before, got });
+        let (shown, retry_after) = match &result {
+            Ok(end) => (end.shown.clone(), end.retry_after),
+            Err(error) => (format!("connection ended: {error}"), None),
         };
         record.line(&format!("client     {attempt} got {got} events, then {shown}"));
-        std::thread::sleep(Duration::from_millis(100));
+        let most = end.saturating_duration_since(Instant::now()) / 3;
+        std::thread::sleep(retry_after.unwrap_or(order.pause).min(most));
     }
     stream
 }
 
-/// Returns how the answer ended, if it did not end with its connection.
+/// How an answer ended that did not end with its connection.
+struct End {
+    shown: String,
+    retry_after: Option<Duration>,
+}
+
 fn attempt_stream(
     gateway: SocketAddr,
     path: &str,
     headers: &str,
     stream: &mut Stream,
-) -> io::Result<String> {
+) -> io::Result<End> {
     let mut connection = connect(gateway)?;
     write_request(&mut connection, path, headers, "the prompt")?;
     let mut reader = BufReader::new(connection);
     let head = http::read_head(&mut reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
     if head.status() != 200 || head.header(protocol::REPLICA_SIGNATURE).is_none() {
-        let retry_after = head.header("retry-after").unwrap_or("none");
-        return Ok(format!("status {}, Retry-After {retry_after}", head.status()));
+        let retry_after = head.header("retry-after");
+        let shown =
+            format!("status {}, Retry-After {}", head.status(), retry_after.unwrap_or("none"));
+        let retry_after = retry_after.and_then(|value| value.parse().ok());
+        return Ok(End { shown, retry_after: retry_after.map(Duration::from_secs_f64) });
     }
     let mut partial = String::new();
     while let Some(chunk) = http::read_chunk(&mut reader)? {
@@ -144,7 +165,7 @@
         }
     }
     stream.is_complete = true;
-    Ok("its end".to_owned())
+    Ok(End { shown: "its end".to_owned(), retry_after: None })
 }
 
 /// Returns a number that names the last part of a prompt, which belongs to the request itself.
