Show streams of two services after a route has moved, beside the numbered cases

Cause: a gateway that doesn't know where a stream began looks only at the services that the route has now, and doesn't ask the gateways that know.

Change: the stand-ins have the scenario moved_route and replicas that drain and leave. It is no numbered case, since the rule speaks of versions of one service. Ports are sought on the loopback addresses of the hosts only.

--- a/review/stand/cases/mod.rs
+++ b/review/stand/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases. Each returns whether the rule held.
 
 mod late_rejection;
+mod moved_route;
 mod moved_stream;
 mod rejoined;
 mod revoked_key;
@@ -17,15 +18,13 @@
 };
 
 use crate::{
-    gateway::{Gateway, Ports},
+    gateway::{self, Gateway, Ports},
     protocol,
     record::Record,
     replica::{Pace, Replica},
     store::Store,
 };
 
-const GATEWAYS: u8 = 4;
-
 pub fn run(case: &str, record: &Path, trouble: bool) -> bool {
     let record = Arc::new(Record::create(record));
     record.line(&format!(
@@ -34,6 +33,7 @@
     ));
     let held = match case {
         "late_rejection" => late_rejection::run(&record, trouble),
+        "moved_route" => moved_route::run(&record, trouble),
         "moved_stream" => moved_stream::run(&record, trouble),
         "versions" => versions::run(&record, trouble),
         "rejoined" => rejoined::run(&record, trouble),
@@ -94,7 +94,7 @@
         }
         let ports = Ports::find();
         let mut gateways: Vec<Gateway> =
-            (1..=GATEWAYS).map(|n| Gateway::new(n, ports, address, &folder.0)).collect();
+            (1..=gateway::HOSTS).map(|n| Gateway::new(n, ports, address, &folder.0)).collect();
         for gateway in &mut gateways {
             let process = gateway.start(true);
             record.line(&format!("gateway    at {} is process {process}", gateway.front()));
--- a/review/stand/gateway.rs
+++ b/review/stand/gateway.rs
@@ -3,7 +3,7 @@
 
 use std::{
     fs::{self, File},
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     thread,
@@ -14,6 +14,8 @@
 
 /// Path at which the deploy file expects the settings.
 const SETTINGS_PATH: &str = "/etc/quincespoke/settings.toml";
+/// Hosts of gateways.
+pub const HOSTS: u8 = 4;
 /// Longest time for a start, on a busy host too.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -27,10 +29,20 @@
 }
 
 impl Ports {
+    /// Finds ports that are free on the addresses of all hosts.
     pub fn find() -> Ports {
-        let listeners: Vec<TcpListener> =
-            (0..4).map(|_| TcpListener::bind("0.0.0.0:0").expect("free port")).collect();
-        let port = |n: usize| listeners[n].local_addr().expect("address").port();
+        let mut kept = Vec::new();
+        while kept.len() < 4 {
+            let first = TcpListener::bind((ip(1), 0)).expect("free port");
+            let port = first.local_addr().expect("address").port();
+            let others: Vec<_> =
+                (2..=HOSTS).filter_map(|n| TcpListener::bind((ip(n), port)).ok()).collect();
+            let is_free = (1..=HOSTS).all(|n| UdpSocket::bind((ip(n), port)).is_ok());
+            if others.len() + 1 == usize::from(HOSTS) && is_free {
+                kept.push((port, first, others));
+            }
+        }
+        let port = |n: usize| kept[n].0;
         Ports { front: port(0), readiness: port(1), control: port(2), peers: port(3) }
     }
 }
--- a/review/stand/replica.rs
+++ b/review/stand/replica.rs
@@ -47,7 +47,8 @@
     version: String,
     born: u64,
     listener: Option<Listener>,
-    /// Number of starts and crashes so far.
+    is_draining: bool,
+    /// Number of starts and ends so far.
     generation: u32,
     /// The entry that was written last, without `seq`, while it is in the store.
     written: Option<String>,
@@ -100,6 +101,7 @@
             version: String::new(),
             born: 0,
             listener: None,
+            is_draining: false,
             generation: 0,
             written: None,
             seq: 0,
@@ -129,7 +131,7 @@
         let mut state = self.state.lock().expect("lock");
         state.generation += 1;
         state.version = version.to_owned();
-        (state.born, state.seq) = (born, 0);
+        (state.born, state.seq, state.is_draining) = (born, 0, false);
         state.listener = Some(Listener::start(self.address, Arc::new(handler)));
         self.record.line(&format!("{}        starts, version {version}, born {born}", self.id));
         let generation = state.generation;
@@ -165,13 +167,28 @@
         });
     }
 
+    /// Reports that the replica drains, and ends the run after some time.
+    pub fn leave(self: &Arc<Replica>, after: Duration) {
+        self.state.lock().expect("lock").is_draining = true;
+        self.beat();
+        thread::sleep(after);
+        let mut state = self.state.lock().expect("lock");
+        let Some(listener) = state.listener.take() else { return };
+        self.record.line(&format!("{}        leaves", self.id));
+        state.generation += 1;
+        state.written = None;
+        listener.end();
+        self.store.write(&self.key(), None);
+    }
+
     /// Writes the entry if more than `seq` changed.
     fn beat(&self) {
         let mut state = self.state.lock().expect("lock");
         state.seq += 1;
         let State { version, born, seq, .. } = &*state;
+        let stage = if state.is_draining { "draining" } else { "ready" };
         let fields = format!(
-            r#""service":"{}","address":"{}","zone":"zone-1","version":"{version}","slots":{SLOTS},"state":"ready","warmupLeftMs":0,"born":{born}"#,
+            r#""service":"{}","address":"{}","zone":"zone-1","version":"{version}","slots":{SLOTS},"state":"{stage}","warmupLeftMs":0,"born":{born}"#,
             self.service, self.address
         );
         let entry = format!(r#"{{{fields},"seq":{seq}}}"#);
