Keep a running response until the server that it moves to has accepted the request

Cause: a request without progress was moved by dropping the response of its server and then sending it to another one. If that one rejected it, nothing was left to go back to; the request was queued again and refused at once, since 0.6 of its objective had passed since its arrival.

Ruled out: the stop itself (no request was abandoned), the caller and the server (the server reports closed connections).

The change: both dispatches are open until the other server answers, or has not rejected the request for 200 ms. So the former server is given up then even if the other one has not begun to answer.

Why this works: whatever declines a request now finds the former response still open, in each place where a request may move, and a request that has moved still leaves its former server within the time allowed.

The schedules of gate play the open offer: declined, accepted, closed. Checked there: runs, refusals and slots.

--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -1,6 +1,12 @@
 //! Pooled connections to one server. Errors say whether a request may have been received.
 
-use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use compio::{net, runtime, time};
@@ -64,15 +70,32 @@
     /// # Errors
     ///
     /// Returns an error that says whether the server may have received the request.
-    pub async fn send(&self, mut request: Request<Full<Bytes>>) -> Result<Sent, Fault> {
+    pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Sent, Fault> {
+        self.send_watched(request, &Cell::new(false)).await
+    }
+
+    /// Sends a request as [`Pool::send`] does. `is_sent` is set from the time at which the server may
+    /// receive it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that says whether the server may have received the request.
+    pub async fn send_watched(
+        &self,
+        mut request: Request<Full<Bytes>>,
+        is_sent: &Cell<bool>,
+    ) -> Result<Sent, Fault> {
         while let Some(mut sender) = self.take_idle() {
+            is_sent.set(true);
             match sender.try_send_request(request).await {
                 Ok(response) => return Ok(Sent { response, sender, is_reused: true }),
                 // The request is returned only if none of it was written.
                 Err(mut error) => request = error.take_message().ok_or(Fault::Lost)?,
             }
+            is_sent.set(false);
         }
         let mut sender = self.connect().await?;
+        is_sent.set(true);
         match sender.send_request(request).await {
             Ok(response) => Ok(Sent { response, sender, is_reused: false }),
             Err(_) => Err(Fault::Lost),
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -24,9 +24,9 @@
 
 use crate::{
     clock,
-    connection::{Fault, Pool, Sender},
+    connection::{Fault, Pool, Sender, Sent},
     framing::Framing,
-    gateway::{Gateway, Instruction, metrics::Metrics, relay},
+    gateway::{Gateway, Instruction, metrics::Metrics, offer::Offer, relay},
     http,
 };
 
@@ -34,6 +34,10 @@
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
 /// Idle time after which a connection is not used again, if the backend server states none.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
+/// Time for which a backend server may reject a request that moves to it while the former one goes
+/// on. A full one rejects at once. Afterwards it counts as having accepted the request, since it may
+/// run it, and two servers must not run the same request for long.
+const ACCEPTANCE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Part of the idle time stated by the backend server for which a connection may be used again.
 const IDLE_SHARE: f64 = 0.6;
 
@@ -92,9 +96,9 @@
     /// The attempt failed. The event is passed to the machine, which decides whether the request is
     /// dispatched again.
     Failed(Event),
-    /// Nothing was received within the failover timeout, and the machine moved the request to
-    /// another backend server.
-    Moved(Dispatch),
+    /// Nothing was received within the failover timeout, and another backend server has accepted the
+    /// request.
+    Moved(Box<Offer>),
     /// The request's deadline passed.
     Timeout,
 }
@@ -119,10 +123,10 @@
     pub async fn run(mut self) -> Response<http::Body> {
         let mut moved = None;
         loop {
-            let dispatch = match moved.take() {
-                Some(dispatch) => dispatch,
+            let offer = match moved.take() {
+                Some(offer) => offer,
                 None => match self.next_instruction().await {
-                    Instruction::Dispatch(dispatch) => dispatch,
+                    Instruction::Dispatch(dispatch) => Box::new(self.offer(dispatch, None)),
                     Instruction::Refuse(refusal) => {
                         return match self.failure.take() {
                             Some(failure) => self.forward_failure(failure),
@@ -131,8 +135,8 @@
                     }
                 },
             };
-            let sent_at = clock::now();
-            let attempt = match self.attempt(&dispatch, None).await {
+            let (dispatch, sent_at) = (offer.dispatch.clone(), offer.sent_at);
+            let attempt = match self.conclude(offer).await {
                 Attempt::Received(unread)
                     if dispatch.stream
                         && unread.head.status.is_success()
@@ -166,7 +170,7 @@
                     self.log_failure(&dispatch, &event);
                     self.report(event);
                 }
-                Attempt::Moved(dispatch) => moved = Some(dispatch),
+                Attempt::Moved(offer) => moved = Some(offer),
                 Attempt::Received(_) | Attempt::Timeout => {
                     return self.refuse(&Refusal::new(Reason::Timeout));
                 }
@@ -174,11 +178,13 @@
         }
     }
 
-    /// Waits for `future` up to the dispatch's deadline. Each time that `failover` is due, the machine
-    /// may move the request to another backend server.
+    /// Waits for `future` up to the dispatch's deadline. Each time that `failover` is due, the request
+    /// may move to another backend server, which continues a stream after `last_event_id`. `future`
+    /// is dropped only if that server accepts the request.
     pub async fn wait<T>(
         &mut self,
         dispatch: &Dispatch,
+        last_event_id: Option<&Bytes>,
         mut failover: Option<&mut Failover>,
         future: impl Future<Output = T>,
     ) -> Result<T, Attempt> {
@@ -193,10 +199,42 @@
             if let Ok(output) = time::timeout(failover.due.since(now), future.as_mut()).await {
                 return Ok(output);
             }
-            failover.restart();
             self.report(Event::Unresponsive { number: self.number });
-            if let Ok(Instruction::Dispatch(dispatch)) = self.instructions.try_recv() {
-                return Err(Attempt::Moved(dispatch));
+            if let Ok(Instruction::Dispatch(other)) = self.instructions.try_recv() {
+                let offer = self.offer(other, last_event_id.cloned());
+                if let Some(accepted) = self.try_move(dispatch, offer).await {
+                    return Err(Attempt::Moved(Box::new(accepted)));
+                }
+            }
+            failover.restart();
+        }
+    }
+
+    /// Sends a request in progress at a backend server to another one. Returns the offer if that one
+    /// accepts it, or may have done so.
+    async fn try_move(&mut self, former: &Dispatch, mut offer: Offer) -> Option<Offer> {
+        let event = match time::timeout(ACCEPTANCE_TIMEOUT, offer.response()).await {
+            Ok(result) => match self.classify(&offer.dispatch, result, &offer.pool) {
+                Attempt::Received(unread) if unread.head.status.is_success() => {
+                    offer.received = Some(unread);
+                    None
+                }
+                Attempt::Failed(event) => Some(event),
+                _ => Some(self.build_ended(AttemptResult::Failed)),
+            },
+            Err(_) if offer.is_sent() => None,
+            Err(_) => Some(Event::NotSent { number: self.number }),
+        };
+        self.log_move(former, &offer.dispatch, event.is_none());
+        match event {
+            None => {
+                self.report(Event::Moved { number: self.number });
+                Some(offer)
+            }
+            Some(event) => {
+                self.log_failure(&offer.dispatch, &event);
+                self.report(event);
+                None
             }
         }
     }
@@ -233,24 +271,30 @@
         Event::EventsReceived { number: self.number, events, span }
     }
 
-    /// Sends the request to a backend server and reads the head of the response.
-    pub async fn attempt(&mut self, dispatch: &Dispatch, last_event_id: Option<&[u8]>) -> Attempt {
+    /// Begins to send the request to a backend server.
+    pub fn offer(&self, dispatch: Dispatch, last_event_id: Option<Bytes>) -> Offer {
         let added = message::AddedHeaders {
             backend: &dispatch.id,
             account: dispatch.account.as_ref(),
             remaining: dispatch.deadline.since(clock::now()),
-            last_event_id,
-        };
-        let Some(request) = self.build_request(&added) else {
-            return Attempt::Failed(Event::NotSent { number: self.number });
+            last_event_id: last_event_id.as_deref(),
         };
-        let pool = self.gateway.pool(dispatch);
+        let request = self.build_request(&added);
+        let pool = self.gateway.pool(&dispatch);
+        Offer::new(dispatch, pool, last_event_id, request)
+    }
+
+    /// Reads the head of the response to an offer.
+    pub async fn conclude(&mut self, mut offer: Box<Offer>) -> Attempt {
+        if let Some(unread) = offer.received.take() {
+            return Attempt::Received(unread);
+        }
+        let dispatch = offer.dispatch.clone();
+        let last_event_id = offer.last_event_id.clone();
         let mut failover = dispatch.failover_timeout.map(Failover::new);
-        match self.wait(dispatch, failover.as_mut(), pool.send(request)).await {
-            Ok(Ok(sent)) => self.classify(dispatch, sent.response, sent.sender, pool),
-            Ok(Err(Fault::Unsent)) => Attempt::Failed(Event::NotSent { number: self.number }),
-            Ok(Err(Fault::Refused)) => Attempt::Failed(Event::Refused { number: self.number }),
-            Ok(Err(Fault::Lost)) => Attempt::Failed(self.build_ended(AttemptResult::Broken)),
+        let response = offer.response();
+        match self.wait(&dispatch, last_event_id.as_ref(), failover.as_mut(), response).await {
+            Ok(result) => self.classify(&dispatch, result, &offer.pool),
             Err(attempt) => attempt,
         }
     }
@@ -266,15 +310,16 @@
         Some(request)
     }
 
-    fn classify(
-        &self,
-        dispatch: &Dispatch,
-        response: Response<body::Incoming>,
-        sender: Sender,
-        pool: Pool,
-    ) -> Attempt {
-        let (head, body) = response.into_parts();
+    /// Reports what the head of a response states, and returns what it is.
+    fn classify(&self, dispatch: &Dispatch, result: Result<Sent, Fault>, pool: &Pool) -> Attempt {
         let number = self.number;
+        let Sent { response, sender, .. } = match result {
+            Ok(sent) => sent,
+            Err(Fault::Unsent) => return Attempt::Failed(Event::NotSent { number }),
+            Err(Fault::Refused) => return Attempt::Failed(Event::Refused { number }),
+            Err(Fault::Lost) => return Attempt::Failed(self.build_ended(AttemptResult::Broken)),
+        };
+        let (head, body) = response.into_parts();
         self.report_rate_limit(dispatch, &head);
         let statement = message::parse_statement(&head, &self.id);
         if statement != Statement::default() {
@@ -288,6 +333,7 @@
             ResponseKind::Unverified => Attempt::Failed(self.build_ended(AttemptResult::Invalid)),
             ResponseKind::Failed | ResponseKind::Success => {
                 let framing = Framing::of(&head.headers, &body);
+                let pool = pool.clone();
                 Attempt::Received(Box::new(UnreadResponse { head, framing, body, sender, pool }))
             }
         }
@@ -302,7 +348,7 @@
         let UnreadResponse { head, framing, body, sender, pool } = unread;
         let read = Limited::new(body, MAX_BUFFERED_BYTES).collect();
         let mut failover = dispatch.failover_timeout.map(Failover::new);
-        let bytes = match self.wait(dispatch, failover.as_mut(), read).await? {
+        let bytes = match self.wait(dispatch, None, failover.as_mut(), read).await? {
             Ok(body) => body.to_bytes(),
             Err(error) => {
                 let is_too_large = error.is::<LengthLimitError>();
@@ -356,6 +402,19 @@
         );
     }
 
+    /// Logs whether a request in progress at an unresponsive backend server moved to another one.
+    fn log_move(&self, former: &Dispatch, other: &Dispatch, is_accepted: bool) {
+        tracing::info!(
+            event = "move",
+            id = %String::from_utf8_lossy(&self.id),
+            from = %String::from_utf8_lossy(&former.id),
+            replica = %String::from_utf8_lossy(&other.id),
+            accepted = is_accepted,
+            attempt = other.inputs.attempt,
+            running = other.inputs.running,
+        );
+    }
+
     /// Logs that a stream goes on at a backend server within its response.
     pub fn log_resumed(&self, dispatch: &Dispatch, last_event_id: Option<&Bytes>) {
         tracing::info!(
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod events;
 mod exchange;
 mod metrics;
+mod offer;
 mod peers;
 mod process;
 mod relay;
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -22,6 +22,7 @@
         Instruction,
         events::EventBuffer,
         exchange::{self, Attempt, Exchange, Failover, UnreadResponse},
+        offer::Offer,
     },
     http,
 };
@@ -110,7 +111,7 @@
     let mut ready = VecDeque::new();
     let mut failover = dispatch.failover_timeout.map(Failover::new);
     loop {
-        match exchange.wait(dispatch, failover.as_mut(), reader.read()).await? {
+        match exchange.wait(dispatch, None, failover.as_mut(), reader.read()).await? {
             BodyRead::Data(data) => {
                 let completed = events.push(data);
                 if !completed.bytes.is_empty() {
@@ -240,9 +241,7 @@
             let resumed = match self.read(reader).await {
                 Ok(None) => Ok(()),
                 Ok(Some(result)) => self.resume_broken(result).await,
-                Err(Attempt::Moved(dispatch)) => {
-                    self.resume(Some(dispatch), "replica_silent").await
-                }
+                Err(Attempt::Moved(offer)) => self.resume(Some(offer), "replica_silent").await,
                 Err(_) => Err(DEADLINE),
             };
             if let Err(reason) = resumed {
@@ -254,7 +253,9 @@
     /// Reads on and keeps the connection if the response goes on. Returns the result of a response
     /// that was broken off.
     async fn read(&mut self, mut reader: BodyReader) -> Result<Option<AttemptResult>, Attempt> {
-        let wait = self.exchange.wait(&self.dispatch, self.failover.as_mut(), reader.read());
+        let (dispatch, last_event_id) = (&self.dispatch, self.events.last_id());
+        let failover = self.failover.as_mut();
+        let wait = self.exchange.wait(dispatch, last_event_id, failover, reader.read());
         Ok(match wait.await? {
             BodyRead::Data(data) => {
                 let completed = self.events.push(data);
@@ -336,7 +337,7 @@
     }
 
     /// Resumes the stream after the last complete event at the backend server that the machine
-    /// selects, or at `moved`.
+    /// selects, or at the one of `moved`, which has accepted it.
     ///
     /// # Errors
     ///
@@ -344,21 +345,24 @@
     /// resumed.
     async fn resume(
         &mut self,
-        mut moved: Option<Dispatch>,
+        mut moved: Option<Box<Offer>>,
         reason: &'static str,
     ) -> Result<(), &'static str> {
         // The resumed stream repeats an event that was received incompletely.
         self.events.take_partial();
         loop {
-            let dispatch = match moved.take() {
-                Some(dispatch) => dispatch,
+            let offer = match moved.take() {
+                Some(offer) => offer,
                 None => match self.exchange.next_instruction().await {
-                    Instruction::Dispatch(dispatch) => dispatch,
+                    Instruction::Dispatch(dispatch) => {
+                        let last_event_id = self.events.last_id().cloned();
+                        Box::new(self.exchange.offer(dispatch, last_event_id))
+                    }
                     Instruction::Refuse(_) => return Err(reason),
                 },
             };
-            let last_event_id = self.events.last_id().cloned();
-            match self.exchange.attempt(&dispatch, last_event_id.as_deref()).await {
+            let dispatch = offer.dispatch.clone();
+            match self.exchange.conclude(offer).await {
                 Attempt::Received(response) if response.head.status.is_success() => {
                     self.exchange.log_resumed(&dispatch, self.events.last_id());
                     let (_, reader) = split_response(*response);
@@ -378,7 +382,7 @@
                     self.exchange.log_failure(&dispatch, &event);
                     self.exchange.report(event);
                 }
-                Attempt::Moved(dispatch) => moved = Some(dispatch),
+                Attempt::Moved(offer) => moved = Some(offer),
                 Attempt::Timeout => return Err(DEADLINE),
             }
         }
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -61,9 +61,13 @@
     /// A further event of the response was received `CONTINUATION_TIME` after the first one or later.
     Continued { number: RequestNumber },
     /// No response was received for `Dispatch::failover_timeout`, or no data of a stream in
-    /// progress for the driver's limit. The request moves to another backend server if one has
-    /// capacity now, and otherwise stays where it is.
+    /// progress for the driver's limit. The request is dispatched to another backend server if one
+    /// has capacity now, and otherwise stays where it is. The next event on it is either `Moved`, or
+    /// states why the other backend server doesn't take it.
     Unresponsive { number: RequestNumber },
+    /// The backend server that an unresponsive request was dispatched to has accepted it, and the
+    /// former one is given up.
+    Moved { number: RequestNumber },
     /// Further events of the response were received within `span`.
     EventsReceived { number: RequestNumber, events: u32, span: Duration },
     /// The attempt at the backend server ended.
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -91,6 +91,9 @@
 struct OpenRequest {
     entry: Entry,
     state: State,
+    /// Dispatch to the unresponsive backend server that goes on with the request, until the one that
+    /// it moves to has accepted it.
+    former: Option<State>,
 }
 
 /// State machine of one gateway process.
@@ -269,6 +272,7 @@
             Event::Stated { number, statement } => self.record_statement(now, number, statement),
             Event::FirstEvent { number } => self.record_first_event(now, number),
             Event::Unresponsive { number } => self.handle_unresponsive(now, number, actions),
+            Event::Moved { number } => self.handle_move(now, number),
             Event::Continued { number } => {
                 self.record_continuation(now, number);
                 return;
@@ -448,7 +452,8 @@
 
     fn enqueue(&mut self, number: RequestNumber, entry: Entry) {
         self.queues.entry(entry.service.clone()).or_default().push(&entry, number);
-        self.open_requests.insert(number, OpenRequest { entry, state: State::Waiting });
+        self.open_requests
+            .insert(number, OpenRequest { entry, state: State::Waiting, former: None });
     }
 
     fn close(&mut self, now: Instant, number: RequestNumber) {
@@ -459,7 +464,7 @@
                 self.refund(now, &open.entry);
             }
             State::Dispatched { .. } => {
-                self.release_slot(&open);
+                self.release_slots(&open);
                 self.give_up(now, &open);
             }
         }
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -21,41 +21,52 @@
 const FULL_COOLDOWN: Duration = Duration::from_millis(60);
 
 impl Machine {
-    /// Releases the slot and the prompt tokens of a dispatched request at its backend server.
-    pub(super) fn release_slot(&mut self, open: &OpenRequest) {
-        let State::Dispatched { backend, dispatched_at, first_event_at, .. } = open.state else {
+    /// Releases the slots and the prompt tokens of a dispatched request.
+    pub(super) fn release_slots(&mut self, open: &OpenRequest) {
+        for state in open.former.into_iter().chain([open.state]) {
+            self.release_slot(state, open.entry.request.prompt_tokens());
+        }
+    }
+
+    fn release_slot(&mut self, state: State, prompt_tokens: u32) {
+        let State::Dispatched { backend, dispatched_at, first_event_at, .. } = state else {
             return;
         };
         let Some(backend) = self.backends.get_mut(backend) else { return };
         backend.load.end_trial(dispatched_at, false);
-        let unprocessed_tokens =
-            if first_event_at.is_none() { open.entry.request.prompt_tokens() } else { 0 };
-        backend.load.remove_request(unprocessed_tokens);
+        backend.load.remove_request(if first_event_at.is_none() { prompt_tokens } else { 0 });
         self.load_exchange.mark_changed();
     }
 
-    /// Sets a dispatched request back to waiting: releases its slot and excludes its backend server
-    /// from further attempts.
+    /// Withdraws a dispatched request from its backend server and returns that server. If the
+    /// request was about to move there, it stays at the former one. Otherwise it waits again, and
+    /// its backend server is excluded from further attempts.
     pub(super) fn withdraw_dispatch(
         &mut self,
         number: RequestNumber,
         may_have_run: bool,
     ) -> Option<backends::Key> {
-        let mut open = self.open_requests.remove(&number)?;
-        let State::Dispatched { backend, .. } = open.state else {
-            self.open_requests.insert(number, open);
-            return None;
-        };
-        self.release_slot(&open);
+        let open = self.open_requests.get_mut(&number)?;
+        let (state, prompt_tokens) = (open.state, open.entry.request.prompt_tokens());
+        let State::Dispatched { backend, .. } = state else { return None };
         if !may_have_run {
             open.entry.attempts -= 1;
         }
-        open.entry.excluded.push(backend);
-        open.state = State::Waiting;
-        self.open_requests.insert(number, open);
+        // A server that doesn't take a request which stays at its former one may be asked again.
+        if may_have_run || open.former.is_none() {
+            open.entry.excluded.push(backend);
+        }
+        open.state = open.former.take().unwrap_or(State::Waiting);
+        self.release_slot(state, prompt_tokens);
         Some(backend)
     }
 
+    /// Returns whether a request that was withdrawn stays at its former backend server.
+    fn stays_at_former(&self, number: RequestNumber) -> bool {
+        let open = self.open_requests.get(&number);
+        open.is_some_and(|open| open.state != State::Waiting)
+    }
+
     /// Adds a withdrawn request to its queue again.
     pub(super) fn requeue(&mut self, number: RequestNumber) {
         if let Some(open) = self.open_requests.get(&number) {
@@ -91,6 +102,9 @@
             backend.load.unreachable = true;
             self.probes.entry(key).or_insert(now + PROBE_PERIOD);
         }
+        if self.stays_at_former(number) {
+            return;
+        }
         match self.has_candidate(number) {
             true => self.requeue(number),
             false => self.refuse_waiting(now, number, Reason::NoBackend, actions),
@@ -163,6 +177,9 @@
         if let Some(backend) = self.backends.get_mut(key) {
             backend.load.full_until = now + FULL_COOLDOWN;
         }
+        if self.stays_at_former(number) {
+            return;
+        }
         if self.has_candidate(number) && self.take_retry(now, number) {
             self.requeue(number);
             return;
@@ -190,6 +207,9 @@
             backend.load.eject(now);
             backend.load.eject(now);
         }
+        if self.stays_at_former(number) {
+            return;
+        }
         match self.has_candidate(number) && self.take_retry(now, number) {
             true => self.requeue(number),
             false => self.refuse_waiting(now, number, Reason::NoBackend, actions),
@@ -310,7 +330,7 @@
 
     pub(super) fn complete(&mut self, now: Instant, number: RequestNumber, result: AttemptResult) {
         let Some(open) = self.open_requests.remove(&number) else { return };
-        self.release_slot(&open);
+        self.release_slots(&open);
         let State::Dispatched { backend, run, dispatched_at, first_event_at, .. } = open.state
         else {
             return;
@@ -367,6 +387,9 @@
                 ends = self.suspects.total(now, fingerprint),
             );
         }
+        if self.stays_at_former(number) {
+            return;
+        }
         if self.may_continue_elsewhere(now, number)
             && self.has_candidate(number)
             && self.take_retry(now, number)
@@ -377,6 +400,8 @@
         self.refuse(now, number, Refusal::new(Reason::Lost), actions);
     }
 
+    /// Dispatches an unresponsive request to another backend server that has capacity. The former
+    /// one goes on with it until that server has accepted it.
     pub(super) fn handle_unresponsive(
         &mut self,
         now: Instant,
@@ -384,6 +409,9 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(open) = self.open_requests.get_mut(&number) else { return };
+        if open.former.is_some() {
+            return;
+        }
         let State::Dispatched { backend, unresponsive, .. } = &mut open.state else { return };
         let (backend, is_first) = (*backend, !std::mem::replace(unresponsive, true));
         let open = open.clone();
@@ -392,20 +420,26 @@
         }
         let mut entry = open.entry;
         entry.excluded.push(backend);
-        let other = self.choose(now, &entry, &HashSet::new());
-        if other.is_none()
-            || !self.may_continue_elsewhere(now, number)
-            || !self.take_retry(now, number)
-        {
+        let Some(other) = self.choose(now, &entry, &HashSet::new()) else { return };
+        if !self.may_continue_elsewhere(now, number) || !self.take_retry(now, number) {
             return;
         }
-        if let Some(key) = self.withdraw_dispatch(number, true)
-            && let Some(backend) = self.backends.get_mut(key)
-        {
-            backend.load.record_failure(now);
+        if let Some(open) = self.open_requests.get_mut(&number) {
+            open.former = Some(open.state);
         }
-        if let Some(other) = other {
-            self.dispatch(now, number, other, actions);
+        self.dispatch(now, number, other, actions);
+    }
+
+    /// Gives up the former backend server of a request that has moved.
+    pub(super) fn handle_move(&mut self, now: Instant, number: RequestNumber) {
+        let Some(open) = self.open_requests.get_mut(&number) else { return };
+        let Some(former) = open.former.take() else { return };
+        let State::Dispatched { backend, .. } = former else { return };
+        open.entry.excluded.push(backend);
+        let prompt_tokens = open.entry.request.prompt_tokens();
+        self.release_slot(former, prompt_tokens);
+        if let Some(backend) = self.backends.get_mut(backend) {
+            backend.load.record_failure(now);
         }
     }
 
--- a/crates/gate/tests/retries.rs
+++ b/crates/gate/tests/retries.rs
@@ -5,7 +5,13 @@
 use std::time::Duration;
 
 use common::{MODEL, PLAIN, TestGateway, request};
-use gate::{Event, event::AttemptResult, refusal::Reason, request::Request};
+use gate::{
+    Event,
+    action::Dispatch,
+    event::{AttemptResult, RequestNumber},
+    refusal::Reason,
+    request::Request,
+};
 
 /// Guards against an unsafe request that runs twice after its response broke off.
 #[test]
@@ -169,6 +175,80 @@
     assert_ne!(first.backend, second.backend);
 }
 
+/// Returns a gateway with two backend servers and a resumable stream that is offered to the second
+/// one, since the first one is unresponsive.
+fn gateway_with_offered_stream() -> (TestGateway, RequestNumber, [Dispatch; 2]) {
+    let mut gateway = TestGateway::with_backends(MODEL, 2);
+    let number = gateway.arrive(request("resumable"));
+    let first = gateway.dispatched(number).expect("dispatched");
+    gateway.feed(Event::FirstEvent { number });
+    gateway.advance_confirmed(Duration::from_secs(2));
+    gateway.feed(Event::Unresponsive { number });
+    let second = gateway.dispatched(number).expect("offered");
+    (gateway, number, [first, second])
+}
+
+fn running(gateway: &TestGateway, dispatch: &Dispatch) -> u32 {
+    gateway.machine.backends().get(dispatch.backend).expect("a backend server").load.running
+}
+
+/// Guards against a stream that is refused, and so cut, since its sound but silent backend server was
+/// given up before the other one had taken it.
+#[test]
+fn an_unresponsive_stream_stays_if_the_other_backend_declines() {
+    for decline in [
+        |number| Event::Rejected { number, retry_after: None },
+        |number| Event::NotSent { number },
+        |number| Event::Refused { number },
+        |number| Event::Misdirected { number },
+        |number| Event::Ended { number, result: AttemptResult::Failed },
+        |number| Event::Ended { number, result: AttemptResult::Broken },
+        |number| Event::Ended { number, result: AttemptResult::Invalid },
+    ] {
+        let (mut gateway, number, [first, second]) = gateway_with_offered_stream();
+        assert_eq!((running(&gateway, &first), running(&gateway, &second)), (1, 1));
+        let event = decline(number);
+        gateway.feed(event.clone());
+        assert_eq!(gateway.reason(number), None, "{event:?}");
+        assert!(gateway.dispatched(number).is_none(), "{event:?}");
+        assert_eq!((running(&gateway, &first), running(&gateway, &second)), (1, 0), "{event:?}");
+        gateway.advance_confirmed(Duration::from_secs(2));
+        assert_eq!(gateway.reason(number), None, "{event:?}");
+        gateway.end(number, AttemptResult::Complete);
+        assert_eq!(gateway.machine.open_count(), 0);
+        assert_eq!(running(&gateway, &first), 0);
+    }
+}
+
+/// Guards against a stream that stays at an unresponsive backend server although another one that was
+/// full before has a free slot again.
+#[test]
+fn a_backend_that_declined_is_asked_again() {
+    let (mut gateway, number, [_, second]) = gateway_with_offered_stream();
+    gateway.feed(Event::Rejected { number, retry_after: None });
+    gateway.advance_confirmed(Duration::from_secs(1));
+    gateway.feed(Event::Unresponsive { number });
+    assert_eq!(gateway.dispatched(number).expect("offered again").backend, second.backend);
+}
+
+/// Guards against slots that stay occupied, and against a former backend server that is used again,
+/// after a stream has moved or its caller has left.
+#[test]
+fn a_stream_that_moved_occupies_one_slot() {
+    let (mut gateway, number, [first, second]) = gateway_with_offered_stream();
+    gateway.feed(Event::Unresponsive { number });
+    assert!(gateway.dispatched(number).is_none(), "it is offered to one at a time");
+    gateway.feed(Event::Moved { number });
+    assert_eq!((running(&gateway, &first), running(&gateway, &second)), (0, 1));
+    gateway.end(number, AttemptResult::Broken);
+    assert_eq!(gateway.reason(number), Some(Reason::Lost), "both attempts were used");
+    assert_eq!(running(&gateway, &second), 0);
+
+    let (mut gateway, number, [first, second]) = gateway_with_offered_stream();
+    gateway.feed(Event::Closed { number });
+    assert_eq!((running(&gateway, &first), running(&gateway, &second)), (0, 0));
+}
+
 /// Guards against a stream that is not resumable being sent to a second backend server.
 #[test]
 fn a_stream_that_is_not_resumable_stays() {
--- a/crates/gate/tests/schedules.rs
+++ b/crates/gate/tests/schedules.rs
@@ -60,6 +60,8 @@
     runs: u32,
     /// The dispatch without a response so far.
     open: Option<Dispatch>,
+    /// The unresponsive dispatch that goes on until `open` is accepted or declined.
+    former: Option<Dispatch>,
     refusals: u32,
     closed: bool,
 }
@@ -134,8 +136,14 @@
             .collect();
         let Some(&number) = open.get(request % open.len().max(1)) else { return };
         let progress = self.requests.get_mut(&number).expect("a request that was sent");
+        let declines = [1, 2, 3, 5, 6].contains(&kind);
+        if !declines && progress.former.take().is_some() {
+            self.gateway.feed(Event::Moved { number });
+        }
         let mut close = |may_have_run: bool| {
-            progress.open = None;
+            progress.open = progress.former.take();
+            // The former one was counted when the other one was dispatched.
+            progress.runs -= u32::from(progress.open.is_some());
             progress.runs += u32::from(may_have_run);
         };
         match kind {
@@ -174,6 +182,7 @@
         let progress = self.requests.get_mut(&number).expect("a request that was sent");
         progress.closed = true;
         progress.open = None;
+        progress.former = None;
         self.gateway.feed(Event::Closed { number });
     }
 
@@ -231,10 +240,9 @@
         let id = String::from_utf8_lossy(&dispatch.id).into_owned();
         let now = self.gateway.now;
         let progress = self.requests.get_mut(&number).expect("a request that was sent");
-        // If a dispatch replaces an unresponsive one, the earlier one may have run.
-        if progress.open.take().is_some() {
-            progress.runs += 1;
-        }
+        // If a dispatch may replace an unresponsive one, the earlier one may have run.
+        progress.former = progress.open.take();
+        progress.runs += u32::from(progress.former.is_some());
         let max_runs = match progress.path {
             "status" | "public" | "resumable" => 2,
             _ => 1,
