Take a version for the only one only by a state that was confirmed after the request arrived

Cause: a gateway that doesn't know where a stream began took the only version that it knew for the only one there is, by a state that was confirmed up to 2.5 s before. The stream may have begun since, at servers that joined since. It did so before asking the other gateways. Besides, a gap in the confirmations was noticed only by a timer, so a gateway that stood still and handled a read first counted the gap as confirmed.

Ruled out: the keepers of streams (those that it kept went on right), and a pause alone: where the watch of the store returns with the changes, they are handled before the requests.

The change: other gateways are asked first. The only known version counts once the store has confirmed the state at a time after the request had arrived; the machine requests a read of the store for that, at most one in 150 ms. Confirmations are compared with each other.

Why this works: a stream that is taken up began before the request for it, so a state that was the published one after the request has the server that began it, or has seen it leave.

Constants: 60 ms as for the repeated query, so that the store is read only where no other gateway knows; 600 ms is the time for a read (500 ms), a round of the search and the query.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -54,12 +54,15 @@
     metrics: metrics::Metrics,
     /// Datagrams to send to peers.
     outbox: mpsc::UnboundedSender<(SocketAddr, gate::message::Datagram)>,
+    /// Requests for reads of the store besides the regular ones.
+    store_reads: mpsc::UnboundedSender<()>,
 }
 
 impl Gateway {
     fn new(
         machine: Machine,
         outbox: mpsc::UnboundedSender<(SocketAddr, gate::message::Datagram)>,
+        store_reads: mpsc::UnboundedSender<()>,
         terminate: signal::Listener,
     ) -> Rc<Gateway> {
         Rc::new_cyclic(|this| Gateway {
@@ -72,6 +75,7 @@
             stopping: Cell::default(),
             metrics: metrics::Metrics::new(),
             outbox,
+            store_reads,
         })
     }
 
@@ -165,6 +169,10 @@
                 let Some(gateway) = self.this.upgrade() else { return };
                 runtime::spawn(async move { store::install(&gateway, update) }).detach();
             }
+            Action::ReadStore => {
+                // The receiving task runs until the process ends.
+                let _ = self.store_reads.unbounded_send(());
+            }
             Action::Probe { backend, address } => self.probe(backend, address),
         }
     }
--- a/crates/daemon/src/gateway/process.rs
+++ b/crates/daemon/src/gateway/process.rs
@@ -66,13 +66,16 @@
     let operators = http::bind(settings.operators).await?;
     let (outbox, datagrams) = mpsc::unbounded();
     let machine = Machine::new(clock::now(), build_setup(settings));
-    let gateway = Gateway::new(machine, outbox, terminate.clone());
+    let (store_reads, read_requests) = mpsc::unbounded();
+    let gateway = Gateway::new(machine, outbox, store_reads, terminate.clone());
     let host = String::from_utf8_lossy(&settings.host).into_owned();
     tracing::info!(event = "started", host, callers = %settings.callers, store = %settings.store);
     peers::start(&gateway, Rc::new(socket), datagrams);
     let query_handler = Rc::new(peers::QueryHandler { gateway: gateway.clone() });
     runtime::spawn(Rc::new(http::Server::default()).serve(peers, query_handler)).detach();
     runtime::spawn(store::follow(gateway.clone(), settings.store)).detach();
+    let on_demand = store::read_on_demand(gateway.clone(), settings.store, read_requests);
+    runtime::spawn(on_demand).detach();
     let internal_server = Rc::new(http::Server::default());
     let handler = Rc::new(ReadinessHandler { gateway: gateway.clone() });
     runtime::spawn(internal_server.clone().serve(readiness, handler.clone())).detach();
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 use compio::time;
+use futures_channel::mpsc;
+use futures_util::StreamExt;
 use gate::{Event, Machine, revision::Revision, source::Update};
 use http_body_util::Full;
 use hyper::{Request, header};
@@ -27,6 +29,8 @@
 /// store is reachable again; the long one is for a store that responds slowly.
 const PROBE_TIMEOUTS: [Duration; 3] =
     [Duration::from_millis(300), Duration::from_millis(300), Duration::from_millis(1200)];
+/// Time for the response to a read on demand, for which a caller waits.
+const ON_DEMAND_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for the response with one page when everything is read.
 const READ_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time to connect to the store. A round trip takes a few milliseconds, and an attempt that began
@@ -87,6 +91,25 @@
     }
 }
 
+/// Reads the changes in the store once for each request of the machine, besides `follow`. A read that
+/// fails is not repeated here: the machine requests another one if it still needs it.
+pub async fn read_on_demand(
+    gateway: Rc<Gateway>,
+    address: SocketAddr,
+    mut requests: mpsc::UnboundedReceiver<()>,
+) {
+    let pool = Pool::new(address, CONNECT_TIMEOUT);
+    let mut reader = Reader { gateway, pool, compacted: false, failures: 0 };
+    while requests.next().await.is_some() {
+        // One read is enough for all requests before it.
+        while let Ok(()) = requests.try_recv() {}
+        let Some(revision) = reader.revision() else { continue };
+        if let Err(error) = reader.watch(revision, Duration::ZERO, ON_DEMAND_TIMEOUT).await {
+            tracing::warn!(event = "store_read_failed", %error);
+        }
+    }
+}
+
 /// Applies the changes in a peer's reply, unless the revision has changed in the meantime.
 pub fn install(gateway: &Rc<Gateway>, update: Update) {
     if gateway.read(Machine::revision) != Some(update.from) {
@@ -137,10 +160,14 @@
 
 impl Reader {
     async fn read_next(&mut self) -> Result<(), Error> {
-        match self.revision().filter(|_| !self.compacted) {
-            Some(revision) => self.watch(revision).await,
-            None => self.read_all().await,
-        }
+        let Some(revision) = self.revision().filter(|_| !self.compacted) else {
+            return self.read_all().await;
+        };
+        let (wait, limit) = match self.failures {
+            0 => (WATCH_WAIT, WATCH_WAIT + WATCH_TIMEOUT),
+            failures => (Duration::ZERO, PROBE_TIMEOUTS[failures % PROBE_TIMEOUTS.len()]),
+        };
+        self.watch(revision, wait, limit).await
     }
 
     /// Returns the revision up to which changes are applied, from the store or from a peer.
@@ -148,12 +175,9 @@
         self.gateway.read(Machine::revision)
     }
 
-    async fn watch(&mut self, revision: u64) -> Result<(), Error> {
+    /// Reads the changes after a revision, and waits up to `wait` for one.
+    async fn watch(&mut self, revision: u64, wait: Duration, limit: Duration) -> Result<(), Error> {
         let at = clock::now();
-        let (wait, limit) = match self.failures {
-            0 => (WATCH_WAIT, WATCH_WAIT + WATCH_TIMEOUT),
-            failures => (Duration::ZERO, PROBE_TIMEOUTS[failures % PROBE_TIMEOUTS.len()]),
-        };
         let Revision { era, number } = Revision::from_ordinal(revision);
         let path = store::watch_path(number, wait);
         let response = self.get(&path, limit).await?;
--- a/crates/gate/src/action.rs
+++ b/crates/gate/src/action.rs
@@ -19,6 +19,8 @@
     Fetch { peer: SocketAddr, query: message::Query },
     /// Put the changes in a peer's reply in force, then feed `Event::Installed`.
     Install(source::Update),
+    /// Read the changes in the store now, besides the regular reads, and feed `Event::StoreRead`.
+    ReadStore,
     /// Try to connect to a backend server that was unreachable.
     Probe { backend: backends::Key, address: SocketAddr },
 }
--- a/crates/gate/src/lease.rs
+++ b/crates/gate/src/lease.rs
@@ -36,6 +36,11 @@
         self.confirmed_at.map(|at| now.since(at))
     }
 
+    /// Returns whether the state in force was confirmed as the published one at `at` or later.
+    pub fn is_confirmed_since(&self, at: Instant) -> bool {
+        self.confirmed_at.is_some_and(|confirmed_at| confirmed_at >= at)
+    }
+
     /// Returns whether API keys may be accepted.
     pub fn is_valid(&self, now: Instant) -> bool {
         self.age(now).is_some_and(|age| age < self.max_age)
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -125,6 +125,8 @@
     streams: Streams,
     /// Searches for the origins of streams that callers take up.
     lookups: Vec<resuming::Lookup>,
+    /// Earliest time of the next read of the store for these searches.
+    next_store_read: Instant,
     deadlines: Deadlines,
     peers: Peers,
     open_requests: HashMap<RequestNumber, OpenRequest>,
@@ -177,6 +179,7 @@
             unanswered: Unanswered::default(),
             streams: Streams::default(),
             lookups: Vec::new(),
+            next_store_read: now,
             deadlines: Deadlines::default(),
             open_requests: HashMap::new(),
             queues: HashMap::new(),
@@ -294,11 +297,11 @@
             Event::StoreRestored => self.record_restore(),
             Event::StoreRead { at, from, to, entries } => {
                 self.is_restoring = false;
-                self.lease.confirm(at);
+                self.confirm(now, at);
                 self.source.record_read(now, from, to, entries);
             }
             Event::Installed(update) => {
-                self.lease.confirm(update.at);
+                self.confirm(now, update.at);
                 self.source.record_update(update.from, update.to, update.entries);
             }
             Event::QueryReceived(query) => self.send_reply(now, &query, actions),
@@ -515,6 +518,15 @@
         }
     }
 
+    /// Records that the state in force was the published one at `at`.
+    fn confirm(&mut self, now: Instant, at: Instant) {
+        // A process that was paused may handle this before its next tick.
+        if self.lease.age(at).is_none_or(|age| age > MAX_CONFIRMED_AGE) {
+            self.confirmed_since = now;
+        }
+        self.lease.confirm(at);
+    }
+
     fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.backends.expire(now);
         if self.lease.age(now).is_none_or(|age| age > MAX_CONFIRMED_AGE) {
--- a/crates/gate/src/machine/peering.rs
+++ b/crates/gate/src/machine/peering.rs
@@ -131,7 +131,7 @@
     ) {
         match self.source.process_reply(now, self.setup.address, reply) {
             Decision::Install(update) if update.entries.is_empty() => {
-                self.lease.confirm(update.at);
+                self.confirm(now, update.at);
                 self.source.record_update(update.from, update.to, Vec::new());
             }
             Decision::Install(update) => actions.push(Action::Install(update)),
--- a/crates/gate/tests/schedules.rs
+++ b/crates/gate/tests/schedules.rs
@@ -227,6 +227,7 @@
                     }
                 }
                 Action::Send { .. }
+                | Action::ReadStore
                 | Action::Probe { .. }
                 | Action::Install(_)
                 | Action::Fetch { .. } => {}
--- a/crates/gate/tests/versions.rs
+++ b/crates/gate/tests/versions.rs
@@ -37,6 +37,10 @@
     /// Gateways whose datagrams are lost, in both directions.
     cut: Vec<bool>,
     paused: Vec<bool>,
+    /// Gateways that have not read the latest records, and get no confirmation.
+    behind: Vec<bool>,
+    /// Gateways that read the store.
+    reads: Vec<usize>,
     /// Share of the datagrams that are lost.
     loss: f64,
     datagrams: Vec<(usize, Datagram)>,
@@ -55,6 +59,8 @@
             now: Instant(1_000_000),
             cut: vec![false; gateways],
             paused: vec![false; gateways],
+            behind: vec![false; gateways],
+            reads: Vec::new(),
             loss: 0.0,
             datagrams: Vec::new(),
             running: HashMap::new(),
@@ -98,6 +104,9 @@
         self.servers[server].started += 1;
         self.servers[server].version = version;
         for gateway in 0..self.gateways.len() {
+            if self.behind[gateway] {
+                continue;
+            }
             self.gateways[gateway].now = self.now;
             write_record(&mut self.gateways[gateway], server, &self.servers[server]);
             self.take_actions(gateway);
@@ -148,13 +157,18 @@
                 self.gateways[to].feed_datagram(datagram);
                 self.take_actions(to);
             }
+            for index in std::mem::take(&mut self.reads) {
+                self.gateways[index].now = self.now;
+                self.read_store(index);
+                self.take_actions(index);
+            }
             for index in 0..self.gateways.len() {
                 if self.paused[index] {
                     continue;
                 }
                 self.gateways[index].now = self.now;
                 self.gateways[index].feed(Event::Tick);
-                if self.now.0.is_multiple_of(500_000) {
+                if self.now.0.is_multiple_of(500_000) && !self.behind[index] {
                     self.gateways[index].confirm();
                 }
                 self.take_actions(index);
@@ -162,6 +176,15 @@
         }
     }
 
+    /// Lets a gateway read the store.
+    fn read_store(&mut self, index: usize) {
+        for (server, state) in self.servers.iter().enumerate() {
+            write_record(&mut self.gateways[index], server, state);
+        }
+        self.gateways[index].confirm();
+        self.behind[index] = false;
+    }
+
     fn take_actions(&mut self, index: usize) {
         for action in std::mem::take(&mut self.gateways[index].actions) {
             match action {
@@ -176,6 +199,7 @@
                         self.datagrams.push((to, datagram));
                     }
                 }
+                Action::ReadStore => self.reads.push(index),
                 action => self.gateways[index].actions.push(action),
             }
         }
@@ -352,6 +376,99 @@
     assert_eq!(fleet.version_of(0, number), None, "it may have begun at v2");
 }
 
+/// Returns gateways that have known one version for longer than a stream takes, and that a second
+/// version joins while the last of them reads nothing.
+fn fleet_with_gateway_behind(gateways: usize) -> Fleet {
+    let mut fleet = Fleet::new(gateways, &["v1", "v1", "v2", "v2"]);
+    fleet.replace(2, None);
+    fleet.replace(3, None);
+    fleet.advance(STREAM_LIFE + Duration::from_secs(1));
+    fleet.behind[gateways - 1] = true;
+    fleet.replace(2, Some("v2"));
+    fleet.replace(3, Some("v2"));
+    fleet.replace(0, None);
+    fleet
+}
+
+/// Guards against a stream that a gateway which was out of step for a moment joins from two versions:
+/// it knows no other version, and the gateways that know one are gone.
+#[test]
+fn a_gateway_that_is_behind_joins_no_versions() {
+    for is_paused in [false, true] {
+        let mut fleet = fleet_with_gateway_behind(4);
+        fleet.paused[3] = is_paused;
+        let begun: Vec<_> = (0..12)
+            .map(|n| {
+                let (number, _) = fleet.begin(n % 3, &format!("a{n}"));
+                let server = fleet.running[&(n % 3, number)];
+                fleet.lose_connection(n % 3, number);
+                server
+            })
+            .collect();
+        fleet.paused[3] = false;
+        fleet.cut[3] = true;
+        let mut take_ups = Vec::new();
+        for (n, first) in begun.into_iter().enumerate() {
+            let number = fleet.send(3, take_up(&format!("b{n}"), Some(&format!("a{n}"))));
+            take_ups.push((number, first));
+        }
+        fleet.advance(Duration::from_secs(1));
+        let mut refused = 0;
+        for (number, first) in take_ups {
+            // The first two servers have one version, the others have another.
+            let joins = |server: &&usize| (**server < 2) != (first < 2);
+            let joined = fleet.running.get(&(3, number)).filter(joins);
+            assert_eq!(joined, None, "begun at {first}, paused: {is_paused}");
+            refused += usize::from(fleet.gateways[3].reason(number) == Some(Reason::NoVersion));
+        }
+        assert!(refused > 0, "it kept some streams of the others itself, not all");
+    }
+}
+
+/// Guards against a stream that goes on at the only version which a gateway knows, although other
+/// gateways know that it began at another one.
+#[test]
+fn a_gateway_that_is_behind_asks_the_others_first() {
+    for n in 0..8 {
+        let mut fleet = fleet_with_gateway_behind(4);
+        fleet.replace(1, None);
+        let id = format!("a{n}");
+        let (number, version) = fleet.begin(0, &id);
+        assert_eq!(version, "v2");
+        fleet.lose_connection(0, number);
+        let number = fleet.send(3, take_up("b", Some(&id)));
+        fleet.advance(Duration::from_secs(1));
+        let server = fleet.running.get(&(3, number));
+        assert!(server.is_none_or(|server| [2, 3].contains(server)), "{id}: {server:?}");
+        if fleet.behind[3] {
+            fleet.read_store(3);
+        }
+        let number = fleet.send(3, take_up("c", Some(&id)));
+        fleet.advance(Duration::from_secs(1));
+        assert_eq!(fleet.version_of(3, number), Some("v2"), "{id}");
+    }
+}
+
+/// Guards against a gateway that counts its view as continuous over a time in which it read nothing,
+/// since a read comes before its next timer: a version that joined and left meanwhile is unknown.
+#[test]
+fn a_gateway_that_read_nothing_for_a_while_knows_no_earlier_version() {
+    let mut fleet = fleet_with_gateway_behind(2);
+    fleet.paused[1] = true;
+    let (number, _) = fleet.begin(0, "a");
+    fleet.lose_connection(0, number);
+    fleet.advance(Duration::from_secs(4));
+    fleet.replace(2, None);
+    fleet.replace(3, None);
+    fleet.cut[1] = true;
+    fleet.gateways[1].now = fleet.now;
+    fleet.read_store(1);
+    fleet.paused[1] = false;
+    let number = fleet.send(1, take_up("b", Some("a")));
+    fleet.advance(Duration::from_secs(1));
+    assert_eq!(fleet.version_of(1, number), None, "it may have begun at v2");
+}
+
 /// Guards against a taken-up stream that waits although the last server of its version has left.
 #[test]
 fn a_waiting_stream_is_refused_once_its_version_is_gone() {
