--- a/crates/sync/tests/machine.rs
+++ b/crates/sync/tests/machine.rs
@@ -103,6 +103,42 @@
     assert!(actions.iter().any(|action| matches!(action, Action::Hosts(list) if list.len() == 1)));
 }
 
+/// Guards against a process that no longer follows the host list, and so misses hosts that leave, since
+/// one record in it is odd.
+#[test]
+fn a_host_list_is_followed_despite_an_odd_record() {
+    let record = r#"{"host":"h","role":"entry","address":"10.0.0.9:1","availability_zone":"z","state":"leaving"}"#;
+    let nested =
+        |open: &str, close: &str| format!("{}1{}", open.repeat(100_000), close.repeat(100_000));
+    let other = record.replace("\"h\"", "\"other\"").replace("0.9:1", "0.8:1");
+    for odd in [
+        "1".to_owned(),
+        "null".into(),
+        "{}".into(),
+        nested("[", "]"),
+        nested("{\"a\":", "}"),
+        other.replace("0.8:1", "0.8:65536"),
+        other.replace("0.8:1", "0.8:-1"),
+        other.replace("\"leaving\"", "\"resting\""),
+        other.replace("\"leaving\"", &nested("[", "]")),
+        other.replacen('{', "{\"speed\":1e400,", 1),
+        other.replacen('{', "{\"speed\":4294967296,", 1),
+    ] {
+        for list in [format!("[{odd},{record}]"), format!("[{record},{odd}]")] {
+            let mut machine = machine();
+            let (text, mut actions) = (Bytes::from(list), Vec::new());
+            machine.handle(Instant(3), Event::Hosts { revision: 1, text }, &mut actions);
+            let hosts = actions.iter().find_map(|action| match action {
+                Action::Hosts(hosts) => Some(&hosts[..]),
+                _ => None,
+            });
+            let shown = &odd[..odd.len().min(80)];
+            let names = hosts.map(|hosts| hosts.iter().map(|host| &host.host[..]).collect());
+            assert_eq!(names, Some(vec![&b"h"[..]]), "{shown}");
+        }
+    }
+}
+
 /// Guards against unbounded memory use for suspects, and against exchanges that list all of
 /// them.
 #[test]
