--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -129,7 +129,8 @@
             tracing::info!(event = "configuration_read", version, routes);
             gateway.feed(Event::Catalog(Rc::new(catalog)));
         }
-        Change::Backend { id, record } => {
+        Change::Backend { id, record, error } => {
+            log_unusable(&id, error);
             let name = String::from_utf8_lossy(&id).into_owned();
             let draining = record.as_ref().map(|record| record.draining);
             tracing::info!(event = "replica_changed", replica = name, ?draining);
@@ -142,6 +143,14 @@
     }
 }
 
+/// Logs why a record names no backend server to use, if it doesn't.
+fn log_unusable(id: &Bytes, error: Option<String>) {
+    if let Some(error) = error {
+        let replica = String::from_utf8_lossy(id);
+        tracing::warn!(event = "replica_unusable", %replica, error);
+    }
+}
+
 /// A response of the store.
 struct Response {
     status: u16,
@@ -235,8 +244,10 @@
         let mut records = Vec::new();
         for change in changes {
             match change {
-                Change::Backend { id, record: Some(record) } => records.push((id, record)),
-                Change::Backend { record: None, .. } => {}
+                Change::Backend { id, record, error } => {
+                    log_unusable(&id, error);
+                    records.extend(record.map(|record| (id, record)));
+                }
                 change => apply(&self.gateway, change),
             }
         }
@@ -256,7 +267,12 @@
         if response.status != 200 {
             return Err(Error::with_kind(Step::Receive, address, Kind::Status(response.status)));
         }
-        decode(&response.text).map_err(|error| Error::new(Step::Decode, address, error))
+        let page = decode(&response.text);
+        let page = page.map_err(|error| Error::new(Step::Decode, address, error))?;
+        if let Some(error) = page.errors.first() {
+            tracing::warn!(event = "store_items_unreadable", count = page.errors.len(), error);
+        }
+        Ok(page)
     }
 
     async fn get(&self, path: &str, limit: Duration) -> Result<Response, Error> {
