Bound the changes that are kept for peers by the size of a reply

A program that writes a large value again and again could fill the 160 MB of a small host.

changes_are_kept_up_to_a_size failed before: "4194308 bytes are kept at revision 13" of the 4194304 that a reply holds, and growing.

--- a/crates/gate/src/source.rs
+++ b/crates/gate/src/source.rs
@@ -46,6 +46,12 @@
     entries: Vec<StoreEntry>,
 }
 
+impl Chunk {
+    fn size(&self) -> usize {
+        size(&self.entries)
+    }
+}
+
 /// A query without a reply yet.
 #[derive(Clone, Copy, Debug)]
 struct OpenQuery {
@@ -129,12 +135,18 @@
         self.revision = Some(to);
         if let Some(from) = from.filter(|from| *from < to) {
             self.log.push_back(Chunk { from, to, entries });
-            if self.log.len() > MAX_LOG_CHUNKS {
+            // Changes that don't fit in a reply are of no use to peers.
+            while self.log.len() > MAX_LOG_CHUNKS || self.log_size() > MAX_FETCHED_BYTES {
                 self.log.pop_front();
             }
         }
     }
 
+    /// Returns the size of the changes that are kept for peers, in bytes.
+    pub fn log_size(&self) -> usize {
+        self.log.iter().map(Chunk::size).sum()
+    }
+
     /// Returns the view that is sent to peers in each message.
     pub fn view(&self, now: Instant, age: Option<Duration>) -> Option<View> {
         let (revision, age) = (self.revision?, age?);
@@ -246,8 +258,7 @@
         let chunks = self.log.iter().filter(|chunk| chunk.to > after);
         let entries = chunks.flat_map(|chunk| chunk.entries.iter().cloned());
         let last = last_entry_per_key(entries.collect());
-        let size: usize = last.iter().map(|entry| entry.key.len() + entry.value.len()).sum();
-        (size <= max_bytes).then_some(last)
+        (size(&last) <= max_bytes).then_some(last)
     }
 
     /// Processes a reply to the open query.
@@ -283,6 +294,11 @@
     }
 }
 
+/// Returns the size of keys and values, in bytes.
+fn size(entries: &[StoreEntry]) -> usize {
+    entries.iter().map(|entry| entry.key.len() + entry.value.len()).sum()
+}
+
 /// Returns the entries with only the last one of each key.
 fn last_entry_per_key(entries: Vec<StoreEntry>) -> Vec<StoreEntry> {
     let mut at: HashMap<Bytes, usize> = HashMap::new();
--- a/crates/gate/tests/source.rs
+++ b/crates/gate/tests/source.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use bytes::Bytes;
 use gate::{
     message::{Reply, StoreEntry, View},
     source::{Decision, MAX_DATAGRAM_BYTES, MAX_FETCHED_BYTES, Source, Update},
@@ -178,3 +179,23 @@
     let update = update_of(process_reply(&mut other, 200, reply));
     assert_eq!((update.to, update.entries, update.at), (13, vec![large], at(110)));
 }
+
+/// Guards against memory that changes of any size take at a gateway which keeps them for its peers,
+/// for example since another program writes a large value again and again.
+#[test]
+fn changes_are_kept_up_to_a_size() {
+    let mut source = source();
+    let value = Bytes::from(vec![b'A'; 1 << 20]);
+    for revision in 10..80 {
+        let entries = vec![StoreEntry { key: "k".into(), value: value.clone(), deleted: false }];
+        source.record_read(at(revision), Some(revision), revision + 1, entries);
+        let size = source.log_size();
+        assert!(size <= MAX_FETCHED_BYTES, "{size} bytes are kept at revision {revision}");
+    }
+    let reply = |revision| {
+        let query = gate::message::Query { token: 1, from: address(1), revision };
+        source.reply(&query, Some(ms(1)), MAX_FETCHED_BYTES).expect("a reply").entries
+    };
+    assert_eq!(reply(77).expect("changes that are kept").len(), 1);
+    assert_eq!(reply(70), None, "changes that are not kept are read from the store");
+}
