Take a rejection without an identifier as proof only on a new connection

A faulty server wrote an earlier refusal once more when the next request arrived on a kept connection, and then ran that request.

Cause: a rejection that names no request was taken for the answer to the request sent last, whether or not the connection had another one before.

Ruled out: connections that are handed out with unread bytes, since the server writes after the request.

The change: such a rejection on a connection that had another request before is doubtful, and the request may have run: it goes on elsewhere only if it may be repeated, and ends with 502 otherwise. It has to be one event of its own, since a full server is no failure that ejects it.

Why this works: the first response on a connection can't belong to an earlier request, and any later one has to name the request.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -313,7 +313,7 @@
     /// Reports what the head of a response states, and returns what it is.
     fn classify(&self, dispatch: &Dispatch, result: Result<Sent, Fault>, pool: &Pool) -> Attempt {
         let number = self.number;
-        let Sent { response, sender, .. } = match result {
+        let Sent { response, sender, is_reused } = match result {
             Ok(sent) => sent,
             Err(Fault::Unsent) => return Attempt::Failed(Event::NotSent { number }),
             Err(Fault::Refused) => return Attempt::Failed(Event::Refused { number }),
@@ -321,11 +321,18 @@
         };
         let (head, body) = response.into_parts();
         self.report_rate_limit(dispatch, &head);
-        let statement = message::parse_statement(&head, &self.id);
+        let is_certain = message::is_certain(&head, is_reused);
+        let mut statement = message::parse_statement(&head, &self.id);
+        // A server that leaves says so in all its responses. A pause binds also in doubt: the next
+        // requests would not be taken.
+        statement.leaving &= is_certain;
         if statement != Statement::default() {
             self.report(Event::Stated { number, statement });
         }
         match message::classify_response(&head, &self.id) {
+            ResponseKind::NotRun { .. } | ResponseKind::Misdirected if !is_certain => {
+                Attempt::Failed(Event::DoubtfulRejection { number })
+            }
             ResponseKind::NotRun { retry_after } => {
                 Attempt::Failed(Event::Rejected { number, retry_after })
             }
@@ -463,6 +470,7 @@
             Event::Refused { .. } => "refused",
             Event::Rejected { .. } => "rejected",
             Event::Misdirected { .. } => "misdirected",
+            Event::DoubtfulRejection { .. } => "doubtful",
             Event::Ended { result: AttemptResult::Broken, .. } => "broken",
             Event::Ended { result: AttemptResult::Invalid, .. } => "invalid",
             Event::Ended { .. } => "failed",
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -51,6 +51,9 @@
     Rejected { number: RequestNumber, retry_after: Option<Duration> },
     /// The address belongs to another backend server.
     Misdirected { number: RequestNumber },
+    /// A rejection was received that may be an extra response to an earlier request, so that the
+    /// backend server may have run this one.
+    DoubtfulRejection { number: RequestNumber },
     /// The head of a response was received. `per_s` is the rate limit that it names, in requests a
     /// second from all gateways together.
     RateLimitStated { number: RequestNumber, per_s: Option<f64> },
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -267,6 +267,9 @@
                 self.handle_rejection(now, number, retry_after, actions);
             }
             Event::Misdirected { number } => self.handle_misdirected(now, number, actions),
+            Event::DoubtfulRejection { number } => {
+                self.handle_doubtful_rejection(now, number, actions);
+            }
             Event::RateLimitStated { number, per_s } => {
                 if !self.record_rate_limit(now, number, per_s) {
                     return;
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -216,6 +216,42 @@
         }
     }
 
+    /// Handles a rejection that proves nothing: the backend server may be full, or may run the
+    /// request.
+    pub(super) fn handle_doubtful_rejection(
+        &mut self,
+        now: Instant,
+        number: RequestNumber,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(key) = self.withdraw_dispatch(number, true) else { return };
+        if let Some(backend) = self.backends.get_mut(key) {
+            backend.load.full_until = now + FULL_COOLDOWN;
+        }
+        self.continue_or_refuse(now, number, actions);
+    }
+
+    /// Queues a withdrawn request that may have run again, or refuses it if it may not be sent to
+    /// another backend server.
+    fn continue_or_refuse(
+        &mut self,
+        now: Instant,
+        number: RequestNumber,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.stays_at_former(number) {
+            return;
+        }
+        if self.may_continue_elsewhere(now, number)
+            && self.has_candidate(number)
+            && self.take_retry(now, number)
+        {
+            self.requeue(number);
+            return;
+        }
+        self.refuse(now, number, Refusal::new(Reason::Lost), actions);
+    }
+
     /// Records what the backend server of a dispatched request states of itself.
     pub(super) fn record_statement(
         &mut self,
@@ -387,17 +423,7 @@
                 ends = self.suspects.total(now, fingerprint),
             );
         }
-        if self.stays_at_former(number) {
-            return;
-        }
-        if self.may_continue_elsewhere(now, number)
-            && self.has_candidate(number)
-            && self.take_retry(now, number)
-        {
-            self.requeue(number);
-            return;
-        }
-        self.refuse(now, number, Refusal::new(Reason::Lost), actions);
+        self.continue_or_refuse(now, number, actions);
     }
 
     /// Dispatches an unresponsive request to another backend server that has capacity. The former
--- a/crates/gate/tests/retries.rs
+++ b/crates/gate/tests/retries.rs
@@ -50,6 +50,26 @@
     assert_eq!(gateway.reason(number), Some(Reason::Lost));
 }
 
+/// Guards against a request that runs twice, or is refused as not run, after a rejection that may
+/// belong to an earlier request.
+#[test]
+fn a_doubtful_rejection_is_no_proof() {
+    for (path, is_repeated) in [("bid", false), ("status", true)] {
+        let mut gateway = TestGateway::with_backends(PLAIN, 2);
+        let number = gateway.arrive(request(path));
+        let first = gateway.dispatched(number).expect("dispatched");
+        gateway.feed(Event::DoubtfulRejection { number });
+        let second = gateway.dispatched(number);
+        assert_eq!(second.is_some_and(|second| second.backend != first.backend), is_repeated);
+        if is_repeated {
+            gateway.feed(Event::Rejected { number, retry_after: None });
+        }
+        let refusal = gateway.refused(number).expect("refused");
+        assert_eq!((refusal.reason, refusal.retry_after), (Reason::Lost, None), "{path}");
+        assert_eq!(running(&gateway, &first), 0);
+    }
+}
+
 /// Guards against a 503, which states that a request has not run, after an earlier attempt may have
 /// run: a later one is rejected or misdirected while the retry budget is empty.
 #[test]
@@ -201,6 +221,7 @@
         |number| Event::NotSent { number },
         |number| Event::Refused { number },
         |number| Event::Misdirected { number },
+        |number| Event::DoubtfulRejection { number },
         |number| Event::Ended { number, result: AttemptResult::Failed },
         |number| Event::Ended { number, result: AttemptResult::Broken },
         |number| Event::Ended { number, result: AttemptResult::Invalid },
--- a/crates/gate/tests/schedules.rs
+++ b/crates/gate/tests/schedules.rs
@@ -39,7 +39,7 @@
         let pick = |g: &mut Gen, below: usize| usize::arbitrary(g) % below;
         match pick(g, 24) {
             0..=6 => Step::Arrive { path: pick(g, PATHS.len()), copy: pick(g, 4) == 0 },
-            7..=13 => Step::Respond { request: pick(g, 64), kind: pick(g, 9) },
+            7..=13 => Step::Respond { request: pick(g, 64), kind: pick(g, 10) },
             14 => Step::Disconnect { request: pick(g, 64) },
             15 | 16 => Step::Backend { id: pick(g, 6), state: pick(g, 4) },
             17 | 18 => Step::Wait { ms: pick(g, 400) as u64 },
@@ -136,7 +136,7 @@
             .collect();
         let Some(&number) = open.get(request % open.len().max(1)) else { return };
         let progress = self.requests.get_mut(&number).expect("a request that was sent");
-        let declines = [1, 2, 3, 5, 6].contains(&kind);
+        let declines = [1, 2, 3, 5, 6, 8].contains(&kind);
         if !declines && progress.former.take().is_some() {
             self.gateway.feed(Event::Moved { number });
         }
@@ -169,6 +169,10 @@
                 close(true);
                 self.gateway.end(number, AttemptResult::Failed);
             }
+            8 => {
+                close(true);
+                self.gateway.feed(Event::DoubtfulRejection { number });
+            }
             _ => {
                 close(true);
                 progress.closed = true;
