Give the next run of a server an origin of its own until its record is read

Cause: the origin of a stream was the version in the record at its dispatch, though a refused connection had shown that the run of this record had ended. Only pauses took account of that.

The new test failed on the code before: "within its response, left: Some(v1), right: None".

The change: from the refused connection on, until its record changes, the server has an origin that no other server has. So streams that begin there go on there only, no stream of the former version is sent there, and the only version isn't taken for certain meanwhile. Departures are recorded by the record's version as before.

Why this works: what answers at the address is placed by what is known of it, which is nothing, and not by the record of the run before.

--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -64,7 +64,8 @@
     pub hash: u32,
     /// Hash that identifies the run of the backend server, the same at all gateways.
     pub run: u64,
-    /// Key of the service and the software version; see `origin::key`.
+    /// Key of the service and the software version of what answers at the address; see
+    /// `origin::key`.
     pub origin: u64,
     pub record: Record,
     pub load: Load,
@@ -186,6 +187,7 @@
     pub fn record_end(&mut self, run: u64) {
         if let Some(backend) = self.entries.values_mut().find(|backend| backend.run == run) {
             backend.has_ended = true;
+            backend.origin = origin::next_run_key(backend.origin);
         }
     }
 
@@ -342,11 +344,14 @@
                 && backend.record.service == record.service
                 && backend.record.started == record.started;
             if is_same {
-                let origin = origin::key(&record);
-                if backend.origin != origin {
-                    self.departures.push((record.service.clone(), backend.origin));
+                let (origin, before) = (origin::key(&record), origin::key(&backend.record));
+                if before != origin {
+                    self.departures.push((record.service.clone(), before));
+                }
+                // A record that is merely read again doesn't show that its run goes on.
+                if !backend.has_ended || backend.record != record {
+                    backend.origin = origin;
                 }
-                backend.origin = origin;
                 backend.record = record;
                 backend.remove_at = None;
                 return;
@@ -403,7 +408,8 @@
         if let Some(keys) = self.keys_by_service.get_mut(&backend.record.service) {
             keys.retain(|other| *other != key);
         }
-        self.departures.push((backend.record.service.clone(), backend.origin));
+        let origin = origin::key(&backend.record);
+        self.departures.push((backend.record.service.clone(), origin));
         if self.departed.len() >= MAX_DEPARTED {
             self.departed.pop_front();
         }
--- a/crates/gate/tests/versions.rs
+++ b/crates/gate/tests/versions.rs
@@ -278,6 +278,49 @@
     }
 }
 
+/// Guards against streams of two versions after a server started again under its identifier with
+/// another version, and served before its record said so.
+#[test]
+fn a_stream_of_a_run_without_a_record_goes_on_nowhere_else() {
+    for is_taken_up in [false, true] {
+        let mut fleet = Fleet::new(4, &["v1", "v1", "v1"]);
+        fleet.advance(STREAM_LIFE);
+        // A connection to the former run is refused, so it has ended.
+        let number = fleet.send(0, stream("refused"));
+        let server = fleet.running[&(0, number)];
+        fleet.gateways[0].feed(Event::Refused { number });
+        fleet.take_actions(0);
+        fleet.gateways[0].feed(Event::Closed { number });
+        let keys = fleet.gateways[0].machine.backends();
+        let backend = keys.iter().find(|(_, b)| b.id == format!("r{server}")).expect("listed").0;
+        fleet.gateways[0].feed(Event::Probed { backend, reachable: true });
+        let streams = (0..30).map(|n| {
+            let id = format!("a{n}");
+            let (number, _) = fleet.begin(0, &id);
+            (id, number, fleet.running[&(0, number)])
+        });
+        let (id, number, _) = streams.into_iter().find(|(_, _, at)| *at == server).expect("used");
+        fleet.advance(100 * MS);
+        match is_taken_up {
+            false => {
+                fleet.lose_connection(0, number);
+                assert_eq!(fleet.version_of(0, number), None, "within its response");
+                assert_eq!(fleet.gateways[0].reason(number), Some(Reason::Lost));
+            }
+            true => {
+                for gateway in 0..4 {
+                    let number = fleet.send(gateway, take_up(&format!("b{gateway}"), Some(&id)));
+                    fleet.advance(Duration::from_secs(1));
+                    // The same gateway may send it to the same run.
+                    let at = fleet.running.get(&(gateway, number)).copied();
+                    let expected = (gateway == 0).then_some(server);
+                    assert_eq!(at, expected, "at gateway {gateway}");
+                }
+            }
+        }
+    }
+}
+
 /// Guards against streams that callers take up at another version, at any gateway, also after the
 /// gateway that began them is gone.
 #[test]
