--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -1,5 +1,7 @@
 //! One request, from the time when it was read completely to its response.
 
+mod lines;
+
 use std::{future::Future, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
@@ -375,65 +377,6 @@
         Ok(response)
     }
 
-    /// Logs and counts a response. `first` is the time from the dispatch to the first event of a
-    /// stream, or to the end of any other response.
-    pub fn log_response(
-        &self,
-        dispatch: &Dispatch,
-        status: StatusCode,
-        framing: Framing,
-        first: Duration,
-    ) {
-        let inputs = &dispatch.inputs;
-        self.gateway.metrics.count_outcome("answered");
-        self.gateway.metrics.record_response(dispatch, first);
-        tracing::info!(
-            event = "answered",
-            id = %String::from_utf8_lossy(&self.id),
-            replica = %String::from_utf8_lossy(&dispatch.id),
-            status = status.as_u16(),
-            framing = framing.name(),
-            tier = inputs.tier,
-            attempt = inputs.attempt,
-            waited_ms = inputs.waited.as_millis() as u64,
-            first_ms = first.as_millis() as u64,
-            expected_ms = inputs.expected.as_millis() as u64,
-            running = inputs.running,
-            backlog = inputs.backlog,
-            tokens = inputs.tokens,
-            account = %String::from_utf8_lossy(dispatch.account.as_deref().unwrap_or_default()),
-            units = inputs.units as u64,
-            limit = inputs.rate_limit,
-            version = %String::from_utf8_lossy(&dispatch.version),
-            resumes = %String::from_utf8_lossy(self.resumes.as_deref().unwrap_or_default()),
-        );
-    }
-
-    /// Logs whether a request in progress at an unresponsive backend server moved to another one.
-    fn log_move(&self, former: &Dispatch, other: &Dispatch, is_accepted: bool) {
-        tracing::info!(
-            event = "move",
-            id = %String::from_utf8_lossy(&self.id),
-            from = %String::from_utf8_lossy(&former.id),
-            replica = %String::from_utf8_lossy(&other.id),
-            accepted = is_accepted,
-            attempt = other.inputs.attempt,
-            running = other.inputs.running,
-        );
-    }
-
-    /// Logs that a stream goes on at a backend server within its response.
-    pub fn log_resumed(&self, dispatch: &Dispatch, last_event_id: Option<&Bytes>) {
-        tracing::info!(
-            event = "stream_resumed",
-            id = %String::from_utf8_lossy(&self.id),
-            replica = %String::from_utf8_lossy(&dispatch.id),
-            version = %String::from_utf8_lossy(&dispatch.version),
-            attempt = dispatch.inputs.attempt,
-            last_event = %String::from_utf8_lossy(last_event_id.map_or(&[], |id| &id[..])),
-        );
-    }
-
     /// Logs and returns the last failure response, since the request is not dispatched again.
     fn forward_failure(&self, failure: Response<http::Body>) -> Response<http::Body> {
         self.gateway.metrics.count_outcome("failed");
@@ -463,70 +406,11 @@
         }
     }
 
-    /// Logs why an attempt at a backend server failed.
-    pub fn log_failure(&self, dispatch: &Dispatch, event: &Event) {
-        let how = match event {
-            Event::NotSent { .. } => "unsent",
-            Event::Refused { .. } => "refused",
-            Event::Rejected { .. } => "rejected",
-            Event::Misdirected { .. } => "misdirected",
-            Event::DoubtfulRejection { .. } => "doubtful",
-            Event::Ended { result: AttemptResult::Broken, .. } => "broken",
-            Event::Ended { result: AttemptResult::Invalid, .. } => "invalid",
-            Event::Ended { .. } => "failed",
-            _ => "other",
-        };
-        self.gateway.metrics.count_failed_attempt(how);
-        tracing::info!(
-            event = "attempt_failed",
-            id = %String::from_utf8_lossy(&self.id),
-            replica = %String::from_utf8_lossy(&dispatch.id),
-            how,
-            attempt = dispatch.inputs.attempt,
-            running = dispatch.inputs.running,
-            limit = dispatch.inputs.rate_limit,
-        );
-    }
-
     /// Returns the gateway's metrics.
     pub fn metrics(&self) -> &Metrics {
         &self.gateway.metrics
     }
 
-    /// Logs that a backend server ended a stream, and how many bytes it sent after the last complete
-    /// event.
-    pub fn log_stream_end(
-        &self,
-        dispatch: &Dispatch,
-        framing: Framing,
-        partial_bytes: usize,
-        last_event_id: Option<&Bytes>,
-    ) {
-        tracing::info!(
-            event = "stream_ended",
-            id = %String::from_utf8_lossy(&self.id),
-            replica = %String::from_utf8_lossy(&dispatch.id),
-            framing = framing.name(),
-            partial_bytes,
-            attempt = dispatch.inputs.attempt,
-            last_event = %String::from_utf8_lossy(last_event_id.map_or(&[], |id| &id[..])),
-        );
-    }
-
-    /// Logs that a stream is cut before its end, and why. `last_event_id` is the identifier of the
-    /// last event that was forwarded.
-    pub fn log_cut(&self, dispatch: &Dispatch, reason: &str, last_event_id: Option<&Bytes>) {
-        self.gateway.metrics.count_outcome("cut");
-        tracing::info!(
-            event = "cut",
-            id = %String::from_utf8_lossy(&self.id),
-            replica = %String::from_utf8_lossy(&dispatch.id),
-            reason,
-            attempt = dispatch.inputs.attempt,
-            last_event = %String::from_utf8_lossy(last_event_id.map_or(&[], |id| &id[..])),
-        );
-    }
-
     fn refuse(&self, refusal: &Refusal) -> Response<http::Body> {
         refuse(&self.gateway.metrics, refusal, &self.id)
     }
