--- a/crates/conf/src/gateway.rs
+++ b/crates/conf/src/gateway.rs
@@ -176,26 +176,30 @@
 }
 
 impl Bounds {
+    /// Reads the bounds, which a deployment may state as decimal numbers.
     fn read(reader: &mut section::Reader<'_>) -> Bounds {
         let default = Bounds::default();
         let seconds = |reader: &mut section::Reader<'_>, key, default: Duration| {
-            Duration::from_secs(reader.number(key, default.as_secs(), 1..=3600, "s"))
+            let seconds = reader.decimal(key, default.as_secs_f64(), 1..=3600, "s");
+            Duration::from_secs_f64(seconds)
         };
         let ratio = |reader: &mut section::Reader<'_>, key, default| {
             reader.optional(key, RATIO, parse_ratio).unwrap_or(default)
         };
-        let number = |reader: &mut section::Reader<'_>, key, default: f64, unit| {
-            f64::from(reader.number(key, default as u32, 0..=u64::from(u32::MAX), unit))
+        let slack = |reader: &mut section::Reader<'_>, key, default: f64, unit| {
+            reader.decimal(key, default, 0..=u64::from(u32::MAX), unit)
         };
+        let revoke_ms = default.revoke.as_secs_f64() * 1e3;
+        let revoke_ms = reader.decimal("revoke_ms", revoke_ms, 500..=3_600_000, "ms");
         Bounds {
-            revoke: reader.duration("revoke_ms", default.revoke, 500..=3_600_000),
+            revoke: Duration::from_secs_f64(revoke_ms / 1e3),
             grace: seconds(reader, "grace_s", default.grace),
             retry_ratio: ratio(reader, "retry_ratio", default.retry_ratio),
-            retry_slack: number(reader, "retry_slack", default.retry_slack, "arrivals"),
+            retry_slack: slack(reader, "retry_slack", default.retry_slack, "arrivals"),
             retry_window: seconds(reader, "retry_window_s", default.retry_window),
             quota_window: seconds(reader, "quota_window_s", default.quota_window),
             quota_overage: ratio(reader, "quota_overage", default.quota_overage),
-            quota_slack: number(reader, "quota_slack", default.quota_slack, "units"),
+            quota_slack: slack(reader, "quota_slack", default.quota_slack, "units"),
         }
     }
 }
--- a/crates/conf/src/section.rs
+++ b/crates/conf/src/section.rs
@@ -89,6 +89,21 @@
         self.optional(key, &allowed, |text| parse_number(text, &bounds)).unwrap_or(default)
     }
 
+    /// Returns a decimal number within `bounds`, `default` if it is not set or malformed; `unit` is
+    /// for errors.
+    pub(crate) fn decimal(
+        &mut self,
+        key: &'static str,
+        default: f64,
+        bounds: RangeInclusive<u64>,
+        unit: &str,
+    ) -> f64 {
+        let allowed = describe_range(&bounds, unit);
+        let range = *bounds.start() as f64..=*bounds.end() as f64;
+        let parse = |text: &str| text.parse().ok().filter(|number| range.contains(number));
+        self.optional(key, &allowed, parse).unwrap_or(default)
+    }
+
     /// Returns a required whole number within `bounds`.
     pub(crate) fn required_number<T>(
         &mut self,
--- /dev/null
+++ b/crates/conf/tests/gateway.rs
@@ -0,0 +1,40 @@
+//! Settings file of a gateway.
+
+use std::time::Duration;
+
+use conf::gateway;
+
+const SETTINGS: &str = "
+[process]
+role = gateway
+host = h1
+availability_zone = a
+[listen]
+callers = 10.1.0.1:8001
+readiness = 10.1.0.1:8002
+peers = 10.1.0.1:7400
+operators = 10.1.0.1:8003
+[store]
+address = 10.200.1.7:8004
+";
+
+/// Guards against a gateway that doesn't start since its deployment states a bound that isn't a whole
+/// number. On a deployment whose retry slack was 38.26 none started.
+#[test]
+fn bounds_may_be_decimal_numbers() {
+    let bounds = "[bounds]\nretry_slack = 38.2608695652174\ngrace_s = 8.5\nrevoke_ms = 4500.5\n";
+    let settings = gateway::parse("f", &format!("{SETTINGS}{bounds}")).expect("valid settings");
+    assert_eq!(settings.bounds.retry_slack, 38.2608695652174);
+    assert_eq!(settings.bounds.grace, Duration::from_millis(8_500));
+    assert_eq!(settings.bounds.revoke, Duration::from_micros(4_500_500));
+}
+
+/// Guards against bounds that are taken from text that is no number in their range.
+#[test]
+fn bounds_out_of_range_are_errors() {
+    for wrong in ["NaN", "inf", "-1", "5e9", "many", ""] {
+        let bounds = format!("[bounds]\nretry_slack = {wrong}\nquota_window_s = 0.5\n");
+        let errors = gateway::parse("f", &format!("{SETTINGS}{bounds}")).expect_err(wrong);
+        assert_eq!(errors.len(), 2, "{wrong}: {errors:?}");
+    }
+}
