Give free slots to the gateways where the most urgent requests wait

Gateways divided the free slots of an engine by the number of requests that wait at each, whatever their tier, and a slot that became free at a gateway went to that gateway's own requests.

Gateways now report how many requests wait by rank, in the list of waiting requests of the same messages. While fewer slots are free than requests wait, each gateway's part follows from the ranks; the slots of one server are divided without a rest, the same way at all gateways. A slot that nobody used for 60 ms is open to all, since not every request may run everywhere.

--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -11,6 +11,7 @@
 use wire::time::Instant;
 
 use crate::{
+    claims::{Claim, Claims},
     load::Load,
     message, origin, peers, quota,
     statement::{Stated, Statement},
@@ -88,9 +89,10 @@
     /// Whether some gateways don't report each change of their load. The load of backend servers
     /// in other availability zones is then received late.
     pub has_far: bool,
+    pub own_address: SocketAddr,
     /// Availability zone of this gateway.
     pub zone: &'a Bytes,
-    /// Number of requests that wait here, by the hash of the service's name.
+    /// Requests that wait here, as in `message::Message::waiting`.
     pub own_waiting: &'a [(u64, u32)],
     /// Whether fractions of a slot are assigned anew.
     pub divides_anew: bool,
@@ -113,6 +115,15 @@
         let here = f64::from(count(self.own_waiting) + 1);
         here / (here + f64::from(waiting_at_others) + rivals().count() as f64)
     }
+
+    /// Returns the claims of the requests that wait for a service's backend servers, if those servers
+    /// have too few free slots for all of them.
+    fn scarce_claims(&self, service: u64, is_far: bool, free: u32) -> Option<Claims> {
+        let rivals = self.reports.iter().filter(|report| is_far || report.is_near);
+        let rivals = rivals.map(|report| (report.from, report.waiting));
+        let all = rivals.chain([(self.own_address, self.own_waiting)]);
+        Claims::scarce(all.flat_map(|(from, waiting)| Claim::all(service, from, waiting)), free)
+    }
 }
 
 /// Backend servers by key, identifier and service.
@@ -300,28 +311,56 @@
         self.entries.iter()
     }
 
-    /// Records the loads and the numbers of waiting requests that other gateways reported.
-    pub fn record_peer_loads(&mut self, view: &View<'_>, rng: &mut fastrand::Rng) {
+    /// Records the loads and the numbers of waiting requests that other gateways reported. Returns
+    /// whether more requests wait for a service than there are free slots.
+    pub fn record_peer_loads(
+        &mut self,
+        now: Instant,
+        view: &View<'_>,
+        rng: &mut fastrand::Rng,
+    ) -> bool {
         let mut loads: Vec<(Duration, message::Load)> = Vec::new();
         for report in view.reports {
             loads.extend(report.loads.iter().map(|load| (report.age, *load)));
         }
         loads.sort_unstable_by_key(|(_, load)| load.backend);
-        let mut shares: HashMap<(u64, bool), f64> = HashMap::new();
+        // Free slots by the hash of the service, and whether the backend servers are far.
+        let mut free: HashMap<(u64, bool), u32> = HashMap::new();
         for backend in self.entries.values_mut() {
             let first = loads.partition_point(|(_, load)| load.backend < backend.hash);
             let count = loads[first..].partition_point(|(_, load)| load.backend == backend.hash);
             let is_far = view.has_far && backend.record.zone != *view.zone;
+            let slots = backend.record.slots;
+            backend.load.record_peer_loads(now, &loads[first..first + count], slots, is_far);
             let service = quota::hash(&backend.record.service);
-            let own_share =
-                *shares.entry((service, is_far)).or_insert_with(|| view.own_share(service, is_far));
-            if view.divides_anew && own_share < 1.0 {
-                backend.load.divide_anew(rng);
+            let usable = if backend.load.is_usable(now) { backend.load.free() } else { 0 };
+            *free.entry((service, is_far)).or_default() += usable;
+        }
+        let divide = |(service, is_far): (u64, bool), free: u32| {
+            let share = view.own_share(service, is_far);
+            (share, view.scarce_claims(service, is_far, free))
+        };
+        let divisions: HashMap<(u64, bool), (f64, Option<Claims>)> =
+            free.into_iter().map(|(class, free)| (class, divide(class, free))).collect();
+        for backend in self.entries.values_mut() {
+            let class = (quota::hash(&backend.record.service), backend.load.is_far);
+            let Some((own_share, claims)) = divisions.get(&class) else { continue };
+            let is_claimed = backend.load.is_usable(now) && backend.load.is_claimed(now);
+            match claims.as_ref().filter(|_| is_claimed) {
+                Some(claims) => {
+                    let free = backend.load.free();
+                    let slots = claims.slots(view.own_address, backend.run, free);
+                    backend.load.set_free_slots(slots);
+                }
+                None => {
+                    if view.divides_anew && *own_share < 1.0 {
+                        backend.load.divide_anew(rng);
+                    }
+                    backend.load.take_share(*own_share);
+                }
             }
-            let slots = backend.record.slots;
-            let others = &loads[first..first + count];
-            backend.load.record_peer_loads(others, slots, own_share, is_far);
         }
+        divisions.values().any(|(_, claims)| claims.is_some())
     }
 
     /// Updates the speed estimates for which a peer has new samples.
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod arrivals;
 pub mod backends;
 pub mod catalog;
+pub mod claims;
 pub mod deadlines;
 mod demand;
 pub mod event;
--- a/crates/gate/src/load.rs
+++ b/crates/gate/src/load.rs
@@ -24,6 +24,9 @@
 const MIN_SAMPLE_TOKENS: u32 = 300;
 /// Slots of a far backend server that are left for requests whose reports are on the way.
 const UNSEEN_REQUESTS: f64 = 1.0;
+/// Time for which free slots are left to the gateways with the most urgent requests: two messages
+/// between nearby gateways and their delay.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(60);
 /// Consecutive failures after which a backend server is ejected.
 const FAILURES_TO_EJECT: u32 = 4;
 /// Duration of the first ejection; each further one doubles it.
@@ -45,6 +48,8 @@
     pub is_far: bool,
     /// Slots that this gateway may still use before it receives the next reports of the others.
     free_slots: f64,
+    /// Time since which there have been free slots.
+    free_since: Option<Instant>,
     /// Random number from 0 to 1 below which a fraction of a slot is one for this gateway.
     division: f64,
     speed: message::Speed,
@@ -69,6 +74,7 @@
             others: (0, 0),
             is_far: false,
             free_slots: 0.0,
+            free_since: None,
             division: 0.0,
             speed: message::Speed {
                 prompt_ms: (1.0 / INITIAL_PROMPT_TOKENS_PER_MS) as f32,
@@ -97,15 +103,14 @@
         self.pending.saturating_add(self.others.1)
     }
 
-    /// Records the load reports of other gateways, each with its age, and the free slots of this
-    /// gateway. If requests wait at other gateways too, this one may use only `own_share` of the
-    /// free slots, since otherwise each gateway would use all of them. Prefill is assumed to have
-    /// continued since the reports.
+    /// Records the load reports of other gateways, each with its age. Prefill is assumed to have
+    /// continued since the reports. All free slots are this gateway's until `take_share` or
+    /// `set_free_slots` is called.
     pub fn record_peer_loads(
         &mut self,
+        now: Instant,
         loads: &[(Duration, message::Load)],
         slots: u32,
-        own_share: f64,
         is_far: bool,
     ) {
         let running: u32 = loads.iter().map(|(_, load)| u32::from(load.running)).sum();
@@ -115,8 +120,33 @@
         self.others = (running, (pending - processed).max(0.0) as u32);
         self.is_far = is_far;
         let free = f64::from(slots) - f64::from(self.total_running());
-        let free = if is_far { free - UNSEEN_REQUESTS } else { free };
-        self.free_slots = free;
+        self.free_slots = if is_far { free - UNSEEN_REQUESTS } else { free };
+        match self.free_slots >= 1.0 {
+            true => self.free_since.get_or_insert(now),
+            false => return self.free_since = None,
+        };
+    }
+
+    /// Returns the free slots as this gateway knows them.
+    pub fn free(&self) -> u32 {
+        self.free_slots.max(0.0) as u32
+    }
+
+    /// Returns whether free slots are left to the gateways with the most urgent requests. They have
+    /// some time to use them, since not every request may run at every backend server.
+    pub fn is_claimed(&self, now: Instant) -> bool {
+        self.free_since.is_none_or(|since| now.since(since) < CLAIM_TIMEOUT)
+    }
+
+    /// Sets the free slots that this gateway may use.
+    pub fn set_free_slots(&mut self, slots: u32) {
+        self.free_slots = f64::from(slots);
+    }
+
+    /// Reduces the free slots to a share of them. If requests wait at other gateways too, each
+    /// gateway would use all of them otherwise.
+    pub fn take_share(&mut self, own_share: f64) {
+        let free = self.free_slots;
         if free > 0.0 && own_share < 1.0 {
             let part = free * own_share;
             let rounds_up = self.division < part.fract();
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -390,6 +390,7 @@
                 budget.record_request(bounds, gateways);
                 self.arrivals.entry(entry.service.clone()).or_default().record(now);
                 self.enqueue(number, entry);
+                self.record_wait();
                 self.find_origin(now, number, actions);
             }
             Err(mut refusal) => {
--- a/crates/gate/src/machine/loads.rs
+++ b/crates/gate/src/machine/loads.rs
@@ -6,7 +6,7 @@
 use wire::time::Instant;
 
 use super::Machine;
-use crate::{Action, backends, message, queue::Queue, quota};
+use crate::{Action, backends, claims, message, queue::Queue, quota};
 
 /// Time between two assignments of the slots for which requests wait at several gateways.
 const DIVISION_PERIOD: Duration = Duration::from_millis(100);
@@ -23,6 +23,8 @@
     next_send: Instant,
     /// Whether reports were received that placement does not use yet.
     is_outdated: bool,
+    /// Whether more requests wait than there are free slots.
+    is_scarce: bool,
     next_division: Instant,
     /// Time at which waiting requests are dispatched by reports that were received.
     dispatch_at: Option<Instant>,
@@ -34,6 +36,7 @@
             is_changed: false,
             next_send: now,
             is_outdated: false,
+            is_scarce: false,
             next_division: now,
             dispatch_at: None,
         }
@@ -42,6 +45,8 @@
     /// Records that the load of this gateway changed.
     pub(super) fn mark_changed(&mut self) {
         self.is_changed = true;
+        // A slot that becomes free here may belong to a more urgent request elsewhere.
+        self.is_outdated |= self.is_scarce;
     }
 }
 
@@ -115,17 +120,32 @@
         let view = backends::View {
             reports: &reports,
             has_far: self.peers.has_far(now),
+            own_address: self.own_address(),
             zone: &self.setup.availability_zone,
             own_waiting: &own_waiting,
             divides_anew,
         };
-        self.backends.record_peer_loads(&view, &mut self.rng);
+        let is_scarce = self.backends.record_peer_loads(now, &view, &mut self.rng);
+        self.load_exchange.is_scarce = is_scarce;
     }
 
-    /// Returns the number of waiting requests by the hash of the service.
+    /// Returns the number of waiting requests by the hash of the service, and that of each rank by
+    /// `claims::key`.
     pub(super) fn waiting(&self) -> Vec<(u64, u32)> {
-        let busy = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
-        busy.map(|(service, queue)| (quota::hash(service), queue.len() as u32)).collect()
+        let mut waiting = Vec::new();
+        for (service, queue) in self.queues.iter().filter(|(_, queue)| !queue.is_empty()) {
+            let service = quota::hash(service);
+            waiting.push((service, queue.len() as u32));
+            let ranks = queue.ranks().into_iter();
+            waiting.extend(ranks.map(|(rank, count)| (claims::key(service, rank), count)));
+        }
+        waiting
+    }
+
+    /// Records that a request begins to wait, which other gateways have to know at once if it may be
+    /// more urgent than theirs.
+    pub(super) fn record_wait(&mut self) {
+        self.load_exchange.mark_changed();
     }
 
     fn has_waiting(&self) -> bool {
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -78,6 +78,7 @@
 /// Load that a peer last reported.
 #[derive(Clone, Copy, Debug)]
 pub struct Report<'a> {
+    pub from: SocketAddr,
     pub age: Duration,
     /// Whether the peer reports each change of its load.
     pub is_near: bool,
@@ -219,9 +220,10 @@
     /// Returns the loads that peers reported recently enough.
     pub fn reports(&self, now: Instant) -> impl Iterator<Item = Report<'_>> {
         let (has_far, max_age) = (self.has_far(now), self.max_age());
-        self.peers.values().filter_map(move |peer| {
+        self.peers.iter().filter_map(move |(from, peer)| {
             let age = now.since(peer.last_seen.map(|_| peer.loads_at)?);
             (age < max_age).then_some(Report {
+                from: *from,
                 age,
                 is_near: !has_far || peer.zone == Some(self.own_zone),
                 loads: &peer.message.loads,
--- a/crates/gate/src/queue.rs
+++ b/crates/gate/src/queue.rs
@@ -52,6 +52,11 @@
 }
 
 impl Entry {
+    /// Returns the position among requests of other gateways; the most urgent one is the smallest.
+    pub fn rank(&self) -> u32 {
+        Rank::from_entry(self).ordinal()
+    }
+
     /// Returns whether the request may be sent to a backend server, apart from its load.
     pub fn admits(&self, key: backends::Key, backend: &Backend) -> bool {
         !self.excluded.contains(&key) && self.origin.admits(backend)
@@ -73,7 +78,16 @@
     tier: u32,
 }
 
+/// Largest tier of an account in a rank.
+const MAX_ACCOUNT_TIER: u32 = 0xfff;
+
 impl Rank {
+    /// Returns the rank as a number, the most urgent one first. It is the same at all gateways.
+    fn ordinal(self) -> u32 {
+        let route_tier = self.tier % admission::ROUTE_TIERS;
+        (self.account_tier.min(MAX_ACCOUNT_TIER) << 8) | (u32::from(self.overdue) << 7) | route_tier
+    }
+
     fn from_entry(entry: &Entry) -> Rank {
         let account_tier = entry.tier / admission::ROUTE_TIERS;
         Rank { account_tier, overdue: entry.overdue, tier: entry.tier }
@@ -102,6 +116,13 @@
         self.waiting.iter().map(|(_, number)| *number)
     }
 
+    /// Returns the ranks of waiting requests, the most urgent first, with the number of requests that
+    /// have each.
+    pub fn ranks(&self) -> Vec<(u32, u32)> {
+        let ordinals: Vec<u32> = self.waiting.iter().map(|(rank, _)| rank.ordinal()).collect();
+        ordinals.chunk_by(|a, b| a == b).map(|same| (same[0], same.len() as u32)).collect()
+    }
+
     /// Returns the number of waiting requests.
     pub fn len(&self) -> usize {
         self.waiting.len()
