Move the selection of entries' routes to the settings crate

A comparison of two settings trees has to find the route of a path as entries do, and the settings crate can't depend on the entry crate.

--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod gateway;
 mod merge;
 pub mod process;
+pub mod route;
 mod section;
 pub mod tree;
--- a/crates/entry/src/route.rs
+++ b/crates/conf/src/route.rs
@@ -1,11 +1,11 @@
 //! Selection of the route that serves a path.
 
 use bytes::Bytes;
-use conf::tree;
 use wire::request;
 
-/// Path of chat completions, which model routes serve unless their settings name another path.
-pub const CHAT_PATH: &[u8] = b"/v1/chat/completions";
+use crate::tree;
+
+pub use crate::tree::CHAT_PATH;
 
 /// Returns the route for a path, whose query is ignored. A model route must also match the `model`
 /// of the body and takes precedence over service routes; among routes of one kind, the one with
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,11 +15,11 @@
 mod open_request;
 mod pause;
 mod retry_budget;
-pub mod route;
 mod state;
 mod timers;
 
 pub use action::Action;
+pub use conf::route;
 pub use event::Event;
 pub use incoming::{IncomingRequest, Setup};
 pub use machine::Machine;
