Find sections without effect and changes for callers in a settings tree

The parser refuses wrong values, but accepts a pool that no route uses, a tier that no account may use, a hedge after every deadline, keys that expire before the deadline of their call, and bodies larger than an entry holds. These are findings now. A second tree is compared by what callers see: the route that serves each path, keys, limits and deadlines.

--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -2,8 +2,11 @@
 //! operators publish.
 
 mod branch;
+pub mod change;
 pub mod check;
+pub mod differences;
 pub mod document;
+pub mod findings;
 pub mod gateway;
 mod merge;
 pub mod process;
