--- a/crates/conf/src/change.rs
+++ b/crates/conf/src/change.rs
@@ -57,9 +57,12 @@
         match &self.kind {
             Kind::Begins => write!(f, "begins"),
             Kind::Ends => write!(f, "ends"),
-            Kind::KeysEnd { count } => write!(f, "{count} of its keys end"),
-            Kind::KeysBegin { count } => write!(f, "{count} of its keys are new"),
-            Kind::KeysMove { count, to } => write!(f, "{count} of its keys move to account {to}"),
+            Kind::KeysEnd { count: 1 } => write!(f, "1 key ends"),
+            Kind::KeysEnd { count } => write!(f, "{count} keys end"),
+            Kind::KeysBegin { count: 1 } => write!(f, "1 key begins"),
+            Kind::KeysBegin { count } => write!(f, "{count} keys begin"),
+            Kind::KeysMove { count: 1, to } => write!(f, "1 key moves to account {to}"),
+            Kind::KeysMove { count, to } => write!(f, "{count} keys move to account {to}"),
             Kind::Falls { property, from, to } => {
                 write!(f, "{property} falls from {from} to {to}")
             }
