Check configurations of the platform, and compare with the version in force

`quincespoke check` read settings alone and told nothing of what a new version does to callers. `--platform` reads the platform's configuration from files, and `--against` prints the changes for callers against the version in force, of either form. Errors end with 1; warnings and changes leave the code at 0. The lines and JSON of earlier errors stay as they were; JSON has `warnings` and `changes` beside them.

A branch with errors no longer hides those between the others: they are merged without it, and references to names of its sections are not reported.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -2,12 +2,13 @@
 
 use std::collections::BTreeSet;
 
+use platform::findings::Severity;
 use serde_json::{Value, json};
 use wire::status;
 
 use crate::{
-    clock, disagreements, error, fetch, help, hosts, latency, logs, options, output, poison,
-    revisions, settings, stragglers, trace, watch,
+    checked, clock, configuration, disagreements, error, fetch, help, hosts, latency, logs,
+    options, output, poison, revisions, settings, stragglers, trace, watch,
 };
 
 /// Runs the subcommand, or prints the help or version, as the options say.
@@ -54,12 +55,17 @@
 }
 
 fn check(options: &options::Options) -> Result<output::Report, error::Error> {
-    let check = if options.process { settings::check_processes } else { settings::check_trees };
-    let checked = check(&options.paths)?;
-    let count = checked.errors.len();
-    let error =
-        (count > 0).then_some(error::Error::Invalid { errors: count, files: checked.files });
-    Ok(output::Report { text: settings::text(&checked), json: settings::json(&checked), error })
+    let against = options.against.as_deref();
+    let checked = if options.process {
+        settings::check_processes(&options.paths)?
+    } else if options.platform {
+        configuration::check(&options.paths, against)?
+    } else {
+        settings::check_trees(&options.paths, against)?
+    };
+    let errors = checked.count(Severity::Error);
+    let error = (errors > 0).then_some(error::Error::Invalid { errors, files: checked.files });
+    Ok(output::Report { text: checked::text(&checked), json: checked::json(&checked), error })
 }
 
 async fn fetch_statuses(
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -40,6 +40,8 @@
 
 const CHECK_OPTIONS: &str = "\
 \x20 --process          the paths are process settings files
+  --platform         the paths are files with the platform's configuration, as JSON
+  --against PATH     the version in force; print what changes for callers
   --json             print JSON
   -h, --help         show this help
 ";
@@ -103,17 +105,19 @@
 
 fn check() -> Page {
     Page {
-        usage: "check [--process] [--json] PATH...",
+        usage: "check [--process | --platform] [--against PATH] [--json] PATH...",
         about: "\
-Checks settings by the rules that the processes apply, and prints every error.
-A PATH is the directory of a settings tree: each *.ini file in it is a branch, named by
-its path in the tree without the extension. Branches are checked against each other once
-each of them is valid on its own.
+Checks settings by the rules that the processes apply, and prints every error and warning.
+Nothing is sent. A PATH is the directory of a settings tree: each *.ini file in it is a
+branch, named by its path in the tree without the extension. Of a branch with errors, only
+the names of its sections take part in the checks of the others; warnings and changes are
+printed once all branches can be read. Warnings leave the exit code at 0.
 ",
         options: CHECK_OPTIONS,
         examples: "\
 \x20 quincespoke check settings/
-\x20 quincespoke check --process /etc/quincespoke/entry.ini
+  quincespoke check --process /etc/quincespoke/entry.ini
+\x20 quincespoke check --platform --against in-force.json new.json
 ",
     }
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,8 +1,10 @@
 //! `quincespoke`: read-only command-line tool for operators.
 
 pub mod addresses;
+pub mod checked;
 pub mod clock;
 pub mod command;
+pub mod configuration;
 pub mod disagreements;
 pub mod drain;
 pub mod error;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -69,7 +69,7 @@
     fn allows(self, option: &str) -> bool {
         match option {
             "json" => true,
-            "process" => self == Subcommand::Check,
+            "process" | "platform" | "against" => self == Subcommand::Check,
             "at" | "at-file" | "timeout-ms" => self != Subcommand::Check,
             "account" | "tier" => self == Subcommand::Histograms,
             "log" => self == Subcommand::Explain,
@@ -98,10 +98,14 @@
     pub at: Vec<String>,
     /// `--timeout-ms N`: time to wait for the response of each process.
     pub timeout: Duration,
-    /// `check PATH...`: settings trees, or process settings files with `--process`.
+    /// `check PATH...`: settings trees, or files with `--process` or `--platform`.
     pub paths: Vec<PathBuf>,
     /// `check --process`: the paths are process settings files.
     pub process: bool,
+    /// `check --platform`: the paths are files with the platform's configuration.
+    pub platform: bool,
+    /// `check --against PATH`: the version in force, of the same form as the path.
+    pub against: Option<PathBuf>,
     /// `explain ID`: the request identifier, as in the `x-request-id` header of its response.
     pub request: Option<id::Request>,
     /// `explain --log FILE ID`: saved logs to read instead of querying processes.
@@ -138,6 +142,8 @@
             timeout: Duration::from_millis(DEFAULT_TIMEOUT_MS),
             paths: Vec::new(),
             process: false,
+            platform: false,
+            against: None,
             request: None,
             logs: Vec::new(),
             id: String::new(),
@@ -220,6 +226,11 @@
         "version" => options.version = true,
         "json" => options.json = true,
         "process" => options.process = true,
+        "platform" => options.platform = true,
+        "against" => {
+            let path = parser.value().map_err(|error| usage_error(options, error))?;
+            options.against = Some(path.into());
+        }
         "at" => {
             let address = text_value(options, name, parser)?;
             addresses::check(&address)
@@ -313,7 +324,7 @@
     }
     if subcommand == Subcommand::Check {
         options.paths = operands.into_iter().map(PathBuf::from).collect();
-        return Ok(());
+        return check_forms(options);
     }
     if let Some(extra) = operands.get(expected.len()) {
         return Err(usage_error(options, format!("unexpected argument {extra:?}")));
@@ -342,6 +353,20 @@
     Ok(())
 }
 
+/// Checks the options of `check` that exclude each other.
+fn check_forms(options: &Options) -> Result<(), error::Error> {
+    if options.process && options.platform {
+        return Err(usage_error(options, "check takes --process or --platform, not both"));
+    }
+    if options.process && options.against.is_some() {
+        return Err(usage_error(options, "check takes --process or --against, not both"));
+    }
+    if options.against.is_some() && options.paths.len() > 1 {
+        return Err(usage_error(options, "check --against takes one PATH"));
+    }
+    Ok(())
+}
+
 fn usage_error(options: &Options, message: impl fmt::Display) -> error::Error {
     error::Error::Usage { message: message.to_string(), subcommand: options.subcommand }
 }
--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -1,16 +1,16 @@
 //! Checks settings before they are published.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     fs, io,
     path::{Path, PathBuf},
 };
 
 use bytes::Bytes;
-use conf::{check, process, tree};
-use serde_json::{Value, json};
+use conf::{check, differences, findings, process, tree};
+use platform::findings::Severity;
 
-use crate::{error, options, output};
+use crate::{checked::Checked, error, options};
 
 /// Extension of the branch files in a settings tree.
 const EXTENSION: &str = "ini";
@@ -18,13 +18,6 @@
 /// First character of the names of internal branches, such as the host list.
 const RESERVED_PREFIX: char = '@';
 
-/// Result of a check.
-#[derive(Clone, Debug, Default)]
-pub struct Checked {
-    pub files: usize,
-    pub errors: Vec<check::Error>,
-}
-
 /// Returns the branch name of a file in a settings tree.
 pub fn branch_name(root: &Path, file: &Path) -> Option<String> {
     let relative = file.strip_prefix(root).ok()?.with_extension("");
@@ -76,89 +69,134 @@
 pub fn check_processes(paths: &[PathBuf]) -> Result<Checked, error::Error> {
     let mut checked = Checked::default();
     for path in paths {
-        if path.is_dir() {
-            return Err(path_error(path, "is a directory; --process takes files"));
-        }
-        let text = read_file(path)?;
+        let text = read_file_at(path, "--process")?;
         checked.files += 1;
         if let Err(errors) = process::parse(&path.display().to_string(), &text) {
-            checked.errors.extend(errors.into_iter().map(|error| with_path(path, error)));
+            add_errors(errors, path, &mut checked);
         }
     }
     Ok(checked)
 }
 
-/// Checks settings trees. Branches are merged only if each of them is valid on its own;
-/// otherwise all names from an invalid branch would be reported as undefined.
+/// Checks settings trees, and the changes against the tree in force.
 ///
 /// # Errors
 ///
 /// Returns an error if a path can't be read or is not the directory of a settings tree.
-pub fn check_trees(roots: &[PathBuf]) -> Result<Checked, error::Error> {
+pub fn check_trees(roots: &[PathBuf], against: Option<&Path>) -> Result<Checked, error::Error> {
     let mut checked = Checked::default();
     for root in roots {
-        if root.is_file() {
-            let problem = "is a file; give the directory of the settings tree, or --process \
-                          for process settings";
-            return Err(path_error(root, problem));
-        }
-        let files = branch_files(root)?;
-        if files.is_empty() {
-            return Err(path_error(root, "holds no *.ini file"));
-        }
-        check_tree(&files, &mut checked)?;
+        let tree = check_tree(&tree_files(root)?, &mut checked)?;
+        let Some(against) = against else { continue };
+        let in_force = read_in_force(&tree_files(against)?, &mut checked)?;
+        checked.changes = in_force.zip(tree).map(|(from, to)| differences::find(&from, &to));
     }
     Ok(checked)
 }
 
+fn tree_files(root: &Path) -> Result<BTreeMap<String, PathBuf>, error::Error> {
+    if root.is_file() {
+        let problem = "is a file; give the directory of the settings tree, --process for \
+                      process settings, or --platform for a configuration of the platform";
+        return Err(path_error(root, problem));
+    }
+    let files = branch_files(root)?;
+    if files.is_empty() {
+        return Err(path_error(root, "holds no *.ini file"));
+    }
+    Ok(files)
+}
+
+/// Branches of a tree that are valid on their own.
+#[derive(Default)]
+struct Branches {
+    valid: BTreeMap<Bytes, tree::Branch>,
+    /// Kinds and names of the sections of the others.
+    other_sections: BTreeSet<(String, String)>,
+    /// Whether the sections of a branch can't be told.
+    has_unknown_sections: bool,
+}
+
+impl Branches {
+    /// Returns whether an error of the merge may be due to a branch that is not merged.
+    fn may_define(&self, error: &check::Error) -> bool {
+        let kind = match error.key.as_str() {
+            "pool" => "pool",
+            "tier" | "top_tier" => "tier",
+            _ => return false,
+        };
+        self.has_unknown_sections
+            || self.other_sections.contains(&(kind.to_owned(), error.value.clone()))
+    }
+}
+
+/// Checks a tree and returns it as processes would merge it, unless a branch is refused.
 fn check_tree(
     files: &BTreeMap<String, PathBuf>,
     checked: &mut Checked,
-) -> Result<(), error::Error> {
-    let mut branches = BTreeMap::new();
+) -> Result<Option<tree::Tree>, error::Error> {
+    let branches = parse_branches(files, checked)?;
+    let (tree, errors) = tree::merge(&branches.valid);
+    for error in errors.into_iter().filter(|error| !branches.may_define(error)) {
+        checked.add(Severity::Error, &with_file(files, error));
+    }
+    // Without all branches, sections that are used would seem to be unused.
+    if branches.valid.len() != files.len() {
+        return Ok(None);
+    }
+    for finding in findings::find(&tree) {
+        checked.add(Severity::Warning, &with_file(files, finding.describe(&branches.valid)));
+    }
+    Ok(Some(tree))
+}
+
+/// Returns the tree in force. Errors of its merge and its findings don't concern the new one.
+fn read_in_force(
+    files: &BTreeMap<String, PathBuf>,
+    checked: &mut Checked,
+) -> Result<Option<tree::Tree>, error::Error> {
+    let mut own = Checked::default();
+    let branches = parse_branches(files, &mut own)?;
+    if branches.valid.len() != files.len() {
+        checked.files += own.files;
+        checked.findings.extend(own.findings);
+        return Ok(None);
+    }
+    Ok(Some(tree::merge(&branches.valid).0))
+}
+
+fn parse_branches(
+    files: &BTreeMap<String, PathBuf>,
+    checked: &mut Checked,
+) -> Result<Branches, error::Error> {
+    let mut branches = Branches::default();
     for (name, path) in files {
         let text = read_file(path)?;
         checked.files += 1;
         if name.starts_with(RESERVED_PREFIX) {
-            checked.errors.push(reserved_name_error(name, path));
+            checked.add(Severity::Error, &reserved_name_error(name, path));
             continue;
         }
         match tree::parse(name, &text) {
             Ok(branch) => {
-                branches.insert(Bytes::from(name.clone()), branch);
+                branches.valid.insert(Bytes::from(name.clone()), branch);
             }
             Err(errors) => {
-                checked.errors.extend(errors.into_iter().map(|error| with_path(path, error)));
+                add_errors(errors, path, checked);
+                match tree::section_names(&text) {
+                    Some(sections) => branches.other_sections.extend(sections),
+                    None => branches.has_unknown_sections = true,
+                }
             }
         }
     }
-    if branches.len() == files.len() {
-        let (_, errors) = tree::merge(&branches);
-        checked.errors.extend(errors.into_iter().map(|error| match files.get(&error.file) {
-            Some(path) => with_path(path, error),
-            None => error,
-        }));
-    }
-    Ok(())
+    Ok(branches)
 }
 
-/// Returns one line for each error, or one line that says that there are none.
-pub fn text(checked: &Checked) -> String {
-    if checked.errors.is_empty() {
-        return format!("{}, no errors\n", output::pluralize(checked.files, "file"));
+fn add_errors(errors: Vec<check::Error>, path: &Path, checked: &mut Checked) {
+    for error in errors {
+        checked.add(Severity::Error, &with_path(path, error));
     }
-    checked.errors.iter().map(|error| format!("{error}\n")).collect()
-}
-
-/// Returns the result as JSON.
-pub fn json(checked: &Checked) -> Value {
-    let errors = checked.errors.iter().map(|error| {
-        let check::Error { file, section, key, value, allowed } = error;
-        json!({
-            "file": file, "section": section, "key": key, "value": value, "allowed": allowed,
-        })
-    });
-    json!({"files": checked.files, "errors": errors.collect::<Vec<_>>()})
 }
 
 fn reserved_name_error(name: &str, path: &Path) -> check::Error {
@@ -171,11 +209,30 @@
     }
 }
 
+fn with_file(files: &BTreeMap<String, PathBuf>, error: check::Error) -> check::Error {
+    match files.get(&error.file) {
+        Some(path) => with_path(path, error),
+        None => error,
+    }
+}
+
 /// Replaces the branch name in an error by the path of the file to edit.
 fn with_path(path: &Path, error: check::Error) -> check::Error {
     check::Error { file: path.display().to_string(), ..error }
 }
 
+/// Reads the file of an option that takes files.
+///
+/// # Errors
+///
+/// Returns an error if the file can't be read or is a directory.
+pub fn read_file_at(path: &Path, option: &str) -> Result<String, error::Error> {
+    if path.is_dir() {
+        return Err(path_error(path, &format!("is a directory; {option} takes files")));
+    }
+    read_file(path)
+}
+
 fn read_file(path: &Path) -> Result<String, error::Error> {
     fs::read_to_string(path).map_err(|cause| error::Error::File { path: path.to_owned(), cause })
 }
--- a/crates/conf/src/branch.rs
+++ b/crates/conf/src/branch.rs
@@ -1,6 +1,9 @@
 //! Reads the sections of one branch.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use wire::{request, tier};
@@ -30,6 +33,16 @@
     report.finish(Some(branch))
 }
 
+/// Returns the kinds and names of the sections of a branch.
+pub(crate) fn section_names(text: &str) -> Option<BTreeSet<(String, String)>> {
+    let mut report = check::Report::new("");
+    let sections = document::split(text, &mut report);
+    // Errors without any section are those of lines, which hide the sections.
+    let is_split = !sections.is_empty() || report.finish(Some(())).is_ok();
+    let names = sections.into_iter().map(|section| (section.kind, section.name)).collect();
+    is_split.then_some(names)
+}
+
 fn read_section(
     section: &document::Section,
     branch: &mut tree::Branch,
--- a/crates/conf/src/tree.rs
+++ b/crates/conf/src/tree.rs
@@ -1,6 +1,9 @@
 //! The settings tree. It is merged from branches of INI sections; each branch is owned by one team.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use wire::{request, tier};
@@ -228,6 +231,12 @@
     branch::parse(name, text)
 }
 
+/// Returns the kinds and names of the sections of a branch, whether or not their keys are valid.
+/// Returns `None` if the text can't be split into sections.
+pub fn section_names(text: &str) -> Option<BTreeSet<(String, String)>> {
+    branch::section_names(text)
+}
+
 /// Merges branches. A section defined in two branches is taken from the first branch in name
 /// order. The second value lists such conflicts and references to undefined names; a section
 /// with such a reference is left out of the tree.
