--- a/crates/conf/src/gateway.rs
+++ b/crates/conf/src/gateway.rs
@@ -12,6 +12,7 @@
 
 const ROLE_ALLOWED: &str = "gateway";
 const RATIO: &str = "a number from 0 to 10";
+const SLACK: &str = "a number from 0 to 1000000";
 
 /// Settings of one gateway.
 #[derive(Clone, Debug, PartialEq)]
@@ -59,6 +60,17 @@
     pub quota_overage: f64,
     /// `[bounds] quota_slack`: units beyond that share, of all gateways together.
     pub quota_slack: f64,
+    /// Bound on requests to backend servers that warm up, where it is in force.
+    pub warm_up: Option<WarmUpBounds>,
+}
+
+/// Bound on the requests in a second at a backend server that warms up, from all gateways together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmUpBounds {
+    /// `[bounds] warmup_overage`: multiple of the rate that the backend server tolerates.
+    pub overage: f64,
+    /// `[bounds] warmup_slack`: requests beyond that.
+    pub slack: f64,
 }
 
 /// Parses and checks a gateway's settings file; `file` names it in errors.
@@ -116,6 +128,7 @@
             quota_window: Duration::from_secs(8),
             quota_overage: 0.0,
             quota_slack: 0.0,
+            warm_up: None,
         }
     }
 }
@@ -196,10 +209,32 @@
             quota_window: seconds(reader, "quota_window_s", default.quota_window),
             quota_overage: ratio(reader, "quota_overage", default.quota_overage),
             quota_slack: number(reader, "quota_slack", default.quota_slack, "units"),
+            warm_up: WarmUpBounds::read(reader),
+        }
+    }
+}
+
+impl WarmUpBounds {
+    fn read(reader: &mut section::Reader<'_>) -> Option<WarmUpBounds> {
+        let overage = reader.optional("warmup_overage", RATIO, parse_ratio);
+        let slack = reader.optional("warmup_slack", SLACK, parse_slack);
+        let missing = match (reader.is_set("warmup_overage"), reader.is_set("warmup_slack")) {
+            (true, false) => Some("warmup_slack"),
+            (false, true) => Some("warmup_overage"),
+            _ => None,
+        };
+        if let Some(key) = missing {
+            reader.report_error(key, "", "warmup_overage and warmup_slack, or neither");
         }
+        Some(WarmUpBounds { overage: overage?, slack: slack? })
     }
 }
 
+fn parse_slack(text: &str) -> Option<f64> {
+    let slack: f64 = text.parse().ok()?;
+    (0.0..=1e6).contains(&slack).then_some(slack)
+}
+
 fn parse_ratio(text: &str) -> Option<f64> {
     let ratio: f64 = text.parse().ok()?;
     (0.0..=10.0).contains(&ratio).then_some(ratio)
--- a/crates/conf/src/section.rs
+++ b/crates/conf/src/section.rs
@@ -44,6 +44,11 @@
         self.section.properties.get(key).map(str::trim)
     }
 
+    /// Returns whether a key is set.
+    pub(crate) fn is_set(&self, key: &str) -> bool {
+        self.section.properties.contains_key(key)
+    }
+
     /// Returns a key's parsed value, `None` if it is not set or malformed. Reports a malformed one.
     pub(crate) fn optional<T>(
         &mut self,
