--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -19,6 +19,9 @@
 
 /// Maximum number of idle connections in a pool.
 const MAX_IDLE_CONNECTIONS: usize = 64;
+/// Time for which a connection that was opened too late for its request may be used for another one.
+/// Servers close idle connections after some seconds.
+const LATE_IDLE: Duration = Duration::from_secs(1);
 
 /// Sends requests on one connection.
 pub type Sender = http1::SendRequest<Full<Bytes>>;
@@ -37,6 +40,8 @@
 pub enum Fault {
     /// Nothing of the request was sent.
     Unsent,
+    /// The connection was opened too late, so nothing was sent.
+    Late,
     /// No process listens at the address, so nothing was sent.
     Refused,
     /// The connection was lost, and the request may have been received.
@@ -71,10 +76,11 @@
     ///
     /// Returns an error that says whether the server may have received the request.
     pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Sent, Fault> {
-        self.send_watched(request, &Cell::new(false)).await
+        self.send_watched(request, None, &Cell::new(false)).await
     }
 
-    /// Sends a request as [`Pool::send`] does. `is_sent` is set from the time at which the server may
+    /// Sends a request as [`Pool::send`] does, but not from `send_by` on: the server may tolerate
+    /// fewer requests than when the request was meant for it. `is_sent` is set from the time at which the server may
     /// receive it.
     ///
     /// # Errors
@@ -83,9 +89,15 @@
     pub async fn send_watched(
         &self,
         mut request: Request<Full<Bytes>>,
+        send_by: Option<Instant>,
         is_sent: &Cell<bool>,
     ) -> Result<Sent, Fault> {
+        let is_late = || send_by.is_some_and(|send_by| clock::now() >= send_by);
         while let Some(mut sender) = self.take_idle() {
+            if is_late() {
+                self.release(sender, LATE_IDLE);
+                return Err(Fault::Late);
+            }
             is_sent.set(true);
             match sender.try_send_request(request).await {
                 Ok(response) => return Ok(Sent { response, sender, is_reused: true }),
@@ -95,6 +107,11 @@
             is_sent.set(false);
         }
         let mut sender = self.connect().await?;
+        if is_late() {
+            // The connection serves a later request.
+            self.release(sender, LATE_IDLE);
+            return Err(Fault::Late);
+        }
         is_sent.set(true);
         match sender.send_request(request).await {
             Ok(response) => Ok(Sent { response, sender, is_reused: false }),
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -318,6 +318,7 @@
         let Sent { response, sender, is_reused } = match result {
             Ok(sent) => sent,
             Err(Fault::Unsent) => return Attempt::Failed(Event::NotSent { number }),
+            Err(Fault::Late) => return Attempt::Failed(Event::Late { number }),
             Err(Fault::Refused) => return Attempt::Failed(Event::Refused { number }),
             Err(Fault::Lost) => return Attempt::Failed(self.build_ended(AttemptResult::Broken)),
         };
@@ -419,7 +420,15 @@
 /// Logs and counts a refusal, and returns the response for it.
 pub fn refuse(metrics: &Metrics, refusal: &Refusal, id: &Bytes) -> Response<http::Body> {
     let gate::refusal::Inputs {
-        version, gateways, reporting, waiting, usable, limited, quota, ..
+        version,
+        gateways,
+        reporting,
+        waiting,
+        usable,
+        limited,
+        warming,
+        quota,
+        ..
     } = refusal.inputs;
     let reason = refusal.reason.name();
     metrics.count_outcome(reason);
@@ -434,6 +443,7 @@
         waiting,
         usable,
         limited,
+        warming,
         quota_used = quota.map(|quota| quota.used as i64),
         quota = quota.map(|quota| quota.granted as i64),
         units = quota.map(|quota| quota.units as i64),
--- a/crates/daemon/src/gateway/exchange/lines.rs
+++ b/crates/daemon/src/gateway/exchange/lines.rs
@@ -38,6 +38,7 @@
             account = %String::from_utf8_lossy(dispatch.account.as_deref().unwrap_or_default()),
             units = inputs.units as u64,
             limit = inputs.rate_limit,
+            warming_ms = inputs.warm_up_left.map(|left| left.as_millis() as u64),
             version = %String::from_utf8_lossy(&dispatch.version),
             resumes = %String::from_utf8_lossy(self.resumes.as_deref().unwrap_or_default()),
         );
@@ -72,6 +73,7 @@
     pub fn log_failure(&self, dispatch: &Dispatch, event: &Event) {
         let how = match event {
             Event::NotSent { .. } => "unsent",
+            Event::Late { .. } => "late",
             Event::Refused { .. } => "refused",
             Event::Rejected { .. } => "rejected",
             Event::Misdirected { .. } => "misdirected",
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -52,6 +52,8 @@
     suspects: Gauge,
     quarantined: Gauge,
     limited: Gauge,
+    warming: Gauge,
+    warm_up_permits: Counter,
     dropped_log_lines: Gauge,
 }
 
@@ -77,6 +79,8 @@
             suspects: Gauge::default(),
             quarantined: Gauge::default(),
             limited: Gauge::default(),
+            warming: Gauge::default(),
+            warm_up_permits: Counter::default(),
             dropped_log_lines: Gauge::default(),
         };
         metrics.register();
@@ -111,6 +115,9 @@
         registry.register("quarantined", quarantined, self.quarantined.clone());
         let limited = "Replicas that named a rate limit";
         registry.register("limited", limited, self.limited.clone());
+        registry.register("warming", "Replicas that warm up", self.warming.clone());
+        let permits = "Permits used for calls of replicas that warm up";
+        registry.register("warm_up_permits", permits, self.warm_up_permits.clone());
         let dropped = "Log lines left out or lost since the start";
         registry.register("dropped_log_lines", dropped, self.dropped_log_lines.clone());
     }
@@ -180,6 +187,9 @@
         self.suspects.set(suspects as i64);
         self.quarantined.set(quarantined as i64);
         self.limited.set(machine.limited_count() as i64);
+        self.warming.set(machine.warming_count(now) as i64);
+        let used = machine.warm_up_permits_used();
+        self.warm_up_permits.inc_by(used.saturating_sub(self.warm_up_permits.get()));
         self.dropped_log_lines.set(log::dropped_lines() as i64);
         let mut page = String::new();
         text::encode(&mut page, &self.registry)?;
--- a/crates/daemon/src/gateway/offer.rs
+++ b/crates/daemon/src/gateway/offer.rs
@@ -38,9 +38,10 @@
     ) -> Offer {
         let is_sent = Rc::new(Cell::new(false));
         let (sending_pool, flag) = (pool.clone(), is_sent.clone());
+        let send_by = dispatch.send_by;
         let response = async move {
             let request = request.ok_or(Fault::Unsent)?;
-            sending_pool.send_watched(request, &flag).await
+            sending_pool.send_watched(request, send_by, &flag).await
         };
         Offer {
             dispatch,
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -67,6 +67,7 @@
         (Datagram::Loads(a), Datagram::Loads(b)) => a.sequence == b.sequence,
         (Datagram::Suspects(a), Datagram::Suspects(b)) => a == b,
         (Datagram::RateLimits(a), Datagram::RateLimits(b)) => a == b,
+        (Datagram::WarmUps(a), Datagram::WarmUps(b)) => a == b,
         _ => false,
     }
 }
@@ -99,6 +100,9 @@
                     Ok(message::Datagram::RateLimits(reports)) => {
                         gateway.feed(Event::RateLimitsReceived(reports))
                     }
+                    Ok(message::Datagram::WarmUps(reports)) => {
+                        gateway.feed(Event::WarmUpsReceived(reports))
+                    }
                     Ok(message::Datagram::Demands(demands)) => {
                         gateway.feed(Event::DemandsReceived(demands))
                     }
--- a/crates/gate/src/action.rs
+++ b/crates/gate/src/action.rs
@@ -37,6 +37,9 @@
     pub account: Option<Bytes>,
     /// Time at which the request ends.
     pub deadline: wire::time::Instant,
+    /// Time from which the request must not be written to the connection any more, since the backend
+    /// server warms up or may have begun to; `None` if its service doesn't warm up.
+    pub send_by: Option<wire::time::Instant>,
     /// Time without a response after which `Event::Unresponsive` is due; `None` if the request may
     /// not be sent to another backend server.
     pub failover_timeout: Option<Duration>,
@@ -68,4 +71,6 @@
     pub units: f64,
     /// Rate limit of the backend server, in requests a second, that the request has a permit for.
     pub rate_limit: Option<f64>,
+    /// Time for which the backend server still warms up, if the request has a permit for that.
+    pub warm_up_left: Option<Duration>,
 }
--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -14,6 +14,7 @@
     load::Load,
     message, origin, peers, quota,
     statement::{Stated, Statement},
+    warm_up,
 };
 
 /// Time after an outage of the store within which a running backend server writes its expired
@@ -45,6 +46,9 @@
     /// Start time of the process that wrote the record. A backend server may restart under the same
     /// identifier.
     pub started: Option<u64>,
+    /// Time for which the backend server still warms up when it writes the record; `None` if it
+    /// doesn't say.
+    pub warm_up_left: Option<Duration>,
 }
 
 impl Record {
@@ -64,6 +68,8 @@
     pub hash: u32,
     /// Hash that identifies the run of the backend server, the same at all gateways.
     pub run: u64,
+    /// Hash of the identifier, the same for all runs and at all gateways.
+    pub server: u64,
     /// Key of the service and the software version of what answers at the address; see
     /// `origin::key`.
     pub origin: u64,
@@ -120,6 +126,7 @@
 pub struct Backends {
     entries: SlotMap<Key, Backend>,
     keys_by_id: HashMap<Bytes, Key>,
+    keys_by_server: HashMap<u64, Key>,
     keys_by_service: HashMap<Bytes, Vec<Key>>,
     store_failed: bool,
     /// Runs whose record was removed or replaced, other than by draining, since the last call of
@@ -135,6 +142,10 @@
     departed: VecDeque<u64>,
     /// Records from an older copy of the store, with the time from which they are used.
     withheld: Vec<(Bytes, Record, Instant)>,
+    /// Whether all records are being read, so that one may be read again without being written.
+    reads_all: bool,
+    /// Records that changed since the last call of `take_readings`.
+    readings: Vec<warm_up::Reading>,
 }
 
 impl Backends {
@@ -158,6 +169,16 @@
         std::mem::take(&mut self.ended_runs)
     }
 
+    /// Returns the records that changed since the last call, by what they say of warm-ups.
+    pub fn take_readings(&mut self) -> Vec<warm_up::Reading> {
+        std::mem::take(&mut self.readings)
+    }
+
+    /// Returns the backend server with this hash of its identifier.
+    pub fn by_server(&self, server: u64) -> Option<&Backend> {
+        self.entries.get(*self.keys_by_server.get(&server)?)
+    }
+
     /// Records what a run of a backend server states of itself. Returns whether that changes which
     /// requests it gets.
     pub fn record_statement(&mut self, now: Instant, run: u64, statement: Statement) -> bool {
@@ -210,14 +231,20 @@
                 false => self.remove_ended(&id),
             }
         }
+        self.reads_all = true;
         for (id, record) in records {
             if is_restored && self.departed.contains(&record.hash_run(&id)) {
                 self.departures.push((record.service.clone(), origin::key(&record)));
                 self.withheld.push((id, record, now + RESTORED_GRACE));
             } else {
+                let first = self.readings.len();
                 self.apply_record(id, Some(record));
+                for reading in &mut self.readings[first..] {
+                    reading.is_restored = is_restored;
+                }
             }
         }
+        self.reads_all = false;
     }
 
     /// Records that the store came back from an older copy.
@@ -337,7 +364,10 @@
     }
 
     fn insert(&mut self, id: Bytes, record: Record) {
-        let run = record.hash_run(&id);
+        let (run, server) = (record.hash_run(&id), quota::hash(&id));
+        let left = record.warm_up_left;
+        let reading =
+            |previous| warm_up::Reading { server, run, left, previous, is_restored: false };
         let existing = self.keys_by_id.get(&id).and_then(|key| self.entries.get_mut(*key));
         if let Some(backend) = existing {
             let is_same = backend.record.address == record.address
@@ -352,6 +382,10 @@
                 if !backend.has_ended || backend.record != record {
                     backend.origin = origin;
                 }
+                let is_written = !self.reads_all && left.is_some_and(|left| !left.is_zero());
+                if backend.record.warm_up_left != left || is_written {
+                    self.readings.push(reading(Some(backend.record.warm_up_left)));
+                }
                 backend.record = record;
                 backend.remove_at = None;
                 return;
@@ -364,14 +398,15 @@
                 stated.paused_until = stated.paused_until.max(pause);
             }
         }
-        let hash = quota::hash(&id) as u32;
+        self.readings.push(reading(None));
         let service = record.service.clone();
         let mut load = Load::default();
         load.stated = self.stated.get(&run).copied().unwrap_or_default();
         let backend = Backend {
             id: id.clone(),
-            hash,
+            hash: server as u32,
             run,
+            server,
             origin: origin::key(&record),
             record,
             load,
@@ -382,6 +417,7 @@
         };
         let key = self.entries.insert(backend);
         self.keys_by_id.insert(id, key);
+        self.keys_by_server.insert(server, key);
         self.keys_by_service.entry(service).or_default().push(key);
     }
 
@@ -401,6 +437,7 @@
     fn remove(&mut self, id: &Bytes) -> Option<u64> {
         let key = self.keys_by_id.remove(id)?;
         let backend = self.entries.remove(key)?;
+        self.keys_by_server.remove(&backend.server);
         if backend.record.started.is_none() {
             // A later run under the identifier has the same hash.
             self.stated.remove(&backend.run);
--- a/crates/gate/src/catalog.rs
+++ b/crates/gate/src/catalog.rs
@@ -58,6 +58,16 @@
 pub struct Service {
     /// Output tokens per event, where the backend servers are model engines.
     pub tokens_per_event: Option<u32>,
+    /// How the backend servers warm up, if they do.
+    pub warm_up: Option<WarmUp>,
+}
+
+/// Warm-up of the backend servers of a service after a start during traffic.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmUp {
+    pub duration: Duration,
+    /// Requests a second that a backend server tolerates meanwhile, from all gateways together.
+    pub per_s: f64,
 }
 
 /// A client account.
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -45,6 +45,8 @@
     Closed { number: RequestNumber },
     /// Nothing of the request was sent, for example since the connection failed.
     NotSent { number: RequestNumber },
+    /// The connection was opened, but too late to send the request on it; see `Dispatch::send_by`.
+    Late { number: RequestNumber },
     /// No process listens at the backend server's address; nothing of the request was sent.
     Refused { number: RequestNumber },
     /// The backend server stated that it did not run the request.
@@ -110,6 +112,8 @@
     DemandsReceived(message::Demands),
     /// A peer issued permits.
     PermitsReceived(message::Permits),
+    /// A peer sent backend servers that warm up.
+    WarmUpsReceived(Vec<message::WarmUp>),
     /// A peer sent origins of streams.
     StreamsReceived(Vec<message::Stream>),
     /// A peer asks for the origin of a stream.
--- a/crates/gate/src/issuer.rs
+++ b/crates/gate/src/issuer.rs
@@ -10,6 +10,7 @@
     collections::{BTreeMap, HashMap, VecDeque},
     mem,
     net::SocketAddr,
+    time::Duration,
 };
 
 use rate::bucket::Bucket;
@@ -73,6 +74,8 @@
 struct Supply {
     bucket: Bucket,
     demands: Vec<Demand>,
+    /// Age up to which permits are issued for a demand.
+    max_age: Duration,
     /// Time of the last permit of each gateway.
     last_issues: HashMap<SocketAddr, Instant>,
 }
@@ -83,7 +86,8 @@
     fn empty(now: Instant, run: u64) -> Supply {
         let debt = (run >> 32) as f64 / f64::from(u32::MAX);
         let bucket = Bucket::with_debt(now, debt);
-        Supply { bucket, demands: Vec::new(), last_issues: HashMap::new() }
+        let max_age = permits::LIFETIME;
+        Supply { bucket, demands: Vec::new(), max_age, last_issues: HashMap::new() }
     }
 
     /// Takes a permit for the most urgent request, and among equals for the one that has waited
@@ -149,6 +153,18 @@
         }
     }
 
+    /// Sets the age up to which permits are issued for a demand for a run.
+    pub fn set_max_age(&mut self, run: u64, max_age: Duration) {
+        if let Some(supply) = self.supplies.get_mut(&run) {
+            supply.max_age = max_age;
+        }
+    }
+
+    /// Returns whether no permits were demanded.
+    pub fn is_empty(&self) -> bool {
+        self.supplies.is_empty()
+    }
+
     /// Returns the runs that permits were demanded for.
     pub fn runs(&self) -> Vec<u64> {
         self.supplies.keys().copied().collect()
@@ -161,7 +177,8 @@
         self.supplies.retain(|run, supply| {
             let Some(rate) = rate(*run) else { return false };
             supply.bucket.refill(now, rate);
-            supply.demands.retain(|demand| now.since(demand.received_at) < permits::LIFETIME);
+            let max_age = supply.max_age;
+            supply.demands.retain(|demand| now.since(demand.received_at) < max_age);
             while let Some((to, token)) = supply.issue(now) {
                 issued.push(Permit { to, run: *run, token });
             }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod streams;
 pub mod suspects;
 pub mod unanswered;
+pub mod warm_up;
 mod window;
 
 pub use action::Action;
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -8,6 +8,7 @@
 mod peering;
 mod responses;
 mod resuming;
+mod warming;
 
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -82,8 +83,9 @@
         went_on: bool,
         /// Whether the request was reported as unresponsive there.
         unresponsive: bool,
-        /// Time at which the permit would have expired, if the backend server has a rate limit.
-        permit: Option<Instant>,
+        /// Key of the permit and the time at which it would have expired, if the backend server has
+        /// a rate limit or warms up.
+        permit: Option<(u64, Instant)>,
     },
 }
 
@@ -117,6 +119,7 @@
     permits: Permits,
     demanding: demanding::State,
     limiting: limiting::State,
+    warming: warming::Warming,
     /// Arrivals by service.
     arrivals: HashMap<Bytes, Arrivals>,
     retry_budgets: HashMap<Bytes, RetryBudget>,
@@ -173,6 +176,7 @@
             permits: Permits::default(),
             demanding: demanding::State::default(),
             limiting: limiting::State::default(),
+            warming: warming::Warming::default(),
             arrivals: HashMap::new(),
             retry_budgets: HashMap::new(),
             suspects: Suspects::default(),
@@ -262,6 +266,7 @@
             }
             Event::Closed { number } => self.close(now, number),
             Event::NotSent { number } => self.handle_not_sent(now, number, actions),
+            Event::Late { number } => self.handle_late(now, number, actions),
             Event::Refused { number } => self.handle_refused(now, number, actions),
             Event::Rejected { number, retry_after } => {
                 self.handle_rejection(now, number, retry_after, actions);
@@ -319,8 +324,9 @@
             Event::RateLimitsReceived(reports) => self.receive_rate_limits(now, &reports),
             Event::DemandsReceived(demands) => self.receive_demands(now, &demands, actions),
             Event::PermitsReceived(permits) => {
-                self.permits.receive(now, &permits);
+                self.receive_permits(now, &permits);
             }
+            Event::WarmUpsReceived(reports) => self.receive_warm_ups(now, &reports),
             Event::StreamsReceived(reports) => self.streams.merge(now, &reports),
             Event::StreamQueryReceived(query) => {
                 self.receive_stream_query(now, &query, actions);
@@ -330,6 +336,7 @@
             Event::Stop { requested_at } => self.stopping_since = Some(requested_at),
             Event::Tick => self.tick(now, actions),
         }
+        self.apply_readings(now);
         for run in self.backends.take_ended_runs() {
             let attempts = self.unanswered.end_run(now, run);
             self.record_ends(now, &attempts);
@@ -509,6 +516,10 @@
     fn refusal_inputs(&self, now: Instant, service: &Bytes) -> Inputs {
         let counts = self.peers.counts(now);
         let is_limited = |backend: &&backends::Backend| self.rate_limits.is_limited(backend.run);
+        let is_excluded = |backend: &&backends::Backend| {
+            self.warming.warm_ups.is_warming(now, backend)
+                && self.permits.count(now, backend.server) == 0
+        };
         Inputs {
             version: self.catalog.as_ref().map_or(0, |catalog| catalog.version),
             age: self.lease.age(now),
@@ -516,7 +527,8 @@
             reporting: counts.serving - counts.silent,
             waiting: self.queues.get(service).map_or(0, Queue::len),
             usable: self.backends.usable(service, now).count(),
-            limited: self.backends.usable(service, now).filter(is_limited).count(),
+            limited: self.backends.usable(service, now).filter(is_limited).count() as u32,
+            warming: self.backends.usable(service, now).filter(is_excluded).count() as u32,
             quota: None,
         }
     }
--- a/crates/gate/src/machine/configuration.rs
+++ b/crates/gate/src/machine/configuration.rs
@@ -76,6 +76,7 @@
         self.older_catalog = None;
         self.catalog_restores = self.restores;
         self.quotas.set_accounts(catalog.accounts.iter());
+        self.configure_warm_ups(&catalog);
         self.catalog = Some(catalog);
         self.recheck_api_keys(now, actions);
     }
--- a/crates/gate/src/machine/demanding.rs
+++ b/crates/gate/src/machine/demanding.rs
@@ -14,7 +14,7 @@
 use rate::bucket::Bucket;
 use wire::time::Instant;
 
-use super::Machine;
+use super::{Machine, warming::Restriction};
 use crate::{Action, message, ranking};
 
 /// Shortest time between two looks at what is demanded, which bounds the processor time.
@@ -26,6 +26,16 @@
 const MAX_DEMANDED_RUNS: usize = 16;
 /// Most demands that one gateway sends per second.
 const MAX_DEMANDS_PER_S: f64 = 25.0;
+/// Time between repeated demands for servers that warm up. Permits are issued for demands of at most
+/// `warm_up::DEMAND_AGE`.
+const WARM_UP_DEMAND_PERIOD: Duration = Duration::from_millis(80);
+/// Most servers that warm up for which one gateway demands permits.
+const MAX_DEMANDED_SERVERS: usize = 8;
+/// Time after which waiting requests are divided among the servers that warm up in another way, so
+/// that none waits for an issuer that has ended.
+const TURN: Duration = Duration::from_millis(400);
+/// Most demands that one gateway sends per second while servers warm up.
+const MAX_WARM_UP_DEMANDS_PER_S: f64 = 125.0;
 /// Time for which permits are demanded ahead of the requests that are expected to arrive.
 const AHEAD: Duration = Duration::from_millis(200);
 
@@ -85,7 +95,7 @@
 impl Machine {
     /// Sends demands to the issuers for which they changed, and repeats others.
     pub(super) fn update_demands(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if self.rate_limits.is_empty() {
+        if !self.uses_permits() {
             return;
         }
         if now < self.demanding.next_check {
@@ -96,7 +106,11 @@
         self.demanding.is_check_due = false;
         let updates = self.demand_updates(now);
         let own_address = self.own_address();
-        self.demanding.messages.refill(now, MAX_DEMANDS_PER_S);
+        let max_per_s = match self.warming.warm_ups.is_empty() {
+            true => MAX_DEMANDS_PER_S,
+            false => MAX_WARM_UP_DEMANDS_PER_S,
+        };
+        self.demanding.messages.refill(now, max_per_s);
         for update in updates {
             if update.to != own_address {
                 if !self.demanding.messages.has_permit() {
@@ -112,15 +126,17 @@
     /// Returns when `update_demands` has to be called next.
     pub(super) fn next_demand_update(&self) -> Option<Instant> {
         let demanding = &self.demanding;
-        let repeat = demanding.sent.values().map(|sent| sent.at).min();
-        let repeat = repeat.map(|at| at + self.demand_period());
+        let repeat = demanding.sent.values().map(|sent| sent.at + self.demand_period(sent)).min();
         let check = demanding.is_check_due.then_some(demanding.next_check);
         let next = [repeat, check].into_iter().flatten().min()?;
         Some(next.max(demanding.next_check))
     }
 
     /// Returns the time after which unchanged demands are repeated.
-    fn demand_period(&self) -> Duration {
+    fn demand_period(&self, sent: &Sent) -> Duration {
+        if sent.demands.iter().any(|demand| demand.count > 0 && self.is_warm_up_key(demand.run)) {
+            return WARM_UP_DEMAND_PERIOD;
+        }
         let issuers = self.demanding.sent.len() as f64;
         DEMAND_PERIOD.max(Duration::from_secs_f64(issuers / MAX_DEMANDS_PER_S))
     }
@@ -140,7 +156,6 @@
             let ended = earlier.difference(&runs);
             demands.extend(ended.map(|run| message::Demand { run: *run, tier: None, count: 0 }));
         }
-        let period = self.demand_period();
         let mut updates = Vec::new();
         for (to, demands) in by_issuer {
             if demands.is_empty() {
@@ -151,6 +166,7 @@
             let (sent_at, earlier) =
                 sent.map_or((Instant::default(), &[][..]), |sent| (sent.at, &sent.demands[..]));
             let is_changed = most_urgent(&demands) != most_urgent(earlier);
+            let period = sent.map_or(DEMAND_PERIOD, |sent| self.demand_period(sent));
             if is_changed || now >= sent_at + period {
                 updates.push(Update { to, demands, is_changed, sent_at });
             }
@@ -169,10 +185,12 @@
         let (from, token) = (self.own_address(), self.rng.u64(..));
         self.permits.record_demand(now, token);
         let runs: BTreeSet<u64> = demands.iter().map(|demand| demand.run).collect();
-        let limits = runs.into_iter().filter_map(|run| self.rate_limits.report(now, run));
+        let limits = runs.iter().filter_map(|run| self.rate_limits.report(now, *run));
         let limits = limits.collect();
+        let warm_ups = runs.iter().filter_map(|run| self.warming.warm_ups.report(now, *run));
+        let warm_ups = warm_ups.collect();
         self.demanding.sent.insert(to, Sent { at: now, demands: demands.clone() });
-        let demands = message::Demands { from, token, limits, demands };
+        let demands = message::Demands { from, token, limits, demands, warm_ups };
         if to == from {
             self.receive_demands(now, &demands, actions);
         } else {
@@ -183,28 +201,22 @@
     /// Returns the permits that this gateway needs beside those that it holds.
     fn needed_permits(&self, now: Instant) -> Vec<message::Demand> {
         let mut by_run = Vec::new();
+        let mut warming: BTreeMap<&Bytes, Vec<Restriction>> = BTreeMap::new();
         for (_, backend) in self.backends.iter() {
-            let run = backend.run;
-            let Some(rate) = self.rate_limits.rate(run) else { continue };
+            let Some(restriction) = self.restriction(now, backend) else { continue };
             if !backend.load.is_usable(now) {
                 continue;
             }
             let service = &backend.record.service;
+            if restriction.is_warm_up {
+                warming.entry(service).or_default().push(restriction);
+                continue;
+            }
             let waiting = self.waiting_tiers(service);
-            let arrivals = self.arrivals.get(service);
-            let expected = arrivals.map_or(0.0, |arrivals| arrivals.expected(now, AHEAD)).ceil();
-            let needed = waiting.len().max(expected as usize);
-            let needed = needed.min(rate.ceil() as usize).min(usize::from(u16::MAX));
-            let held = self.permits.count(now, run);
-            let tiers: Vec<_> = (held..needed).map(|n| waiting.get(n).copied()).collect();
-            let of_tier = |tiers: &[Option<u32>]| message::Demand {
-                run,
-                tier: tiers[0],
-                count: tiers.len() as u16,
-            };
-            let demands: Vec<_> = tiers.chunk_by(|a, b| a == b).map(of_tier).collect();
+            let indices = 0..self.needed_count(now, service, &waiting);
+            let demands = self.build_demands(now, &restriction, &waiting, indices);
             if !demands.is_empty() {
-                by_run.push((run, demands));
+                by_run.push((restriction.key, demands));
             }
         }
         if by_run.len() > MAX_DEMANDED_RUNS {
@@ -212,7 +224,64 @@
             by_run.sort_by_key(|(run, _)| ranking::rank(*run, &own_address));
             by_run.truncate(MAX_DEMANDED_RUNS);
         }
-        by_run.into_iter().flat_map(|(_, demands)| demands).collect()
+        let mut needed: Vec<_> = by_run.into_iter().flat_map(|(_, demands)| demands).collect();
+        for (service, servers) in warming {
+            needed.extend(self.divide_demands(now, service, servers));
+        }
+        needed
+    }
+
+    /// Divides the requests that wait or are expected among the servers that warm up. If each were
+    /// demanded at all of them, several would issue a permit for the same one, and the others would
+    /// expire: 0.45 of the rate was used with 68 gateways and four servers.
+    fn divide_demands(
+        &self,
+        now: Instant,
+        service: &Bytes,
+        mut servers: Vec<Restriction>,
+    ) -> Vec<message::Demand> {
+        let own_address = self.own_address();
+        servers.sort_by_key(|server| ranking::rank(server.key, &own_address));
+        servers.truncate(MAX_DEMANDED_SERVERS);
+        let waiting = self.waiting_tiers(service);
+        let needed = self.needed_count(now, service, &waiting);
+        let turn = (now.0 / TURN.as_micros() as u64) as usize;
+        let mut demands = Vec::new();
+        for (position, server) in servers.iter().enumerate() {
+            let first = (position + turn) % servers.len();
+            let indices = (first..needed).step_by(servers.len());
+            demands.extend(self.build_demands(now, server, &waiting, indices));
+        }
+        demands
+    }
+
+    /// Returns how many requests of a service wait, or are expected soon if those are more.
+    fn needed_count(&self, now: Instant, service: &Bytes, waiting: &[u32]) -> usize {
+        let arrivals = self.arrivals.get(service);
+        let expected = arrivals.map_or(0.0, |arrivals| arrivals.expected(now, AHEAD)).ceil();
+        waiting.len().max(expected as usize)
+    }
+
+    /// Returns the demands of one server for requests of these indices in the order of dispatch,
+    /// without those that permits are held for.
+    fn build_demands(
+        &self,
+        now: Instant,
+        restriction: &Restriction,
+        waiting: &[u32],
+        indices: impl Iterator<Item = usize>,
+    ) -> Vec<message::Demand> {
+        let Restriction { key: run, rate, .. } = *restriction;
+        let most = (rate.ceil() as usize).min(usize::from(u16::MAX));
+        let held = self.permits.count(now, run);
+        let tiers = indices.take(most).skip(held).map(|index| waiting.get(index).copied());
+        let tiers: Vec<Option<u32>> = tiers.collect();
+        let of_tier = |tiers: &[Option<u32>]| message::Demand {
+            run,
+            tier: tiers[0],
+            count: tiers.len() as u16,
+        };
+        tiers.chunk_by(|a, b| a == b).map(of_tier).collect()
     }
 
     /// Returns the tiers of the requests that wait for a service, in the order of dispatch.
--- a/crates/gate/src/machine/dispatching.rs
+++ b/crates/gate/src/machine/dispatching.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use wire::time::Instant;
 
-use super::{Machine, State};
+use super::{Machine, State, warming::Restriction};
 use crate::{
     Action,
     action::{self, Dispatch},
@@ -190,6 +190,7 @@
             backends: &self.backends,
             rate_limits: &self.rate_limits,
             permits: &self.permits,
+            warm_ups: &self.warming.warm_ups,
             now,
             zone: &self.setup.availability_zone,
         }
@@ -205,6 +206,7 @@
             backends: &self.backends,
             rate_limits: &self.rate_limits,
             permits: &self.permits,
+            warm_ups: &self.warming.warm_ups,
             now,
             zone: &self.setup.availability_zone,
         };
@@ -218,10 +220,21 @@
         key: backends::Key,
         actions: &mut Vec<Action>,
     ) {
+        let Some(backend) = self.backends.get(key) else { return };
+        let restriction = self.restriction(now, backend);
+        let warm_up_left = self.warm_up_left(now, key).map(|(left, _)| left);
+        let rate_limit = match restriction {
+            Some(restriction) if restriction.is_warm_up => Some(restriction.rate),
+            _ => self.rate_limits.limit(backend.run),
+        };
+        let permit = restriction
+            .and_then(|Restriction { key, .. }| Some((key, self.permits.take(now, key)?)));
+        let send_by = self.send_by(now, &backend.record.service, permit.map(|(_, at)| at));
+        if warm_up_left.is_some() {
+            self.count_warm_up_permit();
+        }
         let Some(open) = self.open_requests.get_mut(&number) else { return };
         let Some(backend) = self.backends.get_mut(key) else { return };
-        let rate_limit = self.rate_limits.limit(backend.run);
-        let permit = rate_limit.and_then(|_| self.permits.take(now, backend.run));
         let entry = &mut open.entry;
         let tokens_ahead = backend.load.backlog();
         let tokens = entry.request.prompt_tokens();
@@ -236,6 +249,7 @@
             tier: entry.tier,
             units: entry.units,
             rate_limit,
+            warm_up_left,
         };
         backend.load.add_request(tokens);
         backend.load.begin_trial(now);
@@ -267,6 +281,7 @@
             address: backend.record.address,
             account: entry.account.clone(),
             deadline: entry.deadline,
+            send_by,
             version: backend.record.version.clone(),
             failover_timeout: may_fail_over.then_some(failover_timeout),
             inputs,
--- a/crates/gate/src/machine/limiting.rs
+++ b/crates/gate/src/machine/limiting.rs
@@ -15,14 +15,17 @@
     Action,
     event::RequestNumber,
     issuer::{self, Issuer},
-    message,
+    message, permits,
     refusal::Reason,
+    warm_up,
 };
 
 /// Most repeated reports that one gateway sends per second.
 const MAX_REPEATS_PER_S: f64 = 25.0;
 /// Time for which the issuer of a run is not determined again.
 const ISSUER_PERIOD: Duration = Duration::from_millis(100);
+/// Rounds of messages after which a gateway that was cut off has received those of the others.
+const RISE_ROUNDS: u32 = 2;
 /// Most limits in one datagram.
 const MAX_REPORTS: usize = 128;
 
@@ -35,6 +38,11 @@
     next_issuers: Instant,
     /// Part of each limit that this gateway may issue.
     issuer_share: f64,
+    /// Part of the rate of each server that warms up. It rises later than `issuer_share`, since a
+    /// gateway that was cut off may issue permits until it has received the messages of the others.
+    warm_up_share: f64,
+    /// Time at which that part rises.
+    share_rises_at: Option<Instant>,
     /// Number of the last message with permits.
     permit_number: u64,
     /// Runs whose limit changed since the last announcement.
@@ -95,10 +103,18 @@
         actions: &mut Vec<Action>,
     ) {
         self.receive_rate_limits(now, &demands.limits);
+        self.receive_warm_ups(now, &demands.warm_ups);
         let mut ended = Vec::new();
         for same in demands.demands.chunk_by(|a, b| a.run == b.run) {
             let run = same[0].run;
-            if !self.rate_limits.is_limited(run) {
+            if self.is_warm_up_key(run) {
+                // This gateway may not have learned yet, or not any more, that the server warms up.
+                if self.issuer_of(now, run) == self.own_address() {
+                    let issuer = &mut self.limiting.issuer;
+                    issuer.record_demands(now, demands.from, demands.token, run, same);
+                    issuer.set_max_age(run, warm_up::DEMAND_AGE);
+                }
+            } else if !self.rate_limits.is_limited(run) {
                 ended.extend(self.rate_limits.report(now, run));
             } else if self.issuer_of(now, run) == self.own_address() {
                 self.limiting.issuer.record_demands(now, demands.from, demands.token, run, same);
@@ -113,29 +129,52 @@
     /// Issues the permits that are available and announces changed limits.
     pub(super) fn update_permits(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.announce_limits(now, actions);
-        if !self.rate_limits.is_empty() {
+        self.announce_warm_ups(now, actions);
+        if self.uses_permits() || !self.limiting.issuer.is_empty() {
             self.issue_permits(now, actions);
         }
     }
 
     /// Returns when permits have to be issued or demanded next.
     pub(super) fn next_permit_update(&self) -> Option<Instant> {
-        if self.rate_limits.is_empty() {
+        if !self.uses_permits() {
             return None;
         }
-        let share = self.limiting.issuer_share;
-        let issue =
-            self.limiting.issuer.next_issue(|run| Some(self.rate_limits.rate(run)? * share));
-        [issue, self.next_demand_update()].into_iter().flatten().min()
+        let issue = self.limiting.issuer.next_issue(|key| self.issue_rate(key));
+        let announcement = self.next_warm_up_announcement();
+        [issue, announcement, self.next_demand_update()].into_iter().flatten().min()
+    }
+
+    /// Returns whether some backend server has a rate limit, or warms up or did so lately.
+    pub(super) fn uses_permits(&self) -> bool {
+        !self.rate_limits.is_empty() || !self.warming.warm_ups.is_empty()
+    }
+
+    /// Returns the permits a second that this gateway may issue for a run with a rate limit or a
+    /// server that warms up.
+    fn issue_rate(&self, key: u64) -> Option<f64> {
+        match self.is_warm_up_key(key) {
+            true => Some(self.warm_up_rate(key)? * self.limiting.warm_up_share),
+            false => Some(self.rate_limits.rate(key)? * self.limiting.issuer_share),
+        }
+    }
+
+    /// Adds permits that were issued to this gateway.
+    pub(super) fn receive_permits(&mut self, now: Instant, permits: &message::Permits) {
+        let lifetime = match self.is_warm_up_key(permits.run) {
+            true => warm_up::PERMIT_LIFETIME,
+            false => permits::LIFETIME,
+        };
+        self.permits.receive_within(now, permits, lifetime);
     }
 
     fn issue_permits(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let own_address = self.own_address();
         let mut runs = self.limiting.issuer.runs();
         runs.retain(|run| self.issuer_of(now, *run) == own_address);
-        let share = self.limiting.issuer_share;
-        let rate = |run| Some(self.rate_limits.rate(run).filter(|_| runs.contains(&run))? * share);
-        let issued = self.limiting.issuer.issue(now, rate);
+        let rates: HashMap<u64, f64> =
+            runs.iter().filter_map(|run| Some((*run, self.issue_rate(*run)?))).collect();
+        let issued = self.limiting.issuer.issue(now, |run| rates.get(&run).copied());
         for same in issued.chunk_by(|a, b| a == b) {
             let issuer::Permit { to, run, token } = same[0];
             self.limiting.permit_number += 1;
@@ -143,7 +182,7 @@
             let count = same.len() as u16;
             let permits = message::Permits { process, number, token, run, count };
             if to == own_address {
-                self.permits.receive(now, &permits);
+                self.receive_permits(now, &permits);
             } else {
                 actions.push(Action::Send { to, datagram: message::Datagram::Permits(permits) });
             }
@@ -173,7 +212,18 @@
     fn update_issuer_share(&mut self, now: Instant) {
         let serving = self.peers.serving_count(now);
         let reachable = 1 + self.peers.reachable(now).count();
-        self.limiting.issuer_share = (reachable as f64 / serving.max(1) as f64).min(1.0);
+        let share = (reachable as f64 / serving.max(1) as f64).min(1.0);
+        self.limiting.issuer_share = share;
+        let limiting = &mut self.limiting;
+        if share <= limiting.warm_up_share {
+            (limiting.warm_up_share, limiting.share_rises_at) = (share, None);
+            return;
+        }
+        let (_, period) = self.peers.targets();
+        let rises_at = *limiting.share_rises_at.get_or_insert(now + period * RISE_ROUNDS);
+        if now >= rises_at {
+            (limiting.warm_up_share, limiting.share_rises_at) = (share, None);
+        }
     }
 
     /// Sends changed limits to all peers at once, but no more often than the state.
@@ -242,7 +292,8 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(queue) = self.queues.get(service) else { return };
-        let rates = self.backends.usable(service, now).map(|b| self.rate_limits.rate(b.run));
+        let usable = self.backends.usable(service, now);
+        let rates = usable.map(|backend| Some(self.restriction(now, backend)?.rate));
         let Some(rate) = rates.sum::<Option<f64>>().filter(|rate| *rate > 0.0) else { return };
         let is_beyond = |(position, number): &(usize, RequestNumber)| {
             let open = self.open_requests.get(number);
--- a/crates/gate/src/machine/peering.rs
+++ b/crates/gate/src/machine/peering.rs
@@ -32,6 +32,7 @@
         if let (Some(to), true) = (message.from, sender != Sender::Unchanged) {
             self.send_suspects(&[to], self.suspects.summary(now), actions);
             self.send_all_limits(now, to, actions);
+            self.send_all_warm_ups(now, to, actions);
             self.send_kept_streams(now, to, actions);
         }
         if let (Some(to), Sender::New | Sender::Replaced(_)) = (message.from, sender) {
@@ -141,6 +142,7 @@
     }
 
     pub(super) fn handle_probe(&mut self, now: Instant, key: backends::Key, reachable: bool) {
+        self.record_connection(now, key, reachable);
         match self.backends.get_mut(key) {
             Some(backend) if reachable => {
                 backend.load.unreachable = false;
@@ -177,7 +179,8 @@
             self.send_loads_to(&targets, actions);
         }
         self.share_suspects(now, &targets, actions);
-        self.repeat_limits(now, targets, period, actions);
+        self.repeat_limits(now, targets.clone(), period, actions);
+        self.repeat_warm_ups(now, targets, period, actions);
     }
 
     /// Returns the state of this gateway. A part that is only sent every few rounds is included if
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -93,10 +93,7 @@
         number: RequestNumber,
         actions: &mut Vec<Action>,
     ) {
-        let state = self.open_requests.get(&number).map(|open| open.state);
-        if let Some(State::Dispatched { run, permit: Some(expires_at), .. }) = state {
-            self.permits.put_back(run, expires_at);
-        }
+        self.put_back_permit(number);
         let Some(key) = self.withdraw_dispatch(number, false) else { return };
         if let Some(backend) = self.backends.get_mut(key) {
             backend.load.unreachable = true;
@@ -111,6 +108,35 @@
         }
     }
 
+    /// Handles a connection that was opened too late to send the request on it. Its server may get
+    /// the next requests at once.
+    pub(super) fn handle_late(
+        &mut self,
+        now: Instant,
+        number: RequestNumber,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(key) = self.withdraw_dispatch(number, false) else { return };
+        if self.stays_at_former(number) {
+            return;
+        }
+        if let Some(open) = self.open_requests.get_mut(&number) {
+            open.entry.excluded.retain(|excluded| *excluded != key);
+        }
+        match self.has_candidate(number) {
+            true => self.requeue(number),
+            false => self.refuse_waiting(now, number, Reason::NoBackend, actions),
+        }
+    }
+
+    /// Returns the permit of a dispatched request of which nothing was sent.
+    fn put_back_permit(&mut self, number: RequestNumber) {
+        let state = self.open_requests.get(&number).map(|open| open.state);
+        if let Some(State::Dispatched { permit: Some((key, expires_at)), .. }) = state {
+            self.permits.put_back(key, expires_at);
+        }
+    }
+
     /// Handles a refused connection: the run that listened there has ended.
     pub(super) fn handle_refused(
         &mut self,
@@ -119,6 +145,7 @@
         actions: &mut Vec<Action>,
     ) {
         self.record_ends_at_backend_of(now, number);
+        self.record_connection_refusal(now, number);
         self.handle_not_sent(now, number, actions);
     }
 
@@ -261,6 +288,9 @@
     ) {
         let state = self.open_requests.get(&number).map(|open| open.state);
         let Some(State::Dispatched { backend, run, .. }) = state else { return };
+        if let Some(left) = statement.warm_up_left {
+            self.record_warm_up(now, backend, left);
+        }
         if self.backends.record_statement(now, run, statement) {
             let backend = self.backends.get(backend).map(|backend| &backend.id[..]);
             tracing::info!(
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -24,6 +24,7 @@
     Streams(Vec<Stream>),
     StreamQuery(StreamQuery),
     Loads(Loads),
+    WarmUps(Vec<WarmUp>),
 }
 
 /// Load of one gateway, sent to nearby gateways soon after it changed, and to all others now and
@@ -82,6 +83,60 @@
     pub demands: Vec<Demand>,
     /// Limits of the runs, as the sender knows them.
     pub limits: Vec<RateLimit>,
+    /// Warm-ups of the servers, as the sender knows them. Left out without any, so that builds
+    /// before it can read the message.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub warm_ups: Vec<WarmUp>,
+}
+
+/// A backend server that warms up.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WarmUp {
+    /// Hash of the server's identifier; see `backends::Backend::server`. Permits for it have this
+    /// number in place of the run.
+    pub server: u64,
+    /// Run that warms up, or whose successor does if it refused connections.
+    pub run: u64,
+    /// Requests a second for which permits are issued.
+    pub per_s: f64,
+    /// Time for which it warms up, as it was stated.
+    pub left: Duration,
+    /// Time since that was stated.
+    pub age: Duration,
+    pub source: WarmUpSource,
+}
+
+/// What says that a backend server warms up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WarmUpSource {
+    /// Its record.
+    Record,
+    /// A record of a run that is new and doesn't say whether it warms up.
+    Unstated,
+    /// A response of the server.
+    Response,
+    /// It refused a connection, so its next run warms up.
+    Refusal,
+    /// The end of an evacuation of its zone.
+    Evacuation,
+}
+
+impl WarmUpSource {
+    /// Returns the name used in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            WarmUpSource::Record => "record",
+            WarmUpSource::Unstated => "unstated",
+            WarmUpSource::Response => "response",
+            WarmUpSource::Refusal => "refusal",
+            WarmUpSource::Evacuation => "evacuation",
+        }
+    }
+
+    /// Returns whether a record of a later run says more.
+    pub fn is_of_one_run(self) -> bool {
+        matches!(self, WarmUpSource::Record | WarmUpSource::Unstated | WarmUpSource::Refusal)
+    }
 }
 
 /// Permits needed for one run of a backend server.
--- a/crates/gate/src/permits.rs
+++ b/crates/gate/src/permits.rs
@@ -37,6 +37,16 @@
     /// Adds permits, unless they expired on their way, repeat earlier ones or are for no demand of
     /// this process. Returns whether any was added.
     pub fn receive(&mut self, now: Instant, permits: &message::Permits) -> bool {
+        self.receive_within(now, permits, LIFETIME)
+    }
+
+    /// Adds permits as `receive` does. They are valid for `lifetime` after the demand.
+    pub fn receive_within(
+        &mut self,
+        now: Instant,
+        permits: &message::Permits,
+        lifetime: Duration,
+    ) -> bool {
         self.expire(now);
         let last = self.last_numbers.entry(permits.process).or_default();
         if permits.number <= *last {
@@ -45,8 +55,12 @@
         *last = permits.number;
         let demand = self.demands.iter().find(|(token, _)| *token == permits.token);
         let Some((_, sent_at)) = demand.copied() else { return false };
+        let expires_at = sent_at + lifetime;
+        if now >= expires_at {
+            return false;
+        }
         for _ in 0..permits.count {
-            self.put_back(permits.run, sent_at + LIFETIME);
+            self.put_back(permits.run, expires_at);
         }
         permits.count > 0
     }
--- a/crates/gate/src/placement.rs
+++ b/crates/gate/src/placement.rs
@@ -16,6 +16,7 @@
     permits::Permits,
     queue::Entry,
     rate_limit::RateLimits,
+    warm_up::WarmUps,
 };
 
 /// Added cost of a backend server in another zone, in ms. Its latency is small, but traffic between
@@ -52,14 +53,19 @@
     pub backends: &'a Backends,
     pub rate_limits: &'a RateLimits,
     pub permits: &'a Permits,
+    pub warm_ups: &'a WarmUps,
     pub now: Instant,
     /// Availability zone of this gateway.
     pub zone: &'a Bytes,
 }
 
 impl Context<'_> {
-    /// Returns whether the rate limit of a backend server allows a request now.
+    /// Returns whether the rate limit of a backend server, or the rate that it tolerates while it
+    /// warms up, allows a request now.
     fn has_permit(&self, backend: &Backend) -> bool {
+        if self.warm_ups.is_warming(self.now, backend) {
+            return self.permits.count(self.now, backend.server) > 0;
+        }
         !self.rate_limits.is_limited(backend.run) || self.permits.count(self.now, backend.run) > 0
     }
 }
--- a/crates/gate/src/refusal.rs
+++ b/crates/gate/src/refusal.rs
@@ -120,7 +120,9 @@
     /// Backend servers of the service that requests may be sent to.
     pub usable: usize,
     /// Those among them that named a rate limit.
-    pub limited: usize,
+    pub limited: u32,
+    /// Those among them that warm up and that this gateway holds no permit for.
+    pub warming: u32,
     /// Quota of the account, if the request exceeds the part of it that is available here.
     pub quota: Option<Quota>,
 }
--- a/crates/gate/src/statement.rs
+++ b/crates/gate/src/statement.rs
@@ -16,6 +16,8 @@
     pub leaving: bool,
     /// Time for which it takes no more requests of this gateway.
     pub pause: Option<Pause>,
+    /// Time for which it still warms up.
+    pub warm_up_left: Option<Duration>,
 }
 
 /// A pause that a backend server asks for.
--- a/crates/gate/tests/common/limited.rs
+++ b/crates/gate/tests/common/limited.rs
@@ -3,8 +3,10 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use conf::gateway::WarmUpBounds;
 use gate::{
     Action, Event,
+    catalog::WarmUp,
     event::{AttemptResult, RequestNumber},
     message::Datagram,
     refusal::{Reason, Refusal},
@@ -33,6 +35,9 @@
     pub manner: Manner,
     pub started: u64,
     pub service_time: Duration,
+    pub warm_up_left: Option<Duration>,
+    /// Whether the server refuses connections.
+    pub is_down: bool,
 }
 
 /// A request at a backend server.
@@ -82,14 +87,32 @@
     datagrams: Vec<(Instant, usize, usize, Datagram)>,
     due: Vec<f64>,
     restarts: u64,
+    warm_up: Option<WarmUp>,
     rng: fastrand::Rng,
 }
 
 impl Fleet {
     /// Returns gateways that have received each other's first messages.
     pub fn new(gateways: usize, servers: usize, load: f64, seed: u64) -> Fleet {
-        let server =
-            |_| Server { limit: None, manner: Manner::Complete, started: 1, service_time: 50 * MS };
+        Fleet::with_warm_up(gateways, servers, load, seed, None)
+    }
+
+    /// Returns gateways whose plain service warms up.
+    pub fn with_warm_up(
+        gateways: usize,
+        servers: usize,
+        load: f64,
+        seed: u64,
+        warm_up: Option<WarmUp>,
+    ) -> Fleet {
+        let server = |_| Server {
+            limit: None,
+            manner: Manner::Complete,
+            started: 1,
+            service_time: 50 * MS,
+            warm_up_left: Some(Duration::ZERO),
+            is_down: false,
+        };
         let mut fleet = Fleet {
             gateways: Vec::new(),
             servers: (0..servers).map(server).collect(),
@@ -110,6 +133,7 @@
             datagrams: Vec::new(),
             due: vec![0.0; gateways],
             restarts: 0,
+            warm_up,
             rng: fastrand::Rng::with_seed(seed),
         };
         for index in 0..gateways {
@@ -128,10 +152,16 @@
         setup.seed = setup.process;
         let seeds = self.load.len().min(3) as u16;
         setup.seeds = (1..=seeds).map(|port| SocketAddr::from(([127, 0, 0, 1], port))).collect();
+        setup.bounds.warm_up =
+            self.warm_up.is_some().then_some(WarmUpBounds { overage: 1.5, slack: 5.0 });
         let mut gateway = TestGateway::start(setup, self.now);
-        gateway.feed(Event::Catalog(Rc::new(catalog(1, &["k1", "k2"], 0.0))));
-        for server in 0..self.servers.len() {
-            write_record(&mut gateway, server, self.servers[server].started);
+        let mut catalog = catalog(1, &["k1", "k2"], 0.0);
+        if let Some(service) = catalog.services.get_mut(PLAIN.as_bytes()) {
+            service.warm_up = self.warm_up;
+        }
+        gateway.feed(Event::Catalog(Rc::new(catalog)));
+        for (index, server) in self.servers.iter().enumerate() {
+            write_record(&mut gateway, index, server);
         }
         gateway.confirm();
         gateway
@@ -151,12 +181,17 @@
         self.servers[index].started += 1;
         self.servers[index].limit = None;
         for gateway in 0..self.gateways.len() {
-            self.gateways[gateway].now = self.now;
-            write_record(&mut self.gateways[gateway], index, self.servers[index].started);
-            self.take_actions(gateway);
+            self.read_record(gateway, index);
         }
     }
 
+    /// Lets a gateway read the record of a backend server.
+    pub fn read_record(&mut self, gateway: usize, server: usize) {
+        self.gateways[gateway].now = self.now;
+        write_record(&mut self.gateways[gateway], server, &self.servers[server]);
+        self.take_actions(gateway);
+    }
+
     /// Begins a planned stop of a gateway, which gets no new requests.
     pub fn stop(&mut self, index: usize) {
         self.gateways[index].stop();
@@ -261,6 +296,15 @@
         let now = self.now;
         for action in std::mem::take(&mut self.gateways[index].actions) {
             match action {
+                Action::Probe { backend, address } => {
+                    let is_down = self.servers[usize::from(address.port()) - 9_000].is_down;
+                    self.gateways[index].feed(Event::Probed { backend, reachable: !is_down });
+                }
+                Action::Dispatch(dispatch)
+                    if self.servers[usize::from(dispatch.address.port()) - 9_000].is_down =>
+                {
+                    self.gateways[index].feed(Event::Refused { number: dispatch.number });
+                }
                 Action::Dispatch(dispatch) => {
                     let server = usize::from(dispatch.address.port()) - 9_000;
                     let number = dispatch.number;
@@ -324,10 +368,15 @@
     }
 }
 
-fn write_record(gateway: &mut TestGateway, server: usize, started: u64) {
-    let record = record(PLAIN, 9_000 + server as u16);
+fn write_record(gateway: &mut TestGateway, index: usize, server: &Server) {
+    let record = record(PLAIN, 9_000 + index as u16);
     gateway.add(
-        &format!("r{server}"),
-        gate::backends::Record { started: Some(started), slots: 1_000, ..record },
+        &format!("r{index}"),
+        gate::backends::Record {
+            started: Some(server.started),
+            slots: 1_000,
+            warm_up_left: server.warm_up_left,
+            ..record
+        },
     );
 }
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -80,7 +80,7 @@
         counts_tokens: true,
         default_tokens: 100.0,
     };
-    let service = |tokens_per_event| Service { tokens_per_event };
+    let service = |tokens_per_event| Service { tokens_per_event, warm_up: None };
     Catalog {
         version,
         routes: vec![
@@ -108,6 +108,7 @@
         slots: 2,
         draining: false,
         started: Some(1),
+        warm_up_left: None,
     }
 }
 
@@ -184,6 +185,7 @@
             Datagram::Demands(demands) => Event::DemandsReceived(demands),
             Datagram::Permits(permits) => Event::PermitsReceived(permits),
             Datagram::Streams(reports) => Event::StreamsReceived(reports),
+            Datagram::WarmUps(reports) => Event::WarmUpsReceived(reports),
             Datagram::StreamQuery(query) => Event::StreamQueryReceived(query),
         });
     }
--- a/crates/gate/tests/issuers.rs
+++ b/crates/gate/tests/issuers.rs
@@ -54,8 +54,13 @@
     let (before, after) = (peer(run, true), peer(run, false));
     receive_state(&mut gateway, after);
     let demand = message::Demand { run, tier: Some(100), count: 9 };
-    let demands =
-        message::Demands { from: after, token: 1, demands: vec![demand], limits: Vec::new() };
+    let demands = message::Demands {
+        from: after,
+        token: 1,
+        demands: vec![demand],
+        limits: Vec::new(),
+        warm_ups: Vec::new(),
+    };
     gateway.feed(Event::DemandsReceived(demands));
     gateway.advance(300 * MS);
     assert!(count_permits(&mut gateway) > 0, "it is the issuer at first");
--- a/crates/gate/tests/statements.rs
+++ b/crates/gate/tests/statements.rs
@@ -15,10 +15,10 @@
 };
 use wire::time::Instant;
 
-const LEAVING: Statement = Statement { leaving: true, pause: None };
+const LEAVING: Statement = Statement { leaving: true, pause: None, warm_up_left: None };
 
 fn pause(span: Duration) -> Statement {
-    Statement { leaving: false, pause: Some(Pause::For(span)) }
+    Statement { pause: Some(Pause::For(span)), ..Statement::default() }
 }
 
 /// Sends a request and returns its number and the server that it was dispatched to.
@@ -196,7 +196,7 @@
     ] {
         let mut gateway = TestGateway::with_backends(MODEL, 1);
         for _ in 0..6 {
-            state(&mut gateway, Statement { leaving: false, pause: Some(stated) });
+            state(&mut gateway, Statement { pause: Some(stated), ..Statement::default() });
             gateway.advance_confirmed(bound + 100 * MS);
             let (number, server) = send(&mut gateway);
             assert!(server.is_some(), "{stated:?}: used after its bound");
