--- a/crates/conf/tests/gateway.rs
+++ b/crates/conf/tests/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use conf::gateway;
+use conf::gateway::{self, WarmUpBounds};
 
 const SETTINGS: &str = "
 [process]
@@ -38,3 +38,21 @@
         assert_eq!(errors.len(), 2, "{wrong}: {errors:?}");
     }
 }
+
+/// Guards against a bound on warm-ups that is in force with half of its settings, or is missed.
+#[test]
+fn the_bound_on_warm_ups_has_both_settings_or_none() {
+    let parse = |bounds: &str| gateway::parse("f", &format!("{SETTINGS}[bounds]\n{bounds}"));
+    let bound = |bounds: &str| parse(bounds).expect(bounds).bounds.warm_up;
+    assert_eq!(bound(""), None);
+    let both = Some(WarmUpBounds { overage: 1.5, slack: 5.0 });
+    assert_eq!(bound("warmup_overage = 1.5\nwarmup_slack = 5\n"), both);
+    for wrong in [
+        "warmup_overage = 1.5\n",
+        "warmup_slack = 5\n",
+        "warmup_overage = x\nwarmup_slack = 5\n",
+        "warmup_overage = 1.5\nwarmup_slack = -1\n",
+    ] {
+        assert_eq!(parse(wrong).expect_err(wrong).len(), 1, "{wrong}");
+    }
+}
