Keep requests away from the servers of evacuated zones

Operators evacuate an availability zone by an item in the store, which gateways ignored. `gate::evacuations` keeps the zones, and each server's load holds whether its zone is evacuated, so that it is not usable on any path: first attempts, queued and repeated requests, moves and trials after a pause. A service, or the version of a stream, that has servers in such zones alone is refused at once with `evacuated`. While a service has evacuated servers, requests that can't be dispatched in time by the measured rate are refused early, the least urgent first.

--- a/crates/gate/src/action.rs
+++ b/crates/gate/src/action.rs
@@ -33,6 +33,8 @@
     /// Identifier that the backend server must have.
     pub id: Bytes,
     pub address: SocketAddr,
+    /// Availability zone of the backend server.
+    pub zone: Bytes,
     /// Name of the account, which is sent to the backend server.
     pub account: Option<Bytes>,
     /// Time at which the request ends.
--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -11,6 +11,7 @@
 use wire::time::Instant;
 
 use crate::{
+    evacuations::Evacuations,
     load::Load,
     message, origin, peers, quota,
     statement::{Stated, Statement},
@@ -135,6 +136,7 @@
     departed: VecDeque<u64>,
     /// Records from an older copy of the store, with the time from which they are used.
     withheld: Vec<(Bytes, Record, Instant)>,
+    evacuations: Evacuations,
 }
 
 impl Backends {
@@ -223,6 +225,22 @@
     /// Records that the store came back from an older copy.
     pub fn record_restore(&mut self) {
         self.is_restored = true;
+        self.evacuations.record_restore();
+    }
+
+    /// Returns the evacuated zones.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Changes the evacuated zones with `change` and returns its result. The backend servers of
+    /// these zones are not usable.
+    pub fn change_evacuations<R>(&mut self, change: impl FnOnce(&mut Evacuations) -> R) -> R {
+        let result = change(&mut self.evacuations);
+        for backend in self.entries.values_mut() {
+            backend.load.is_evacuated = self.evacuations.is_evacuated(&backend.record.zone);
+        }
+        result
     }
 
     /// Records that a request to the store failed.
@@ -279,10 +297,14 @@
         backends.filter(move |backend| backend.load.is_usable(now))
     }
 
-    /// Returns the mean number of requests in flight at a service's backend servers.
+    /// Returns the mean number of requests in flight at a service's backend servers, apart from
+    /// those in evacuated zones.
     pub fn mean_running(&self, service: &[u8]) -> f64 {
-        let running: u32 = self.of_service(service).map(|b| b.load.total_running()).sum();
-        f64::from(running) / self.keys_of(service).len().max(1) as f64
+        let backends = self.of_service(service).filter(|backend| !backend.load.is_evacuated);
+        let (running, count) = backends.fold((0, 0u32), |(running, count), backend| {
+            (running + backend.load.total_running(), count + 1)
+        });
+        f64::from(running) / f64::from(count.max(1))
     }
 
     /// Returns a backend server, unless it was removed.
@@ -352,6 +374,7 @@
                 if !backend.has_ended || backend.record != record {
                     backend.origin = origin;
                 }
+                backend.load.is_evacuated = self.evacuations.is_evacuated(&record.zone);
                 backend.record = record;
                 backend.remove_at = None;
                 return;
@@ -368,6 +391,7 @@
         let service = record.service.clone();
         let mut load = Load::default();
         load.stated = self.stated.get(&run).copied().unwrap_or_default();
+        load.is_evacuated = self.evacuations.is_evacuated(&record.zone);
         let backend = Backend {
             id: id.clone(),
             hash,
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -47,6 +47,9 @@
     NotSent { number: RequestNumber },
     /// No process listens at the backend server's address; nothing of the request was sent.
     Refused { number: RequestNumber },
+    /// The zone of the backend server was evacuated while the request waited for its connection;
+    /// nothing of the request was sent.
+    Withdrawn { number: RequestNumber },
     /// The backend server stated that it did not run the request.
     Rejected { number: RequestNumber, retry_after: Option<Duration> },
     /// The address belongs to another backend server.
@@ -77,6 +80,11 @@
     Ended { number: RequestNumber, result: AttemptResult },
     /// A new configuration was read.
     Catalog(Rc<Catalog>),
+    /// Operators evacuate an availability zone, or take it back.
+    Evacuation { zone: Bytes, is_active: bool },
+    /// All items were read: these availability zones are evacuated. It precedes the records of the
+    /// same read.
+    Evacuations(Vec<Bytes>),
     /// A backend server's record was written or removed.
     Record { id: Bytes, record: Option<backends::Record> },
     /// The records of all backend servers were read.
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod catalog;
 pub mod deadlines;
 mod demand;
+pub mod evacuations;
 pub mod event;
 pub mod issuer;
 pub mod lease;
--- a/crates/gate/src/load.rs
+++ b/crates/gate/src/load.rs
@@ -59,6 +59,8 @@
     trial: Option<Instant>,
     /// Connections fail; no requests are sent until a probe succeeds.
     pub unreachable: bool,
+    /// The backend server is in an evacuated zone and gets no requests.
+    pub is_evacuated: bool,
 }
 
 impl Default for Load {
@@ -82,6 +84,7 @@
             stated: Stated::default(),
             trial: None,
             unreachable: false,
+            is_evacuated: false,
         }
     }
 }
@@ -224,6 +227,7 @@
     /// Returns whether requests may be sent to the backend server.
     pub fn is_usable(&self, now: Instant) -> bool {
         !self.unreachable
+            && !self.is_evacuated
             && now >= self.ejected_until
             && now >= self.full_until
             && self.stated.is_open(now)
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -3,6 +3,7 @@
 mod configuration;
 mod demanding;
 mod dispatching;
+mod evacuating;
 mod limiting;
 mod loads;
 mod peering;
@@ -117,6 +118,7 @@
     permits: Permits,
     demanding: demanding::State,
     limiting: limiting::State,
+    evacuating: evacuating::State,
     /// Arrivals by service.
     arrivals: HashMap<Bytes, Arrivals>,
     retry_budgets: HashMap<Bytes, RetryBudget>,
@@ -173,6 +175,7 @@
             permits: Permits::default(),
             demanding: demanding::State::default(),
             limiting: limiting::State::default(),
+            evacuating: evacuating::State::default(),
             arrivals: HashMap::new(),
             retry_budgets: HashMap::new(),
             suspects: Suspects::default(),
@@ -263,6 +266,7 @@
             Event::Closed { number } => self.close(now, number),
             Event::NotSent { number } => self.handle_not_sent(now, number, actions),
             Event::Refused { number } => self.handle_refused(now, number, actions),
+            Event::Withdrawn { number } => self.handle_withdrawn(now, number, actions),
             Event::Rejected { number, retry_after } => {
                 self.handle_rejection(now, number, retry_after, actions);
             }
@@ -289,6 +293,8 @@
             }
             Event::Ended { number, result } => self.handle_result(now, number, result, actions),
             Event::Catalog(catalog) => self.install_catalog(now, catalog, actions),
+            Event::Evacuation { zone, is_active } => self.apply_evacuation(now, zone, is_active),
+            Event::Evacuations(zones) => self.replace_evacuations(now, zones),
             Event::Record { id, record } => {
                 self.backends.apply_record(id, record);
                 self.record_peer_loads(now);
@@ -536,6 +542,7 @@
             self.confirmed_since = now;
         }
         self.use_older_catalog(now, actions);
+        self.expire_evacuations(now);
         self.query_peer(now, actions);
         if now >= self.next_send {
             self.send_state(now, actions);
--- a/crates/gate/src/machine/dispatching.rs
+++ b/crates/gate/src/machine/dispatching.rs
@@ -29,9 +29,11 @@
         let nonempty = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
         let services: Vec<Bytes> = nonempty.map(|(service, _)| service.clone()).collect();
         for service in services {
+            self.refuse_evacuated(now, &service, actions);
             self.refuse_expired(now, &service, actions);
             self.dispatch_waiting(now, &service, actions);
         }
+        self.end_backlogs();
     }
 
     /// Refuses waiting requests whose waiting time has expired.
@@ -119,10 +121,12 @@
             }
         }
         self.refuse_beyond_limits(now, service, actions);
+        self.refuse_beyond_capacity(now, service, actions);
     }
 
     /// Refuses a waiting request if all backend servers that it may be sent to have stated that they
-    /// leave, or that they pause for longer than it waits. Returns whether it did.
+    /// leave, or that they pause for longer than it waits, or are in evacuated zones. Returns whether
+    /// it did.
     fn refuse_unless_open(
         &mut self,
         now: Instant,
@@ -134,13 +138,16 @@
         let backends = keys.filter_map(|key| Some((*key, self.backends.get(*key)?)));
         let mut stated = backends
             .filter(|(key, backend)| entry.admits(*key, backend))
-            .map(|(_, backend)| backend.load.stated)
+            .map(|(_, backend)| (backend.load.stated, backend.load.is_evacuated))
             .peekable();
         if stated.peek().is_none() {
             return false;
         }
         let mut pause = None;
-        for stated in stated {
+        for (stated, is_evacuated) in stated {
+            if is_evacuated {
+                continue;
+            }
             if stated.is_open(now) {
                 return false;
             }
@@ -241,6 +248,7 @@
         backend.load.begin_trial(now);
         self.load_exchange.mark_changed();
         entry.attempts += 1;
+        self.evacuating.record_dispatch(&entry.service);
         open.state = State::Dispatched {
             backend: key,
             run: backend.run,
@@ -265,6 +273,7 @@
             backend: key,
             id: backend.id.clone(),
             address: backend.record.address,
+            zone: backend.record.zone.clone(),
             account: entry.account.clone(),
             deadline: entry.deadline,
             version: backend.record.version.clone(),
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -62,7 +62,7 @@
     }
 
     /// Returns whether a request that was withdrawn stays at its former backend server.
-    fn stays_at_former(&self, number: RequestNumber) -> bool {
+    pub(super) fn stays_at_former(&self, number: RequestNumber) -> bool {
         let open = self.open_requests.get(&number);
         open.is_some_and(|open| open.state != State::Waiting)
     }
@@ -82,7 +82,9 @@
             let keys = self.backends.keys_of(&open.entry.service).iter();
             let mut backends = keys.filter_map(|key| Some((*key, self.backends.get(*key)?)));
             backends.any(|(key, backend)| {
-                !backend.load.stated.leaving && open.entry.admits(key, backend)
+                !backend.load.stated.leaving
+                    && !backend.load.is_evacuated
+                    && open.entry.admits(key, backend)
             })
         })
     }
@@ -107,7 +109,10 @@
         }
         match self.has_candidate(number) {
             true => self.requeue(number),
-            false => self.refuse_waiting(now, number, Reason::NoBackend, actions),
+            false => {
+                let reason = self.reason_without_server(number, Reason::NoBackend);
+                self.refuse_waiting(now, number, reason, actions);
+            }
         }
     }
 
@@ -187,7 +192,8 @@
         let Some(entry) = self.open_requests.get(&number).map(|open| open.entry.clone()) else {
             return;
         };
-        let refusal = self.build_refusal(now, &entry, Reason::Overload);
+        let reason = self.reason_without_server(number, Reason::Overload);
+        let refusal = self.build_refusal(now, &entry, reason);
         let most = admission::max_retry_after(entry.deadline.since(now));
         let retry_after = refusal.retry_after.map(|own| retry_after.unwrap_or(own).min(most));
         self.refuse(now, number, Refusal { retry_after, ..refusal }, actions);
@@ -212,7 +218,10 @@
         }
         match self.has_candidate(number) && self.take_retry(now, number) {
             true => self.requeue(number),
-            false => self.refuse_waiting(now, number, Reason::NoBackend, actions),
+            false => {
+                let reason = self.reason_without_server(number, Reason::NoBackend);
+                self.refuse_waiting(now, number, reason, actions);
+            }
         }
     }
 
--- a/crates/gate/src/machine/resuming.rs
+++ b/crates/gate/src/machine/resuming.rs
@@ -91,7 +91,7 @@
     }
 
     /// Returns the services that the configuration in force has for a request.
-    fn services_of(&self, number: RequestNumber) -> Vec<Bytes> {
+    pub(super) fn services_of(&self, number: RequestNumber) -> Vec<Bytes> {
         let request = self.open_requests.get(&number).map(|open| &open.entry.request);
         let route =
             request.and_then(|request| self.catalog.as_ref()?.route(&request.host, &request.path));
--- a/crates/gate/src/refusal.rs
+++ b/crates/gate/src/refusal.rs
@@ -21,6 +21,9 @@
     Overload,
     /// No backend server of the service can be used.
     NoBackend,
+    /// All backend servers of the service are in evacuated zones, or all those of the version that
+    /// began the stream.
+    Evacuated,
     /// No backend server of the version that began the stream is left, or it isn't known.
     NoVersion,
     /// All backend servers of the service asked for a pause.
@@ -53,6 +56,7 @@
             | Reason::Stopping
             | Reason::Overload
             | Reason::NoBackend
+            | Reason::Evacuated
             | Reason::NoVersion
             | Reason::Paused
             | Reason::RateLimit
@@ -80,6 +84,7 @@
             Reason::Quota => "quota",
             Reason::Overload => "overload",
             Reason::NoBackend => "no_replica",
+            Reason::Evacuated => "evacuated",
             Reason::NoVersion => "no_version",
             Reason::Paused => "paused",
             Reason::RateLimit => "limit",
