--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     claims::{Claim, Claims},
+    evacuations::Evacuations,
     load::Load,
     message, origin, peers, quota,
     statement::{Stated, Statement},
@@ -157,6 +158,7 @@
     reads_all: bool,
     /// Records that changed since the last call of `take_readings`.
     readings: Vec<warm_up::Reading>,
+    evacuations: Evacuations,
 }
 
 impl Backends {
@@ -261,6 +263,22 @@
     /// Records that the store came back from an older copy.
     pub fn record_restore(&mut self) {
         self.is_restored = true;
+        self.evacuations.record_restore();
+    }
+
+    /// Returns the evacuated zones.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Changes the evacuated zones with `change` and returns its result. The backend servers of
+    /// these zones are not usable.
+    pub fn change_evacuations<R>(&mut self, change: impl FnOnce(&mut Evacuations) -> R) -> R {
+        let result = change(&mut self.evacuations);
+        for backend in self.entries.values_mut() {
+            backend.load.is_evacuated = self.evacuations.is_evacuated(&backend.record.zone);
+        }
+        result
     }
 
     /// Records that a request to the store failed.
@@ -317,10 +335,14 @@
         backends.filter(move |backend| backend.load.is_usable(now))
     }
 
-    /// Returns the mean number of requests in flight at a service's backend servers.
+    /// Returns the mean number of requests in flight at a service's backend servers, apart from
+    /// those in evacuated zones.
     pub fn mean_running(&self, service: &[u8]) -> f64 {
-        let running: u32 = self.of_service(service).map(|b| b.load.total_running()).sum();
-        f64::from(running) / self.keys_of(service).len().max(1) as f64
+        let backends = self.of_service(service).filter(|backend| !backend.load.is_evacuated);
+        let (running, count) = backends.fold((0, 0u32), |(running, count), backend| {
+            (running + backend.load.total_running(), count + 1)
+        });
+        f64::from(running) / f64::from(count.max(1))
     }
 
     /// Returns a backend server, unless it was removed.
@@ -425,6 +447,7 @@
                 if backend.record.warm_up_left != left || is_written {
                     self.readings.push(reading(Some(backend.record.warm_up_left)));
                 }
+                backend.load.is_evacuated = self.evacuations.is_evacuated(&record.zone);
                 backend.record = record;
                 backend.remove_at = None;
                 return;
@@ -441,6 +464,7 @@
         let service = record.service.clone();
         let mut load = Load::default();
         load.stated = self.stated.get(&run).copied().unwrap_or_default();
+        load.is_evacuated = self.evacuations.is_evacuated(&record.zone);
         let backend = Backend {
             id: id.clone(),
             hash: server as u32,
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod claims;
 pub mod deadlines;
 mod demand;
+pub mod evacuations;
 pub mod event;
 pub mod issuer;
 pub mod lease;
--- a/crates/gate/src/machine/warming.rs
+++ b/crates/gate/src/machine/warming.rs
@@ -166,7 +166,6 @@
 
     /// Records that a run of a backend server counts as warming up for its service's time from now
     /// on, since the evacuation of its zone ended.
-    #[allow(dead_code, reason = "called at the end of an evacuation, which is built separately")]
     pub(super) fn presume_warm_up(&mut self, now: Instant, run: u64) {
         let backend = self.backends.iter().find(|(_, backend)| backend.run == run);
         let Some(server) = backend.map(|(_, backend)| backend.server) else { return };
