Read evacuations from the store, and don't write requests to evacuated zones

Items under `op/evacuate/` were of no use to gateways. A request that waited for its connection while its zone was evacuated is not written: `Pool::send_watched` asks before it takes an idle connection and after a connection has opened, and the machine places the request elsewhere.

No test covers the order in which changes of one response are applied.

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -100,7 +100,7 @@
                     self.connections.release(sender, MAX_IDLE);
                 }
             }
-            Err(Fault::Unsent | Fault::Refused) => report(Progress::Unreachable),
+            Err(Fault::Unsent | Fault::Refused | Fault::Withdrawn) => report(Progress::Unreachable),
             Err(Fault::Lost) => report(Progress::ConnectionLost),
         }
     }
--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -39,6 +39,8 @@
     Unsent,
     /// No process listens at the address, so nothing was sent.
     Refused,
+    /// The request is no longer to be sent, and nothing of it was.
+    Withdrawn,
     /// The connection was lost, and the request may have been received.
     Lost,
 }
@@ -71,11 +73,11 @@
     ///
     /// Returns an error that says whether the server may have received the request.
     pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Sent, Fault> {
-        self.send_watched(request, &Cell::new(false)).await
+        self.send_watched(request, &Cell::new(false), || true).await
     }
 
     /// Sends a request as [`Pool::send`] does. `is_sent` is set from the time at which the server may
-    /// receive it.
+    /// receive it. It is sent only if `may_send` returns true once there is a connection.
     ///
     /// # Errors
     ///
@@ -84,7 +86,11 @@
         &self,
         mut request: Request<Full<Bytes>>,
         is_sent: &Cell<bool>,
+        may_send: impl Fn() -> bool,
     ) -> Result<Sent, Fault> {
+        if !may_send() {
+            return Err(Fault::Withdrawn);
+        }
         while let Some(mut sender) = self.take_idle() {
             is_sent.set(true);
             match sender.try_send_request(request).await {
@@ -93,8 +99,14 @@
                 Err(mut error) => request = error.take_message().ok_or(Fault::Lost)?,
             }
             is_sent.set(false);
+            if !may_send() {
+                return Err(Fault::Withdrawn);
+            }
         }
         let mut sender = self.connect().await?;
+        if !may_send() {
+            return Err(Fault::Withdrawn);
+        }
         is_sent.set(true);
         match sender.send_request(request).await {
             Ok(response) => Ok(Sent { response, sender, is_reused: false }),
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -283,7 +283,12 @@
         };
         let request = self.build_request(&added);
         let pool = self.gateway.pool(&dispatch);
-        Offer::new(dispatch, pool, last_event_id, request)
+        let (gateway, zone) = (self.gateway.clone(), dispatch.zone.clone());
+        let may_send = move || {
+            let is_evacuated = gateway.read(|machine| machine.evacuations().is_evacuated(&zone));
+            !is_evacuated
+        };
+        Offer::new(dispatch, pool, last_event_id, request, may_send)
     }
 
     /// Reads the head of the response to an offer.
@@ -319,6 +324,7 @@
             Ok(sent) => sent,
             Err(Fault::Unsent) => return Attempt::Failed(Event::NotSent { number }),
             Err(Fault::Refused) => return Attempt::Failed(Event::Refused { number }),
+            Err(Fault::Withdrawn) => return Attempt::Failed(Event::Withdrawn { number }),
             Err(Fault::Lost) => return Attempt::Failed(self.build_ended(AttemptResult::Broken)),
         };
         let (head, body) = response.into_parts();
--- a/crates/daemon/src/gateway/exchange/lines.rs
+++ b/crates/daemon/src/gateway/exchange/lines.rs
@@ -73,6 +73,7 @@
         let how = match event {
             Event::NotSent { .. } => "unsent",
             Event::Refused { .. } => "refused",
+            Event::Withdrawn { .. } => "withdrawn",
             Event::Rejected { .. } => "rejected",
             Event::Misdirected { .. } => "misdirected",
             Event::DoubtfulRejection { .. } => "doubtful",
--- a/crates/daemon/src/gateway/offer.rs
+++ b/crates/daemon/src/gateway/offer.rs
@@ -30,17 +30,19 @@
 
 impl Offer {
     /// Begins to send a request, or returns an offer that fails as not sent if there is none.
+    /// `may_send` returns whether the request may still be written once there is a connection.
     pub fn new(
         dispatch: Dispatch,
         pool: Pool,
         last_event_id: Option<Bytes>,
         request: Option<Request<Full<Bytes>>>,
+        may_send: impl Fn() -> bool + 'static,
     ) -> Offer {
         let is_sent = Rc::new(Cell::new(false));
         let (sending_pool, flag) = (pool.clone(), is_sent.clone());
         let response = async move {
             let request = request.ok_or(Fault::Unsent)?;
-            sending_pool.send_watched(request, &flag).await
+            sending_pool.send_watched(request, &flag, may_send).await
         };
         Offer {
             dispatch,
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -6,7 +6,7 @@
 use compio::time;
 use futures_channel::mpsc;
 use futures_util::StreamExt;
-use gate::{Event, Machine, revision::Revision, source::Update};
+use gate::{Event, Machine, message::StoreEntry, revision::Revision, source::Update};
 use http_body_util::Full;
 use hyper::{Request, header};
 use platform::store::{self, Change, Page};
@@ -115,14 +115,27 @@
     if gateway.read(Machine::revision) != Some(update.from) {
         return;
     }
-    for entry in &update.entries {
-        apply(gateway, store::decode_change(entry));
-    }
+    apply_all(gateway, &update.entries);
     gateway.feed(Event::Installed(update));
 }
 
+/// Applies changes that were read together. Those of evacuations are applied first: requests that
+/// wait are dispatched after each change, and none of them may go to a zone that a later one
+/// evacuates.
+fn apply_all(gateway: &Rc<Gateway>, entries: &[StoreEntry]) {
+    let changes = entries.iter().map(store::decode_change);
+    let (evacuations, others): (Vec<Change>, Vec<Change>) =
+        changes.partition(|change| matches!(change, Change::Evacuation { .. }));
+    for change in evacuations.into_iter().chain(others) {
+        apply(gateway, change);
+    }
+}
+
 fn apply(gateway: &Rc<Gateway>, change: Change) {
     match change {
+        Change::Evacuation { zone, is_active } => {
+            gateway.feed(Event::Evacuation { zone, is_active });
+        }
         Change::Catalog(catalog) => {
             let version = catalog.version;
             let routes = catalog.routes.len();
@@ -205,9 +218,7 @@
             // Changes from a peer were applied in the meantime; the next watch starts after them.
             return Ok(());
         }
-        for entry in &page.entries {
-            apply(&self.gateway, store::decode_change(entry));
-        }
+        apply_all(&self.gateway, &page.entries);
         let to = Revision { era, number: page.revision }.ordinal().max(revision);
         let entries = page.entries;
         self.gateway.feed(Event::StoreRead { at, from: Some(revision), to, entries });
@@ -241,16 +252,22 @@
             tracing::warn!(event = "store_restored", era = first.era, revision = first.number);
             self.gateway.feed(Event::StoreRestored);
         }
-        let mut records = Vec::new();
+        let (mut zones, mut records, mut others) = (Vec::new(), Vec::new(), Vec::new());
         for change in changes {
             match change {
+                Change::Evacuation { zone, is_active } => zones.extend(is_active.then_some(zone)),
                 Change::Backend { id, record, error } => {
                     log_unusable(&id, error);
                     records.extend(record.map(|record| (id, record)));
                 }
-                change => apply(&self.gateway, change),
+                change => others.push(change),
             }
         }
+        // Requests that wait are dispatched after each event, so the evacuations are first.
+        self.gateway.feed(Event::Evacuations(zones));
+        for change in others {
+            apply(&self.gateway, change);
+        }
         self.compacted = false;
         self.gateway.feed(Event::Records(records));
         let to = first.ordinal();
