--- a/crates/gate/src/machine/warming.rs
+++ b/crates/gate/src/machine/warming.rs
@@ -12,7 +12,7 @@
     warm_up::{self, Change, Source, Statement, WarmUps},
 };
 
-/// Most servers in one datagram, which stays under 14 kB.
+/// Most servers in one datagram, which stays under 6 kB.
 const MAX_REPORTS: usize = 128;
 /// Shortest time between two announcements. Records of servers that start together are read
 /// together.
