Hold requests back after a pause of the process

A gateway that was paused while a server began to warm up sent the requests that had come meanwhile to it before it handled the report: with the check removed, all 30 requests of the test left at once. After a second without an event it now waits 100 ms, in which the others tell it what it missed.

--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -260,6 +260,7 @@
 
     /// Handles one event and appends the resulting actions.
     pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        self.notice_pause(now);
         match event {
             Event::Arrived { number, request } => {
                 self.handle_arrival(now, number, request, actions)
--- a/crates/gate/src/machine/limiting.rs
+++ b/crates/gate/src/machine/limiting.rs
@@ -137,12 +137,13 @@
 
     /// Returns when permits have to be issued or demanded next.
     pub(super) fn next_permit_update(&self) -> Option<Instant> {
+        let uncertain = self.warming.warm_ups.uncertain_until(self.warming.last_event());
         if !self.uses_permits() {
-            return None;
+            return uncertain;
         }
         let issue = self.limiting.issuer.next_issue(|key| self.issue_rate(key));
         let announcement = self.next_warm_up_announcement();
-        [issue, announcement, self.next_demand_update()].into_iter().flatten().min()
+        [issue, announcement, uncertain, self.next_demand_update()].into_iter().flatten().min()
     }
 
     /// Returns whether some backend server has a rate limit, or warms up or did so lately.
--- a/crates/gate/src/machine/warming.rs
+++ b/crates/gate/src/machine/warming.rs
@@ -22,11 +22,17 @@
 /// Most repeated reports that one gateway sends per second.
 const MAX_REPEATS_PER_S: f64 = 25.0;
 
+/// Time without an event after which the process was paused. Ticks and messages of peers come several
+/// times a second.
+const MIN_PAUSE: Duration = Duration::from_secs(1);
+
 /// Warm-ups that are known, and their announcement.
 #[derive(Debug, Default)]
 pub(super) struct Warming {
     pub(super) warm_ups: WarmUps,
     next_announcement: Instant,
+    /// Time of the last event.
+    last_event: Option<Instant>,
     /// Permits that were used.
     permits_used: u64,
 }
@@ -41,6 +47,13 @@
     pub(super) is_warm_up: bool,
 }
 
+impl Warming {
+    /// Returns the time of the last event.
+    pub(super) fn last_event(&self) -> Instant {
+        self.last_event.unwrap_or_default()
+    }
+}
+
 impl Machine {
     /// Returns the time for which a backend server still warms up, and what says so.
     pub fn warm_up_left(&self, now: Instant, key: backends::Key) -> Option<(Duration, Source)> {
@@ -105,6 +118,14 @@
         Some(permit.map_or(latest, |expires_at| expires_at.min(latest)))
     }
 
+    /// Records the time of an event, which may be the first one after a pause of the process.
+    pub(super) fn notice_pause(&mut self, now: Instant) {
+        let last = self.warming.last_event.replace(now);
+        if last.is_some_and(|last| now.since(last) >= MIN_PAUSE) {
+            self.warming.warm_ups.record_pause(now);
+        }
+    }
+
     pub(super) fn count_warm_up_permit(&mut self) {
         self.warming.permits_used += 1;
     }
--- a/crates/gate/src/placement.rs
+++ b/crates/gate/src/placement.rs
@@ -66,6 +66,9 @@
         if self.warm_ups.is_warming(self.now, backend) {
             return self.permits.count(self.now, backend.server) > 0;
         }
+        if self.warm_ups.is_uncertain(self.now, backend) {
+            return false;
+        }
         !self.rate_limits.is_limited(backend.run) || self.permits.count(self.now, backend.run) > 0
     }
 }
--- a/crates/gate/src/warm_up.rs
+++ b/crates/gate/src/warm_up.rs
@@ -34,6 +34,9 @@
 /// Time within which all gateways read a record. Most do within some 0.8 s, and those that don't reach
 /// the store or a peer at first later.
 const READ_SPREAD: Duration = Duration::from_secs(3);
+/// Time after a pause of the process within which it has received the warm-ups that it missed: other
+/// gateways send them in reply to its first message.
+const CATCH_UP: Duration = Duration::from_millis(100);
 /// Time for which the end of a warm-up is kept, so that late reports don't begin it again.
 const RETENTION: Duration = Duration::from_secs(60);
 
@@ -115,6 +118,8 @@
     entries: HashMap<u64, Entry>,
     /// Servers whose warm-up was learned here and not announced yet.
     unannounced: BTreeSet<u64>,
+    /// Time until which other gateways may know of warm-ups that this one missed while it was paused.
+    uncertain_until: Instant,
 }
 
 impl WarmUps {
@@ -157,6 +162,21 @@
             && self.services.contains_key(&backend.record.service)
     }
 
+    /// Records that this process was paused, so that it may have missed warm-ups.
+    pub fn record_pause(&mut self, now: Instant) {
+        self.uncertain_until = now + CATCH_UP;
+    }
+
+    /// Returns the time until which servers that may warm up get no requests, if it is not over.
+    pub fn uncertain_until(&self, now: Instant) -> Option<Instant> {
+        (now < self.uncertain_until && !self.is_disabled()).then_some(self.uncertain_until)
+    }
+
+    /// Returns whether a server of a service that warms up may do so without this gateway knowing.
+    pub fn is_uncertain(&self, now: Instant, backend: &Backend) -> bool {
+        now < self.uncertain_until && self.services.contains_key(&backend.record.service)
+    }
+
     /// Returns the time for which a server still warms up and where that is known from. The time
     /// is counted anew while no connection succeeds.
     pub fn left(&self, now: Instant, backend: &Backend) -> Option<(Duration, Source)> {
--- a/crates/gate/tests/warm_up.rs
+++ b/crates/gate/tests/warm_up.rs
@@ -319,6 +319,26 @@
     assert!(!dispatches(&mut gateway), "it was issued for the run before");
 }
 
+/// Guards against a process that was paused while a warm-up began and sends the requests that came
+/// meanwhile to that server.
+#[test]
+fn a_gateway_that_was_paused_waits_for_what_it_missed() {
+    let mut fleet = warm_fleet(4, 3, 0.0, 14.0, 1);
+    fleet.paused[3] = true;
+    fleet.servers[0].warm_up_left = Some(DURATION);
+    (0..3).for_each(|gateway| fleet.read_record(gateway, 0));
+    fleet.advance(2 * S);
+    fleet.paused[3] = false;
+    let resumed_at = fleet.now;
+    (0..30).for_each(|_| {
+        fleet.send(3, request("status"));
+    });
+    assert!(fleet.arrivals.is_empty());
+    fleet.advance(300 * MS);
+    let at = |server| fleet.arrivals_at(server, resumed_at).count();
+    assert!(at(0) <= 5 && at(0) + at(1) + at(2) == 30, "{} {} {}", at(0), at(1), at(2));
+}
+
 /// Guards against a large deployment, in which repeated reports reach few gateways, where a process
 /// that has just started doesn't learn of warm-ups.
 #[test]
