--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -21,7 +21,7 @@
 const MAX_IDLE_CONNECTIONS: usize = 64;
 /// Time for which a connection that was opened too late for its request may be used for another one.
 /// Servers close idle connections after some seconds.
-const LATE_IDLE: Duration = Duration::from_secs(1);
+const UNUSED_IDLE: Duration = Duration::from_secs(1);
 
 /// Sends requests on one connection.
 pub type Sender = http1::SendRequest<Full<Bytes>>;
@@ -44,6 +44,8 @@
     Late,
     /// No process listens at the address, so nothing was sent.
     Refused,
+    /// The request is no longer to be sent, and nothing of it was.
+    Withdrawn,
     /// The connection was lost, and the request may have been received.
     Lost,
 }
@@ -76,28 +78,25 @@
     ///
     /// Returns an error that says whether the server may have received the request.
     pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Sent, Fault> {
-        self.send_watched(request, None, &Cell::new(false)).await
+        self.send_watched(request, &Cell::new(false), || Ok(())).await
     }
 
-    /// Sends a request as [`Pool::send`] does, but not from `send_by` on: the server may tolerate
-    /// fewer requests than when the request was meant for it. `is_sent` is set from the time at which the server may
-    /// receive it.
+    /// Sends a request as [`Pool::send`] does. `is_sent` is set from the time at which the server may
+    /// receive it. `check` is called each time that there is a connection to write to; nothing is
+    /// sent if it returns an error.
     ///
     /// # Errors
     ///
-    /// Returns an error that says whether the server may have received the request.
+    /// Returns the error of `check`, or one that says whether the server may have received the
+    /// request.
     pub async fn send_watched(
         &self,
         mut request: Request<Full<Bytes>>,
-        send_by: Option<Instant>,
         is_sent: &Cell<bool>,
+        check: impl Fn() -> Result<(), Fault>,
     ) -> Result<Sent, Fault> {
-        let is_late = || send_by.is_some_and(|send_by| clock::now() >= send_by);
+        check()?;
         while let Some(mut sender) = self.take_idle() {
-            if is_late() {
-                self.release(sender, LATE_IDLE);
-                return Err(Fault::Late);
-            }
             is_sent.set(true);
             match sender.try_send_request(request).await {
                 Ok(response) => return Ok(Sent { response, sender, is_reused: true }),
@@ -105,12 +104,13 @@
                 Err(mut error) => request = error.take_message().ok_or(Fault::Lost)?,
             }
             is_sent.set(false);
+            check()?;
         }
         let mut sender = self.connect().await?;
-        if is_late() {
+        if let Err(fault) = check() {
             // The connection serves a later request.
-            self.release(sender, LATE_IDLE);
-            return Err(Fault::Late);
+            self.release(sender, UNUSED_IDLE);
+            return Err(fault);
         }
         is_sent.set(true);
         match sender.send_request(request).await {
--- a/crates/daemon/src/gateway/exchange/lines.rs
+++ b/crates/daemon/src/gateway/exchange/lines.rs
@@ -75,6 +75,7 @@
             Event::NotSent { .. } => "unsent",
             Event::Late { .. } => "late",
             Event::Refused { .. } => "refused",
+            Event::Withdrawn { .. } => "withdrawn",
             Event::Rejected { .. } => "rejected",
             Event::Misdirected { .. } => "misdirected",
             Event::DoubtfulRejection { .. } => "doubtful",
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -54,6 +54,7 @@
     limited: Gauge,
     warming: Gauge,
     warm_up_permits: Counter,
+    evacuated_zones: Gauge,
     dropped_log_lines: Gauge,
 }
 
@@ -81,6 +82,7 @@
             limited: Gauge::default(),
             warming: Gauge::default(),
             warm_up_permits: Counter::default(),
+            evacuated_zones: Gauge::default(),
             dropped_log_lines: Gauge::default(),
         };
         metrics.register();
@@ -118,6 +120,8 @@
         registry.register("warming", "Replicas that warm up", self.warming.clone());
         let permits = "Permits used for calls of replicas that warm up";
         registry.register("warm_up_permits", permits, self.warm_up_permits.clone());
+        let evacuated = "Zones that operators evacuate";
+        registry.register("evacuated_zones", evacuated, self.evacuated_zones.clone());
         let dropped = "Log lines left out or lost since the start";
         registry.register("dropped_log_lines", dropped, self.dropped_log_lines.clone());
     }
@@ -190,6 +194,7 @@
         self.warming.set(machine.warming_count(now) as i64);
         let used = machine.warm_up_permits_used();
         self.warm_up_permits.inc_by(used.saturating_sub(self.warm_up_permits.get()));
+        self.evacuated_zones.set(machine.evacuations().len() as i64);
         self.dropped_log_lines.set(log::dropped_lines() as i64);
         let mut page = String::new();
         text::encode(&mut page, &self.registry)?;
