Decide on hedges of slow responses in the gateway's machine

Requests at a slow server wait although another one is free. With [hedging] work_share above 0, a request that may be repeated and has had no answer for a quantile of the recent times of its route and size class is sent to a second server, within max_attempts, the retry budget and a work budget filled by first attempts. Off by default.

A cancelled first attempt frees its slot, which made slow plain servers the first choice again: in virtual time, 95 in 100 answers took 137 ms instead of 72 ms. Such a server now counts as slow for 2 s, and engines get the time as a sample of their speed.

--- a/crates/conf/src/gateway.rs
+++ b/crates/conf/src/gateway.rs
@@ -12,6 +12,11 @@
 
 const ROLE_ALLOWED: &str = "gateway";
 const RATIO: &str = "a number from 0 to 10";
+const WORK_SHARE: &str = "a number from 0 to 0.5; 0 is off";
+const QUANTILE: &str = "a number from 0.5 to 0.999";
+/// Quantile of the response times after which a request is hedged, if none is set. Hedges after the
+/// 95th percentile are the published practice (Dean and Barroso, The Tail at Scale, 2013).
+const DEFAULT_QUANTILE: f64 = 0.95;
 
 /// Settings of one gateway.
 #[derive(Clone, Debug, PartialEq)]
@@ -35,6 +40,8 @@
     /// `[seeds] hosts`: hosts of other gateways; their ports are not used.
     pub seeds: Vec<SocketAddr>,
     pub bounds: Bounds,
+    /// `[hedging]`: hedges of slow responses; `None` if they are off.
+    pub hedging: Option<Hedging>,
     /// `[log] level`: error, warn, info, debug or trace.
     pub log_level: String,
 }
@@ -61,6 +68,15 @@
     pub quota_slack: f64,
 }
 
+/// Limits on second attempts for requests whose response is slow.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Hedging {
+    /// `[hedging] work_share`: most work of hedges, as a share of the work of first attempts.
+    pub work_share: f64,
+    /// `[hedging] quantile`: quantile of the recent response times after which a response is slow.
+    pub quantile: f64,
+}
+
 /// Parses and checks a gateway's settings file; `file` names it in errors.
 ///
 /// # Errors
@@ -102,6 +118,7 @@
     store: Option<SocketAddr>,
     seeds: Vec<SocketAddr>,
     bounds: Option<Bounds>,
+    hedging: Option<Hedging>,
     log_level: Option<String>,
 }
 
@@ -146,11 +163,12 @@
                 self.seeds = seeds.unwrap_or_default();
             }
             "bounds" => self.bounds = Some(Bounds::read(&mut reader)),
+            "hedging" => self.hedging = Hedging::read(&mut reader),
             "log" => {
                 self.log_level = reader.optional("level", process::LEVEL, process::parse_level);
             }
             _ => {
-                let allowed = "process, listen, store, seeds, bounds or log";
+                let allowed = "process, listen, store, seeds, bounds, hedging or log";
                 report.add(&section.header, "", "", allowed);
                 return;
             }
@@ -170,6 +188,7 @@
             store: self.store?,
             seeds: self.seeds,
             bounds: self.bounds.unwrap_or_default(),
+            hedging: self.hedging,
             log_level: self.log_level.unwrap_or_else(|| "info".to_owned()),
         })
     }
@@ -200,6 +219,27 @@
     }
 }
 
+impl Hedging {
+    /// Returns `None` if hedging is off.
+    fn read(reader: &mut section::Reader<'_>) -> Option<Hedging> {
+        let work_share = reader.optional("work_share", WORK_SHARE, parse_work_share);
+        let quantile = reader.optional("quantile", QUANTILE, parse_quantile);
+        let quantile = quantile.unwrap_or(DEFAULT_QUANTILE);
+        let work_share = work_share.filter(|share| *share > 0.0)?;
+        Some(Hedging { work_share, quantile })
+    }
+}
+
+fn parse_work_share(text: &str) -> Option<f64> {
+    let share: f64 = text.parse().ok()?;
+    (0.0..=0.5).contains(&share).then_some(share)
+}
+
+fn parse_quantile(text: &str) -> Option<f64> {
+    let quantile: f64 = text.parse().ok()?;
+    (0.5..=0.999).contains(&quantile).then_some(quantile)
+}
+
 fn parse_ratio(text: &str) -> Option<f64> {
     let ratio: f64 = text.parse().ok()?;
     (0.0..=10.0).contains(&ratio).then_some(ratio)
--- a/crates/daemon/src/gateway/process.rs
+++ b/crates/daemon/src/gateway/process.rs
@@ -118,6 +118,7 @@
         availability_zone: settings.availability_zone.clone(),
         seeds: settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port)).collect(),
         bounds: settings.bounds,
+        hedging: settings.hedging,
         first_start: settings.first_start,
         seed: fastrand::u64(..),
     }
--- a/crates/gate/src/action.rs
+++ b/crates/gate/src/action.rs
@@ -40,6 +40,8 @@
     /// Time without a response after which `Event::Unresponsive` is due; `None` if the request may
     /// not be sent to another backend server.
     pub failover_timeout: Option<Duration>,
+    /// When the request may be hedged; `None` if it may not.
+    pub hedge: Option<Hedge>,
     /// Version of the backend server's software, for the log.
     pub version: Bytes,
     /// Decision inputs, for the log.
@@ -48,6 +50,15 @@
     pub stream: bool,
 }
 
+/// Times of a second attempt for a request whose response is slow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hedge {
+    /// Time without a response, or a stream's first event, after which `Event::Slow` is due.
+    pub after: Duration,
+    /// Longest time for both attempts; `None` if they may run until one has an answer.
+    pub max_overlap: Option<Duration>,
+}
+
 /// Decision inputs of a dispatch.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Inputs {
--- a/crates/gate/src/admission.rs
+++ b/crates/gate/src/admission.rs
@@ -104,6 +104,7 @@
     let tokens_per_event =
         catalog.services.get(&service).and_then(|service| service.tokens_per_event);
     Entry {
+        route: route.name.clone(),
         service,
         tokens_per_event: tokens_per_event.unwrap_or(1),
         max_pause: route.max_pause,
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -71,6 +71,14 @@
     /// The backend server that an unresponsive request was dispatched to has accepted it, and the
     /// former one is given up.
     Moved { number: RequestNumber },
+    /// No response, or first event of a stream, was received for `Hedge::after`. The request is
+    /// dispatched to a second backend server if a hedge is allowed now.
+    Slow { number: RequestNumber },
+    /// An event on the second attempt of a hedged request. While both attempts run, all other
+    /// events are on the first one. The first event or the complete response of either attempt
+    /// cancels the other. `Event::Moved` states that the second server has accepted the request,
+    /// and that the first attempt is given up for it.
+    Hedge { number: RequestNumber, event: Box<Event> },
     /// Further events of the response were received within `span`.
     EventsReceived { number: RequestNumber, events: u32, span: Duration },
     /// The attempt at the backend server ended.
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod deadlines;
 mod demand;
 pub mod event;
+pub mod hedging;
 pub mod issuer;
 pub mod lease;
 pub mod load;
--- a/crates/gate/src/load.rs
+++ b/crates/gate/src/load.rs
@@ -22,6 +22,9 @@
 const MAX_SAMPLE_RATIO: f64 = 4.0;
 /// Smallest prompt whose first event is a sample of the prefill speed.
 const MIN_SAMPLE_TOKENS: u32 = 300;
+/// Time for which a backend server counts as slow after a hedge was faster. After it, a server that
+/// still is slow gets a request that shows it.
+const SLOW_TIME: Duration = Duration::from_secs(2);
 /// Slots of a far backend server that are left for requests whose reports are on the way.
 const UNSEEN_REQUESTS: f64 = 1.0;
 /// Consecutive failures after which a backend server is ejected.
@@ -57,6 +60,8 @@
     pub stated: Stated,
     /// Time at which the first request after a pause was sent, while it is in flight.
     trial: Option<Instant>,
+    /// Time until which the backend server counts as slow, since a hedge was faster than its attempt.
+    slow_until: Instant,
     /// Connections fail; no requests are sent until a probe succeeds.
     pub unreachable: bool,
 }
@@ -81,6 +86,7 @@
             full_until: Instant::default(),
             stated: Stated::default(),
             trial: None,
+            slow_until: Instant::default(),
             unreachable: false,
         }
     }
@@ -196,6 +202,20 @@
         self.speed.event_ms = blend(self.speed.event_ms, f64::from(peer.event_ms), weight);
     }
 
+    /// Records that an attempt with `tokens` ahead of its first event was cancelled after `ms`, since
+    /// a hedge was faster. Its slot is free again, which must not draw further requests there.
+    pub fn record_lost_race(&mut self, now: Instant, ms: f64, tokens: u32) {
+        self.slow_until = now + SLOW_TIME;
+        if ms > self.first_event_ms(0, tokens) {
+            self.record_first_event(ms, tokens);
+        }
+    }
+
+    /// Returns whether a hedge was faster than the backend server lately.
+    pub fn is_slow(&self, now: Instant) -> bool {
+        now < self.slow_until
+    }
+
     /// Records a complete response.
     pub fn record_success(&mut self) {
         self.failures = 0;
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -3,6 +3,7 @@
 mod configuration;
 mod demanding;
 mod dispatching;
+mod hedging;
 mod limiting;
 mod loads;
 mod peering;
@@ -22,6 +23,7 @@
     catalog::Catalog,
     deadlines::Deadlines,
     event::RequestNumber,
+    hedging::Hedging,
     lease::Lease,
     message,
     peers::Peers,
@@ -59,6 +61,8 @@
     /// Addresses of the first peers.
     pub seeds: Vec<SocketAddr>,
     pub bounds: Bounds,
+    /// Limits on hedges; `None` if there are none.
+    pub hedging: Option<conf::gateway::Hedging>,
     /// Whether all gateways start for the first time, so that no usage was admitted before.
     pub first_start: bool,
     /// Seed of the random number generator.
@@ -94,6 +98,26 @@
     /// Dispatch to the unresponsive backend server that goes on with the request, until the one that
     /// it moves to has accepted it.
     former: Option<State>,
+    /// The other of the two attempts of a request that is hedged, while both run.
+    hedge: Option<State>,
+    /// Whether the request was hedged, which happens at most once.
+    was_hedged: bool,
+    /// Whether the time to the answer was recorded, or that an attempt took longer than some time.
+    was_timed: bool,
+}
+
+impl OpenRequest {
+    /// Returns a request that waits for a backend server.
+    fn waiting(entry: Entry) -> OpenRequest {
+        OpenRequest {
+            entry,
+            state: State::Waiting,
+            former: None,
+            hedge: None,
+            was_hedged: false,
+            was_timed: false,
+        }
+    }
 }
 
 /// State machine of one gateway process.
@@ -117,6 +141,8 @@
     permits: Permits,
     demanding: demanding::State,
     limiting: limiting::State,
+    /// `None` if hedging is off.
+    hedging: Option<Hedging>,
     /// Arrivals by service.
     arrivals: HashMap<Bytes, Arrivals>,
     retry_budgets: HashMap<Bytes, RetryBudget>,
@@ -160,6 +186,7 @@
             ),
             rng: fastrand::Rng::with_seed(setup.seed),
             quotas: Quotas::new(now, setup.first_start),
+            hedging: setup.hedging.map(Hedging::new),
             setup,
             source: Source::default(),
             catalog: None,
@@ -278,6 +305,11 @@
             Event::Stated { number, statement } => self.record_statement(now, number, statement),
             Event::FirstEvent { number } => self.record_first_event(now, number),
             Event::Unresponsive { number } => self.handle_unresponsive(now, number, actions),
+            Event::Slow { number } => self.handle_slow(now, number, actions),
+            Event::Hedge { number, event } => {
+                self.handle_second(now, number, *event, actions);
+                return;
+            }
             Event::Moved { number } => self.handle_move(now, number),
             Event::Continued { number } => {
                 self.record_continuation(now, number);
@@ -458,8 +490,7 @@
 
     fn enqueue(&mut self, number: RequestNumber, entry: Entry) {
         self.queues.entry(entry.service.clone()).or_default().push(&entry, number);
-        self.open_requests
-            .insert(number, OpenRequest { entry, state: State::Waiting, former: None });
+        self.open_requests.insert(number, OpenRequest::waiting(entry));
     }
 
     fn close(&mut self, now: Instant, number: RequestNumber) {
@@ -471,7 +502,11 @@
             }
             State::Dispatched { .. } => {
                 self.release_slots(&open);
+                self.record_slow_end(now, &open);
                 self.give_up(now, &open);
+                if let Some(state) = open.hedge {
+                    self.give_up(now, &OpenRequest { state, ..open });
+                }
             }
         }
     }
--- a/crates/gate/src/machine/dispatching.rs
+++ b/crates/gate/src/machine/dispatching.rs
@@ -237,6 +237,11 @@
             units: entry.units,
             rate_limit,
         };
+        let hedge = self.hedging.as_mut().and_then(|hedging| {
+            let service = self.catalog.as_ref()?.services.get(&entry.service);
+            let is_model = service.is_some_and(|service| service.tokens_per_event.is_some());
+            hedging.record_dispatch(now, entry, is_model)
+        });
         backend.load.add_request(tokens);
         backend.load.begin_trial(now);
         self.load_exchange.mark_changed();
@@ -269,6 +274,7 @@
             deadline: entry.deadline,
             version: backend.record.version.clone(),
             failover_timeout: may_fail_over.then_some(failover_timeout),
+            hedge,
             inputs,
             stream: entry.kind == RouteKind::Stream,
         }));
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -23,12 +23,12 @@
 impl Machine {
     /// Releases the slots and the prompt tokens of a dispatched request.
     pub(super) fn release_slots(&mut self, open: &OpenRequest) {
-        for state in open.former.into_iter().chain([open.state]) {
+        for state in open.former.into_iter().chain(open.hedge).chain([open.state]) {
             self.release_slot(state, open.entry.request.prompt_tokens());
         }
     }
 
-    fn release_slot(&mut self, state: State, prompt_tokens: u32) {
+    pub(super) fn release_slot(&mut self, state: State, prompt_tokens: u32) {
         let State::Dispatched { backend, dispatched_at, first_event_at, .. } = state else {
             return;
         };
@@ -39,24 +39,30 @@
     }
 
     /// Withdraws a dispatched request from its backend server and returns that server. If the
-    /// request was about to move there, it stays at the former one. Otherwise it waits again, and
-    /// its backend server is excluded from further attempts.
+    /// request was about to move there, it stays at the former one, and if it is hedged, at that of
+    /// its other attempt. Otherwise it waits again, and its backend server is excluded from further
+    /// attempts.
     pub(super) fn withdraw_dispatch(
         &mut self,
+        now: Instant,
         number: RequestNumber,
         may_have_run: bool,
     ) -> Option<backends::Key> {
+        if !may_have_run {
+            self.put_back_hedge_work(now, number);
+        }
         let open = self.open_requests.get_mut(&number)?;
         let (state, prompt_tokens) = (open.state, open.entry.request.prompt_tokens());
         let State::Dispatched { backend, .. } = state else { return None };
         if !may_have_run {
             open.entry.attempts -= 1;
         }
-        // A server that doesn't take a request which stays at its former one may be asked again.
-        if may_have_run || open.former.is_none() {
+        // A server that doesn't take a request which stays at another one may be asked again.
+        let other = open.former.take().or(open.hedge.take());
+        if may_have_run || other.is_none() {
             open.entry.excluded.push(backend);
         }
-        open.state = open.former.take().unwrap_or(State::Waiting);
+        open.state = other.unwrap_or(State::Waiting);
         self.release_slot(state, prompt_tokens);
         Some(backend)
     }
@@ -97,7 +103,7 @@
         if let Some(State::Dispatched { run, permit: Some(expires_at), .. }) = state {
             self.permits.put_back(run, expires_at);
         }
-        let Some(key) = self.withdraw_dispatch(number, false) else { return };
+        let Some(key) = self.withdraw_dispatch(now, number, false) else { return };
         if let Some(backend) = self.backends.get_mut(key) {
             backend.load.unreachable = true;
             self.probes.entry(key).or_insert(now + PROBE_PERIOD);
@@ -173,7 +179,7 @@
         retry_after: Option<Duration>,
         actions: &mut Vec<Action>,
     ) {
-        let Some(key) = self.withdraw_dispatch(number, false) else { return };
+        let Some(key) = self.withdraw_dispatch(now, number, false) else { return };
         if let Some(backend) = self.backends.get_mut(key) {
             backend.load.full_until = now + FULL_COOLDOWN;
         }
@@ -200,7 +206,7 @@
         actions: &mut Vec<Action>,
     ) {
         self.record_ends_at_backend_of(now, number);
-        let Some(key) = self.withdraw_dispatch(number, false) else { return };
+        let Some(key) = self.withdraw_dispatch(now, number, false) else { return };
         if let Some(backend) = self.backends.get_mut(key) {
             // The address belongs to another backend server now, and the removal of the old record
             // has not been read yet. The second ejection doubles the time without requests.
@@ -224,7 +230,7 @@
         number: RequestNumber,
         actions: &mut Vec<Action>,
     ) {
-        let Some(key) = self.withdraw_dispatch(number, true) else { return };
+        let Some(key) = self.withdraw_dispatch(now, number, true) else { return };
         if let Some(backend) = self.backends.get_mut(key) {
             backend.load.full_until = now + FULL_COOLDOWN;
         }
@@ -293,15 +299,17 @@
             return;
         }
         *first_event_at = Some(now);
+        let (origin, dispatched_at) = (*origin, *dispatched_at);
         if open.entry.origin == Origin::None {
-            open.entry.origin = Origin::Known(*origin);
+            open.entry.origin = Origin::Known(origin);
         }
         if open.entry.kind == RouteKind::Stream && open.entry.is_repeatable {
             let attempt = streams::attempt_key(&open.entry.request.id);
-            self.streams.record(now, attempt, *origin);
+            self.streams.record(now, attempt, origin);
         }
-        let dispatched_at = *dispatched_at;
         let State::Dispatched { backend, run, .. } = open.state else { return };
+        self.record_answer_time(now, number);
+        self.cancel_other_attempt(now, number);
         self.record_answer(now, run, dispatched_at);
         let Some(backend) = self.backends.get_mut(backend) else { return };
         backend.load.end_trial(dispatched_at, true);
@@ -365,6 +373,8 @@
     }
 
     pub(super) fn complete(&mut self, now: Instant, number: RequestNumber, result: AttemptResult) {
+        self.record_answer_time(now, number);
+        self.cancel_other_attempt(now, number);
         let Some(open) = self.open_requests.remove(&number) else { return };
         self.release_slots(&open);
         let State::Dispatched { backend, run, dispatched_at, first_event_at, .. } = open.state
@@ -401,7 +411,7 @@
         if result == AttemptResult::Invalid {
             self.give_up(now, &open);
         }
-        let Some(key) = self.withdraw_dispatch(number, true) else { return };
+        let Some(key) = self.withdraw_dispatch(now, number, true) else { return };
         if let Some(backend) = self.backends.get_mut(key) {
             backend.load.record_failure(now);
         }
@@ -435,7 +445,7 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(open) = self.open_requests.get_mut(&number) else { return };
-        if open.former.is_some() {
+        if open.former.is_some() || open.hedge.is_some() {
             return;
         }
         let State::Dispatched { backend, unresponsive, .. } = &mut open.state else { return };
@@ -456,8 +466,11 @@
         self.dispatch(now, number, other, actions);
     }
 
-    /// Gives up the former backend server of a request that has moved.
+    /// Gives up the former backend server of a request that has moved, or the first attempt of one
+    /// that is hedged.
     pub(super) fn handle_move(&mut self, now: Instant, number: RequestNumber) {
+        self.record_answer_time(now, number);
+        self.cancel_other_attempt(now, number);
         let Some(open) = self.open_requests.get_mut(&number) else { return };
         let Some(former) = open.former.take() else { return };
         let State::Dispatched { backend, .. } = former else { return };
--- a/crates/gate/src/placement.rs
+++ b/crates/gate/src/placement.rs
@@ -42,6 +42,10 @@
 const MAX_PAUSE_TOKENS: u32 = 10_000;
 /// Factor on the cost of a far backend server, whose load is known late.
 const FAR_COST_RATIO: f64 = 1.5;
+/// Factor on the cost of a backend server of a plain service that was slower than a hedge lately. Its
+/// slot was released with its connection, so it would be the first choice again: without the factor,
+/// 95 in 100 answers of ten servers, two of them slow, took 137 ms instead of 72 ms in virtual time.
+const SLOW_COST_RATIO: f64 = 2.0;
 /// Random spread of the costs, so that gateways with the same view don't all choose the same
 /// backend server.
 const COST_SPREAD: f64 = 0.15;
@@ -84,7 +88,7 @@
         if !is_candidate || !limits.admits(backend, entry, backend.load.backlog()) {
             continue;
         }
-        let cost = cost(backend, entry, context.zone, mean_running);
+        let cost = cost(context, backend, entry, mean_running);
         let cost = cost * (1.0 + COST_SPREAD * rng.f64());
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, key));
@@ -175,8 +179,8 @@
 
 /// Returns the expected cost of a request at a backend server. Requests of plain services end before
 /// the load of a far backend server is received, so the mean of the service is used there.
-fn cost(backend: &Backend, entry: &Entry, zone: &Bytes, mean_running: f64) -> f64 {
-    let zone_cost = if backend.record.zone == *zone { 0.0 } else { OTHER_ZONE_MS };
+fn cost(context: &Context<'_>, backend: &Backend, entry: &Entry, mean_running: f64) -> f64 {
+    let zone_cost = if backend.record.zone == *context.zone { 0.0 } else { OTHER_ZONE_MS };
     let load = &backend.load;
     let ratio = if load.is_far { FAR_COST_RATIO } else { 1.0 };
     match entry.request.tokens {
@@ -188,6 +192,9 @@
             let running = mean_running.max(f64::from(load.running));
             zone_cost + ratio * RUNNING_MS * (running + 1.0)
         }
+        None if load.is_slow(context.now) => {
+            zone_cost + SLOW_COST_RATIO * RUNNING_MS * f64::from(load.total_running() + 1)
+        }
         None => zone_cost + RUNNING_MS * f64::from(load.total_running() + 1),
     }
 }
--- a/crates/gate/src/queue.rs
+++ b/crates/gate/src/queue.rs
@@ -18,6 +18,8 @@
 #[derive(Clone, Debug)]
 pub struct Entry {
     pub request: Request,
+    /// Name of the route.
+    pub route: Bytes,
     pub service: Bytes,
     pub account: Option<Bytes>,
     /// Units taken from the account's quota.
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -48,6 +48,7 @@
             quota_slack: 140_000.0,
             ..Bounds::default()
         },
+        hedging: None,
         first_start,
         seed: 1,
     }
