Race the two attempts of a hedged request

The machine decides on hedges, but nothing sent them. The exchange now waits for both attempts: the first answer drops the other one and so closes its connection, also a response that is read only in part. The classification and the reading of responses moved to modules that both attempts use. Hedges are counted in hedges_total and hedges_withheld_total and logged as hedge and hedge_ended.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -1,66 +1,69 @@
 //! One request, from the time when it was read completely to its response.
 
+mod hedging;
 mod lines;
+mod waiting;
 
-use std::{future::Future, pin::pin, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use compio::time;
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use gate::{
     Event,
     action::Dispatch,
-    event::{AttemptResult, RequestNumber},
+    event::AttemptResult,
     refusal::{Reason, Refusal},
     request::Request as GatewayRequest,
-    statement::Statement,
 };
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::{
     HeaderMap, Request, Response, StatusCode, body, header,
     http::{request, response},
 };
-use platform::message::{self, RateLimit, ResponseKind};
+use platform::message;
 use wire::time::Instant;
 
+pub use waiting::Failover;
+
+use self::hedging::Hedge;
 use crate::{
     clock,
-    connection::{Fault, Pool, Sender, Sent},
+    connection::{Pool, Sender},
     framing::Framing,
-    gateway::{Gateway, Instruction, metrics::Metrics, offer::Offer, relay},
+    gateway::{
+        Gateway, Instruction,
+        answer::{self, Answer, Content, Failure},
+        metrics::Metrics,
+        offer::Offer,
+        relay,
+        reporter::Reporter,
+    },
     http,
 };
 
-/// Largest response that is buffered until it is complete, in bytes.
-const MAX_BUFFERED_BYTES: usize = 1 << 20;
 /// Idle time after which a connection is not used again, if the backend server states none.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
-/// Time for which a backend server may reject a request that moves to it while the former one goes
-/// on. A full one rejects at once. Afterwards it counts as having accepted the request, since it may
-/// run it, and two servers must not run the same request for long.
-const ACCEPTANCE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Part of the idle time stated by the backend server for which a connection may be used again.
 const IDLE_SHARE: f64 = 0.6;
 
 /// A request in progress. Dropping the exchange closes the request.
 pub struct Exchange {
-    gateway: Rc<Gateway>,
-    number: RequestNumber,
+    reporter: Reporter,
     instructions: mpsc::UnboundedReceiver<Instruction>,
     parts: request::Parts,
     body: Bytes,
-    id: Bytes,
     /// Identifier of the caller's attempt that began the stream, if the caller takes one up.
     resumes: Option<Bytes>,
     /// The last failure response of a backend server. The caller gets it if the machine refuses the
     /// request afterwards.
     failure: Option<Response<http::Body>>,
+    hedge: Hedge,
 }
 
 impl Drop for Exchange {
     fn drop(&mut self) {
-        self.gateway.close_request(self.number);
+        self.reporter.gateway.close_request(self.reporter.number);
     }
 }
 
@@ -73,34 +76,20 @@
     pub pool: Pool,
 }
 
-/// Time at which a request without progress may move to another backend server.
-pub struct Failover {
-    timeout: Duration,
-    due: Instant,
-}
-
-impl Failover {
-    /// Returns a time that is due after `timeout`.
-    pub fn new(timeout: Duration) -> Failover {
-        Failover { timeout, due: clock::now() + timeout }
-    }
-
-    /// Begins anew, since there was progress or the request was not moved.
-    pub fn restart(&mut self) {
-        self.due = clock::now() + self.timeout;
-    }
-}
-
 /// Result of a dispatch.
 pub enum Attempt {
     /// The head of a response was read.
     Received(Box<UnreadResponse>),
     /// The attempt failed. The event is passed to the machine, which decides whether the request is
     /// dispatched again.
-    Failed(Event),
+    Failed(Box<Event>),
     /// Nothing was received within the failover timeout, and another backend server has accepted the
     /// request.
     Moved(Box<Offer>),
+    /// The first attempt of a hedged request was given up. The second one goes on.
+    Abandoned,
+    /// The second attempt of a hedged request has an answer, and this one was cancelled.
+    Answered(Box<Answer>),
     /// The request's deadline passed.
     Timeout,
 }
@@ -118,125 +107,117 @@
         let id = request.id.clone();
         let resumes = request.resumption.as_ref().and_then(|from| from.first_attempt.clone());
         gateway.feed(Event::Arrived { number, request });
-        Exchange { gateway, number, instructions, parts, body, id, resumes, failure: None }
+        let reporter = Reporter { gateway, number, id, is_second: false };
+        let (failure, hedge) = (None, Hedge::Off);
+        Exchange { reporter, instructions, parts, body, resumes, failure, hedge }
     }
 
     /// Carries out the machine's instructions and returns the response for the caller.
     pub async fn run(mut self) -> Response<http::Body> {
         let mut moved = None;
         loop {
-            let offer = match moved.take() {
-                Some(offer) => offer,
-                None => match self.next_instruction().await {
-                    Instruction::Dispatch(dispatch) => Box::new(self.offer(dispatch, None)),
-                    Instruction::Refuse(refusal) => {
-                        return match self.failure.take() {
-                            Some(failure) => self.forward_failure(failure),
-                            None => self.refuse(&refusal),
-                        };
-                    }
-                },
-            };
-            let (dispatch, sent_at) = (offer.dispatch.clone(), offer.sent_at);
-            let attempt = match self.conclude(offer).await {
-                Attempt::Received(unread)
-                    if dispatch.stream
-                        && unread.head.status.is_success()
-                        && relay::is_event_stream(&unread.head) =>
-                {
-                    match relay::read_first_event(&mut self, &dispatch, *unread).await {
-                        Ok(started) => {
-                            let (status, framing) = (started.head.status, started.framing());
-                            let first = clock::now().since(sent_at);
-                            self.log_response(&dispatch, status, framing, first);
-                            return relay::build_stream_response(self, dispatch, started);
-                        }
-                        Err(attempt) => attempt,
-                    }
-                }
-                Attempt::Received(unread) => {
-                    let framing = unread.framing;
-                    match self.read_response(&dispatch, *unread).await {
-                        Ok(response) => {
-                            let first = clock::now().since(sent_at);
-                            self.log_response(&dispatch, response.status(), framing, first);
-                            return response;
-                        }
-                        Err(attempt) => attempt,
-                    }
+            let answer = match self.hedge.take() {
+                Some(race) => self.follow(race).await,
+                None => {
+                    let offer = match moved.take() {
+                        Some(offer) => offer,
+                        None => match self.next_instruction().await {
+                            Instruction::Dispatch(dispatch) => Box::new(self.offer(dispatch, None)),
+                            Instruction::Refuse(refusal) => {
+                                return match self.failure.take() {
+                                    Some(failure) => self.forward_failure(failure),
+                                    None => self.refuse(&refusal),
+                                };
+                            }
+                        },
+                    };
+                    self.attempt(offer).await
                 }
-                attempt => attempt,
             };
-            match attempt {
-                Attempt::Failed(event) => {
-                    self.log_failure(&dispatch, &event);
-                    self.report(event);
-                }
-                Attempt::Moved(offer) => moved = Some(offer),
-                Attempt::Received(_) | Attempt::Timeout => {
+            match answer {
+                Ok(answer) => return self.deliver(answer),
+                Err(Attempt::Answered(answer)) => return self.deliver(*answer),
+                // The failure was reported, or the second attempt goes on alone.
+                Err(Attempt::Failed(_) | Attempt::Abandoned) => {}
+                Err(Attempt::Moved(offer)) => moved = Some(offer),
+                Err(Attempt::Received(_) | Attempt::Timeout) => {
                     return self.refuse(&Refusal::new(Reason::Timeout));
                 }
             }
         }
     }
 
-    /// Waits for `future` up to the dispatch's deadline. Each time that `failover` is due, the request
-    /// may move to another backend server, which continues a stream after `last_event_id`. `future`
-    /// is dropped only if that server accepts the request.
-    pub async fn wait<T>(
-        &mut self,
-        dispatch: &Dispatch,
-        last_event_id: Option<&Bytes>,
-        mut failover: Option<&mut Failover>,
-        future: impl Future<Output = T>,
-    ) -> Result<T, Attempt> {
-        let mut future = pin!(future);
-        loop {
-            let now = clock::now();
-            let due = failover.as_deref_mut().filter(|failover| failover.due < dispatch.deadline);
-            let Some(failover) = due else {
-                let output = time::timeout(dispatch.deadline.since(now), future).await;
-                return output.map_err(|_| Attempt::Timeout);
-            };
-            if let Ok(output) = time::timeout(failover.due.since(now), future.as_mut()).await {
-                return Ok(output);
+    /// Waits for the answer to an offer.
+    async fn attempt(&mut self, offer: Box<Offer>) -> Result<Answer, Attempt> {
+        let (dispatch, sent_at) = (offer.dispatch.clone(), offer.sent_at);
+        self.hedge = Hedge::for_dispatch(&dispatch, sent_at);
+        let unread = match self.conclude(offer).await {
+            Attempt::Received(unread) => *unread,
+            Attempt::Failed(event) => {
+                self.log_failure(&dispatch, &event);
+                self.report((*event).clone());
+                return Err(Attempt::Failed(event));
             }
-            self.report(Event::Unresponsive { number: self.number });
-            if let Ok(Instruction::Dispatch(other)) = self.instructions.try_recv() {
-                let offer = self.offer(other, last_event_id.cloned());
-                if let Some(accepted) = self.try_move(dispatch, offer).await {
-                    return Err(Attempt::Moved(Box::new(accepted)));
+            attempt => return Err(attempt),
+        };
+        let mut failover = dispatch.failover_timeout.map(Failover::new);
+        let read = answer::read(&dispatch, unread);
+        let result = self.wait(&dispatch, None, failover.as_mut(), read).await?;
+        self.accept(dispatch, sent_at, result)
+    }
+
+    /// Reports the answer of an attempt or its failure. An answer cancels the second attempt, if it
+    /// is in progress.
+    fn accept(
+        &mut self,
+        dispatch: Dispatch,
+        sent_at: Instant,
+        result: Result<Content, Failure>,
+    ) -> Result<Answer, Attempt> {
+        match result {
+            Ok(content) => {
+                if let Some(event) = content.build_event(self.reporter.number) {
+                    self.report(event);
+                }
+                if let Some(race) = self.hedge.take() {
+                    self.log_hedge_end(&dispatch, race.dispatch(), "answered");
                 }
+                Ok(Answer { dispatch, sent_at, content })
+            }
+            Err(failure) => {
+                let event = self.record_failure(&dispatch, failure);
+                self.log_failure(&dispatch, &event);
+                self.report(event.clone());
+                Err(Attempt::Failed(Box::new(event)))
             }
-            failover.restart();
         }
     }
 
-    /// Sends a request in progress at a backend server to another one. Returns the offer if that one
-    /// accepts it, or may have done so.
-    async fn try_move(&mut self, former: &Dispatch, mut offer: Offer) -> Option<Offer> {
-        let event = match time::timeout(ACCEPTANCE_TIMEOUT, offer.response()).await {
-            Ok(result) => match self.classify(&offer.dispatch, result, &offer.pool) {
-                Attempt::Received(unread) if unread.head.status.is_success() => {
-                    offer.received = Some(unread);
-                    None
-                }
-                Attempt::Failed(event) => Some(event),
-                _ => Some(self.build_ended(AttemptResult::Failed)),
-            },
-            Err(_) if offer.is_sent() => None,
-            Err(_) => Some(Event::NotSent { number: self.number }),
-        };
-        self.log_move(former, &offer.dispatch, event.is_none());
-        match event {
-            None => {
-                self.report(Event::Moved { number: self.number });
-                Some(offer)
+    /// Keeps the failure response of an attempt for the caller, and returns the event on it.
+    fn record_failure(&mut self, dispatch: &Dispatch, failure: Failure) -> Event {
+        if let Some((framing, partial_bytes)) = failure.stream_end {
+            self.log_stream_end(dispatch, framing, partial_bytes, None);
+        }
+        let event = failure.build_event(self.reporter.number);
+        if failure.response.is_some() {
+            self.failure = failure.response;
+        }
+        event
+    }
+
+    /// Logs an answer and returns the response for the caller.
+    fn deliver(self, answer: Answer) -> Response<http::Body> {
+        let Answer { dispatch, sent_at, content } = answer;
+        let first = clock::now().since(sent_at);
+        match content {
+            Content::Stream(started) => {
+                let (status, framing) = (started.head.status, started.framing());
+                self.log_response(&dispatch, status, framing, first);
+                relay::build_stream_response(self, dispatch, *started)
             }
-            Some(event) => {
-                self.log_failure(&offer.dispatch, &event);
-                self.report(event);
-                None
+            Content::Whole(response, framing) => {
+                self.log_response(&dispatch, response.status(), framing, first);
+                response
             }
         }
     }
@@ -250,27 +231,27 @@
 
     /// Passes an event to the machine.
     pub fn report(&self, event: Event) {
-        self.gateway.feed(event);
+        self.reporter.report(event);
     }
 
     /// Returns `Event::Ended` for this request.
     pub fn build_ended(&self, result: AttemptResult) -> Event {
-        Event::Ended { number: self.number, result }
+        self.reporter.build_ended(result)
     }
 
     /// Returns `Event::FirstEvent` for this request.
     pub fn build_first_event(&self) -> Event {
-        Event::FirstEvent { number: self.number }
+        Event::FirstEvent { number: self.reporter.number }
     }
 
     /// Returns `Event::Continued` for this request.
     pub fn build_continued(&self) -> Event {
-        Event::Continued { number: self.number }
+        Event::Continued { number: self.reporter.number }
     }
 
     /// Returns `Event::EventsReceived` for this request.
     pub fn build_events_received(&self, events: u32, span: Duration) -> Event {
-        Event::EventsReceived { number: self.number, events, span }
+        Event::EventsReceived { number: self.reporter.number, events, span }
     }
 
     /// Begins to send the request to a backend server.
@@ -282,7 +263,7 @@
             last_event_id: last_event_id.as_deref(),
         };
         let request = self.build_request(&added);
-        let pool = self.gateway.pool(&dispatch);
+        let pool = self.reporter.gateway.pool(&dispatch);
         Offer::new(dispatch, pool, last_event_id, request)
     }
 
@@ -296,7 +277,10 @@
         let mut failover = dispatch.failover_timeout.map(Failover::new);
         let response = offer.response();
         match self.wait(&dispatch, last_event_id.as_ref(), failover.as_mut(), response).await {
-            Ok(result) => self.classify(&dispatch, result, &offer.pool),
+            Ok(result) => match self.reporter.classify(&dispatch, result, &offer.pool) {
+                Ok(unread) => Attempt::Received(unread),
+                Err(event) => Attempt::Failed(event),
+            },
             Err(attempt) => attempt,
         }
     }
@@ -312,107 +296,24 @@
         Some(request)
     }
 
-    /// Reports what the head of a response states, and returns what it is.
-    fn classify(&self, dispatch: &Dispatch, result: Result<Sent, Fault>, pool: &Pool) -> Attempt {
-        let number = self.number;
-        let Sent { response, sender, is_reused } = match result {
-            Ok(sent) => sent,
-            Err(Fault::Unsent) => return Attempt::Failed(Event::NotSent { number }),
-            Err(Fault::Refused) => return Attempt::Failed(Event::Refused { number }),
-            Err(Fault::Lost) => return Attempt::Failed(self.build_ended(AttemptResult::Broken)),
-        };
-        let (head, body) = response.into_parts();
-        self.report_rate_limit(dispatch, &head);
-        let is_certain = message::is_certain(&head, is_reused);
-        let mut statement = message::parse_statement(&head, &self.id);
-        // A server that leaves says so in all its responses. A pause binds also in doubt: the next
-        // requests would not be taken.
-        statement.leaving &= is_certain;
-        if statement != Statement::default() {
-            self.report(Event::Stated { number, statement });
-        }
-        match message::classify_response(&head, &self.id) {
-            ResponseKind::NotRun { .. } | ResponseKind::Misdirected if !is_certain => {
-                Attempt::Failed(Event::DoubtfulRejection { number })
-            }
-            ResponseKind::NotRun { retry_after } => {
-                Attempt::Failed(Event::Rejected { number, retry_after })
-            }
-            ResponseKind::Misdirected => Attempt::Failed(Event::Misdirected { number }),
-            ResponseKind::Unverified => Attempt::Failed(self.build_ended(AttemptResult::Invalid)),
-            ResponseKind::Failed | ResponseKind::Success => {
-                let framing = Framing::of(&head.headers, &body);
-                let pool = pool.clone();
-                Attempt::Received(Box::new(UnreadResponse { head, framing, body, sender, pool }))
-            }
-        }
-    }
-
-    /// Reads a response completely before any of it is forwarded.
-    async fn read_response(
-        &mut self,
-        dispatch: &Dispatch,
-        unread: UnreadResponse,
-    ) -> Result<Response<http::Body>, Attempt> {
-        let UnreadResponse { head, framing, body, sender, pool } = unread;
-        let read = Limited::new(body, MAX_BUFFERED_BYTES).collect();
-        let mut failover = dispatch.failover_timeout.map(Failover::new);
-        let bytes = match self.wait(dispatch, None, failover.as_mut(), read).await? {
-            Ok(body) => body.to_bytes(),
-            Err(error) => {
-                let is_too_large = error.is::<LengthLimitError>();
-                let result =
-                    if is_too_large { AttemptResult::Invalid } else { AttemptResult::Broken };
-                return Err(Attempt::Failed(self.build_ended(result)));
-            }
-        };
-        pool.release(sender, idle_time(&head.headers));
-        let mut response = http::buffered(head.status.as_u16(), "", bytes);
-        *response.headers_mut() = message::build_response_headers(&head.headers);
-        if !head.status.is_success() {
-            self.failure = Some(response);
-            return Err(Attempt::Failed(self.build_ended(AttemptResult::Failed)));
-        }
-        self.report(self.build_ended(end_result(framing)));
-        Ok(response)
-    }
-
     /// Logs and returns the last failure response, since the request is not dispatched again.
     fn forward_failure(&self, failure: Response<http::Body>) -> Response<http::Body> {
-        self.gateway.metrics.count_outcome("failed");
+        self.reporter.gateway.metrics.count_outcome("failed");
         tracing::info!(
             event = "failed",
-            id = %String::from_utf8_lossy(&self.id),
+            id = %String::from_utf8_lossy(&self.reporter.id),
             status = failure.status().as_u16(),
         );
         failure
     }
 
-    /// Reports the rate limit that a backend server named in its response.
-    fn report_rate_limit(&self, dispatch: &Dispatch, head: &response::Parts) {
-        let number = self.number;
-        match message::parse_rate_limit(head, &self.id) {
-            RateLimit::Absent => self.report(Event::RateLimitStated { number, per_s: None }),
-            RateLimit::Named(per_s) => {
-                self.report(Event::RateLimitStated { number, per_s: Some(per_s) });
-            }
-            RateLimit::Unverified => {}
-            // The limit named before stays in force.
-            RateLimit::Malformed => tracing::warn!(
-                event = "limit_malformed",
-                id = %String::from_utf8_lossy(&self.id),
-                replica = %String::from_utf8_lossy(&dispatch.id),
-            ),
-        }
-    }
-
     /// Returns the gateway's metrics.
     pub fn metrics(&self) -> &Metrics {
-        &self.gateway.metrics
+        &self.reporter.gateway.metrics
     }
 
     fn refuse(&self, refusal: &Refusal) -> Response<http::Body> {
-        refuse(&self.gateway.metrics, refusal, &self.id)
+        refuse(&self.reporter.gateway.metrics, refusal, &self.reporter.id)
     }
 }
 
--- a/crates/daemon/src/gateway/exchange/lines.rs
+++ b/crates/daemon/src/gateway/exchange/lines.rs
@@ -19,11 +19,11 @@
         first: Duration,
     ) {
         let inputs = &dispatch.inputs;
-        self.gateway.metrics.count_outcome("answered");
-        self.gateway.metrics.record_response(dispatch, first);
+        self.reporter.gateway.metrics.count_outcome("answered");
+        self.reporter.gateway.metrics.record_response(dispatch, first);
         tracing::info!(
             event = "answered",
-            id = %String::from_utf8_lossy(&self.id),
+            id = %String::from_utf8_lossy(&self.reporter.id),
             replica = %String::from_utf8_lossy(&dispatch.id),
             status = status.as_u16(),
             framing = framing.name(),
@@ -47,7 +47,7 @@
     pub(super) fn log_move(&self, former: &Dispatch, other: &Dispatch, is_accepted: bool) {
         tracing::info!(
             event = "move",
-            id = %String::from_utf8_lossy(&self.id),
+            id = %String::from_utf8_lossy(&self.reporter.id),
             from = %String::from_utf8_lossy(&former.id),
             replica = %String::from_utf8_lossy(&other.id),
             accepted = is_accepted,
@@ -56,11 +56,24 @@
         );
     }
 
+    /// Logs that one of the two attempts of a hedged request was cancelled for the other, and why: that
+    /// one has an answer (`answered`), or both ran for as long as they may (`overlap`).
+    pub(super) fn log_hedge_end(&self, winner: &Dispatch, cancelled: &Dispatch, how: &str) {
+        tracing::info!(
+            event = "hedge_ended",
+            id = %String::from_utf8_lossy(&self.reporter.id),
+            replica = %String::from_utf8_lossy(&winner.id),
+            cancelled = %String::from_utf8_lossy(&cancelled.id),
+            how,
+            attempt = winner.inputs.attempt,
+        );
+    }
+
     /// Logs that a stream goes on at a backend server within its response.
     pub fn log_resumed(&self, dispatch: &Dispatch, last_event_id: Option<&Bytes>) {
         tracing::info!(
             event = "stream_resumed",
-            id = %String::from_utf8_lossy(&self.id),
+            id = %String::from_utf8_lossy(&self.reporter.id),
             replica = %String::from_utf8_lossy(&dispatch.id),
             version = %String::from_utf8_lossy(&dispatch.version),
             attempt = dispatch.inputs.attempt,
@@ -81,10 +94,10 @@
             Event::Ended { .. } => "failed",
             _ => "other",
         };
-        self.gateway.metrics.count_failed_attempt(how);
+        self.reporter.gateway.metrics.count_failed_attempt(how);
         tracing::info!(
             event = "attempt_failed",
-            id = %String::from_utf8_lossy(&self.id),
+            id = %String::from_utf8_lossy(&self.reporter.id),
             replica = %String::from_utf8_lossy(&dispatch.id),
             how,
             attempt = dispatch.inputs.attempt,
@@ -104,7 +117,7 @@
     ) {
         tracing::info!(
             event = "stream_ended",
-            id = %String::from_utf8_lossy(&self.id),
+            id = %String::from_utf8_lossy(&self.reporter.id),
             replica = %String::from_utf8_lossy(&dispatch.id),
             framing = framing.name(),
             partial_bytes,
@@ -116,10 +129,10 @@
     /// Logs that a stream is cut before its end, and why. `last_event_id` is the identifier of the
     /// last event that was forwarded.
     pub fn log_cut(&self, dispatch: &Dispatch, reason: &str, last_event_id: Option<&Bytes>) {
-        self.gateway.metrics.count_outcome("cut");
+        self.reporter.gateway.metrics.count_outcome("cut");
         tracing::info!(
             event = "cut",
-            id = %String::from_utf8_lossy(&self.id),
+            id = %String::from_utf8_lossy(&self.reporter.id),
             replica = %String::from_utf8_lossy(&dispatch.id),
             reason,
             attempt = dispatch.inputs.attempt,
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and latency histograms of a gateway in the OpenMetrics text format.
 
-use std::{cell::RefCell, collections::BTreeSet, fmt, time::Duration};
+use std::{cell::RefCell, collections::BTreeSet, fmt, sync::atomic::Ordering, time::Duration};
 
-use gate::{Machine, action::Dispatch, revision::Revision};
+use gate::{Machine, action::Dispatch, hedging, revision::Revision};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -31,6 +31,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Reason {
+    reason: &'static str,
+}
+
 type Histograms = Family<Labels, Histogram, fn() -> Histogram>;
 
 /// Metrics of one gateway.
@@ -53,11 +58,13 @@
     quarantined: Gauge,
     limited: Gauge,
     dropped_log_lines: Gauge,
+    hedges: Family<Outcome, Counter>,
+    withheld_hedges: Family<Reason, Counter>,
 }
 
 impl Metrics {
-    /// Returns metrics without samples.
-    pub fn new() -> Metrics {
+    /// Returns metrics without samples. Those of hedges are left out if hedging is off.
+    pub fn new(has_hedges: bool) -> Metrics {
         let histograms = || Histograms::new_with_constructor(|| Histogram::new(BUCKETS_S));
         let mut metrics = Metrics {
             registry: Registry::with_prefix("quincespoke"),
@@ -78,8 +85,13 @@
             quarantined: Gauge::default(),
             limited: Gauge::default(),
             dropped_log_lines: Gauge::default(),
+            hedges: Family::default(),
+            withheld_hedges: Family::default(),
         };
         metrics.register();
+        if has_hedges {
+            metrics.register_hedges();
+        }
         metrics
     }
 
@@ -115,6 +127,27 @@
         registry.register("dropped_log_lines", dropped, self.dropped_log_lines.clone());
     }
 
+    fn register_hedges(&mut self) {
+        let help = "Second attempts of slow calls, by what became of them";
+        self.registry.register("hedges", help, self.hedges.clone());
+        let help = "Slow calls without a second attempt, by reason";
+        self.registry.register("hedges_withheld", help, self.withheld_hedges.clone());
+    }
+
+    fn record_hedges(&self, counts: &hedging::Counts) {
+        let set = |outcome, count| {
+            self.hedges.get_or_create(&Outcome { outcome }).inner().store(count, Ordering::Relaxed);
+        };
+        set("sent", counts.sent);
+        set("won", counts.won);
+        set("cancelled", counts.cancelled);
+        for (reason, count) in hedging::Withheld::ALL.iter().zip(counts.withheld) {
+            let reason = Reason { reason: reason.name() };
+            let counter = self.withheld_hedges.get_or_create(&reason);
+            counter.inner().store(count, Ordering::Relaxed);
+        }
+    }
+
     /// Counts the outcome of a request.
     pub fn count_outcome(&self, outcome: &'static str) {
         self.requests.get_or_create(&Outcome { outcome }).inc();
@@ -181,6 +214,9 @@
         self.quarantined.set(quarantined as i64);
         self.limited.set(machine.limited_count() as i64);
         self.dropped_log_lines.set(log::dropped_lines() as i64);
+        if let Some(counts) = machine.hedge_counts() {
+            self.record_hedges(&counts);
+        }
         let mut page = String::new();
         text::encode(&mut page, &self.registry)?;
         Ok(page)
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! The gateway role: the input and output around `gate::Machine`.
 
+mod answer;
 mod events;
 mod exchange;
 mod metrics;
@@ -7,6 +8,7 @@
 mod peers;
 mod process;
 mod relay;
+mod reporter;
 mod requests;
 mod store;
 
@@ -65,6 +67,7 @@
         store_reads: mpsc::UnboundedSender<()>,
         terminate: signal::Listener,
     ) -> Rc<Gateway> {
+        let metrics = metrics::Metrics::new(machine.hedge_counts().is_some());
         Rc::new_cyclic(|this| Gateway {
             this: this.clone(),
             driver: Driver::new(machine),
@@ -73,7 +76,7 @@
             last_number: Cell::default(),
             terminate,
             stopping: Cell::default(),
-            metrics: metrics::Metrics::new(),
+            metrics,
             outbox,
             store_reads,
         })
--- a/crates/daemon/src/gateway/offer.rs
+++ b/crates/daemon/src/gateway/offer.rs
@@ -58,6 +58,11 @@
         self.response.as_mut()
     }
 
+    /// Returns a flag that says the same as `is_sent`, also after the offer has been moved.
+    pub fn sent_flag(&self) -> Rc<Cell<bool>> {
+        self.is_sent.clone()
+    }
+
     /// Returns whether the request was passed to a connection, so that the backend server may run
     /// it.
     pub fn is_sent(&self) -> bool {
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -42,6 +42,7 @@
 /// A stream that was read up to its first complete event, or to its end if it has none.
 pub struct StartedStream {
     pub head: response::Parts,
+    pub has_event: bool,
     reader: BodyReader,
     events: EventBuffer,
     ready: VecDeque<Bytes>,
@@ -101,41 +102,37 @@
 }
 
 /// Reads up to the first complete event, or to the end of a stream without one.
-pub async fn read_first_event(
-    exchange: &mut Exchange,
-    dispatch: &Dispatch,
+///
+/// # Errors
+///
+/// Returns how the response ended, and its framing and bytes if it ended without a fault of the
+/// connection.
+pub async fn start_stream(
     response: UnreadResponse,
-) -> Result<StartedStream, Attempt> {
+) -> Result<StartedStream, (AttemptResult, Option<(Framing, usize)>)> {
     let (head, mut reader) = split_response(response);
     let mut events = EventBuffer::default();
     let mut ready = VecDeque::new();
-    let mut failover = dispatch.failover_timeout.map(Failover::new);
     loop {
-        match exchange.wait(dispatch, None, failover.as_mut(), reader.read()).await? {
+        match reader.read().await {
             BodyRead::Data(data) => {
                 let completed = events.push(data);
                 if !completed.bytes.is_empty() {
                     ready.push_back(completed.bytes);
-                    exchange.report(exchange.build_first_event());
-                    return Ok(StartedStream { head, reader, events, ready });
+                    return Ok(StartedStream { head, reader, events, ready, has_event: true });
                 }
                 if events.partial_len() > MAX_EVENT_BYTES {
-                    return Err(Attempt::Failed(exchange.build_ended(AttemptResult::Invalid)));
+                    return Err((AttemptResult::Invalid, None));
                 }
             }
             BodyRead::End => match end_result(reader.framing, &events, false) {
                 AttemptResult::Complete => {
                     ready.push_back(events.take_partial());
-                    return Ok(StartedStream { head, reader, events, ready });
-                }
-                result => {
-                    exchange.log_stream_end(dispatch, reader.framing, events.partial_len(), None);
-                    return Err(Attempt::Failed(exchange.build_ended(result)));
+                    return Ok(StartedStream { head, reader, events, ready, has_event: false });
                 }
+                result => return Err((result, Some((reader.framing, events.partial_len())))),
             },
-            BodyRead::Broken => {
-                return Err(Attempt::Failed(exchange.build_ended(AttemptResult::Broken)));
-            }
+            BodyRead::Broken => return Err((AttemptResult::Broken, None)),
         }
     }
 }
@@ -380,10 +377,13 @@
                 }
                 Attempt::Failed(event) => {
                     self.exchange.log_failure(&dispatch, &event);
-                    self.exchange.report(event);
+                    self.exchange.report(*event);
                 }
                 Attempt::Moved(offer) => moved = Some(offer),
-                Attempt::Timeout => return Err(DEADLINE),
+                // A stream in progress is not hedged.
+                Attempt::Abandoned | Attempt::Answered(_) | Attempt::Timeout => {
+                    return Err(DEADLINE);
+                }
             }
         }
     }
