--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -6,8 +6,8 @@
 use wire::status;
 
 use crate::{
-    clock, disagreements, error, fetch, help, hosts, latency, logs, options, output, poison,
-    revisions, settings, stragglers, trace, watch,
+    attempts, clock, disagreements, error, fetch, help, hosts, latency, logs, options, output,
+    poison, revisions, settings, stragglers, trace, watch,
 };
 
 /// Runs the subcommand, or prints the help or version, as the options say.
@@ -123,8 +123,13 @@
         lines: logs.lines.len(),
         skipped: logs.skipped,
     });
-    let text = if lines.is_empty() { String::new() } else { logs::text(&lines, logs.skipped) };
-    let json = logs::json(&options.id, &lines, logs.skipped);
+    let mut text = if lines.is_empty() { String::new() } else { logs::text(&lines, logs.skipped) };
+    let mut json = logs::json(&options.id, &lines, logs.skipped);
+    let attempts = attempts::find(&lines);
+    if !attempts.is_empty() {
+        text = format!("{}\n{text}", attempts::text(&attempts));
+        json["attempts"] = attempts::json(&attempts);
+    }
     Ok(output::Report { text, json, error })
 }
 
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,6 +1,7 @@
 //! `quincespoke`: read-only command-line tool for operators.
 
 pub mod addresses;
+pub mod attempts;
 pub mod clock;
 pub mod command;
 pub mod disagreements;
--- a/crates/cli/tests/logs.rs
+++ b/crates/cli/tests/logs.rs
@@ -1,6 +1,6 @@
 //! Tests of the lines of a request in saved logs.
 
-use cli::logs::Logs;
+use cli::{attempts, logs::Logs};
 
 const LOGS: &str = r#"
    0.01 front-1 ts=2026-10-04T09:50:50Z level=info event=started host=front-1
@@ -49,3 +49,26 @@
     assert_eq!(events(&logs, "a1"), [("front-9", "refused")]);
     assert_eq!(logs.skipped, 1, "a field without a value");
 }
+
+/// Guards against a report from which one can't tell what became of each attempt of a hedged
+/// request, and against a cancelled attempt that counts as the one that answered.
+#[test]
+fn both_attempts_of_a_hedged_request_are_shown() {
+    let mut logs = Logs::default();
+    logs.add(
+        "front-1",
+        "ts=1 level=info event=hedge id=a1 first=i-1 second=i-2 waited_ms=71 quantile_ms=70\n\
+         ts=2 level=info event=hedge_ended id=a1 replica=i-2 cancelled=i-1 how=answered\n\
+         ts=3 level=info event=answered id=a1 replica=i-2 attempt=2\n\
+         ts=4 level=info event=hedge id=b2 first=i-3 second=i-1 waited_ms=80 quantile_ms=70\n\
+         ts=5 level=info event=attempt_failed id=b2 replica=i-1 how=rejected attempt=2\n",
+    );
+    let ends = |id| {
+        let attempts = attempts::find(&logs.request_lines(id)).into_iter();
+        let ends = attempts.map(|a| (a.server, a.hedged_after_ms.is_some(), a.end));
+        ends.collect::<Vec<_>>()
+    };
+    let end = |server: &str, is_hedge, end: &str| (server.to_owned(), is_hedge, end.to_owned());
+    assert_eq!(ends("a1"), [end("i-1", false, "cancelled"), end("i-2", true, "answered")]);
+    assert_eq!(ends("b2"), [end("i-3", false, "open"), end("i-1", true, "rejected")]);
+}
