Count servers in other zones as slow after a hedge was faster

The cost of a far server of a plain service left out that a hedge was faster there, since its case came first.

--- a/crates/gate/src/placement.rs
+++ b/crates/gate/src/placement.rs
@@ -183,6 +183,7 @@
     let zone_cost = if backend.record.zone == *context.zone { 0.0 } else { OTHER_ZONE_MS };
     let load = &backend.load;
     let ratio = if load.is_far { FAR_COST_RATIO } else { 1.0 };
+    let slow_ratio = if load.is_slow(context.now) { SLOW_COST_RATIO } else { 1.0 };
     match entry.request.tokens {
         Some(_) => {
             let first = load.first_event_ms(load.backlog(), entry.request.prompt_tokens());
@@ -190,11 +191,8 @@
         }
         None if load.is_far => {
             let running = mean_running.max(f64::from(load.running));
-            zone_cost + ratio * RUNNING_MS * (running + 1.0)
+            zone_cost + ratio * slow_ratio * RUNNING_MS * (running + 1.0)
         }
-        None if load.is_slow(context.now) => {
-            zone_cost + SLOW_COST_RATIO * RUNNING_MS * f64::from(load.total_running() + 1)
-        }
-        None => zone_cost + RUNNING_MS * f64::from(load.total_running() + 1),
+        None => zone_cost + slow_ratio * RUNNING_MS * f64::from(load.total_running() + 1),
     }
 }
