--- a/crates/conf/tests/gateway.rs
+++ b/crates/conf/tests/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use conf::gateway::{self, WarmUpBounds};
+use conf::gateway::{self, Hedging, WarmUpBounds};
 
 const SETTINGS: &str = "
 [process]
@@ -56,3 +56,30 @@
         assert_eq!(parse(wrong).expect_err(wrong).len(), 1, "{wrong}");
     }
 }
+
+fn hedging(section: &str) -> Option<Hedging> {
+    gateway::parse("f", &format!("{SETTINGS}{section}")).expect("valid settings").hedging
+}
+
+/// Guards against hedges that nobody has switched on, and against a missing default.
+#[test]
+fn hedging_is_off_unless_a_work_share_is_set() {
+    for section in ["", "[hedging]\nquantile = 0.9\n", "[hedging]\nwork_share = 0\n"] {
+        assert_eq!(hedging(section), None, "{section:?}");
+    }
+    let on = hedging("[hedging]\nwork_share = 0.1\n");
+    assert_eq!(on, Some(Hedging { work_share: 0.1, quantile: 0.95 }));
+    let on = hedging("[hedging]\nwork_share = 0.5\nquantile = 0.999\n");
+    assert_eq!(on, Some(Hedging { work_share: 0.5, quantile: 0.999 }));
+}
+
+/// Guards against values out of their bounds that are used or replaced by others.
+#[test]
+fn limits_on_hedges_are_checked() {
+    for (work_share, quantile) in [("0.51", "0.4"), ("-0.1", "1"), ("NaN", "inf"), ("x", "")] {
+        let section = format!("[hedging]\nwork_share = {work_share}\nquantile = {quantile}\n");
+        let errors = gateway::parse("f", &format!("{SETTINGS}{section}")).expect_err("refused");
+        let keys: Vec<&str> = errors.iter().map(|error| error.key.as_str()).collect();
+        assert_eq!(keys, ["work_share", "quantile"], "{section}");
+    }
+}
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -14,6 +14,7 @@
 mod demand;
 pub mod evacuations;
 pub mod event;
+pub mod hedging;
 pub mod issuer;
 pub mod lease;
 pub mod load;
--- a/crates/gate/src/machine/evacuating.rs
+++ b/crates/gate/src/machine/evacuating.rs
@@ -231,7 +231,7 @@
         if let Some(super::State::Dispatched { permit: Some((key, expires_at)), .. }) = state {
             self.permits.put_back(key, expires_at);
         }
-        if self.withdraw_dispatch(number, false).is_none() || self.stays_at_former(number) {
+        if self.withdraw_dispatch(now, number, false).is_none() || self.stays_at_former(number) {
             return;
         }
         match self.has_candidate(number) {
