Compare failure responses of plain services with those of the whole service

A server is ejected after four failures in a row.

The number of failure responses in a row that ejects a server of a plain service now follows from the share of failures at the service's other servers: it is unlikelier than one in a million at that share, eight in a row at 0.14 and four where no other server fails. Lost connections and invalid responses count as before, as do model requests.

--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -11,7 +11,7 @@
 use wire::time::Instant;
 
 use crate::{
-    load::Load,
+    load::{FailureShare, Load},
     message, origin, peers, quota,
     statement::{Stated, Statement},
 };
@@ -285,6 +285,16 @@
         f64::from(running) / self.keys_of(service).len().max(1) as f64
     }
 
+    /// Returns the share of failures in the answers of a service's other backend servers, or in those
+    /// of this one if it is the only one.
+    pub fn usual_failures(&self, key: Key) -> f64 {
+        let Some(backend) = self.get(key) else { return 0.0 };
+        let keys = self.keys_of(&backend.record.service);
+        let others = keys.iter().filter(|other| **other != key || keys.len() == 1);
+        let others = others.filter_map(|key| self.get(*key));
+        FailureShare::of_all(others.map(|backend| backend.load.failure_share()))
+    }
+
     /// Returns a backend server, unless it was removed.
     pub fn get(&self, key: Key) -> Option<&Backend> {
         self.entries.get(key)
--- a/crates/gate/src/load.rs
+++ b/crates/gate/src/load.rs
@@ -26,6 +26,14 @@
 const UNSEEN_REQUESTS: f64 = 1.0;
 /// Consecutive failures after which a backend server is ejected.
 const FAILURES_TO_EJECT: u32 = 4;
+/// Probability below which failures in a row don't come from the service's usual share of failures.
+/// At 100 answers a second, it is reached once in some three hours.
+const MAX_CHANCE: f64 = 1e-6;
+/// Largest share of failures that counts as usual. Beyond it, hardly any number of them in a row
+/// would be unusual.
+const MAX_USUAL_FAILURES: f64 = 0.99;
+/// Number of answers after which their part in the share of failures has fallen to 1/e.
+const FAILURE_MEMORY: f64 = 100.0;
 /// Duration of the first ejection; each further one doubles it.
 const BASE_EJECTION: Duration = Duration::from_millis(1000);
 /// Longest duration of an ejection.
@@ -49,6 +57,8 @@
     division: f64,
     speed: message::Speed,
     failures: u32,
+    /// Share of failures among the answers to this gateway.
+    failure_share: FailureShare,
     ejections: u32,
     ejected_until: Instant,
     /// The backend server refused a request as overloaded and gets none until this time.
@@ -61,6 +71,30 @@
     pub unreachable: bool,
 }
 
+/// Share of failures among answers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FailureShare {
+    answers: f64,
+    failures: f64,
+}
+
+impl FailureShare {
+    fn record(&mut self, is_failure: bool) {
+        let kept = 1.0 - 1.0 / FAILURE_MEMORY;
+        self.answers = self.answers * kept + 1.0;
+        self.failures = self.failures * kept + if is_failure { 1.0 } else { 0.0 };
+    }
+
+    /// Returns the share in all answers together, 0 without answers.
+    pub fn of_all<'a>(shares: impl Iterator<Item = &'a FailureShare>) -> f64 {
+        let sum = |(answers, failures), share: &FailureShare| {
+            (answers + share.answers, failures + share.failures)
+        };
+        let (answers, failures) = shares.fold((0.0, 0.0), sum);
+        if answers > 0.0 { failures / answers } else { 0.0 }
+    }
+}
+
 impl Default for Load {
     fn default() -> Load {
         Load {
@@ -76,6 +110,7 @@
                 samples: 0,
             },
             failures: 0,
+            failure_share: FailureShare::default(),
             ejections: 0,
             ejected_until: Instant::default(),
             full_until: Instant::default(),
@@ -198,14 +233,34 @@
 
     /// Records a complete response.
     pub fn record_success(&mut self) {
+        self.failure_share.record(false);
         self.failures = 0;
         self.ejections = 0;
     }
 
+    /// Returns the share of failures among the answers to this gateway.
+    pub fn failure_share(&self) -> &FailureShare {
+        &self.failure_share
+    }
+
     /// Records a failure and returns whether the backend server is ejected for it.
     pub fn record_failure(&mut self, now: Instant) -> bool {
+        self.count_failure(now, FAILURES_TO_EJECT)
+    }
+
+    /// Records a failure that the backend server answered, and returns whether it is ejected for it.
+    /// `usual` is the share of failures in the answers of the service's other servers. It is ejected
+    /// if the service as a whole hardly ever fails as often in a row.
+    pub fn record_failure_response(&mut self, now: Instant, usual: f64) -> bool {
+        self.failure_share.record(true);
+        let usual = usual.clamp(0.0, MAX_USUAL_FAILURES);
+        let usual_in_a_row = MAX_CHANCE.ln() / usual.ln();
+        self.count_failure(now, FAILURES_TO_EJECT.max(usual_in_a_row.ceil() as u32))
+    }
+
+    fn count_failure(&mut self, now: Instant, most: u32) -> bool {
         self.failures += 1;
-        if self.failures < FAILURES_TO_EJECT {
+        if self.failures < most {
             return false;
         }
         self.failures = 0;
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -402,8 +402,14 @@
             self.give_up(now, &open);
         }
         let Some(key) = self.withdraw_dispatch(number, true) else { return };
+        let is_plain_response =
+            result == AttemptResult::Failed && open.entry.request.tokens.is_none();
+        let usual = is_plain_response.then(|| self.backends.usual_failures(key));
         if let Some(backend) = self.backends.get_mut(key) {
-            backend.load.record_failure(now);
+            match usual {
+                Some(usual) => backend.load.record_failure_response(now, usual),
+                None => backend.load.record_failure(now),
+            };
         }
         if result == AttemptResult::Broken {
             for part in suspected_parts(now, &open) {
