Bound the requests at servers of plain services over all gateways

A gateway counted only its own requests at a server of a plain service, which are mostly 0 or 1 where there are tens of gateways. Together they filled the servers' queues: nearly all answers were late under overload, and the servers rejected up to six in ten arrivals. By the code (no trace of one was at hand), a repeatable request that was late was also offered to servers that were as full, and ended as 502 once its first server was given up for one that had merely not rejected it yet.

Gateways now estimate the requests at each server from the reports of all gateways, the times of answers (their own, and those that others report while servers have queues) and rejections, and send no more than are answered within half of the objective. Less urgent tiers, callers that return after the objective and second attempts are held back first. A request waits for up to a quarter of the objective, or is refused at once if no place is expected by then. A throttle by the share of late answers takes effect where the load of others isn't received. Free slots are always used.

Streams without tokens are bounded as before, by the gateway's own requests.

--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -52,6 +52,7 @@
     suspects: Gauge,
     quarantined: Gauge,
     limited: Gauge,
+    short_services: Gauge,
     dropped_log_lines: Gauge,
 }
 
@@ -77,6 +78,7 @@
             suspects: Gauge::default(),
             quarantined: Gauge::default(),
             limited: Gauge::default(),
+            short_services: Gauge::default(),
             dropped_log_lines: Gauge::default(),
         };
         metrics.register();
@@ -111,6 +113,8 @@
         registry.register("quarantined", quarantined, self.quarantined.clone());
         let limited = "Replicas that named a rate limit";
         registry.register("limited", limited, self.limited.clone());
+        let short = "Plain services whose servers are all at their bounds";
+        registry.register("short_services", short, self.short_services.clone());
         let dropped = "Log lines left out or lost since the start";
         registry.register("dropped_log_lines", dropped, self.dropped_log_lines.clone());
     }
@@ -180,6 +184,7 @@
         self.suspects.set(suspects as i64);
         self.quarantined.set(quarantined as i64);
         self.limited.set(machine.limited_count() as i64);
+        self.short_services.set(machine.short_count() as i64);
         self.dropped_log_lines.set(log::dropped_lines() as i64);
         let mut page = String::new();
         text::encode(&mut page, &self.registry)?;
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -65,6 +65,7 @@
     match (a, b) {
         (Datagram::State(a), Datagram::State(b)) => a.sequence == b.sequence,
         (Datagram::Loads(a), Datagram::Loads(b)) => a.sequence == b.sequence,
+        (Datagram::PlainLoads(a), Datagram::PlainLoads(b)) => a.loads.sequence == b.loads.sequence,
         (Datagram::Suspects(a), Datagram::Suspects(b)) => a == b,
         (Datagram::RateLimits(a), Datagram::RateLimits(b)) => a == b,
         _ => false,
@@ -87,6 +88,9 @@
                     Ok(message::Datagram::Loads(loads)) => {
                         gateway.feed(Event::LoadsReceived(loads))
                     }
+                    Ok(message::Datagram::PlainLoads(loads)) => {
+                        gateway.feed(Event::PlainLoadsReceived(loads))
+                    }
                     Ok(message::Datagram::Query(query)) => {
                         gateway.feed(Event::QueryReceived(query))
                     }
--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     load::{FailureShare, Load},
-    message, origin, peers, quota,
+    message, origin, peers, plain_load, quota,
     statement::{Stated, Statement},
 };
 
@@ -346,6 +346,41 @@
         }
     }
 
+    /// Lets servers of a service that have not answered this gateway count like one that has.
+    pub fn assume_work(&mut self, key: Key) {
+        let Some(backend) = self.get(key) else { return };
+        let Some(work_ms) = backend.load.plain.work_ms() else { return };
+        for other in self.keys_of(&backend.record.service).to_vec() {
+            if let Some(other) = self.entries.get_mut(other) {
+                other.load.plain.assume_work(work_ms);
+            }
+        }
+    }
+
+    /// Returns the latest answers from servers of plain services that were not returned before.
+    pub fn take_answers(&mut self, now: Instant) -> Vec<message::Answer> {
+        let answers = self.entries.values_mut().filter_map(|backend| {
+            let answer = backend.load.plain.take_report(now)?;
+            Some(message::Answer {
+                backend: backend.hash,
+                took: Duration::from_secs_f64(answer.ms / 1e3),
+                age: now.since(answer.received_at),
+            })
+        });
+        answers.collect()
+    }
+
+    /// Records the times of answers that a peer received from backend servers of plain services.
+    pub fn record_peer_answers(&mut self, now: Instant, answers: &[message::Answer]) {
+        for answer in answers {
+            let backend = self.entries.values_mut().find(|backend| backend.hash == answer.backend);
+            let Some(backend) = backend else { continue };
+            let received_at = Instant(now.0.saturating_sub(answer.age.as_micros() as u64));
+            let ms = answer.took.as_secs_f64() * 1e3;
+            backend.load.plain.record_peer_answer(plain_load::Answer { received_at, ms });
+        }
+    }
+
     fn insert(&mut self, id: Bytes, record: Record) {
         let run = record.hash_run(&id);
         let existing = self.keys_by_id.get(&id).and_then(|key| self.entries.get_mut(*key));
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -102,6 +102,8 @@
     StateReceived(message::Message),
     /// A nearby peer sent its load.
     LoadsReceived(message::Loads),
+    /// A peer sent its load since servers of a plain service have queues.
+    PlainLoadsReceived(message::PlainLoads),
     /// A peer sent suspects.
     SuspectsReceived(Vec<message::Suspect>),
     /// A peer sent rate limits of backend servers.
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod peers;
 pub mod permits;
 pub mod placement;
+pub mod plain_load;
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
@@ -34,6 +35,7 @@
 pub mod statement;
 pub mod streams;
 pub mod suspects;
+pub mod throttle;
 pub mod unanswered;
 mod window;
 
--- a/crates/gate/src/load.rs
+++ b/crates/gate/src/load.rs
@@ -4,7 +4,7 @@
 
 use wire::time::Instant;
 
-use crate::{message, statement::Stated};
+use crate::{message, plain_load::PlainLoad, statement::Stated};
 
 /// Part of the time to the first event that does not depend on the prompt.
 const FIRST_EVENT_BASE_MS: f64 = 20.0;
@@ -56,6 +56,8 @@
     /// Random number from 0 to 1 below which a fraction of a slot is one for this gateway.
     division: f64,
     speed: message::Speed,
+    /// Estimates for a server of a plain service.
+    pub plain: PlainLoad,
     failures: u32,
     /// Share of failures among the answers to this gateway.
     failure_share: FailureShare,
@@ -109,6 +111,7 @@
                 event_ms: INITIAL_EVENT_MS as f32,
                 samples: 0,
             },
+            plain: PlainLoad::default(),
             failures: 0,
             failure_share: FailureShare::default(),
             ejections: 0,
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -6,6 +6,7 @@
 mod limiting;
 mod loads;
 mod peering;
+mod plain;
 mod responses;
 mod resuming;
 
@@ -66,7 +67,7 @@
 }
 
 /// Progress of an open request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum State {
     Waiting,
     Dispatched {
@@ -84,6 +85,8 @@
         unresponsive: bool,
         /// Time at which the permit would have expired, if the backend server has a rate limit.
         permit: Option<Instant>,
+        /// Requests that a server of a plain service had, without this one.
+        running: f64,
     },
 }
 
@@ -138,6 +141,8 @@
     /// Number of rounds in which the state was sent to all peers.
     round: u64,
     next_send: Instant,
+    /// Tiers and load of plain services.
+    plain: plain::State,
     /// Exchange of the load with nearby gateways.
     load_exchange: loads::State,
     /// Time of the next message with suspects to one peer.
@@ -188,6 +193,7 @@
             sequence: 0,
             round: 0,
             next_send: now,
+            plain: plain::State::default(),
             load_exchange: loads::State::new(now),
             next_sample: now,
             confirmed_since: now,
@@ -315,6 +321,11 @@
                 self.receive_loads(now, loads);
                 return;
             }
+            Event::PlainLoadsReceived(loads) => {
+                self.backends.record_peer_answers(now, &loads.answers);
+                self.receive_loads(now, loads.loads);
+                return;
+            }
             Event::SuspectsReceived(reports) => self.receive_suspects(now, &reports),
             Event::RateLimitsReceived(reports) => self.receive_rate_limits(now, &reports),
             Event::DemandsReceived(demands) => self.receive_demands(now, &demands, actions),
@@ -342,6 +353,8 @@
         self.dispatch_all_waiting(now, actions);
         self.update_demands(now, actions);
         self.send_loads(now, actions);
+        self.send_plain_loads(now, actions);
+        self.log_plain_load(now);
     }
 
     /// Returns when the next tick is due.
@@ -356,6 +369,7 @@
         let permits = self.next_permit_update();
         let streams = self.next_stream_update();
         let loads = self.next_load_update();
+        let plain_loads = self.next_plain_update();
         let times = [
             Some(self.next_send),
             wait_until,
@@ -365,6 +379,7 @@
             permits,
             streams,
             loads,
+            plain_loads,
         ];
         times.into_iter().flatten().min()
     }
@@ -378,7 +393,8 @@
     ) {
         let (host, path) = (request.host.clone(), request.path.clone());
         match self.admit(now, request) {
-            Ok(entry) => {
+            Ok(mut entry) => {
+                entry.urgency = self.record_tier(now, &entry);
                 let gateways = self.peers.serving_count(now);
                 let bounds = &self.setup.bounds;
                 let (first_start, started_at) = (self.setup.first_start, self.started_at);
@@ -390,6 +406,7 @@
                 budget.record_request(bounds, gateways);
                 self.arrivals.entry(entry.service.clone()).or_default().record(now);
                 self.enqueue(number, entry);
+                self.throttle(now, number, actions);
                 self.find_origin(now, number, actions);
             }
             Err(mut refusal) => {
--- a/crates/gate/src/machine/dispatching.rs
+++ b/crates/gate/src/machine/dispatching.rs
@@ -119,6 +119,7 @@
             }
         }
         self.refuse_beyond_limits(now, service, actions);
+        self.bound_plain_waits(now, service, actions);
     }
 
     /// Refuses a waiting request if all backend servers that it may be sent to have stated that they
@@ -237,6 +238,8 @@
             units: entry.units,
             rate_limit,
         };
+        let load = &backend.load;
+        let running = load.plain.running(now, load.total_running(), backend.record.slots);
         backend.load.add_request(tokens);
         backend.load.begin_trial(now);
         self.load_exchange.mark_changed();
@@ -251,6 +254,7 @@
             went_on: false,
             unresponsive: false,
             permit,
+            running,
         };
         if let Some(queue) = self.queues.get_mut(&entry.service) {
             queue.remove(entry, number);
--- a/crates/gate/src/machine/loads.rs
+++ b/crates/gate/src/machine/loads.rs
@@ -21,6 +21,8 @@
     is_changed: bool,
     /// Time from which it may be sent again.
     next_send: Instant,
+    /// Whether it changed since it was sent to all gateways for plain services.
+    pub(super) is_changed_for_all: bool,
     /// Whether reports were received that placement does not use yet.
     is_outdated: bool,
     next_division: Instant,
@@ -33,6 +35,7 @@
         State {
             is_changed: false,
             next_send: now,
+            is_changed_for_all: false,
             is_outdated: false,
             next_division: now,
             dispatch_at: None,
@@ -42,6 +45,7 @@
     /// Records that the load of this gateway changed.
     pub(super) fn mark_changed(&mut self) {
         self.is_changed = true;
+        self.is_changed_for_all = true;
     }
 }
 
@@ -70,18 +74,23 @@
     /// Sends the load to these gateways.
     pub(super) fn send_loads_to(&mut self, targets: &[SocketAddr], actions: &mut Vec<Action>) {
         let (Some(from), false) = (self.setup.address, targets.is_empty()) else { return };
+        let loads = self.loads_message(from);
+        for to in targets {
+            let datagram = message::Datagram::Loads(loads.clone());
+            actions.push(Action::Send { to: *to, datagram });
+        }
+    }
+
+    /// Returns a message with the load of this gateway.
+    pub(super) fn loads_message(&mut self, from: SocketAddr) -> message::Loads {
         self.sequence += 1;
-        let loads = message::Loads {
+        message::Loads {
             process: self.setup.process,
             from,
             sequence: self.sequence,
             availability_zone: quota::hash(&self.setup.availability_zone),
             loads: self.own_loads(),
             waiting: self.waiting(),
-        };
-        for to in targets {
-            let datagram = message::Datagram::Loads(loads.clone());
-            actions.push(Action::Send { to: *to, datagram });
         }
     }
 
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -174,8 +174,17 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(key) = self.withdraw_dispatch(number, false) else { return };
+        let entry = self.open_requests.get(&number).map(|open| &open.entry);
+        let plain = entry.filter(|entry| entry.is_plain()).cloned();
+        if let Some(entry) = plain.as_ref().filter(|entry| entry.attempts == 0) {
+            self.record_plain_outcome(entry, false);
+        }
         if let Some(backend) = self.backends.get_mut(key) {
             backend.load.full_until = now + FULL_COOLDOWN;
+            if let Some(entry) = plain {
+                let slots = backend.record.slots;
+                backend.load.plain.record_rejection(now, slots, entry.objective_duration);
+            }
         }
         if self.stays_at_former(number) {
             return;
@@ -367,7 +376,8 @@
     pub(super) fn complete(&mut self, now: Instant, number: RequestNumber, result: AttemptResult) {
         let Some(open) = self.open_requests.remove(&number) else { return };
         self.release_slots(&open);
-        let State::Dispatched { backend, run, dispatched_at, first_event_at, .. } = open.state
+        let State::Dispatched { backend, run, dispatched_at, first_event_at, running, .. } =
+            open.state
         else {
             return;
         };
@@ -380,9 +390,17 @@
             self.unanswered.record_completion(run);
             self.record_answer(now, run, dispatched_at);
         }
-        let Some(backend) = self.backends.get_mut(backend) else { return };
+        let key = backend;
+        let Some(backend) = self.backends.get_mut(key) else { return };
         backend.load.end_trial(dispatched_at, true);
         backend.load.record_success();
+        if open.entry.is_plain() {
+            let (slots, took) = (backend.record.slots, now.since(dispatched_at));
+            backend.load.plain.record_answer(now, took, slots, running);
+            let is_late = backend.load.plain.is_late(took, open.entry.objective_duration);
+            self.backends.assume_work(key);
+            self.record_plain_outcome(&open.entry, !is_late);
+        }
     }
 
     pub(super) fn handle_failure(
@@ -402,8 +420,7 @@
             self.give_up(now, &open);
         }
         let Some(key) = self.withdraw_dispatch(number, true) else { return };
-        let is_plain_response =
-            result == AttemptResult::Failed && open.entry.request.tokens.is_none();
+        let is_plain_response = result == AttemptResult::Failed && open.entry.is_plain();
         let usual = is_plain_response.then(|| self.backends.usual_failures(key));
         if let Some(backend) = self.backends.get_mut(key) {
             match usual {
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -24,6 +24,7 @@
     Streams(Vec<Stream>),
     StreamQuery(StreamQuery),
     Loads(Loads),
+    PlainLoads(PlainLoads),
 }
 
 /// Load of one gateway, sent to nearby gateways soon after it changed, and to all others now and
@@ -43,6 +44,25 @@
     pub waiting: Vec<(u64, u32)>,
 }
 
+/// Load of one gateway while servers of a plain service have queues, sent to all others.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PlainLoads {
+    pub loads: Loads,
+    /// Latest answers from servers of plain services since the last of these messages.
+    pub answers: Vec<Answer>,
+}
+
+/// An answer from a server of a plain service.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Hash of the backend server's identifier.
+    pub backend: u32,
+    /// Time from the dispatch to the complete answer.
+    pub took: Duration,
+    /// Time since then.
+    pub age: Duration,
+}
+
 /// A stream in progress that its caller may take up at another gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Stream {
--- a/crates/gate/src/placement.rs
+++ b/crates/gate/src/placement.rs
@@ -5,7 +5,7 @@
 //! streams in progress. A request waits if there is no such backend server, and less urgent
 //! requests don't take the slots that it waits for.
 
-use std::collections::HashSet;
+use std::{collections::HashSet, time::Duration};
 
 use bytes::Bytes;
 use wire::time::Instant;
@@ -14,6 +14,7 @@
     backends::{self, Backend, Backends},
     catalog::RouteKind,
     permits::Permits,
+    plain_load::Urgency,
     queue::Entry,
     rate_limit::RateLimits,
 };
@@ -100,6 +101,10 @@
     entry: &Entry,
     reserved: &mut HashSet<backends::Key>,
 ) {
+    // Such a request only gets slots that are free beyond the others' bounds.
+    if entry.is_plain() && entry.plain_urgency() == Urgency::Overdue {
+        return;
+    }
     let limits = Limits::for_request(context, entry);
     for &key in context.backends.keys_of(&entry.service) {
         let Some(backend) = context.backends.get(key) else { continue };
@@ -161,18 +166,45 @@
     }
 }
 
-/// Requests of plain services end before gateways receive each other's load reports. A backend
-/// server of such a service queues some requests and refuses the others as not run, so only this
-/// gateway's own requests are counted.
+/// Returns whether a backend server can be used and has capacity. Servers of plain services queue
+/// requests, so that all gateways together may send more than their slots; see `plain_load`.
 fn has_capacity(backend: &Backend, entry: &Entry, now: Instant) -> bool {
     let load = &backend.load;
     let has_slot = match entry.request.tokens {
         Some(_) => load.has_free_slot(),
-        None => load.running < backend.record.slots,
+        None => {
+            let is_at_bound = entry.is_plain() && !plain_wait(backend, entry, now).is_zero();
+            load.running < backend.record.slots && !is_at_bound
+        }
     };
     load.is_usable(now) && has_slot
 }
 
+/// Returns the time until a server of a plain service may get a request, by the load from all
+/// gateways.
+fn plain_wait(backend: &Backend, entry: &Entry, now: Instant) -> Duration {
+    let (load, slots) = (&backend.load, backend.record.slots);
+    let urgency = entry.plain_urgency();
+    load.plain.wait(now, load.total_running(), slots, entry.objective_duration, urgency)
+}
+
+/// Returns the shortest time until a server of a plain service may get a request by the load from
+/// all gateways, zero if one may get it now. Returns `None` if none of them can be used.
+pub fn shortest_plain_wait(context: &Context<'_>, entry: &Entry) -> Option<Duration> {
+    let keys = context.backends.keys_of(&entry.service).iter();
+    let backends = keys.filter_map(|key| Some((*key, context.backends.get(*key)?)));
+    let waits = backends.filter_map(|(key, backend)| {
+        // A server whose queue was full gets a request again after a short while.
+        let full_until = backend.load.full_until.max(context.now);
+        let is_candidate = backend.load.is_usable(full_until)
+            && context.has_permit(backend)
+            && entry.admits(key, backend);
+        let wait = plain_wait(backend, entry, context.now);
+        is_candidate.then(|| wait.max(full_until.since(context.now)))
+    });
+    waits.min()
+}
+
 /// Returns the expected cost of a request at a backend server. Requests of plain services end before
 /// the load of a far backend server is received, so the mean of the service is used there.
 fn cost(backend: &Backend, entry: &Entry, zone: &Bytes, mean_running: f64) -> f64 {
--- a/crates/gate/src/queue.rs
+++ b/crates/gate/src/queue.rs
@@ -11,6 +11,7 @@
     catalog::RouteKind,
     event::RequestNumber,
     origin::Origin,
+    plain_load::Urgency,
     request::Request,
 };
 
@@ -27,6 +28,8 @@
     pub is_repeatable: bool,
     pub max_attempts: u32,
     pub tier: u32,
+    /// Urgency among the requests of its service, when it arrived.
+    pub urgency: Urgency,
     /// Whether the objective has passed since the caller's first attempt. Requests that can still
     /// be in time go first.
     pub overdue: bool,
@@ -57,6 +60,17 @@
         !self.excluded.contains(&key) && self.origin.admits(backend)
     }
 
+    /// Returns whether the request goes to a server of a plain service, for one answer.
+    pub fn is_plain(&self) -> bool {
+        self.request.tokens.is_none() && self.kind != RouteKind::Stream
+    }
+
+    /// Returns the urgency at a server of a plain service. A second attempt at a server that queues
+    /// requests would only add to its queue.
+    pub fn plain_urgency(&self) -> Urgency {
+        if self.attempts > 0 || self.overdue { Urgency::Overdue } else { self.urgency }
+    }
+
     /// Returns the expected number of events of a stream.
     pub fn expected_events(&self) -> f64 {
         f64::from(self.request.output_tokens()) / f64::from(self.tokens_per_event.max(1))
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -22,6 +22,7 @@
 pub mod cluster;
 pub mod engines;
 pub mod limited;
+pub mod plain;
 
 pub const MS: Duration = Duration::from_millis(1);
 pub const MODEL: &str = "engines";
@@ -177,6 +178,7 @@
         self.feed(match datagram {
             Datagram::State(message) => Event::StateReceived(*message),
             Datagram::Loads(loads) => Event::LoadsReceived(loads),
+            Datagram::PlainLoads(loads) => Event::PlainLoadsReceived(loads),
             Datagram::Query(query) => Event::QueryReceived(query),
             Datagram::Reply(reply) => Event::ReplyReceived(reply),
             Datagram::Suspects(reports) => Event::SuspectsReceived(reports),
