--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -60,6 +60,7 @@
     warming: Gauge,
     warm_up_permits: Counter,
     evacuated_zones: Gauge,
+    short_services: Gauge,
     dropped_log_lines: Gauge,
     hedges: Family<Outcome, Counter>,
     withheld_hedges: Family<Reason, Counter>,
@@ -90,6 +91,7 @@
             warming: Gauge::default(),
             warm_up_permits: Counter::default(),
             evacuated_zones: Gauge::default(),
+            short_services: Gauge::default(),
             dropped_log_lines: Gauge::default(),
             hedges: Family::default(),
             withheld_hedges: Family::default(),
@@ -134,6 +136,8 @@
         registry.register("warm_up_permits", permits, self.warm_up_permits.clone());
         let evacuated = "Zones that operators evacuate";
         registry.register("evacuated_zones", evacuated, self.evacuated_zones.clone());
+        let short = "Plain services whose servers are all at their bounds";
+        registry.register("short_services", short, self.short_services.clone());
         let dropped = "Log lines left out or lost since the start";
         registry.register("dropped_log_lines", dropped, self.dropped_log_lines.clone());
     }
@@ -228,6 +232,7 @@
         let used = machine.warm_up_permits_used();
         self.warm_up_permits.inc_by(used.saturating_sub(self.warm_up_permits.get()));
         self.evacuated_zones.set(machine.evacuations().len() as i64);
+        self.short_services.set(machine.short_count() as i64);
         self.dropped_log_lines.set(log::dropped_lines() as i64);
         if let Some(counts) = machine.hedge_counts() {
             self.record_hedges(&counts);
--- a/crates/gate/src/machine/dispatching.rs
+++ b/crates/gate/src/machine/dispatching.rs
@@ -122,6 +122,7 @@
         }
         self.refuse_beyond_limits(now, service, actions);
         self.refuse_beyond_capacity(now, service, actions);
+        self.bound_plain_waits(now, service, actions);
     }
 
     /// Refuses a waiting request if all backend servers that it may be sent to have stated that they
@@ -263,6 +264,8 @@
             let is_model = service.is_some_and(|service| service.tokens_per_event.is_some());
             hedging.record_dispatch(now, entry, is_model)
         });
+        let load = &backend.load;
+        let running = load.plain.running(now, load.total_running(), backend.record.slots);
         backend.load.add_request(tokens);
         backend.load.begin_trial(now);
         self.load_exchange.mark_changed();
@@ -278,6 +281,7 @@
             went_on: false,
             unresponsive: false,
             permit,
+            running,
         };
         if let Some(queue) = self.queues.get_mut(&entry.service) {
             queue.remove(entry, number);
