--- a/crates/gate/src/warm_up.rs
+++ b/crates/gate/src/warm_up.rs
@@ -68,6 +68,17 @@
     fn is_from_record(&self, run: u64) -> bool {
         self.source == Source::Record && self.run == run
     }
+
+    /// Returns whether a record that says 0 ends the warm-up.
+    fn is_ended_by(&self, reading: &Reading) -> bool {
+        let Some(previous) = reading.previous else {
+            // The run that refused connections or warmed up has ended.
+            return self.run != reading.run && self.source.is_of_one_run();
+        };
+        let is_later = previous != Some(Duration::ZERO) && !reading.is_restored;
+        let is_own = matches!(self.source, Source::Record | Source::Unstated);
+        is_later && is_own && self.run == reading.run
+    }
 }
 
 /// How the warm-up of a server changed.
@@ -280,16 +291,7 @@
         let current = self.entries.get_mut(&server).filter(|entry| entry.is_warming(now));
         match (left, current) {
             (Some(Duration::ZERO), Some(entry)) => {
-                let is_ended = match previous {
-                    // The run that refused connections or warmed up has ended.
-                    None => entry.run != run && entry.source.is_of_one_run(),
-                    Some(previous) => {
-                        let is_later = previous != Some(Duration::ZERO) && !is_restored;
-                        let is_own = matches!(entry.source, Source::Record | Source::Unstated);
-                        is_later && is_own && entry.run == run
-                    }
-                };
-                if !is_ended {
+                if !entry.is_ended_by(reading) {
                     return None;
                 }
                 (entry.since, entry.until, entry.awaits_connection) = (now, now, false);
