--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -355,7 +355,7 @@
         units = quota.map(|quota| quota.units as i64),
         tier = wait.map(|wait| wait.tier),
         overdue = wait.map(|wait| wait.overdue),
-        waited_ms = wait.map(|wait| wait.waited.as_millis() as u64),
+        waited_ms = wait.map(|wait| wait.waited_ms),
     );
     build_refusal(refusal, id)
 }
--- a/crates/gate/src/load.rs
+++ b/crates/gate/src/load.rs
@@ -168,10 +168,8 @@
         self.is_far = is_far;
         let free = f64::from(slots) - f64::from(self.total_running());
         self.free_slots = if is_far { free - UNSEEN_REQUESTS } else { free };
-        match self.free_slots >= 1.0 {
-            true => self.free_since.get_or_insert(now),
-            false => return self.free_since = None,
-        };
+        let since = self.free_since.unwrap_or(now);
+        self.free_since = (self.free_slots >= 1.0).then_some(since);
     }
 
     /// Returns the free slots as this gateway knows them.
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -568,7 +568,11 @@
         if let Some(open) = self.open_requests.remove(&number) {
             self.refund(now, &open.entry);
             let Entry { tier, arrived_at, overdue, .. } = open.entry;
-            let wait = refusal::Wait { tier, waited: now.since(arrived_at), overdue };
+            let wait = refusal::Wait {
+                tier,
+                waited_ms: now.since(arrived_at).as_millis() as u32,
+                overdue,
+            };
             let inputs = self.refusal_inputs(now, &open.entry.service);
             refusal.inputs = Inputs { wait: Some(wait), ..inputs };
             actions.push(Action::Refuse { number, refusal });
@@ -586,10 +590,10 @@
         Inputs {
             version: self.catalog.as_ref().map_or(0, |catalog| catalog.version),
             age: self.lease.age(now),
-            gateways: counts.serving,
-            reporting: counts.serving - counts.silent,
-            waiting: self.queues.get(service).map_or(0, Queue::len),
-            usable: self.backends.usable(service, now).count(),
+            gateways: counts.serving as u32,
+            reporting: (counts.serving - counts.silent) as u32,
+            waiting: self.queues.get(service).map_or(0, Queue::len) as u32,
+            usable: self.backends.usable(service, now).count() as u32,
             limited: self.backends.usable(service, now).filter(is_limited).count() as u32,
             warming: self.backends.usable(service, now).filter(is_excluded).count() as u32,
             quota: None,
--- a/crates/gate/src/refusal.rs
+++ b/crates/gate/src/refusal.rs
@@ -117,13 +117,13 @@
     /// Time since it was last confirmed.
     pub age: Option<Duration>,
     /// Gateways that may serve callers, this one included.
-    pub gateways: usize,
+    pub gateways: u32,
     /// Those among them whose state is recent, this one included.
-    pub reporting: usize,
+    pub reporting: u32,
     /// Requests that wait for the same service.
-    pub waiting: usize,
+    pub waiting: u32,
     /// Backend servers of the service that requests may be sent to.
-    pub usable: usize,
+    pub usable: u32,
     /// Those among them that named a rate limit.
     pub limited: u32,
     /// Those among them that warm up and that this gateway holds no permit for.
@@ -138,8 +138,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Wait {
     pub tier: u32,
-    /// Time since its arrival.
-    pub waited: Duration,
+    /// Milliseconds since its arrival.
+    pub waited_ms: u32,
     /// Whether the objective had passed since the caller's first attempt when it arrived.
     pub overdue: bool,
 }
--- a/crates/gate/tests/patience.rs
+++ b/crates/gate/tests/patience.rs
@@ -79,7 +79,7 @@
     gateway.advance_confirmed(Duration::from_secs(1));
     let refusal = gateway.refused(number).expect("refused");
     let wait = refusal.inputs.wait.expect("it waited");
-    assert!(wait.overdue && wait.waited >= Duration::from_millis(400), "{wait:?}");
+    assert!(wait.overdue && wait.waited_ms >= 400, "{wait:?}");
     assert!(!gateway.actions.iter().any(|action| matches!(action, Action::Dispatch(_))));
     gateway.feed(Event::Tick);
 }
