--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -1,5 +1,6 @@
 //! State of the gateway and the handling of events.
 
+mod admitting;
 mod configuration;
 mod demanding;
 mod dispatching;
@@ -20,7 +21,7 @@
 use wire::time::Instant;
 
 use crate::{
-    Action, Event, admission,
+    Action, Event,
     arrivals::Arrivals,
     backends::{self, Backends},
     catalog::Catalog,
@@ -32,10 +33,9 @@
     peers::Peers,
     permits::Permits,
     queue::{Entry, Queue},
-    quota::{self, Admission, Quotas},
+    quota::{self, Quotas},
     rate_limit::RateLimits,
-    refusal::{self, Inputs, Reason, Refusal},
-    request::Request,
+    refusal::{self, Inputs, Refusal},
     retry_budget::RetryBudget,
     source::{self, Source},
     streams::Streams,
@@ -45,13 +45,9 @@
 
 /// Time between attempts to connect to a backend server that refused connections.
 const PROBE_PERIOD: Duration = Duration::from_millis(400);
-/// Tier of requests that exceed their account's quota.
-const BEYOND_QUOTA_TIER: u32 = u32::MAX;
 /// Age of the state in force up to which it counts as confirmed: gateways read the store themselves
 /// from about this age on.
 const MAX_CONFIRMED_AGE: Duration = Duration::from_millis(2500);
-/// Part of the grace time during which a stopping gateway still accepts requests.
-const STOP_ACCEPT_SHARE: f64 = 0.35;
 
 /// Identity and limits of a gateway process.
 #[derive(Clone, Debug)]
@@ -430,101 +426,6 @@
         times.into_iter().flatten().min()
     }
 
-    fn handle_arrival(
-        &mut self,
-        now: Instant,
-        number: RequestNumber,
-        request: Request,
-        actions: &mut Vec<Action>,
-    ) {
-        let (host, path) = (request.host.clone(), request.path.clone());
-        match self.admit(now, request) {
-            Ok(mut entry) => {
-                entry.urgency = self.record_tier(now, &entry);
-                let gateways = self.peers.serving_count(now);
-                let bounds = &self.setup.bounds;
-                let (first_start, started_at) = (self.setup.first_start, self.started_at);
-                let budget = self.retry_budgets.entry(entry.service.clone());
-                let budget = budget.or_insert_with(|| match first_start {
-                    true => RetryBudget::full(now, bounds, gateways),
-                    false => RetryBudget::started(started_at),
-                });
-                budget.record_request(bounds, gateways);
-                self.arrivals.entry(entry.service.clone()).or_default().record(now);
-                self.enqueue(number, entry);
-                self.record_wait();
-                self.throttle(now, number, actions);
-                self.find_origin(now, number, actions);
-            }
-            Err(mut refusal) => {
-                let quota = refusal.inputs.quota;
-                let route = self.catalog.as_ref().and_then(|catalog| catalog.route(&host, &path));
-                let service = route.and_then(|route| Some(route.split.first()?.0.clone()));
-                let service = service.unwrap_or_default();
-                refusal.inputs = Inputs { quota, ..self.refusal_inputs(now, &service) };
-                actions.push(Action::Refuse { number, refusal });
-            }
-        }
-    }
-
-    fn admit(&mut self, now: Instant, request: Request) -> Result<Entry, Refusal> {
-        let left = admission::time_left(&request);
-        let accept_time = self.setup.bounds.grace.mul_f64(STOP_ACCEPT_SHARE);
-        if self.stopping_since.is_some_and(|since| now.since(since) > accept_time) {
-            return Err(admission::retry_later(Reason::Stopping, left, &mut self.rng));
-        }
-        let catalog = self.catalog.clone();
-        let catalog =
-            catalog.ok_or_else(|| admission::retry_later(Reason::NotReady, left, &mut self.rng))?;
-        if let Some(verdict) = self.suspects.verdict(now, &request) {
-            let part = verdict.part.and_then(|part| request.parts.get(part));
-            tracing::info!(
-                event = "quarantined",
-                id = %String::from_utf8_lossy(&request.id),
-                fingerprint = %format_args!("{:016x}", request.fingerprint),
-                part = %String::from_utf8_lossy(part.map_or(&[], |part| &part[..])),
-                ends = verdict.ends,
-                left_ms = verdict.left.as_millis() as u64,
-            );
-            let retry_after = Some(verdict.left);
-            return Err(Refusal { retry_after, ..Refusal::new(Reason::Poison) });
-        }
-        let mut entry = admission::build_entry(
-            &catalog,
-            &self.lease,
-            now,
-            request,
-            &mut self.deadlines,
-            &mut self.rng,
-        )?;
-        if let Some(account) = &entry.account
-            && let Some(account) = catalog.accounts.iter().find(|a| a.name == *account)
-        {
-            let counts = self.peers.counts(now);
-            let units = quota::cost(account, &entry.request);
-            match self.quotas.admit(now, account, units, counts, &self.setup.bounds) {
-                Ok(Admission::Within) => {}
-                Ok(Admission::Beyond) => entry.tier = BEYOND_QUOTA_TIER,
-                Err(wait) => {
-                    let quota = Some(refusal::Quota {
-                        used: self.quotas.used(&account.name),
-                        units,
-                        granted: quota::granted(account, &self.setup.bounds),
-                    });
-                    let inputs = Inputs { quota, ..Inputs::default() };
-                    return Err(Refusal { reason: Reason::Quota, retry_after: Some(wait), inputs });
-                }
-            }
-            entry.units = units;
-        }
-        Ok(entry)
-    }
-
-    fn enqueue(&mut self, number: RequestNumber, entry: Entry) {
-        self.queues.entry(entry.service.clone()).or_default().push(&entry, number);
-        self.open_requests.insert(number, OpenRequest::waiting(entry));
-    }
-
     fn close(&mut self, now: Instant, number: RequestNumber) {
         let Some(open) = self.open_requests.remove(&number) else { return };
         match open.state {
