Leave servers that need permits out of the division of scarce slots

While a zone warmed up, the free slots of its servers hid that slots were scarce, though no request gets them without a permit, and the order of urgent requests was not in force.

--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -103,6 +103,8 @@
     pub own_waiting: &'a [(u64, u32)],
     /// Whether fractions of a slot are assigned anew.
     pub divides_anew: bool,
+    /// Backend servers that each request needs a permit for. Their slots are divided by the permits.
+    pub restricted: &'a HashSet<Key>,
 }
 
 impl View<'_> {
@@ -385,15 +387,16 @@
         loads.sort_unstable_by_key(|(_, load)| load.backend);
         // Free slots by the hash of the service, and whether the backend servers are far.
         let mut free: HashMap<(u64, bool), u32> = HashMap::new();
-        for backend in self.entries.values_mut() {
+        for (key, backend) in &mut self.entries {
             let first = loads.partition_point(|(_, load)| load.backend < backend.hash);
             let count = loads[first..].partition_point(|(_, load)| load.backend == backend.hash);
             let is_far = view.has_far && backend.record.zone != *view.zone;
             let slots = backend.record.slots;
             backend.load.record_peer_loads(now, &loads[first..first + count], slots, is_far);
             let service = quota::hash(&backend.record.service);
-            let usable = if backend.load.is_usable(now) { backend.load.free() } else { 0 };
-            *free.entry((service, is_far)).or_default() += usable;
+            let is_open = backend.load.is_usable(now) && !view.restricted.contains(&key);
+            *free.entry((service, is_far)).or_default() +=
+                if is_open { backend.load.free() } else { 0 };
         }
         let divide = |(service, is_far): (u64, bool), free: u32| {
             let share = view.own_share(service, is_far);
@@ -401,10 +404,12 @@
         };
         let divisions: HashMap<(u64, bool), (f64, Option<Claims>)> =
             free.into_iter().map(|(class, free)| (class, divide(class, free))).collect();
-        for backend in self.entries.values_mut() {
+        for (key, backend) in &mut self.entries {
             let class = (quota::hash(&backend.record.service), backend.load.is_far);
             let Some((own_share, claims)) = divisions.get(&class) else { continue };
-            let is_claimed = backend.load.is_usable(now) && backend.load.is_claimed(now);
+            let is_claimed = backend.load.is_usable(now)
+                && backend.load.is_claimed(now)
+                && !view.restricted.contains(&key);
             match claims.as_ref().filter(|_| is_claimed) {
                 Some(claims) => {
                     let free = backend.load.free();
--- a/crates/gate/src/machine/evacuating.rs
+++ b/crates/gate/src/machine/evacuating.rs
@@ -227,10 +227,7 @@
         number: RequestNumber,
         actions: &mut Vec<Action>,
     ) {
-        let state = self.open_requests.get(&number).map(|open| open.state);
-        if let Some(super::State::Dispatched { permit: Some((key, expires_at)), .. }) = state {
-            self.permits.put_back(key, expires_at);
-        }
+        self.put_back_permit(number);
         if self.withdraw_dispatch(now, number, false).is_none() || self.stays_at_former(number) {
             return;
         }
--- a/crates/gate/src/machine/loads.rs
+++ b/crates/gate/src/machine/loads.rs
@@ -126,6 +126,7 @@
         self.load_exchange.is_outdated = false;
         let own_waiting = self.waiting();
         let reports: Vec<_> = self.peers.reports(now).collect();
+        let restricted = self.restricted(now);
         let view = backends::View {
             reports: &reports,
             has_far: self.peers.has_far(now),
@@ -133,6 +134,7 @@
             zone: &self.setup.availability_zone,
             own_waiting: &own_waiting,
             divides_anew,
+            restricted: &restricted,
         };
         let is_scarce = self.backends.record_peer_loads(now, &view, &mut self.rng);
         self.load_exchange.is_scarce = is_scarce;
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -141,7 +141,7 @@
     }
 
     /// Returns the permit of a dispatched request of which nothing was sent.
-    fn put_back_permit(&mut self, number: RequestNumber) {
+    pub(super) fn put_back_permit(&mut self, number: RequestNumber) {
         let state = self.open_requests.get(&number).map(|open| open.state);
         if let Some(State::Dispatched { permit: Some((key, expires_at)), .. }) = state {
             self.permits.put_back(key, expires_at);
--- a/crates/gate/src/machine/warming.rs
+++ b/crates/gate/src/machine/warming.rs
@@ -1,6 +1,6 @@
 //! Backend servers that warm up: what is known of them, and its exchange with other gateways.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::HashSet, net::SocketAddr, time::Duration};
 
 use wire::time::Instant;
 
@@ -86,6 +86,16 @@
         limit.map(|rate| Restriction { key: backend.run, rate, is_warm_up: false })
     }
 
+    /// Returns the backend servers that each request needs a permit for.
+    pub(super) fn restricted(&self, now: Instant) -> HashSet<backends::Key> {
+        if self.rate_limits.is_empty() && self.warming.warm_ups.is_disabled() {
+            return HashSet::new();
+        }
+        let is_restricted = |backend| self.restriction(now, backend).is_some();
+        let restricted = self.backends.iter().filter(|(_, backend)| is_restricted(backend));
+        restricted.map(|(key, _)| key).collect()
+    }
+
     /// Returns the permits a second for a server while it warms up, also if it is known to do so by
     /// other gateways only.
     pub(super) fn warm_up_rate(&self, server: u64) -> Option<f64> {
