--- a/crates/gate/src/load.rs
+++ b/crates/gate/src/load.rs
@@ -218,6 +218,11 @@
         self.pending = self.pending.saturating_sub(unprocessed_tokens);
     }
 
+    /// Leaves a slot unused until the free slots are divided anew.
+    pub fn withhold_slot(&mut self) {
+        self.free_slots -= 1.0;
+    }
+
     /// Returns whether this gateway may use a slot.
     pub fn has_free_slot(&self) -> bool {
         self.free_slots >= 1.0
--- a/crates/gate/src/machine/loads.rs
+++ b/crates/gate/src/machine/loads.rs
@@ -14,6 +14,10 @@
 /// the processor time that the reports take.
 const DISPATCH_DELAY: Duration = Duration::from_millis(5);
 
+/// Shortest time between two divisions of the slots while they are scarce. A division takes some
+/// tenths of a millisecond, and the smallest hosts have a sixteenth of a core.
+const REFRESH_PERIOD: Duration = Duration::from_millis(5);
+
 /// State of the exchange.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct State {
@@ -27,6 +31,8 @@
     is_outdated: bool,
     /// Whether more requests wait than there are free slots.
     is_scarce: bool,
+    /// Time from which scarce slots are divided anew.
+    next_refresh: Instant,
     next_division: Instant,
     /// Time at which waiting requests are dispatched by reports that were received.
     dispatch_at: Option<Instant>,
@@ -40,6 +46,7 @@
             is_changed_for_all: false,
             is_outdated: false,
             is_scarce: false,
+            next_refresh: now,
             next_division: now,
             dispatch_at: None,
         }
@@ -48,7 +55,6 @@
     /// Records that the load of this gateway changed.
     pub(super) fn mark_changed(&mut self) {
         self.is_changed = true;
-        // A slot that becomes free here may belong to a more urgent request elsewhere.
         self.is_outdated |= self.is_scarce;
         self.is_changed_for_all = true;
     }
@@ -113,11 +119,19 @@
     /// Uses the reports of other gateways for placement, if there are new ones.
     pub(super) fn refresh_loads(&mut self, now: Instant) {
         self.load_exchange.dispatch_at.take_if(|at| now >= *at);
-        if self.load_exchange.is_outdated || now >= self.load_exchange.next_division {
+        let state = &self.load_exchange;
+        let may_refresh = !state.is_scarce || now >= state.next_refresh;
+        if (state.is_outdated && may_refresh) || now >= state.next_division {
             self.record_peer_loads(now);
         }
     }
 
+    /// Returns whether a slot that becomes free here may belong to a more urgent request elsewhere,
+    /// so that it is not used before the slots are divided anew.
+    pub(super) fn withholds_slots(&self) -> bool {
+        self.load_exchange.is_scarce
+    }
+
     pub(super) fn record_peer_loads(&mut self, now: Instant) {
         let divides_anew = now >= self.load_exchange.next_division;
         if divides_anew {
@@ -138,6 +152,7 @@
         };
         let is_scarce = self.backends.record_peer_loads(now, &view, &mut self.rng);
         self.load_exchange.is_scarce = is_scarce;
+        self.load_exchange.next_refresh = now + REFRESH_PERIOD;
     }
 
     /// Returns the number of waiting requests by the hash of the service, and that of each rank by
@@ -170,6 +185,7 @@
         if !self.has_waiting() {
             return send;
         }
-        [send, Some(state.next_division), state.dispatch_at].into_iter().flatten().min()
+        let refresh = (state.is_scarce && state.is_outdated).then_some(state.next_refresh);
+        [send, Some(state.next_division), state.dispatch_at, refresh].into_iter().flatten().min()
     }
 }
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -32,9 +32,13 @@
         let State::Dispatched { backend, dispatched_at, first_event_at, .. } = state else {
             return;
         };
+        let withholds_slots = self.withholds_slots();
         let Some(backend) = self.backends.get_mut(backend) else { return };
         backend.load.end_trial(dispatched_at, false);
         backend.load.remove_request(if first_event_at.is_none() { prompt_tokens } else { 0 });
+        if withholds_slots {
+            backend.load.withhold_slot();
+        }
         self.load_exchange.mark_changed();
     }
 
