Return a request of which nothing was sent in one place

A connection that failed and an evacuation that was read meanwhile ended in the same lines. The comment on the division of scarce slots had a time that was not measured.

--- a/crates/gate/src/machine/evacuating.rs
+++ b/crates/gate/src/machine/evacuating.rs
@@ -231,12 +231,6 @@
         if self.withdraw_dispatch(now, number, false).is_none() || self.stays_at_former(number) {
             return;
         }
-        match self.has_candidate(number) {
-            true => self.requeue(number),
-            false => {
-                let reason = self.reason_without_server(number, Reason::NoBackend);
-                self.refuse_waiting(now, number, reason, actions);
-            }
-        }
+        self.requeue_or_refuse(now, number, actions);
     }
 }
--- a/crates/gate/src/machine/loads.rs
+++ b/crates/gate/src/machine/loads.rs
@@ -14,8 +14,8 @@
 /// the processor time that the reports take.
 const DISPATCH_DELAY: Duration = Duration::from_millis(5);
 
-/// Shortest time between two divisions of the slots while they are scarce. A division takes some
-/// tenths of a millisecond, and the smallest hosts have a sixteenth of a core.
+/// Shortest time between two divisions of the slots while they are scarce. A division at each event
+/// slowed the smallest hosts, which have a sixteenth of a core.
 const REFRESH_PERIOD: Duration = Duration::from_millis(5);
 
 /// State of the exchange.
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -99,6 +99,23 @@
         })
     }
 
+    /// Adds a withdrawn request of which nothing was sent to its queue again, or refuses it if no
+    /// backend server is left for it.
+    pub(super) fn requeue_or_refuse(
+        &mut self,
+        now: Instant,
+        number: RequestNumber,
+        actions: &mut Vec<Action>,
+    ) {
+        match self.has_candidate(number) {
+            true => self.requeue(number),
+            false => {
+                let reason = self.reason_without_server(number, Reason::NoBackend);
+                self.refuse_waiting(now, number, reason, actions);
+            }
+        }
+    }
+
     pub(super) fn handle_not_sent(
         &mut self,
         now: Instant,
@@ -114,13 +131,7 @@
         if self.stays_at_former(number) {
             return;
         }
-        match self.has_candidate(number) {
-            true => self.requeue(number),
-            false => {
-                let reason = self.reason_without_server(number, Reason::NoBackend);
-                self.refuse_waiting(now, number, reason, actions);
-            }
-        }
+        self.requeue_or_refuse(now, number, actions);
     }
 
     /// Handles a connection that was opened too late to send the request on it. Its server may get
