Log how large reads of the published state are and how long they take

The lines of a gateway could not tell a configuration that is transferred for seconds from one that is decoded for seconds, nor by how old a state a request was dispatched. store_read and peer_fetched have bytes and took_ms, answered has the version of the configuration and the age of its confirmation, and the counter state_read_bytes has the bytes by source. No decision changes.

--- a/crates/daemon/src/gateway/exchange/lines.rs
+++ b/crates/daemon/src/gateway/exchange/lines.rs
@@ -40,6 +40,8 @@
             limit = inputs.rate_limit,
             warming_ms = inputs.warm_up_left.map(|left| left.as_millis() as u64),
             version = %String::from_utf8_lossy(&dispatch.version),
+            configuration = inputs.configuration,
+            age_ms = inputs.age.map(|age| age.as_millis() as u64),
             resumes = %String::from_utf8_lossy(self.resumes.as_deref().unwrap_or_default()),
         );
     }
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -31,6 +31,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Origin {
+    from: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Reason {
     reason: &'static str,
@@ -54,6 +59,7 @@
     era: Gauge,
     gateways: Gauge,
     store_calls: Counter,
+    read_bytes: Family<Origin, Counter>,
     suspects: Gauge,
     quarantined: Gauge,
     limited: Gauge,
@@ -85,6 +91,7 @@
             era: Gauge::default(),
             gateways: Gauge::default(),
             store_calls: Counter::default(),
+            read_bytes: Family::default(),
             suspects: Gauge::default(),
             quarantined: Gauge::default(),
             limited: Gauge::default(),
@@ -125,6 +132,8 @@
         registry.register("era", era, self.era.clone());
         registry.register("gateways", "Gateways that may serve callers", self.gateways.clone());
         registry.register("store_calls", "Calls of the store", self.store_calls.clone());
+        let help = "Bytes of the published state that were read, by where from";
+        registry.register_with_unit("state_read", help, Unit::Bytes, self.read_bytes.clone());
         let suspects = "Calls under which replicas ended, as counted by all gateways";
         registry.register("suspects", suspects, self.suspects.clone());
         let quarantined = "Those among them that are refused";
@@ -178,6 +187,11 @@
         self.store_calls.inc();
     }
 
+    /// Counts bytes of the published state that were read from the store or a peer.
+    pub fn count_read_bytes(&self, from: &'static str, bytes: usize) {
+        self.read_bytes.get_or_create(&Origin { from }).inc_by(bytes as u64);
+    }
+
     /// Records the time that a request waited at the gateway, and the time from the dispatch to the
     /// first event or the complete response.
     pub fn record_response(&self, dispatch: &Dispatch, first: Duration) {
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -157,15 +157,25 @@
 
 /// Sends a query to a peer over HTTP and passes the reply to the machine.
 pub async fn fetch(gateway: Rc<Gateway>, peer: SocketAddr, query: message::Query) {
+    let began = clock::now();
     let reply = time::timeout(source::FETCH_TIMEOUT, send_query(peer, &query)).await;
     let reply = reply.unwrap_or_else(|_| Err(Error::with_kind(Step::Receive, peer, Kind::Timeout)));
     match reply {
-        Ok(reply) => gateway.feed(Event::ReplyReceived(reply)),
+        Ok((reply, bytes)) => {
+            let took_ms = clock::now().since(began).as_millis() as u64;
+            tracing::info!(event = "peer_fetched", %peer, bytes, took_ms);
+            gateway.metrics.count_read_bytes("peer", bytes);
+            gateway.feed(Event::ReplyReceived(reply));
+        }
         Err(error) => tracing::warn!(event = "peer_fetch_failed", %error),
     }
 }
 
-async fn send_query(peer: SocketAddr, query: &message::Query) -> Result<message::Reply, Error> {
+/// Returns the reply and its size in bytes.
+async fn send_query(
+    peer: SocketAddr,
+    query: &message::Query,
+) -> Result<(message::Reply, usize), Error> {
     let request = Request::post("/ask")
         .header(header::HOST, peer.to_string())
         .body(Full::new(wire::frame::encode(query)))
@@ -179,5 +189,7 @@
     }
     let body = http::read_limited(response.into_body(), MAX_REPLY_BYTES).await;
     let body = body.map_err(|error| Error::new(Step::Receive, peer, error))?;
-    wire::frame::decode(&body).map_err(|error| Error::new(Step::Decode, peer, error))
+    let reply = wire::frame::decode(&body);
+    let reply = reply.map_err(|error| Error::new(Step::Decode, peer, error))?;
+    Ok((reply, body.len()))
 }
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -51,6 +51,8 @@
 /// Largest response of the store, in bytes. A page has about 500 items or 1 MB; a watch returns all
 /// changes since the last one.
 const MAX_RESPONSE_BYTES: usize = 32 << 20;
+/// Size from which a response of the store is logged, in bytes.
+const LOGGED_RESPONSE_BYTES: usize = 64 << 10;
 /// Idle time after which a connection to the store is not used again.
 const MAX_IDLE: Duration = Duration::from_secs(5);
 
@@ -295,6 +297,7 @@
     async fn get(&self, path: &str, limit: Duration) -> Result<Response, Error> {
         let address = self.pool.address();
         self.gateway.metrics.count_store_call();
+        let began = clock::now();
         let request = Request::builder()
             .uri(path)
             .header(header::HOST, address.to_string())
@@ -310,6 +313,11 @@
             let body = http::read_limited(response.into_body(), MAX_RESPONSE_BYTES).await;
             let body = body.map_err(|error| Error::new(Step::Receive, address, error))?;
             self.pool.release(sender, MAX_IDLE);
+            self.gateway.metrics.count_read_bytes("store", body.len());
+            if body.len() >= LOGGED_RESPONSE_BYTES {
+                let took_ms = clock::now().since(began).as_millis() as u64;
+                tracing::info!(event = "store_read", bytes = body.len(), took_ms);
+            }
             Ok(Response { status, era, text: body })
         };
         let fetched = time::timeout(limit, fetched).await;
--- a/crates/gate/src/action.rs
+++ b/crates/gate/src/action.rs
@@ -69,6 +69,10 @@
 pub struct Inputs {
     /// Time that the request waited at the gateway.
     pub waited: Duration,
+    /// Version of the configuration in force.
+    pub configuration: u64,
+    /// Time since the state in force was confirmed.
+    pub age: Option<Duration>,
     /// Expected time to the first event.
     pub expected: Duration,
     /// Requests in flight at the backend server from all gateways, this request included.
--- a/crates/gate/src/machine/dispatching.rs
+++ b/crates/gate/src/machine/dispatching.rs
@@ -241,6 +241,8 @@
         if warm_up_left.is_some() {
             self.count_warm_up_permit();
         }
+        let configuration = self.catalog.as_ref().map_or(0, |catalog| catalog.version);
+        let age = self.lease.age(now);
         let Some(open) = self.open_requests.get_mut(&number) else { return };
         let Some(backend) = self.backends.get_mut(key) else { return };
         let entry = &mut open.entry;
@@ -249,6 +251,8 @@
         let expected = backend.load.first_event_ms(tokens_ahead, tokens).max(0.0);
         let inputs = action::Inputs {
             waited: now.since(entry.arrived_at),
+            configuration,
+            age,
             expected: Duration::from_micros((expected * 1e3) as u64),
             running: backend.load.total_running() + 1,
             backlog: tokens_ahead,
