Read a response of the store for as long as it arrives

What callers saw: routes by an older version, and refusals as stale, for as long as a large configuration is the published one. Cause: a watch had to be read completely within 1.9 s, and within 0.3, 0.3 and 1.2 s in turn after that failed. A response that takes longer on the host's link was dropped and begun anew, for ever. The time limits now hold up to the head of a response.

--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -7,7 +7,7 @@
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use gate::{Event, Machine, message::StoreEntry, revision::Revision, source::Update};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::{Request, header};
 use platform::store::{self, Change, Page};
 
@@ -23,15 +23,15 @@
 /// that is paid for. With a longer wait, less of the lease on keys is left by the time an
 /// unresponsive store is noticed.
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
-/// Time for the response to a watch beyond `WATCH_WAIT`.
+/// Time for the head of the response to a watch beyond `WATCH_WAIT`.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(900);
-/// Time limits of the watches after a failure, used in turn. The short ones detect soon that the
+/// Time limits up to the head of the response to a watch after a failure, used in turn. The short ones detect soon that the
 /// store is reachable again; the long one is for a store that responds slowly.
 const PROBE_TIMEOUTS: [Duration; 3] =
     [Duration::from_millis(300), Duration::from_millis(300), Duration::from_millis(1200)];
-/// Time for the response to a read on demand, for which a caller waits.
+/// Time for the head of the response to a read on demand, for which a caller waits.
 const ON_DEMAND_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time for the response with one page when everything is read.
+/// Time for the head of the response with one page when everything is read.
 const READ_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time to connect to the store. A round trip takes a few milliseconds, and an attempt that began
 /// while the store was unreachable does not succeed once the store is back; only a new one does.
@@ -294,6 +294,7 @@
         Ok(page)
     }
 
+    /// Sends a request and reads the response. `limit` is the time up to the head of the response.
     async fn get(&self, path: &str, limit: Duration) -> Result<Response, Error> {
         let address = self.pool.address();
         self.gateway.metrics.count_store_call();
@@ -303,24 +304,22 @@
             .header(header::HOST, address.to_string())
             .body(Full::new(Bytes::new()))
             .map_err(|error| Error::new(Step::Send, address, error))?;
-        let fetched = async {
-            let sent = self.pool.send(request).await;
-            let Sent { response, sender, .. } =
-                sent.map_err(|fault| Error::new(Step::Send, address, format!("{fault:?}")))?;
-            let status = response.status().as_u16();
-            let era = store::decode_era(response.headers())
-                .map_err(|error| Error::new(Step::Decode, address, error))?;
-            let body = http::read_limited(response.into_body(), MAX_RESPONSE_BYTES).await;
-            let body = body.map_err(|error| Error::new(Step::Receive, address, error))?;
-            self.pool.release(sender, MAX_IDLE);
-            self.gateway.metrics.count_read_bytes("store", body.len());
-            if body.len() >= LOGGED_RESPONSE_BYTES {
-                let took_ms = clock::now().since(began).as_millis() as u64;
-                tracing::info!(event = "store_read", bytes = body.len(), took_ms);
-            }
-            Ok(Response { status, era, text: body })
-        };
-        let fetched = time::timeout(limit, fetched).await;
-        fetched.map_err(|_| Error::with_kind(Step::Receive, address, Kind::Timeout))?
+        let sent = time::timeout(limit, self.pool.send(request)).await;
+        let sent = sent.map_err(|_| Error::with_kind(Step::Receive, address, Kind::Timeout))?;
+        let Sent { response, sender, .. } =
+            sent.map_err(|fault| Error::new(Step::Send, address, format!("{fault:?}")))?;
+        let status = response.status().as_u16();
+        let era = store::decode_era(response.headers())
+            .map_err(|error| Error::new(Step::Decode, address, error))?;
+        let parts = response.into_body().into_data_stream();
+        let text = http::transfer(parts, MAX_RESPONSE_BYTES).await;
+        let text = text.map_err(|error| Error::new(Step::Receive, address, error))?;
+        self.pool.release(sender, MAX_IDLE);
+        self.gateway.metrics.count_read_bytes("store", text.len());
+        if text.len() >= LOGGED_RESPONSE_BYTES {
+            let took_ms = clock::now().since(began).as_millis() as u64;
+            tracing::info!(event = "store_read", bytes = text.len(), took_ms);
+        }
+        Ok(Response { status, era, text })
     }
 }
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -14,7 +14,7 @@
 use cyper_core::CompioTimer;
 use futures_channel::oneshot;
 use futures_util::{
-    FutureExt, StreamExt,
+    FutureExt, Stream, StreamExt,
     future::{self, Either, LocalBoxFuture, Shared, poll_immediate},
 };
 use http_body_util::{BodyExt, Full, Limited, StreamBody};
@@ -257,6 +257,58 @@
     }
 }
 
+/// Longest pause within a response that is being transferred. A lost packet is sent again within
+/// some hundred milliseconds; a connection that is silent for longer may be dead.
+const MAX_TRANSFER_PAUSE: Duration = Duration::from_millis(900);
+/// Longest time for a response that is being transferred, which bounds one that never ends.
+const MAX_TRANSFER_TIME: Duration = Duration::from_secs(30);
+
+/// Why the body of a response was not read, with the number of bytes that were.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TransferError {
+    TooLarge(usize),
+    /// No byte arrived for `MAX_TRANSFER_PAUSE`, or the body didn't end within `MAX_TRANSFER_TIME`.
+    Stalled(usize),
+    Broken(usize, String),
+}
+
+impl std::fmt::Display for TransferError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            TransferError::TooLarge(bytes) => write!(f, "over the size limit after {bytes} bytes"),
+            TransferError::Stalled(bytes) => write!(f, "stalled after {bytes} bytes"),
+            TransferError::Broken(bytes, cause) => write!(f, "broken after {bytes} bytes: {cause}"),
+        }
+    }
+}
+
+/// Reads the parts of a response body of at most `limit` bytes for as long as they arrive. The time
+/// that this takes depends on the size and on the link, so only pauses are limited: a transfer that
+/// is dropped for its duration has to begin anew, and takes as long again.
+///
+/// # Errors
+///
+/// Returns an error if the body is over the limit, truncated, or pauses for too long.
+pub async fn transfer<E: std::fmt::Display>(
+    parts: impl Stream<Item = Result<Bytes, E>>,
+    limit: usize,
+) -> Result<Bytes, TransferError> {
+    let mut parts = pin!(parts);
+    let mut received = BytesMut::new();
+    let end = clock::now() + MAX_TRANSFER_TIME;
+    loop {
+        let pause = MAX_TRANSFER_PAUSE.min(end.since(clock::now()));
+        let next = compio::time::timeout(pause, parts.next()).await;
+        let next = next.map_err(|_| TransferError::Stalled(received.len()))?;
+        let Some(part) = next else { return Ok(received.freeze()) };
+        let part = part.map_err(|e| TransferError::Broken(received.len(), e.to_string()))?;
+        if received.len() + part.len() > limit {
+            return Err(TransferError::TooLarge(received.len()));
+        }
+        received.extend_from_slice(&part);
+    }
+}
+
 /// Why a request body was not read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyError {
