Wait for a peer's reply for as long as it arrives

Cause: changes that don't fit in a datagram had to be transferred within 1 s. Several gateways that fetch from one share its link, so all of them were late, dropped what they had, and began anew at once, which kept the link full.

--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -1,12 +1,12 @@
 //! Datagrams between gateways, and queries over HTTP whose replies do not fit in a datagram.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use compio::{net, runtime, time};
 use futures_channel::mpsc;
 use futures_util::{StreamExt, future::LocalBoxFuture};
 use gate::{Event, message, source};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, body, header};
 
 use crate::{
@@ -20,6 +20,8 @@
 /// Largest query over HTTP, in bytes.
 const MAX_QUERY_BYTES: u64 = 1 << 10;
 
+/// Time for the head of a reply over HTTP.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Largest reply over HTTP, in bytes: the entries of one and their encoding.
 const MAX_REPLY_BYTES: usize = 2 * source::MAX_FETCHED_BYTES;
 
@@ -124,7 +126,7 @@
             }
             Err(error) => {
                 tracing::debug!(event = "peer_receive_failed", %error);
-                compio::time::sleep(std::time::Duration::from_millis(50)).await;
+                time::sleep(Duration::from_millis(50)).await;
             }
         }
     }
@@ -155,19 +157,20 @@
     }
 }
 
-/// Sends a query to a peer over HTTP and passes the reply to the machine.
+/// Sends a query to a peer over HTTP and passes the result to the machine.
 pub async fn fetch(gateway: Rc<Gateway>, peer: SocketAddr, query: message::Query) {
     let began = clock::now();
-    let reply = time::timeout(source::FETCH_TIMEOUT, send_query(peer, &query)).await;
-    let reply = reply.unwrap_or_else(|_| Err(Error::with_kind(Step::Receive, peer, Kind::Timeout)));
-    match reply {
+    match send_query(peer, &query).await {
         Ok((reply, bytes)) => {
             let took_ms = clock::now().since(began).as_millis() as u64;
             tracing::info!(event = "peer_fetched", %peer, bytes, took_ms);
             gateway.metrics.count_read_bytes("peer", bytes);
             gateway.feed(Event::ReplyReceived(reply));
         }
-        Err(error) => tracing::warn!(event = "peer_fetch_failed", %error),
+        Err(error) => {
+            tracing::warn!(event = "peer_fetch_failed", %error);
+            gateway.feed(Event::FetchFailed { token: query.token });
+        }
     }
 }
 
@@ -180,14 +183,16 @@
         .header(header::HOST, peer.to_string())
         .body(Full::new(wire::frame::encode(query)))
         .map_err(|error| Error::new(Step::Send, peer, error))?;
-    let sent = Pool::new(peer, CONNECT_TIMEOUT).send(request).await;
+    let sent = time::timeout(HEAD_TIMEOUT, Pool::new(peer, CONNECT_TIMEOUT).send(request)).await;
+    let sent = sent.map_err(|_| Error::with_kind(Step::Receive, peer, Kind::Timeout))?;
     let sent = sent.map_err(|fault| Error::new(Step::Send, peer, format!("{fault:?}")))?;
     let response = sent.response;
     let status = response.status().as_u16();
     if status != 200 {
         return Err(Error::with_kind(Step::Receive, peer, Kind::Status(status)));
     }
-    let body = http::read_limited(response.into_body(), MAX_REPLY_BYTES).await;
+    let parts = response.into_body().into_data_stream();
+    let body = http::transfer(parts, MAX_REPLY_BYTES).await;
     let body = body.map_err(|error| Error::new(Step::Receive, peer, error))?;
     let reply = wire::frame::decode(&body);
     let reply = reply.map_err(|error| Error::new(Step::Decode, peer, error))?;
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -114,6 +114,8 @@
     QueryReceived(message::Query),
     /// A peer replied to a query.
     ReplyReceived(message::Reply),
+    /// A query over a connection has no reply.
+    FetchFailed { token: u64 },
     /// A request to the store failed.
     StoreUnreachable,
     /// A peer sent its state.
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -355,6 +355,7 @@
             }
             Event::QueryReceived(query) => self.send_reply(now, &query, actions),
             Event::ReplyReceived(reply) => self.process_reply(now, reply, actions),
+            Event::FetchFailed { token } => self.source.record_fetch_failure(now, token),
             Event::StoreUnreachable => self.backends.record_store_failure(),
             Event::StateReceived(message) => self.receive_state(now, message, actions),
             Event::LoadsReceived(loads) => {
--- a/crates/gate/src/source.rs
+++ b/crates/gate/src/source.rs
@@ -35,8 +35,6 @@
 /// Largest size of the changes in a reply over a connection, enough for a configuration of some
 /// thousand routes.
 pub const MAX_FETCHED_BYTES: usize = 4 << 20;
-/// Time allowed for a reply over a connection before a peer is queried again.
-pub const FETCH_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// Changes between two revisions, as read from the store or a peer.
 #[derive(Clone, Debug)]
@@ -193,7 +191,8 @@
         age: Option<Duration>,
         rng: &mut fastrand::Rng,
     ) -> Option<(SocketAddr, Query)> {
-        if now < self.next_query_at {
+        let is_fetching = self.open.is_some_and(|open| open.by_connection);
+        if is_fetching || now < self.next_query_at {
             return None;
         }
         let (revision, from) = (self.revision?, own_address?);
@@ -261,6 +260,14 @@
         (size(&last) <= max_bytes).then_some(last)
     }
 
+    /// Records that a query over a connection has no reply, so that a peer is queried again. Until
+    /// then it may be answered: how long that takes depends on the size of the reply.
+    pub fn record_fetch_failure(&mut self, now: Instant, token: u64) {
+        if self.open.take_if(|open| open.token == token).is_some() {
+            self.next_query_at = now + QUERY_PERIOD;
+        }
+    }
+
     /// Processes a reply to the open query.
     pub fn process_reply(
         &mut self,
@@ -282,7 +289,6 @@
                 Decision::Install(Update { from: open.revision, to, entries, at })
             }
             (None, Some(own_address)) if !open.by_connection => {
-                self.next_query_at = now + FETCH_TIMEOUT;
                 let query = self.open_query(now, own_address, open.peer, open.revision, true);
                 Decision::Fetch(open.peer, query)
             }
--- a/crates/gate/tests/source.rs
+++ b/crates/gate/tests/source.rs
@@ -199,3 +199,23 @@
     assert_eq!(reply(77).expect("changes that are kept").len(), 1);
     assert_eq!(reply(70), None, "changes that are not kept are read from the store");
 }
+
+/// Guards against a large reply that is asked for again while it is being transferred, and against a
+/// gateway that waits for one that failed.
+#[test]
+fn a_query_over_a_connection_is_open_until_it_ends() {
+    let mut watcher = source();
+    let large = StoreEntry { key: "c".into(), value: vec![b'x'; 20 << 10].into(), deleted: false };
+    watcher.record_read(at(10), Some(10), 13, vec![large]);
+    let mut other = source();
+    record_view(&mut other, 100, 1, 13, true);
+    let (_, query) = next_query(&mut other, 150, 10).expect("a peer has a later revision");
+    let reply = watcher.reply(&query, Some(ms(50)), MAX_DATAGRAM_BYTES).expect("a reply");
+    let Decision::Fetch(_, query) = process_reply(&mut other, 160, reply) else { panic!() };
+    record_view(&mut other, 9_900, 1, 13, true);
+    assert_eq!(next_query(&mut other, 10_000, 9_900), None, "the reply may be on its way");
+    other.record_fetch_failure(at(10_000), query.token - 1);
+    assert_eq!(next_query(&mut other, 10_000, 9_900), None, "an earlier query failed");
+    other.record_fetch_failure(at(10_000), query.token);
+    assert!(next_query(&mut other, 10_200, 10_100).is_some());
+}
