Use the published state only while it is known to be recent enough

Cause: routes and records of servers were used at any age. Only API keys had a lease. A gateway that had not read a change, for example since a large one was on its way in front of it, could not know that and went on. A gateway now admits requests only while its state was confirmed within apply_ms, and dispatches them, also second attempts and moves, within drain_ms less the time to send one. The check is repeated when there is a connection to write to, and that the server has not left meanwhile. In admission.rs the test of keys now reports the failed reads that it is about; its assertions are the same. apply_ms and drain_ms are settings, filled in from the deployment's bounds.

--- a/crates/conf/src/gateway.rs
+++ b/crates/conf/src/gateway.rs
@@ -52,6 +52,10 @@
 pub struct Bounds {
     /// `[bounds] revoke_ms`: longest time for which a withdrawn API key may still be accepted.
     pub revoke: Duration,
+    /// `[bounds] apply_ms`: longest time after which an accepted configuration is in force.
+    pub apply: Duration,
+    /// `[bounds] drain_ms`: longest time for which a backend server that leaves may get requests.
+    pub drain: Duration,
     /// `[bounds] grace_s`: time that a planned stop may take.
     pub grace: Duration,
     /// `[bounds] retry_ratio`: attempts of a request at a backend server beyond the first, as a
@@ -138,6 +142,8 @@
     fn default() -> Bounds {
         Bounds {
             revoke: Duration::from_secs(5),
+            apply: Duration::from_secs(3),
+            drain: Duration::from_secs(3),
             grace: Duration::from_secs(8),
             retry_ratio: 0.2,
             retry_slack: 50.0,
@@ -221,10 +227,15 @@
         let slack = |reader: &mut section::Reader<'_>, key, default: f64, unit| {
             reader.decimal(key, default, 0..=u64::from(u32::MAX), unit)
         };
-        let revoke_ms = default.revoke.as_secs_f64() * 1e3;
-        let revoke_ms = reader.decimal("revoke_ms", revoke_ms, 500..=3_600_000, "ms");
+        let millis = |reader: &mut section::Reader<'_>, key, default: Duration| {
+            let default_ms = default.as_secs_f64() * 1e3;
+            let millis = reader.decimal(key, default_ms, 500..=3_600_000, "ms");
+            Duration::from_secs_f64(millis / 1e3)
+        };
         Bounds {
-            revoke: Duration::from_secs_f64(revoke_ms / 1e3),
+            revoke: millis(reader, "revoke_ms", default.revoke),
+            apply: millis(reader, "apply_ms", default.apply),
+            drain: millis(reader, "drain_ms", default.drain),
             grace: seconds(reader, "grace_s", default.grace),
             retry_ratio: ratio(reader, "retry_ratio", default.retry_ratio),
             retry_slack: slack(reader, "retry_slack", default.retry_slack, "arrivals"),
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -264,11 +264,8 @@
         };
         let request = self.build_request(&added);
         let pool = self.reporter.gateway.pool(&dispatch);
-        let (gateway, zone) = (self.reporter.gateway.clone(), dispatch.zone.clone());
-        let may_send = move || {
-            let is_evacuated = gateway.read(|machine| machine.evacuations().is_evacuated(&zone));
-            !is_evacuated
-        };
+        let (gateway, checked) = (self.reporter.gateway.clone(), dispatch.clone());
+        let may_send = move || gateway.read(|machine| machine.may_send(clock::now(), &checked));
         Offer::new(dispatch, pool, last_event_id, request, may_send)
     }
 
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -57,6 +57,7 @@
     age: Gauge<f64, std::sync::atomic::AtomicU64>,
     revision: Gauge,
     era: Gauge,
+    outdated: Gauge,
     gateways: Gauge,
     store_calls: Counter,
     read_bytes: Family<Origin, Counter>,
@@ -89,6 +90,7 @@
             age: Gauge::default(),
             revision: Gauge::default(),
             era: Gauge::default(),
+            outdated: Gauge::default(),
             gateways: Gauge::default(),
             store_calls: Counter::default(),
             read_bytes: Family::default(),
@@ -130,6 +132,8 @@
         registry.register("revision", "Revision of the store in force", self.revision.clone());
         let era = "Times that the store came back from an older copy, as it states";
         registry.register("era", era, self.era.clone());
+        let outdated = "Whether the state is too old to send calls by it";
+        registry.register("outdated", outdated, self.outdated.clone());
         registry.register("gateways", "Gateways that may serve callers", self.gateways.clone());
         registry.register("store_calls", "Calls of the store", self.store_calls.clone());
         let help = "Bytes of the published state that were read, by where from";
@@ -237,6 +241,7 @@
         let revision = machine.revision().map(Revision::from_ordinal);
         self.revision.set(revision.map_or(-1, |revision| revision.number as i64));
         self.era.set(revision.map_or(-1, |revision| revision.era as i64));
+        self.outdated.set(machine.is_outdated().into());
         self.gateways.set(machine.gateways(now) as i64);
         let (suspects, quarantined) = machine.suspects().counts(now);
         self.suspects.set(suspects as i64);
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -311,7 +311,11 @@
         let status = response.status().as_u16();
         let era = store::decode_era(response.headers())
             .map_err(|error| Error::new(Step::Decode, address, error))?;
-        let parts = response.into_body().into_data_stream();
+        let parts = response.into_body().into_data_stream().inspect(|_| {
+            if status == 200 {
+                self.gateway.feed(Event::StoreResponding);
+            }
+        });
         let text = http::transfer(parts, MAX_RESPONSE_BYTES).await;
         let text = text.map_err(|error| Error::new(Step::Receive, address, error))?;
         self.pool.release(sender, MAX_IDLE);
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -49,8 +49,8 @@
     Late { number: RequestNumber },
     /// No process listens at the backend server's address; nothing of the request was sent.
     Refused { number: RequestNumber },
-    /// The zone of the backend server was evacuated while the request waited for its connection;
-    /// nothing of the request was sent.
+    /// While the request waited for its connection, the backend server left, its zone was evacuated,
+    /// or the state became too old to be used; nothing of the request was sent.
     Withdrawn { number: RequestNumber },
     /// The backend server stated that it did not run the request.
     Rejected { number: RequestNumber, retry_after: Option<Duration> },
@@ -118,6 +118,8 @@
     FetchFailed { token: u64 },
     /// A request to the store failed.
     StoreUnreachable,
+    /// Part of a response of the store was received, the rest of which is on its way.
+    StoreResponding,
     /// A peer sent its state.
     StateReceived(message::Message),
     /// A nearby peer sent its load.
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod backends;
 pub mod catalog;
 pub mod claims;
+mod contact;
 pub mod deadlines;
 mod demand;
 pub mod evacuations;
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -5,6 +5,7 @@
 mod demanding;
 mod dispatching;
 mod evacuating;
+mod freshness;
 mod hedging;
 mod limiting;
 mod loads;
@@ -25,6 +26,7 @@
     arrivals::Arrivals,
     backends::{self, Backends},
     catalog::Catalog,
+    contact::Contact,
     deadlines::Deadlines,
     event::RequestNumber,
     hedging::Hedging,
@@ -136,6 +138,9 @@
     /// An older version that the store holds since then, with the time to put it in force.
     older_catalog: Option<(Rc<Catalog>, Instant)>,
     lease: Lease,
+    contact: Contact,
+    /// Whether the state was too old to be used at the last tick.
+    is_outdated: bool,
     source: Source,
     backends: Backends,
     quotas: Quotas,
@@ -194,6 +199,8 @@
             quotas: Quotas::new(now, setup.first_start),
             hedging: setup.hedging.map(Hedging::new),
             setup,
+            contact: Contact::default(),
+            is_outdated: false,
             source: Source::default(),
             catalog: None,
             restores: 0,
@@ -232,7 +239,10 @@
 
     /// Returns whether the load balancer should open new connections to the gateway.
     pub fn is_ready(&self, now: Instant) -> bool {
-        self.stopping_since.is_none() && self.catalog.is_some() && self.lease.is_valid(now)
+        self.stopping_since.is_none()
+            && self.catalog.is_some()
+            && self.lease.is_valid(now)
+            && !self.may_lack_configuration(now)
     }
 
     /// Returns the configuration in force.
@@ -356,7 +366,14 @@
             Event::QueryReceived(query) => self.send_reply(now, &query, actions),
             Event::ReplyReceived(reply) => self.process_reply(now, reply, actions),
             Event::FetchFailed { token } => self.source.record_fetch_failure(now, token),
-            Event::StoreUnreachable => self.backends.record_store_failure(),
+            Event::StoreUnreachable => {
+                self.contact.record_failure(now);
+                self.backends.record_store_failure();
+            }
+            Event::StoreResponding => {
+                self.contact.record_bytes(now);
+                return;
+            }
             Event::StateReceived(message) => self.receive_state(now, message, actions),
             Event::LoadsReceived(loads) => {
                 self.receive_loads(now, loads);
@@ -517,6 +534,7 @@
         if self.lease.age(now).is_none_or(|age| age > MAX_CONFIRMED_AGE) {
             self.confirmed_since = now;
         }
+        self.log_freshness(now);
         self.use_older_catalog(now, actions);
         self.expire_evacuations(now);
         self.query_peer(now, actions);
--- a/crates/gate/src/machine/admitting.rs
+++ b/crates/gate/src/machine/admitting.rs
@@ -78,6 +78,9 @@
             let retry_after = Some(verdict.left);
             return Err(Refusal { retry_after, ..Refusal::new(Reason::Poison) });
         }
+        if self.may_lack_configuration(now) {
+            return Err(admission::retry_later(Reason::Stale, left, &mut self.rng));
+        }
         let mut entry = admission::build_entry(
             &catalog,
             &self.lease,
--- a/crates/gate/src/machine/dispatching.rs
+++ b/crates/gate/src/machine/dispatching.rs
@@ -49,6 +49,7 @@
         };
         let expired: Vec<RequestNumber> = queue.numbers().filter(expired).collect();
         let reason = match self.backends.usable(service, now).next() {
+            _ if self.may_lack_departures(now) => Reason::Stale,
             Some(_) => Reason::Overload,
             None => Reason::NoBackend,
         };
@@ -210,6 +211,9 @@
         entry: &Entry,
         reserved: &HashSet<backends::Key>,
     ) -> Option<backends::Key> {
+        if self.may_lack_departures(now) {
+            return None;
+        }
         let context = placement::Context {
             backends: &self.backends,
             rate_limits: &self.rate_limits,
--- a/crates/gate/src/machine/evacuating.rs
+++ b/crates/gate/src/machine/evacuating.rs
@@ -219,8 +219,8 @@
         });
     }
 
-    /// Handles a request that was not sent since the zone of its backend server was evacuated while
-    /// it waited for a connection.
+    /// Handles a request that was not sent since its backend server left or its zone was evacuated
+    /// while it waited for a connection.
     pub(super) fn handle_withdrawn(
         &mut self,
         now: Instant,
--- /dev/null
+++ b/crates/gate/src/machine/freshness.rs
@@ -0,0 +1,73 @@
+//! Whether the state in force may be used, by the time since it was confirmed as the published one.
+//!
+//! A gateway that has not read a change in time can't tell: the change may be on its way behind a
+//! large one. So the age of the state decides, and not whether a change is known. Only a store that
+//! is away has no changes, and the last state is used for as long as it is.
+
+use std::time::Duration;
+
+use wire::time::Instant;
+
+use super::Machine;
+use crate::action::Dispatch;
+
+/// Time from the check of a request to its arrival at the backend server, as a rule.
+const SEND_TIME: Duration = Duration::from_millis(250);
+/// Time within which gateways that reach each other confirm the same state.
+const CONFIRMATION_SPREAD: Duration = Duration::from_millis(300);
+
+impl Machine {
+    /// Returns whether the configuration may lack changes that have to be in force.
+    pub(super) fn may_lack_configuration(&self, now: Instant) -> bool {
+        self.may_lack_changes(now, self.setup.bounds.apply)
+    }
+
+    /// Returns whether the records may lack servers that left so long ago that they must not get
+    /// requests any more.
+    pub(super) fn may_lack_departures(&self, now: Instant) -> bool {
+        self.may_lack_changes(now, self.setup.bounds.drain.saturating_sub(SEND_TIME))
+    }
+
+    /// Returns whether a request may still be written to a connection to its backend server.
+    pub fn may_send(&self, now: Instant, dispatch: &Dispatch) -> bool {
+        let backend = self.backends.get(dispatch.backend);
+        backend.is_some_and(|backend| !backend.load.stated.leaving)
+            && !self.evacuations().is_evacuated(&dispatch.zone)
+            && !self.may_lack_departures(now)
+    }
+
+    /// Returns whether changes that were published `bound` ago or earlier may be missing.
+    fn may_lack_changes(&self, now: Instant, bound: Duration) -> bool {
+        let is_old = self.lease.age(now).is_none_or(|age| age >= bound);
+        is_old && !self.is_store_away(now)
+    }
+
+    /// Returns whether reads of the store fail here, and no peer has confirmed its state since this
+    /// gateway did.
+    fn is_store_away(&self, now: Instant) -> bool {
+        let is_confirmed_later = |at: Instant| {
+            let spread = CONFIRMATION_SPREAD.as_micros() as u64;
+            !self.lease.is_confirmed_since(Instant(at.0.saturating_sub(spread)))
+        };
+        let confirmed_by_peers_at = self.source.confirmed_by_peers_at(now);
+        self.contact.is_lost(now) && !confirmed_by_peers_at.is_some_and(is_confirmed_later)
+    }
+
+    /// Logs when the state becomes too old to be used, and when it may be used again.
+    pub(super) fn log_freshness(&mut self, now: Instant) {
+        let is_outdated = self.lease.age(now).is_some() && self.may_lack_departures(now);
+        if std::mem::replace(&mut self.is_outdated, is_outdated) == is_outdated {
+            return;
+        }
+        let age_ms = self.lease.age(now).map(|age| age.as_millis() as u64);
+        match is_outdated {
+            true => tracing::warn!(event = "state_outdated", age_ms),
+            false => tracing::info!(event = "state_current", age_ms),
+        }
+    }
+
+    /// Returns whether the state was too old to be used when the gateway last checked.
+    pub fn is_outdated(&self) -> bool {
+        self.is_outdated
+    }
+}
--- a/crates/gate/src/refusal.rs
+++ b/crates/gate/src/refusal.rs
@@ -7,7 +7,7 @@
 pub enum Reason {
     /// No configuration has been read yet.
     NotReady,
-    /// The configuration was not confirmed recently enough to accept an API key.
+    /// What is known of the published state was not confirmed recently enough to use it.
     Stale,
     /// The process is stopping.
     Stopping,
--- a/crates/gate/src/source.rs
+++ b/crates/gate/src/source.rs
@@ -152,6 +152,15 @@
         Some(View { revision, age, reads })
     }
 
+    /// Returns the latest time at which a peer that is received had confirmed its state.
+    pub fn confirmed_by_peers_at(&self, now: Instant) -> Option<Instant> {
+        let recent = self.peers.values().filter(|(at, _, _)| now.since(*at) < VIEW_TIMEOUT);
+        let confirmed_at = |received_at: &Instant, view: &View| {
+            Instant(received_at.0.saturating_sub(view.age.as_micros() as u64))
+        };
+        recent.map(|(received_at, _, view)| confirmed_at(received_at, view)).max()
+    }
+
     /// Records the view in a peer's message.
     pub fn record_view(
         &mut self,
--- a/crates/gate/tests/admission.rs
+++ b/crates/gate/tests/admission.rs
@@ -53,11 +53,11 @@
 }
 
 /// Guards against an API key that is accepted after its withdrawal, by a gateway that could not
-/// reach the store or that was suspended.
+/// reach the store.
 #[test]
 fn keys_are_accepted_only_with_a_recently_confirmed_configuration() {
     let mut gateway = TestGateway::with_backends(PLAIN, 1);
-    gateway.advance(Duration::from_millis(4_800));
+    gateway.advance_without_store(Duration::from_millis(4_800));
     let served = gateway.arrive(request("bid"));
     assert!(gateway.dispatched(served).is_some());
     gateway.end(served, AttemptResult::Complete);
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -202,6 +202,15 @@
         }
     }
 
+    /// Advances the clock while reads of the store fail.
+    pub fn advance_without_store(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.feed(Event::StoreUnreachable);
+            self.advance((500 * MS).min(end.since(self.now)));
+        }
+    }
+
     /// Advances the clock while the store confirms the state.
     pub fn advance_confirmed(&mut self, span: Duration) {
         let end = self.now + span;
