Send what changed of a large value to peers, compressed

The configuration is one value that is written as a whole for each change, and the gateways that don't read the store got all of it, in base64, from the few that do: 0.9 MB for 4,250 routes, over links of 10 Mbit/s that several share. Replies over a connection now have large values as their difference from one that the receiver names (zstd with that value as prefix), or compressed if it has none in common. Peers of an earlier build get and send replies as before.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway role: the input and output around `gate::Machine`.
 
 mod answer;
+pub mod delta;
 mod events;
 mod exchange;
 mod metrics;
@@ -54,6 +55,8 @@
     terminate: signal::Listener,
     stopping: Cell<bool>,
     metrics: metrics::Metrics,
+    /// Large values of the published state, which replies of peers refer to.
+    values: delta::Values,
     /// Datagrams to send to peers.
     outbox: mpsc::UnboundedSender<(SocketAddr, gate::message::Datagram)>,
     /// Requests for reads of the store besides the regular ones.
@@ -77,6 +80,7 @@
             terminate,
             stopping: Cell::default(),
             metrics,
+            values: delta::Values::default(),
             outbox,
             store_reads,
         })
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -1,19 +1,19 @@
 //! Datagrams between gateways, and queries over HTTP whose replies do not fit in a datagram.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{fmt, net::SocketAddr, rc::Rc, time::Duration};
 
 use compio::{net, runtime, time};
 use futures_channel::mpsc;
 use futures_util::{StreamExt, future::LocalBoxFuture};
 use gate::{Event, message, source};
 use http_body_util::{BodyExt, Full};
-use hyper::{Request, Response, body, header};
+use hyper::{HeaderMap, Request, Response, body, header};
 
 use crate::{
     clock,
     connection::Pool,
     error::{Error, Kind, Step},
-    gateway::{CONNECT_TIMEOUT, Gateway},
+    gateway::{CONNECT_TIMEOUT, Gateway, delta},
     http,
 };
 
@@ -25,8 +25,12 @@
 /// Largest reply over HTTP, in bytes: the entries of one and their encoding.
 const MAX_REPLY_BYTES: usize = 2 * source::MAX_FETCHED_BYTES;
 
-/// Content type of replies over HTTP.
+/// Content type of replies over HTTP as they are in datagrams.
 const CONTENT_TYPE: &str = "application/msgpack";
+/// Content type of replies whose large values are compressed, for peers that accept it.
+const DELTA_CONTENT_TYPE: &str = "application/x-quincespoke-delta";
+/// Header with the hashes of the values that a compressed reply may refer to.
+const KNOWN_VALUES: &str = "x-known-values";
 /// Size of the receive buffer; longer datagrams are truncated.
 const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
 
@@ -143,24 +147,40 @@
         request: Request<body::Incoming>,
     ) -> LocalBoxFuture<'static, Response<http::Body>> {
         Box::pin(async move {
+            let known_values = parse_known_values(request.headers());
             let Ok(body) = http::read_body(request.into_body(), MAX_QUERY_BYTES).await else {
                 return http::empty(400);
             };
             let Ok(query) = wire::frame::decode::<message::Query>(&body) else {
                 return http::empty(400);
             };
-            match self.gateway.read(|machine| machine.reply_to_fetch(clock::now(), &query)) {
-                Some(reply) => http::buffered(200, CONTENT_TYPE, wire::frame::encode(&reply)),
-                None => http::empty(503),
+            let reply = self.gateway.read(|machine| machine.reply_to_fetch(clock::now(), &query));
+            let Some(reply) = reply else { return http::empty(503) };
+            match known_values {
+                Some(known) => {
+                    let encoded = self.gateway.values.encode(reply, &known);
+                    http::buffered(200, DELTA_CONTENT_TYPE, encoded)
+                }
+                None => http::buffered(200, CONTENT_TYPE, wire::frame::encode(&reply)),
             }
         })
     }
 }
 
+/// Returns the hashes of the values that the sender of a query keeps; `None` if it doesn't accept
+/// replies with compressed values.
+fn parse_known_values(headers: &HeaderMap) -> Option<Vec<u64>> {
+    let accepted = headers.get(header::ACCEPT).is_some_and(|value| value == DELTA_CONTENT_TYPE);
+    let hashes = headers.get(KNOWN_VALUES).and_then(|value| value.to_str().ok());
+    let hashes = hashes.unwrap_or_default().split(',');
+    let hashes = hashes.filter_map(|hash| u64::from_str_radix(hash, 16).ok());
+    accepted.then(|| hashes.collect())
+}
+
 /// Sends a query to a peer over HTTP and passes the result to the machine.
 pub async fn fetch(gateway: Rc<Gateway>, peer: SocketAddr, query: message::Query) {
     let began = clock::now();
-    match send_query(peer, &query).await {
+    match send_query(&gateway.values, peer, &query).await {
         Ok((reply, bytes)) => {
             let took_ms = clock::now().since(began).as_millis() as u64;
             tracing::info!(event = "peer_fetched", %peer, bytes, took_ms);
@@ -176,11 +196,15 @@
 
 /// Returns the reply and its size in bytes.
 async fn send_query(
+    values: &delta::Values,
     peer: SocketAddr,
     query: &message::Query,
 ) -> Result<(message::Reply, usize), Error> {
+    let hashes: Vec<String> = values.hashes().iter().map(|hash| format!("{hash:x}")).collect();
     let request = Request::post("/ask")
         .header(header::HOST, peer.to_string())
+        .header(header::ACCEPT, DELTA_CONTENT_TYPE)
+        .header(KNOWN_VALUES, hashes.join(","))
         .body(Full::new(wire::frame::encode(query)))
         .map_err(|error| Error::new(Step::Send, peer, error))?;
     let sent = time::timeout(HEAD_TIMEOUT, Pool::new(peer, CONNECT_TIMEOUT).send(request)).await;
@@ -191,10 +215,18 @@
     if status != 200 {
         return Err(Error::with_kind(Step::Receive, peer, Kind::Status(status)));
     }
+    let content_type = response.headers().get(header::CONTENT_TYPE);
+    let is_delta = content_type.is_some_and(|value| value == DELTA_CONTENT_TYPE);
     let parts = response.into_body().into_data_stream();
     let body = http::transfer(parts, MAX_REPLY_BYTES).await;
     let body = body.map_err(|error| Error::new(Step::Receive, peer, error))?;
-    let reply = wire::frame::decode(&body);
-    let reply = reply.map_err(|error| Error::new(Step::Decode, peer, error))?;
+    let decode_error = |error: &dyn fmt::Display| Error::new(Step::Decode, peer, error);
+    let reply = match is_delta {
+        true => {
+            let encoded = wire::frame::decode(&body).map_err(|error| decode_error(&error))?;
+            values.decode(encoded).map_err(|error| decode_error(&error))?
+        }
+        false => wire::frame::decode(&body).map_err(|error| decode_error(&error))?,
+    };
     Ok((reply, body.len()))
 }
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -125,6 +125,7 @@
 /// wait are dispatched after each change, and none of them may go to a zone that a later one
 /// evacuates.
 fn apply_all(gateway: &Rc<Gateway>, entries: &[StoreEntry]) {
+    gateway.values.keep(entries);
     let changes = entries.iter().map(store::decode_change);
     let (evacuations, others): (Vec<Change>, Vec<Change>) =
         changes.partition(|change| matches!(change, Change::Evacuation { .. }));
@@ -242,6 +243,7 @@
             if first.get_or_insert(revision).era != response.era {
                 return Ok(());
             }
+            self.gateway.values.keep(&page.entries);
             changes.extend(page.entries.iter().map(store::decode_change));
             path = page.next;
         }
