Let the gateways with the widest links read the store

A configuration of 0.9 MB takes 0.7 s over such a link, and every other gateway gets it later. Process numbers, which decide who reads, now have the class of the host's link ([host] link_mbps) in their highest bits.

--- a/crates/conf/src/gateway.rs
+++ b/crates/conf/src/gateway.rs
@@ -41,12 +41,27 @@
     /// `[seeds] hosts`: hosts of other gateways; their ports are not used.
     pub seeds: Vec<SocketAddr>,
     pub bounds: Bounds,
+    /// `[host]`: what the host bears.
+    pub resources: Resources,
     /// `[hedging]`: hedges of slow responses; `None` if they are off.
     pub hedging: Option<Hedging>,
     /// `[log] level`: error, warn, info, debug or trace.
     pub log_level: String,
 }
 
+/// Resources of the host.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Resources {
+    /// `[host] link_mbps`: megabits a second of its link.
+    pub link_mbps: f64,
+}
+
+impl Default for Resources {
+    fn default() -> Resources {
+        Resources { link_mbps: 100.0 }
+    }
+}
+
 /// Bounds that a deployment sets.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -134,6 +149,7 @@
     store: Option<SocketAddr>,
     seeds: Vec<SocketAddr>,
     bounds: Option<Bounds>,
+    resources: Resources,
     hedging: Option<Hedging>,
     log_level: Option<String>,
 }
@@ -182,12 +198,13 @@
                 self.seeds = seeds.unwrap_or_default();
             }
             "bounds" => self.bounds = Some(Bounds::read(&mut reader)),
+            "host" => self.resources = Resources::read(&mut reader),
             "hedging" => self.hedging = Hedging::read(&mut reader),
             "log" => {
                 self.log_level = reader.optional("level", process::LEVEL, process::parse_level);
             }
             _ => {
-                let allowed = "process, listen, store, seeds, bounds, hedging or log";
+                let allowed = "process, listen, store, seeds, host, bounds, hedging or log";
                 report.add(&section.header, "", "", allowed);
                 return;
             }
@@ -207,12 +224,22 @@
             store: self.store?,
             seeds: self.seeds,
             bounds: self.bounds.unwrap_or_default(),
+            resources: self.resources,
             hedging: self.hedging,
             log_level: self.log_level.unwrap_or_else(|| "info".to_owned()),
         })
     }
 }
 
+impl Resources {
+    fn read(reader: &mut section::Reader<'_>) -> Resources {
+        let default = Resources::default();
+        Resources {
+            link_mbps: reader.decimal("link_mbps", default.link_mbps, 1..=1_000_000, "Mbit/s"),
+        }
+    }
+}
+
 impl Bounds {
     /// Reads the bounds, which a deployment may state as decimal numbers.
     fn read(reader: &mut section::Reader<'_>) -> Bounds {
--- a/crates/conf/tests/gateway.rs
+++ b/crates/conf/tests/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use conf::gateway::{self, Hedging, WarmUpBounds};
+use conf::gateway::{self, Hedging, Resources, WarmUpBounds};
 
 const SETTINGS: &str = "
 [process]
@@ -39,6 +39,19 @@
     }
 }
 
+/// Guards against a host whose link is taken from text that is no width.
+#[test]
+fn the_link_of_the_host_is_a_number() {
+    let parse = |host: &str| gateway::parse("f", &format!("{SETTINGS}{host}"));
+    assert_eq!(parse("").expect("valid settings").resources, Resources::default());
+    let settings = parse("[host]\nlink_mbps = 10.0\n").expect("valid settings");
+    assert_eq!(settings.resources.link_mbps, 10.0);
+    for wrong in ["0", "-1", "wide", "inf", ""] {
+        let errors = parse(&format!("[host]\nlink_mbps = {wrong}\n")).expect_err(wrong);
+        assert_eq!(errors.len(), 1, "{wrong}: {errors:?}");
+    }
+}
+
 /// Guards against a bound on warm-ups that is in force with half of its settings, or is missed.
 #[test]
 fn the_bound_on_warm_ups_has_both_settings_or_none() {
--- a/crates/daemon/src/gateway/process.rs
+++ b/crates/daemon/src/gateway/process.rs
@@ -16,7 +16,7 @@
 use conf::gateway;
 use futures_channel::mpsc;
 use futures_util::future::LocalBoxFuture;
-use gate::{Event, Machine, machine::Setup};
+use gate::{Event, Machine, machine::Setup, source};
 use hyper::{Request, Response, body};
 use signal_hook::consts;
 use wire::time::Instant;
@@ -113,7 +113,7 @@
 fn build_setup(settings: &gateway::Settings) -> Setup {
     let port = settings.peers.port();
     Setup {
-        process: fastrand::u64(..),
+        process: source::process_number(settings.resources.link_mbps, fastrand::u64(..)),
         address: Some(settings.peers),
         availability_zone: settings.availability_zone.clone(),
         seeds: settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port)).collect(),
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -54,7 +54,7 @@
 /// Identity and limits of a gateway process.
 #[derive(Clone, Debug)]
 pub struct Setup {
-    /// Random number that identifies this run of the process.
+    /// Number that identifies this run of the process; see `source::process_number`.
     pub process: u64,
     /// Address for messages between gateways.
     pub address: Option<SocketAddr>,
--- a/crates/gate/src/source.rs
+++ b/crates/gate/src/source.rs
@@ -28,6 +28,10 @@
 /// Time after its receipt for which a peer's view is used, and time after its last read for which a
 /// gateway counts as watching the store.
 const VIEW_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Classes of links from one to another that is twice as wide.
+const LINK_CLASSES_PER_DOUBLING: f64 = 8.0;
+/// Position of the class of the link in a process number, which has it in its highest bits.
+const LINK_CLASS_SHIFT: u32 = u64::BITS - u8::BITS;
 /// Number of reads whose changes are kept for peers.
 const MAX_LOG_CHUNKS: usize = 64;
 /// Largest size of the changes in a reply by datagram.
@@ -36,6 +40,14 @@
 /// thousand routes.
 pub const MAX_FETCHED_BYTES: usize = 4 << 20;
 
+/// Returns the number that identifies a run of a process on a host with this link. `random` tells
+/// runs apart. The gateways with the lowest numbers read the store, so those with wide links have
+/// lower ones: a large change is received sooner there, and sent to others sooner.
+pub fn process_number(link_mbps: f64, random: u64) -> u64 {
+    let class = (u8::MAX as f64 - LINK_CLASSES_PER_DOUBLING * link_mbps.max(1.0).log2()) as u8;
+    u64::from(class) << LINK_CLASS_SHIFT | random >> u8::BITS
+}
+
 /// Changes between two revisions, as read from the store or a peer.
 #[derive(Clone, Debug)]
 struct Chunk {
--- a/crates/gate/tests/source.rs
+++ b/crates/gate/tests/source.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use gate::{
     message::{Reply, StoreEntry, View},
-    source::{Decision, MAX_DATAGRAM_BYTES, MAX_FETCHED_BYTES, Source, Update},
+    source::{Decision, MAX_DATAGRAM_BYTES, MAX_FETCHED_BYTES, Source, Update, process_number},
 };
 use wire::time::Instant;
 
@@ -88,6 +88,24 @@
     );
 }
 
+/// Guards against large changes that are received slowly and late by the gateways which all others get
+/// them from.
+#[test]
+fn hosts_with_wide_links_read_the_store() {
+    let number = |link_mbps, random| process_number(link_mbps, random);
+    assert!(number(200.0, u64::MAX) < number(10.0, 0));
+    assert!(number(1e6, u64::MAX) < number(1_000.0, 0));
+    assert!(number(1_000.0, 1 << 8) < number(1_000.0, 2 << 8), "by chance on equal links");
+    let mut source = source();
+    for peer in 1..=4 {
+        let view = View { revision: 10, age: ms(100), reads: true };
+        let process = number(10.0, u64::from(peer));
+        source.record_view(at(900), address(peer), process, Some(view));
+    }
+    assert!(source.must_read_store(at(1_000), number(200.0, u64::MAX), Some(ms(500))));
+    assert!(!source.must_read_store(at(1_000), number(10.0, u64::MAX), Some(ms(500))));
+}
+
 /// Guards against an API key that is accepted for too long after its withdrawal: a datagram may be
 /// delayed without limit, so a reply confirms the state as of its query.
 #[test]
