Bound the time in which a large change reaches hundreds of gateways

Gateways that lack a change asked the youngest state, which is at the few that read the store, and all fetched from these at the same time. A gateway that is behind now asks any peer with a later state; one whose revision rises announces that to 8 peers at once where regular messages are more than 250 ms apart; and replies over a connection are begun only while those before them take the link for at most 200 ms, otherwise the peer asks another gateway.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -23,7 +23,10 @@
 
 use compio::runtime;
 use futures_channel::mpsc;
-use gate::{Action, Event, Machine, action, backends, event::RequestNumber, refusal::Refusal};
+use gate::{
+    Action, Event, Machine, action, backends, event::RequestNumber, refusal::Refusal,
+    uplink::Uplink,
+};
 use wire::time::Instant;
 
 use crate::{
@@ -57,6 +60,8 @@
     metrics: metrics::Metrics,
     /// Large values of the published state, which replies of peers refer to.
     values: delta::Values,
+    /// The host's link, as far as large replies to peers take it.
+    uplink: RefCell<Uplink>,
     /// Datagrams to send to peers.
     outbox: mpsc::UnboundedSender<(SocketAddr, gate::message::Datagram)>,
     /// Requests for reads of the store besides the regular ones.
@@ -66,6 +71,7 @@
 impl Gateway {
     fn new(
         machine: Machine,
+        link_mbps: f64,
         outbox: mpsc::UnboundedSender<(SocketAddr, gate::message::Datagram)>,
         store_reads: mpsc::UnboundedSender<()>,
         terminate: signal::Listener,
@@ -81,6 +87,7 @@
             stopping: Cell::default(),
             metrics,
             values: delta::Values::default(),
+            uplink: RefCell::new(Uplink::new(link_mbps)),
             outbox,
             store_reads,
         })
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -29,6 +29,8 @@
 const CONTENT_TYPE: &str = "application/msgpack";
 /// Content type of replies whose large values are compressed, for peers that accept it.
 const DELTA_CONTENT_TYPE: &str = "application/x-quincespoke-delta";
+/// Status for a peer that had better ask another gateway, since this one's link is taken.
+const BUSY_STATUS: u16 = 503;
 /// Header with the hashes of the values that a compressed reply may refer to.
 const KNOWN_VALUES: &str = "x-known-values";
 /// Size of the receive buffer; longer datagrams are truncated.
@@ -125,6 +127,9 @@
                     Ok(message::Datagram::StreamQuery(query)) => {
                         gateway.feed(Event::StreamQueryReceived(query))
                     }
+                    Ok(message::Datagram::Announcement(announcement)) => {
+                        gateway.feed(Event::AnnouncementReceived(announcement))
+                    }
                     Err(error) => tracing::warn!(event = "peer_unreadable", %from, %error),
                 }
             }
@@ -156,12 +161,13 @@
             };
             let reply = self.gateway.read(|machine| machine.reply_to_fetch(clock::now(), &query));
             let Some(reply) = reply else { return http::empty(503) };
-            match known_values {
-                Some(known) => {
-                    let encoded = self.gateway.values.encode(reply, &known);
-                    http::buffered(200, DELTA_CONTENT_TYPE, encoded)
-                }
-                None => http::buffered(200, CONTENT_TYPE, wire::frame::encode(&reply)),
+            let (content_type, encoded) = match known_values {
+                Some(known) => (DELTA_CONTENT_TYPE, self.gateway.values.encode(reply, &known)),
+                None => (CONTENT_TYPE, wire::frame::encode(&reply)),
+            };
+            match self.gateway.uplink.borrow_mut().begin(clock::now(), encoded.len()) {
+                Some(_) => http::buffered(200, content_type, encoded),
+                None => http::empty(BUSY_STATUS),
             }
         })
     }
--- a/crates/daemon/src/gateway/process.rs
+++ b/crates/daemon/src/gateway/process.rs
@@ -67,7 +67,8 @@
     let (outbox, datagrams) = mpsc::unbounded();
     let machine = Machine::new(clock::now(), build_setup(settings));
     let (store_reads, read_requests) = mpsc::unbounded();
-    let gateway = Gateway::new(machine, outbox, store_reads, terminate.clone());
+    let link_mbps = settings.resources.link_mbps;
+    let gateway = Gateway::new(machine, link_mbps, outbox, store_reads, terminate.clone());
     let host = String::from_utf8_lossy(&settings.host).into_owned();
     tracing::info!(event = "started", host, callers = %settings.callers, store = %settings.store);
     peers::start(&gateway, Rc::new(socket), datagrams);
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -110,6 +110,8 @@
     StoreRead { at: Instant, from: Option<u64>, to: u64, entries: Vec<message::StoreEntry> },
     /// The changes in a peer's reply are in force.
     Installed(source::Update),
+    /// A peer's view of the published state has changed.
+    AnnouncementReceived(message::Announcement),
     /// A peer sent a query.
     QueryReceived(message::Query),
     /// A peer replied to a query.
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod suspects;
 pub mod throttle;
 pub mod unanswered;
+pub mod uplink;
 pub mod warm_up;
 mod window;
 
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -357,11 +357,21 @@
             Event::StoreRead { at, from, to, entries } => {
                 self.is_restoring = false;
                 self.confirm(now, at);
+                let before = self.source.revision();
                 self.source.record_read(now, from, to, entries);
+                self.announce(now, before, actions);
             }
             Event::Installed(update) => {
                 self.confirm(now, update.at);
+                let before = self.source.revision();
                 self.source.record_update(update.from, update.to, update.entries);
+                self.announce(now, before, actions);
+            }
+            Event::AnnouncementReceived(announcement) => {
+                let message::Announcement { process, from, view } = announcement;
+                self.source.record_view(now, from, process, Some(view));
+                self.query_peer(now, actions);
+                return;
             }
             Event::QueryReceived(query) => self.send_reply(now, &query, actions),
             Event::ReplyReceived(reply) => self.process_reply(now, reply, actions),
--- a/crates/gate/src/machine/peering.rs
+++ b/crates/gate/src/machine/peering.rs
@@ -15,6 +15,8 @@
 const PEERS_INTERVAL: u64 = 8;
 /// Rounds between messages with the speed estimates.
 const SPEEDS_INTERVAL: u64 = 6;
+/// Time between two regular messages from which a changed view is announced before the next one.
+const MIN_ANNOUNCED_PERIOD: Duration = Duration::from_millis(250);
 /// Time between messages with suspects to one peer that may have missed earlier ones.
 const SAMPLE_PERIOD: Duration = Duration::from_secs(1);
 
@@ -103,6 +105,28 @@
         }
     }
 
+    /// Sends the view to a few peers if the revision has risen since `before`. In a small deployment
+    /// the next regular message is about as soon.
+    pub(super) fn announce(
+        &mut self,
+        now: Instant,
+        before: Option<u64>,
+        actions: &mut Vec<Action>,
+    ) {
+        let (mut targets, period) = self.peers.targets();
+        if period <= MIN_ANNOUNCED_PERIOD || self.source.revision() <= before {
+            return;
+        }
+        let view = self.source.view(now, self.lease.age(now));
+        let (Some(from), Some(view)) = (self.setup.address, view) else { return };
+        let announcement = message::Announcement { process: self.setup.process, from, view };
+        self.rng.shuffle(&mut targets);
+        for to in targets.into_iter().take(source::MAX_ANNOUNCEMENTS) {
+            let datagram = message::Datagram::Announcement(announcement);
+            actions.push(Action::Send { to, datagram });
+        }
+    }
+
     /// Sends a query for the published state to a peer, if one is due.
     pub(super) fn query_peer(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let (address, age) = (self.setup.address, self.lease.age(now));
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -26,6 +26,7 @@
     Loads(Loads),
     WarmUps(Vec<WarmUp>),
     PlainLoads(PlainLoads),
+    Announcement(Announcement),
 }
 
 /// Load of one gateway, sent to nearby gateways soon after it changed, and to all others now and
@@ -225,6 +226,15 @@
     pub reads: bool,
 }
 
+/// A view that has just changed, sent to a few peers before the next `Message`.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Announcement {
+    /// Number that identifies this run of the process.
+    pub process: u64,
+    pub from: SocketAddr,
+    pub view: View,
+}
+
 /// State of one gateway. Messages don't build on each other, so if one is lost, the receiver only
 /// uses the state of the previous one for longer. Load is in every message; state that changes
 /// slowly is only in some of them, which keeps most messages small.
--- a/crates/gate/src/source.rs
+++ b/crates/gate/src/source.rs
@@ -28,6 +28,9 @@
 /// Time after its receipt for which a peer's view is used, and time after its last read for which a
 /// gateway counts as watching the store.
 const VIEW_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Peers that are sent the view at once when the revision rises. Each of them that lacks the changes
+/// gets them from here and does the same, so that all have them within a few such steps.
+pub const MAX_ANNOUNCEMENTS: usize = 8;
 /// Classes of links from one to another that is twice as wide.
 const LINK_CLASSES_PER_DOUBLING: f64 = 8.0;
 /// Position of the class of the link in a process number, which has it in its highest bits.
@@ -233,14 +236,20 @@
         if !(is_old || is_behind) {
             return None;
         }
-        let candidates =
-            fresh.into_iter().filter(|(_, _, view)| view.revision > revision || !is_behind);
-        // The random part keeps the gateways from all querying the same peer.
-        let randomized_age =
-            |age: Duration, rng: &mut fastrand::Rng| age + QUERY_AGE.mul_f64(rng.f64() / 2.0);
-        let scored: Vec<_> =
-            candidates.map(|(peer, age, _)| (randomized_age(age, rng), peer)).collect();
-        let (_, peer) = scored.into_iter().min()?;
+        let peer = match is_behind {
+            // Those that have just got the changes are as good as those that read them.
+            true => {
+                let mut later = fresh;
+                later.retain(|(_, _, view)| view.revision > revision);
+                rng.choice(later)?.0
+            }
+            // The random part keeps the gateways from all querying the same peer.
+            false => {
+                let mut randomize = |age: Duration| age + QUERY_AGE.mul_f64(rng.f64() / 2.0);
+                let scored = fresh.into_iter().map(|(peer, age, _)| (randomize(age), peer));
+                scored.min()?.1
+            }
+        };
         self.next_query_at = now + QUERY_PERIOD;
         Some((peer, self.open_query(now, from, peer, revision, false)))
     }
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -190,6 +190,7 @@
             Datagram::Streams(reports) => Event::StreamsReceived(reports),
             Datagram::WarmUps(reports) => Event::WarmUpsReceived(reports),
             Datagram::StreamQuery(query) => Event::StreamQueryReceived(query),
+            Datagram::Announcement(announcement) => Event::AnnouncementReceived(announcement),
         });
     }
 
