Read settings for as long as they arrive, at entries and agents too

The same cause as at gateways: a response of the configuration service, of the host list and of another process had to be complete within 2 s and was begun anew otherwise. The limits now hold up to the head of a response, and the body is read as gateways read theirs, which also bounds the size of a reply.

--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -231,7 +231,7 @@
     let is_delta = content_type.is_some_and(|value| value == DELTA_CONTENT_TYPE);
     let parts = response.into_body().into_data_stream();
     let body = http::transfer(parts, MAX_REPLY_BYTES).await;
-    let body = body.map_err(|error| Error::new(Step::Receive, peer, error))?;
+    let body = body.map_err(|error| error.at(peer))?;
     let decode_error = |error: &dyn fmt::Display| Error::new(Step::Decode, peer, error);
     let reply = match is_delta {
         true => values.decode(&body).map_err(|error| decode_error(&error))?,
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -319,7 +319,7 @@
             }
         });
         let text = http::transfer(parts, MAX_RESPONSE_BYTES).await;
-        let text = text.map_err(|error| Error::new(Step::Receive, address, error))?;
+        let text = text.map_err(|error| error.at(address))?;
         self.pool.release(sender, MAX_IDLE);
         self.gateway.metrics.count_read_bytes("store", text.len());
         if text.len() >= LOGGED_RESPONSE_BYTES {
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -25,7 +25,7 @@
 
 use crate::{
     clock,
-    error::{Error, Step},
+    error::{Error, Kind, Step},
     paced::Paced,
     stream,
 };
@@ -272,6 +272,16 @@
     Broken(usize, String),
 }
 
+impl TransferError {
+    /// Returns the error of a response from `peer`.
+    pub fn at(self, peer: impl std::fmt::Display) -> Error {
+        match self {
+            TransferError::TooLarge(_) => Error::with_kind(Step::Receive, peer, Kind::TooLarge),
+            error => Error::new(Step::Receive, peer, error),
+        }
+    }
+}
+
 impl std::fmt::Display for TransferError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -8,7 +8,10 @@
 use serde::{Serialize, de::DeserializeOwned};
 use wire::{Frame, frame, grant};
 
-use crate::error::{Error, Kind, Step};
+use crate::{
+    error::{Error, Kind, Step},
+    http,
+};
 
 /// Content type of messages between processes.
 pub const CONTENT_TYPE: &str = "application/msgpack";
@@ -35,7 +38,7 @@
         Client { http, from }
     }
 
-    /// Sends a message and waits up to `limit` for the reply.
+    /// Sends a message and returns the reply. `limit` is the time up to its head.
     ///
     /// # Errors
     ///
@@ -47,15 +50,13 @@
         message: &impl Serialize,
         limit: Duration,
     ) -> Result<T, Error> {
-        let work = async {
-            let response = self.post(peer, path, frame::encode(message)).await?;
-            let bytes = response.bytes().await.map_err(|e| Error::new(Step::Receive, peer, e))?;
-            frame::decode(&bytes).map_err(|e| Error::new(Step::Decode, peer, e))
-        };
-        match time::timeout(limit, work).await {
-            Ok(result) => result,
-            Err(_) => Err(Error::with_kind(Step::Receive, peer, Kind::Timeout)),
-        }
+        let response = time::timeout(limit, self.post(peer, path, frame::encode(message))).await;
+        let response =
+            response.map_err(|_| Error::with_kind(Step::Receive, peer, Kind::Timeout))?;
+        let parts = response?.bytes_stream();
+        let bytes = http::transfer(parts, frame::MAX_MESSAGE_BYTES).await;
+        let bytes = bytes.map_err(|error| error.at(peer))?;
+        frame::decode(&bytes).map_err(|e| Error::new(Step::Decode, peer, e))
     }
 
     /// Sends a commit with the request body and returns the frames of the response.
--- a/crates/daemon/src/sources.rs
+++ b/crates/daemon/src/sources.rs
@@ -3,16 +3,18 @@
 use std::time::Duration;
 
 use base64::{Engine, engine::general_purpose::STANDARD};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use compio::time;
-use futures_util::StreamExt;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use wire::sync;
 
-use crate::error::{Error, Kind, Step};
+use crate::{
+    error::{Error, Kind, Step},
+    http,
+};
 
-/// Timeout of a read that does not wait for a change.
+/// Time for the head of the response to a read that does not wait for a change.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 /// Upper bound of one response, which can contain the whole tree in base64.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
@@ -75,9 +77,7 @@
             url.push_str(&format!("&index={index}&wait={}ms", wait.as_millis()));
             limit += wait;
         }
-        let (bytes, index) = time::timeout(limit, self.get(&url))
-            .await
-            .map_err(|_| Error::with_kind(Step::Receive, &url, Kind::Timeout))??;
+        let (bytes, index) = self.get(&url, limit).await?;
         let pairs: Vec<Pair> =
             serde_json::from_slice(&bytes).map_err(|e| Error::new(Step::Decode, &url, e))?;
         let branches = pairs
@@ -94,9 +94,7 @@
     ///
     /// Returns an error with the step and the URL.
     pub async fn read_hosts(&self) -> Result<(u64, Bytes), Error> {
-        let (bytes, _) = time::timeout(READ_TIMEOUT, self.get(&self.hosts_url))
-            .await
-            .map_err(|_| Error::with_kind(Step::Receive, &self.hosts_url, Kind::Timeout))??;
+        let (bytes, _) = self.get(&self.hosts_url, READ_TIMEOUT).await?;
         let decode = |e| Error::new(Step::Decode, &self.hosts_url, e);
         let list: List<'_> = serde_json::from_slice(&bytes).map_err(decode)?;
         Ok((list.revision, Bytes::copy_from_slice(list.hosts.get().as_bytes())))
@@ -112,10 +110,13 @@
         })
     }
 
-    /// Returns the body and the value of Consul's index header, or 0 without the header.
-    async fn get(&self, url: &str) -> Result<(Bytes, u64), Error> {
+    /// Returns the body and the value of Consul's index header, or 0 without the header. `limit` is the
+    /// time up to the head of the response.
+    async fn get(&self, url: &str, limit: Duration) -> Result<(Bytes, u64), Error> {
         let send = |e: cyper::Error| Error::new(Step::Send, url, e);
-        let response = self.http.get(url).map_err(send)?.send().await.map_err(send)?;
+        let response = time::timeout(limit, self.http.get(url).map_err(send)?.send()).await;
+        let response = response.map_err(|_| Error::with_kind(Step::Receive, url, Kind::Timeout))?;
+        let response = response.map_err(send)?;
         let status = response.status().as_u16();
         let index = response
             .headers()
@@ -128,15 +129,7 @@
             404 if index > 0 => return Ok((Bytes::from_static(b"[]"), index)),
             _ => return Err(Error::with_kind(Step::Receive, url, Kind::Status(status))),
         }
-        let mut received = BytesMut::new();
-        let mut parts = response.bytes_stream();
-        while let Some(part) = parts.next().await {
-            let part = part.map_err(|e| Error::new(Step::Receive, url, e))?;
-            if received.len() + part.len() > MAX_RESPONSE_BYTES {
-                return Err(Error::with_kind(Step::Receive, url, Kind::TooLarge));
-            }
-            received.extend_from_slice(&part);
-        }
-        Ok((received.freeze(), index))
+        let body = http::transfer(response.bytes_stream(), MAX_RESPONSE_BYTES).await;
+        Ok((body.map_err(|error| error.at(url))?, index))
     }
 }
