State in the settings what memory and descriptors a process may use

[host] memory_mb and descriptors, filled in from the limits of the host. So far they are only logged, and gateways report their resident memory as a metric.

--- a/crates/conf/src/gateway.rs
+++ b/crates/conf/src/gateway.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 
-use crate::{check, document, process, section};
+use crate::{check, document, process, resources, section};
 
 /// Value of `[process] role` in a gateway's settings.
 pub const ROLE: &str = "gateway";
@@ -18,6 +18,8 @@
 /// Quantile of the response times after which a request is hedged, if none is set. Hedges after the
 /// 95th percentile are the published practice (Dean and Barroso, The Tail at Scale, 2013).
 const DEFAULT_QUANTILE: f64 = 0.95;
+/// Width of the host's link if none is set.
+const DEFAULT_LINK_MBPS: f64 = 100.0;
 
 /// Settings of one gateway.
 #[derive(Clone, Debug, PartialEq)]
@@ -41,27 +43,16 @@
     /// `[seeds] hosts`: hosts of other gateways; their ports are not used.
     pub seeds: Vec<SocketAddr>,
     pub bounds: Bounds,
-    /// `[host]`: what the host bears.
-    pub resources: Resources,
+    /// `[host] link_mbps`: megabits a second of the host's link.
+    pub link_mbps: f64,
+    /// `[host]`: what the process may use.
+    pub resources: resources::Resources,
     /// `[hedging]`: hedges of slow responses; `None` if they are off.
     pub hedging: Option<Hedging>,
     /// `[log] level`: error, warn, info, debug or trace.
     pub log_level: String,
 }
 
-/// Resources of the host.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Resources {
-    /// `[host] link_mbps`: megabits a second of its link.
-    pub link_mbps: f64,
-}
-
-impl Default for Resources {
-    fn default() -> Resources {
-        Resources { link_mbps: 100.0 }
-    }
-}
-
 /// Bounds that a deployment sets.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -149,7 +140,8 @@
     store: Option<SocketAddr>,
     seeds: Vec<SocketAddr>,
     bounds: Option<Bounds>,
-    resources: Resources,
+    link_mbps: Option<f64>,
+    resources: resources::Resources,
     hedging: Option<Hedging>,
     log_level: Option<String>,
 }
@@ -198,7 +190,12 @@
                 self.seeds = seeds.unwrap_or_default();
             }
             "bounds" => self.bounds = Some(Bounds::read(&mut reader)),
-            "host" => self.resources = Resources::read(&mut reader),
+            resources::SECTION => {
+                let link_mbps =
+                    reader.decimal("link_mbps", DEFAULT_LINK_MBPS, 1..=1_000_000, "Mbit/s");
+                self.link_mbps = Some(link_mbps);
+                self.resources = resources::Resources::read(&mut reader);
+            }
             "hedging" => self.hedging = Hedging::read(&mut reader),
             "log" => {
                 self.log_level = reader.optional("level", process::LEVEL, process::parse_level);
@@ -224,6 +221,7 @@
             store: self.store?,
             seeds: self.seeds,
             bounds: self.bounds.unwrap_or_default(),
+            link_mbps: self.link_mbps.unwrap_or(DEFAULT_LINK_MBPS),
             resources: self.resources,
             hedging: self.hedging,
             log_level: self.log_level.unwrap_or_else(|| "info".to_owned()),
@@ -231,15 +229,6 @@
     }
 }
 
-impl Resources {
-    fn read(reader: &mut section::Reader<'_>) -> Resources {
-        let default = Resources::default();
-        Resources {
-            link_mbps: reader.decimal("link_mbps", default.link_mbps, 1..=1_000_000, "Mbit/s"),
-        }
-    }
-}
-
 impl Bounds {
     /// Reads the bounds, which a deployment may state as decimal numbers.
     fn read(reader: &mut section::Reader<'_>) -> Bounds {
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod gateway;
 mod merge;
 pub mod process;
+pub mod resources;
 pub mod route;
 mod section;
 pub mod tree;
--- a/crates/conf/src/process.rs
+++ b/crates/conf/src/process.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use wire::host;
 
-use crate::{check, document, section};
+use crate::{check, document, resources, section};
 
 /// Most seeds of one process.
 const MAX_SEEDS: usize = 64;
@@ -48,6 +48,8 @@
     /// `[agent] backend`: address of the backend server; required for an agent, not allowed for an
     /// entry.
     pub backend: Option<SocketAddr>,
+    /// `[host]`: what the process may use.
+    pub resources: resources::Resources,
     /// `[metrics] statsd`: address that receives metrics, none if not set.
     pub statsd: Option<SocketAddr>,
     /// `[log] level`: error, warn, info, debug or trace.
@@ -92,6 +94,7 @@
     seeds: Vec<SocketAddr>,
     pool: Option<Bytes>,
     backend: Option<SocketAddr>,
+    resources: resources::Resources,
     statsd: Option<SocketAddr>,
     log_level: Option<String>,
     has_callers_key: bool,
@@ -123,10 +126,13 @@
                 self.pool = reader.name("pool");
                 self.backend = reader.address("backend");
             }
+            resources::SECTION => {
+                self.resources = resources::Resources::read(&mut reader);
+            }
             "metrics" => self.statsd = reader.optional_address("statsd"),
             "log" => self.log_level = reader.optional("level", LEVEL, parse_level),
             _ => {
-                let allowed = "process, listen, platform, seeds, agent, metrics or log";
+                let allowed = "process, listen, platform, seeds, agent, host, metrics or log";
                 report.add(&section.header, "", "", allowed);
                 return;
             }
@@ -187,6 +193,7 @@
             seeds: self.seeds,
             pool: self.pool.unwrap_or_default(),
             backend: self.backend,
+            resources: self.resources,
             statsd: self.statsd,
             log_level: self.log_level.unwrap_or_else(|| "info".to_owned()),
         })
--- a/crates/conf/tests/gateway.rs
+++ b/crates/conf/tests/gateway.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use conf::gateway::{self, Hedging, Resources, WarmUpBounds};
+use conf::{
+    gateway::{self, Hedging, WarmUpBounds},
+    resources::Resources,
+};
 
 const SETTINGS: &str = "
 [process]
@@ -43,15 +46,26 @@
 #[test]
 fn the_link_of_the_host_is_a_number() {
     let parse = |host: &str| gateway::parse("f", &format!("{SETTINGS}{host}"));
-    assert_eq!(parse("").expect("valid settings").resources, Resources::default());
-    let settings = parse("[host]\nlink_mbps = 10.0\n").expect("valid settings");
-    assert_eq!(settings.resources.link_mbps, 10.0);
+    assert_eq!(parse("").expect("valid settings").link_mbps, 100.0);
+    assert_eq!(parse("[host]\nlink_mbps = 10.0\n").expect("valid settings").link_mbps, 10.0);
     for wrong in ["0", "-1", "wide", "inf", ""] {
         let errors = parse(&format!("[host]\nlink_mbps = {wrong}\n")).expect_err(wrong);
         assert_eq!(errors.len(), 1, "{wrong}: {errors:?}");
     }
 }
 
+/// Guards against a process that takes more than its host gives it, since that is read wrongly.
+#[test]
+fn resources_are_those_of_the_host_unless_they_are_set() {
+    let parse = |host: &str| gateway::parse("f", &format!("{SETTINGS}{host}"));
+    let resources = |host: &str| parse(host).expect(host).resources;
+    assert_eq!(resources(""), Resources::default());
+    let set = Resources { memory: Some(112_000_000), descriptors: Some(2_870) };
+    assert_eq!(resources("[host]\nmemory_mb = 112\ndescriptors = 2870\n"), set);
+    let errors = parse("[host]\nmemory_mb = 0\ndescriptors = many\n").expect_err("no sizes");
+    assert_eq!(errors.len(), 2, "{errors:?}");
+}
+
 /// Guards against a bound on warm-ups that is in force with half of its settings, or is missed.
 #[test]
 fn the_bound_on_warm_ups_has_both_settings_or_none() {
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -10,7 +10,7 @@
 };
 use wire::time::Instant;
 
-use crate::log;
+use crate::{log, usage};
 
 /// Upper bounds of the histogram buckets, in seconds. They cover the latency objectives, which
 /// lie between 0.15 and 1.1 s, and extend to the longest deadlines.
@@ -58,6 +58,7 @@
     revision: Gauge,
     era: Gauge,
     outdated: Gauge,
+    memory: Gauge,
     gateways: Gauge,
     store_calls: Counter,
     read_bytes: Family<Origin, Counter>,
@@ -91,6 +92,7 @@
             revision: Gauge::default(),
             era: Gauge::default(),
             outdated: Gauge::default(),
+            memory: Gauge::default(),
             gateways: Gauge::default(),
             store_calls: Counter::default(),
             read_bytes: Family::default(),
@@ -134,6 +136,8 @@
         registry.register("era", era, self.era.clone());
         let outdated = "Whether the state is too old to send calls by it";
         registry.register("outdated", outdated, self.outdated.clone());
+        let memory = "Resident memory of the process";
+        registry.register_with_unit("memory", memory, Unit::Bytes, self.memory.clone());
         registry.register("gateways", "Gateways that may serve callers", self.gateways.clone());
         registry.register("store_calls", "Calls of the store", self.store_calls.clone());
         let help = "Bytes of the published state that were read, by where from";
@@ -241,6 +245,7 @@
         let revision = machine.revision().map(Revision::from_ordinal);
         self.revision.set(revision.map_or(-1, |revision| revision.number as i64));
         self.era.set(revision.map_or(-1, |revision| revision.era as i64));
+        self.memory.set(usage::resident_bytes().map_or(-1, |bytes| bytes as i64));
         self.outdated.set(machine.is_outdated().into());
         self.gateways.set(machine.gateways(now) as i64);
         let (suspects, quarantined) = machine.suspects().counts(now);
--- a/crates/daemon/src/gateway/process.rs
+++ b/crates/daemon/src/gateway/process.rs
@@ -67,10 +67,16 @@
     let (outbox, datagrams) = mpsc::unbounded();
     let machine = Machine::new(clock::now(), build_setup(settings));
     let (store_reads, read_requests) = mpsc::unbounded();
-    let link_mbps = settings.resources.link_mbps;
-    let gateway = Gateway::new(machine, link_mbps, outbox, store_reads, terminate.clone());
+    let gateway = Gateway::new(machine, settings.link_mbps, outbox, store_reads, terminate.clone());
     let host = String::from_utf8_lossy(&settings.host).into_owned();
-    tracing::info!(event = "started", host, callers = %settings.callers, store = %settings.store);
+    tracing::info!(
+        event = "started",
+        host,
+        callers = %settings.callers,
+        store = %settings.store,
+        memory_bytes = settings.resources.memory,
+        descriptors = settings.resources.descriptors,
+    );
     peers::start(&gateway, Rc::new(socket), datagrams);
     let query_handler = Rc::new(peers::QueryHandler { gateway: gateway.clone() });
     runtime::spawn(Rc::new(http::Server::default()).serve(peers, query_handler)).detach();
@@ -114,7 +120,7 @@
 fn build_setup(settings: &gateway::Settings) -> Setup {
     let port = settings.peers.port();
     Setup {
-        process: source::process_number(settings.resources.link_mbps, fastrand::u64(..)),
+        process: source::process_number(settings.link_mbps, fastrand::u64(..)),
         address: Some(settings.peers),
         availability_zone: settings.availability_zone.clone(),
         seeds: settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port)).collect(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -27,5 +27,6 @@
 pub mod sources;
 pub mod stream;
 pub mod trace;
+pub mod usage;
 
 pub use error::Error;
