--- a/crates/daemon/tests/cluster/mod.rs
+++ b/crates/daemon/tests/cluster/mod.rs
@@ -102,6 +102,8 @@
     pub entries: Vec<Daemon>,
     pub agents: Vec<Daemon>,
     pub client: cyper::Client,
+    /// Section of the settings with the resources of processes that are started from now on.
+    pub resources: &'static str,
 }
 
 pub fn loopback() -> SocketAddr {
@@ -151,6 +153,7 @@
             entries: Vec::new(),
             agents: Vec::new(),
             client: cyper::Client::builder().no_proxy().build().expect("client without TLS"),
+            resources: "",
         };
         cluster.start_backends(engines, services);
         cluster.publish_hosts(&[]);
@@ -225,6 +228,13 @@
         self.agents[index] = self.spawn_agent(index, peers);
     }
 
+    /// Kills an entry and starts a new process without its state at other addresses.
+    pub fn replace_entry(&mut self, index: usize) {
+        let _ = self.entries[index].child.kill();
+        let _ = self.entries[index].child.wait();
+        self.entries[index] = self.spawn_entry(index);
+    }
+
     /// Starts an entry process.
     pub fn spawn_entry(&self, index: usize) -> Daemon {
         let callers = address::find_free();
@@ -252,10 +262,11 @@
             "[process]\nrole = {role}\nhost = {host}\navailability_zone = {zone}\n\
              [listen]\n{}peers = {peers}\noperators = {operators}\n\
              [platform]\nconfiguration = http://{}\nhosts = http://{}/hosts\n\
-             {seeds}{section}[log]\nlevel = debug\n",
+             {seeds}{section}{}[log]\nlevel = debug\n",
             callers_line.unwrap_or_default(),
             self.configuration_address,
             self.hosts_address,
+            self.resources,
         );
         let settings = self.directory.join(format!("{host}.ini"));
         fs::write(&settings, text).expect("the temporary directory is writable");
--- a/crates/stand/src/service.rs
+++ b/crates/stand/src/service.rs
@@ -19,6 +19,10 @@
     port::{Controller, Port},
 };
 
+/// Path whose responses are large, and the size of what fills them, in bytes.
+const LARGE_PATH: &str = "/bids/large";
+const LARGE_BYTES: usize = 1_000_000;
+
 /// Settings of the service.
 #[derive(Clone, Debug, Default)]
 pub struct Settings {
@@ -149,6 +153,7 @@
         "method": request.method.as_str(),
         "path": request.path,
         "body_hash": format!("{body_hash:016x}"),
+        "filler": if request.path == LARGE_PATH { "x".repeat(LARGE_BYTES) } else { String::new() },
     });
     Ok(add_instance_header(shared, http::json(&result)))
 }
