--- a/crates/daemon/tests/delta.rs
+++ b/crates/daemon/tests/delta.rs
@@ -28,7 +28,7 @@
 }
 
 fn entry(value: impl Into<Bytes>) -> StoreEntry {
-    StoreEntry { key: "op/config".into(), value: value.into(), deleted: false }
+    StoreEntry { key: "configuration".into(), value: value.into(), deleted: false }
 }
 
 fn stored(text: &str) -> StoreEntry {
