Let all callers of a process share a budget of memory and connections

What callers saw: a process that ran out of memory was killed, and with it the requests of all its callers. Clients had sent many large bodies at once and stopped short of their end. Cause: each request and connection had a limit, and their number had none that the host could bear (20,000 connections). Bodies, heads, responses that nobody reads and the queue were all kept in full. A process now counts what callers take, at all addresses at which it listens, against a budget that follows from [host] memory_mb and descriptors.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -17,6 +17,7 @@
 use xxhash_rust::xxh3;
 
 use crate::{
+    caller::{Buffer, Caller},
     chat, clock,
     http::{self, BodyError},
     refusal,
@@ -67,8 +68,9 @@
     fn handle(
         self: Rc<Self>,
         request: Request<body::Incoming>,
+        caller: Caller,
     ) -> LocalBoxFuture<'static, Response<http::Body>> {
-        Box::pin(async move { self.respond(request).await })
+        Box::pin(async move { self.respond(request, caller).await })
     }
 }
 
@@ -78,11 +80,15 @@
         Rc::new(Callers { entry })
     }
 
-    async fn respond(&self, request: Request<body::Incoming>) -> Response<http::Body> {
+    async fn respond(
+        &self,
+        request: Request<body::Incoming>,
+        caller: Caller,
+    ) -> Response<http::Body> {
         match (request.method(), request.uri().path()) {
             (&Method::GET, HEALTH_PATH) => http::empty(self.health()),
             (&Method::POST, KEY_PATH) => self.handle_key_request(&request).await,
-            _ => match self.handle_request(request).await {
+            _ => match self.handle_request(request, caller).await {
                 Ok(response) => response,
                 Err(refusal) => refusal::response(&refusal, ""),
             },
@@ -126,12 +132,14 @@
     async fn handle_request(
         &self,
         request: Request<body::Incoming>,
+        connection: Caller,
     ) -> Result<Response<http::Body>, Refusal> {
         let (parts, unread_body) = request.into_parts();
         let limit = self.body_limit(parts.uri.path());
-        let body = http::read_body(unread_body, limit).await.map_err(|error| {
+        let body = http::read_body(unread_body, limit, &connection).await.map_err(|error| {
             self.refuse(match error {
                 BodyError::TooLarge => Reason::TooLarge,
+                BodyError::NoMemory => Reason::Overload,
                 BodyError::Timeout | BodyError::Broken => Reason::BadRequest,
             })
         })?;
@@ -154,8 +162,8 @@
             self.entry.open_request(body, |caller| entry::IncomingRequest { caller, ..incoming });
         let guard = Guard { entry: self.entry.clone(), caller };
         Ok(match stream {
-            true => self.respond_streamed(response_parts, guard, timing).await,
-            false => self.respond_buffered(response_parts, guard, timing).await,
+            true => self.respond_streamed(response_parts, guard, timing, connection).await,
+            false => self.respond_buffered(response_parts, guard, timing, connection).await,
         })
     }
 
@@ -238,9 +246,10 @@
         mut response_parts: mpsc::UnboundedReceiver<ResponsePart>,
         guard: Guard,
         timing: Timing,
+        connection: Caller,
     ) -> Response<http::Body> {
         let mut head = None;
-        let mut buffered = Vec::new();
+        let mut buffered = Buffer::new(connection);
         while let Some(part) = response_parts.next().await {
             match part {
                 ResponsePart::Start { request, status, content_type } => {
@@ -250,13 +259,17 @@
                 ResponsePart::Data(bytes) if buffered.len() + bytes.len() > MAX_BUFFERED_BYTES => {
                     break;
                 }
-                ResponsePart::Data(bytes) => buffered.extend_from_slice(&bytes),
+                ResponsePart::Data(bytes) => {
+                    if buffered.extend(&bytes, MAX_BUFFERED_BYTES).is_err() {
+                        break;
+                    }
+                }
                 ResponsePart::Finish => {
                     let Some((request, status, content_type)) = head else { break };
                     self.record("total_ms", &timing);
                     drop(guard);
                     let content_type = String::from_utf8_lossy(&content_type);
-                    let response = http::buffered(status, &content_type, buffered.into());
+                    let response = http::buffered(status, &content_type, buffered.into_response());
                     return with_request_id(response, request);
                 }
                 ResponsePart::Refuse { request, refusal } => {
@@ -278,11 +291,12 @@
         mut response_parts: mpsc::UnboundedReceiver<ResponsePart>,
         guard: Guard,
         timing: Timing,
+        connection: Caller,
     ) -> Response<http::Body> {
         match response_parts.next().await {
             Some(ResponsePart::Start { request, status, content_type }) => {
                 self.record("first_token_ms", &timing);
-                let (sender, receiver) = stream::channel();
+                let (sender, receiver) = stream::channel(Some(connection));
                 let entry = self.entry.clone();
                 let caller = guard.caller;
                 let copier = copy_parts(response_parts, sender, entry, timing, (caller, request));
--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -6,12 +6,13 @@
     action::Dispatch,
     event::{AttemptResult, RequestNumber},
 };
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::Response;
+use http_body_util::BodyExt;
+use hyper::{Response, body};
 use platform::message;
 use wire::time::Instant;
 
 use crate::{
+    caller::{Buffer, Caller},
     framing::Framing,
     gateway::{
         exchange::{self, UnreadResponse},
@@ -84,10 +85,14 @@
 /// # Errors
 ///
 /// Returns why there is no answer.
-pub async fn receive(reporter: Reporter, mut offer: Offer) -> Result<Content, Failure> {
+pub async fn receive(
+    reporter: Reporter,
+    mut offer: Offer,
+    caller: Caller,
+) -> Result<Content, Failure> {
     let result = offer.response().await;
     match reporter.classify(&offer.dispatch, result, &offer.pool) {
-        Ok(unread) => read(&offer.dispatch, *unread).await,
+        Ok(unread) => read(&offer.dispatch, *unread, &caller).await,
         Err(event) => Err(Failure { cause: Cause::Event(event), response: None, stream_end: None }),
     }
 }
@@ -97,29 +102,25 @@
 /// # Errors
 ///
 /// Returns why there is no answer.
-pub async fn read(dispatch: &Dispatch, unread: UnreadResponse) -> Result<Content, Failure> {
+pub async fn read(
+    dispatch: &Dispatch,
+    unread: UnreadResponse,
+    caller: &Caller,
+) -> Result<Content, Failure> {
     let is_stream =
         dispatch.stream && unread.head.status.is_success() && relay::is_event_stream(&unread.head);
     if !is_stream {
-        return read_whole(unread).await;
+        return read_whole(unread, caller).await;
     }
-    let started = relay::start_stream(unread).await;
+    let started = relay::start_stream(unread, caller).await;
     let failure = |(result, stream_end)| Failure { stream_end, ..Failure::new(result) };
     started.map(|started| Content::Stream(Box::new(started))).map_err(failure)
 }
 
 /// Reads a response completely before any of it is forwarded.
-async fn read_whole(unread: UnreadResponse) -> Result<Content, Failure> {
+async fn read_whole(unread: UnreadResponse, caller: &Caller) -> Result<Content, Failure> {
     let UnreadResponse { head, framing, body, sender, pool } = unread;
-    let read = Limited::new(body, MAX_BUFFERED_BYTES).collect().await;
-    let bytes: Bytes = match read {
-        Ok(body) => body.to_bytes(),
-        Err(error) => {
-            let is_too_large = error.is::<LengthLimitError>();
-            let result = if is_too_large { AttemptResult::Invalid } else { AttemptResult::Broken };
-            return Err(Failure::new(result));
-        }
-    };
+    let bytes = collect(body, caller).await.map_err(Failure::new)?;
     pool.release(sender, exchange::idle_time(&head.headers));
     let mut response = http::buffered(head.status.as_u16(), "", bytes);
     *response.headers_mut() = message::build_response_headers(&head.headers);
@@ -128,3 +129,20 @@
     }
     Ok(Content::Whole(response, framing))
 }
+
+/// Collects the body of a response.
+///
+/// # Errors
+///
+/// Returns the result of a response that is not complete, or too large.
+async fn collect(mut body: body::Incoming, caller: &Caller) -> Result<Bytes, AttemptResult> {
+    let mut received = Buffer::new(caller.clone());
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| AttemptResult::Broken)?.into_data() else { continue };
+        if received.len() + data.len() > MAX_BUFFERED_BYTES {
+            return Err(AttemptResult::Invalid);
+        }
+        received.extend(&data, MAX_BUFFERED_BYTES).map_err(|_| AttemptResult::Discarded)?;
+    }
+    Ok(received.into_response())
+}
--- a/crates/daemon/src/gateway/events.rs
+++ b/crates/daemon/src/gateway/events.rs
@@ -6,6 +6,11 @@
 use platform::message;
 use wire::event_stream::Scanner;
 
+use crate::{budget::Full, caller::Caller};
+
+/// Unit in which memory for an incomplete event is taken, in bytes.
+const TAKEN_BYTES: usize = 4 << 10;
+
 /// Buffers the bytes of an incomplete event, so that an interrupted stream can be resumed at
 /// another backend server after the last complete event.
 #[derive(Debug, Default)]
@@ -13,6 +18,8 @@
     scanner: Scanner,
     partial: BytesMut,
     last_id: Option<Bytes>,
+    /// Bytes that are taken for the incomplete event.
+    taken: usize,
 }
 
 /// Events that were completed by some bytes.
@@ -39,6 +46,21 @@
         Completed { bytes, count: scanned.events }
     }
 
+    /// Takes the bytes of the incomplete event for the caller, or gives those of the last one back.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no room for them.
+    pub fn settle(&mut self, caller: &Caller) -> Result<(), Full> {
+        let needed = self.partial.len().next_multiple_of(TAKEN_BYTES);
+        match needed.checked_sub(self.taken) {
+            Some(more) => caller.take(more)?,
+            None => caller.give_back(self.taken - needed),
+        }
+        self.taken = needed;
+        Ok(())
+    }
+
     /// Returns whether a stream that ends now ends inside an event.
     pub fn is_inside_event(&self) -> bool {
         self.scanner.is_inside_event()
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -28,6 +28,7 @@
 
 use self::hedging::Hedge;
 use crate::{
+    caller::Caller,
     clock,
     connection::{Pool, Sender},
     framing::Framing,
@@ -59,6 +60,7 @@
     /// request afterwards.
     failure: Option<Response<http::Body>>,
     hedge: Hedge,
+    caller: Caller,
 }
 
 impl Drop for Exchange {
@@ -101,6 +103,7 @@
         parts: request::Parts,
         body: Bytes,
         request: GatewayRequest,
+        caller: Caller,
     ) -> Exchange {
         gateway.begin_requested_stop();
         let (number, instructions) = gateway.open_request();
@@ -109,7 +112,7 @@
         gateway.feed(Event::Arrived { number, request });
         let reporter = Reporter { gateway, number, id, is_second: false };
         let (failure, hedge) = (None, Hedge::Off);
-        Exchange { reporter, instructions, parts, body, resumes, failure, hedge }
+        Exchange { reporter, instructions, parts, body, resumes, failure, hedge, caller }
     }
 
     /// Carries out the machine's instructions and returns the response for the caller.
@@ -161,7 +164,8 @@
             attempt => return Err(attempt),
         };
         let mut failover = dispatch.failover_timeout.map(Failover::new);
-        let read = answer::read(&dispatch, unread);
+        let caller = self.caller.clone();
+        let read = answer::read(&dispatch, unread, &caller);
         let result = self.wait(&dispatch, None, failover.as_mut(), read).await?;
         self.accept(dispatch, sent_at, result)
     }
@@ -309,6 +313,11 @@
         failure
     }
 
+    /// Returns the caller's connection.
+    pub fn caller(&self) -> &Caller {
+        &self.caller
+    }
+
     /// Returns the gateway's metrics.
     pub fn metrics(&self) -> &Metrics {
         &self.reporter.gateway.metrics
--- a/crates/daemon/src/gateway/exchange/hedging.rs
+++ b/crates/daemon/src/gateway/exchange/hedging.rs
@@ -118,7 +118,7 @@
         let reporter = Reporter { is_second: true, ..self.reporter.clone() };
         let offer = self.offer(dispatch.clone(), None);
         let (sent_at, is_sent) = (offer.sent_at, offer.sent_flag());
-        let answer = answer::receive(reporter.clone(), offer).boxed_local();
+        let answer = answer::receive(reporter.clone(), offer, self.caller.clone()).boxed_local();
         Race { dispatch, sent_at, reporter, answer, is_sent, overlap_end }
     }
 
--- a/crates/daemon/src/gateway/exchange/lines.rs
+++ b/crates/daemon/src/gateway/exchange/lines.rs
@@ -96,6 +96,7 @@
             Event::DoubtfulRejection { .. } => "doubtful",
             Event::Ended { result: AttemptResult::Broken, .. } => "broken",
             Event::Ended { result: AttemptResult::Invalid, .. } => "invalid",
+            Event::Ended { result: AttemptResult::Discarded, .. } => "discarded",
             Event::Ended { .. } => "failed",
             _ => "other",
         };
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -10,7 +10,7 @@
 };
 use wire::time::Instant;
 
-use crate::{log, usage};
+use crate::{caller, log, usage};
 
 /// Upper bounds of the histogram buckets, in seconds. They cover the latency objectives, which
 /// lie between 0.15 and 1.1 s, and extend to the longest deadlines.
@@ -59,6 +59,9 @@
     era: Gauge,
     outdated: Gauge,
     memory: Gauge,
+    callers_memory: Gauge,
+    connections: Gauge,
+    crowded_out: Family<Outcome, Counter>,
     gateways: Gauge,
     store_calls: Counter,
     read_bytes: Family<Origin, Counter>,
@@ -93,6 +96,9 @@
             era: Gauge::default(),
             outdated: Gauge::default(),
             memory: Gauge::default(),
+            callers_memory: Gauge::default(),
+            connections: Gauge::default(),
+            crowded_out: Family::default(),
             gateways: Gauge::default(),
             store_calls: Counter::default(),
             read_bytes: Family::default(),
@@ -138,6 +144,12 @@
         registry.register("outdated", outdated, self.outdated.clone());
         let memory = "Resident memory of the process";
         registry.register_with_unit("memory", memory, Unit::Bytes, self.memory.clone());
+        let memory = "Memory that callers take of their budget";
+        let unit = Unit::Bytes;
+        registry.register_with_unit("callers_memory", memory, unit, self.callers_memory.clone());
+        registry.register("connections", "Connections of callers", self.connections.clone());
+        let help = "Connections closed for others, and requests and connections without room";
+        registry.register("crowded_out", help, self.crowded_out.clone());
         registry.register("gateways", "Gateways that may serve callers", self.gateways.clone());
         registry.register("store_calls", "Calls of the store", self.store_calls.clone());
         let help = "Bytes of the published state that were read, by where from";
@@ -234,6 +246,20 @@
         labels
     }
 
+    /// Records what callers take.
+    pub fn record_callers(&self, callers: &caller::Registry) {
+        let (bytes, connections) = callers.usage();
+        self.callers_memory.set(bytes as i64);
+        self.connections.set(connections as i64);
+        let counts = callers.counts();
+        let set = |outcome, count| {
+            let counter = self.crowded_out.get_or_create(&Outcome { outcome });
+            counter.inner().store(count, Ordering::Relaxed);
+        };
+        set("closed", counts.closed);
+        set("refused", counts.refused);
+    }
+
     /// Returns all metrics as text.
     ///
     /// # Errors
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 use wire::time::Instant;
 
 use crate::{
+    caller,
     connection::Pool,
     driver::{Driver, Execute},
     signal,
@@ -55,6 +56,7 @@
     requests: RefCell<HashMap<RequestNumber, mpsc::UnboundedSender<Instruction>>>,
     pools: RefCell<HashMap<backends::Key, Pool>>,
     last_number: Cell<RequestNumber>,
+    registry: Rc<caller::Registry>,
     terminate: signal::Listener,
     stopping: Cell<bool>,
     metrics: metrics::Metrics,
@@ -71,6 +73,7 @@
 impl Gateway {
     fn new(
         machine: Machine,
+        registry: Rc<caller::Registry>,
         link_mbps: f64,
         outbox: mpsc::UnboundedSender<(SocketAddr, gate::message::Datagram)>,
         store_reads: mpsc::UnboundedSender<()>,
@@ -83,6 +86,7 @@
             requests: RefCell::default(),
             pools: RefCell::default(),
             last_number: Cell::default(),
+            registry,
             terminate,
             stopping: Cell::default(),
             metrics,
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -10,6 +10,7 @@
 use hyper::{HeaderMap, Request, Response, body, header};
 
 use crate::{
+    caller::Caller,
     clock,
     connection::Pool,
     error::{Error, Kind, Step},
@@ -150,10 +151,12 @@
     fn handle(
         self: Rc<Self>,
         request: Request<body::Incoming>,
+        caller: Caller,
     ) -> LocalBoxFuture<'static, Response<http::Body>> {
         Box::pin(async move {
             let known_values = parse_known_values(request.headers());
-            let Ok(body) = http::read_body(request.into_body(), MAX_QUERY_BYTES).await else {
+            let Ok(body) = http::read_body(request.into_body(), MAX_QUERY_BYTES, &caller).await
+            else {
                 return http::empty(400);
             };
             let Ok(query) = wire::frame::decode::<message::Query>(&body) else {
--- a/crates/daemon/src/gateway/process.rs
+++ b/crates/daemon/src/gateway/process.rs
@@ -22,6 +22,7 @@
 use wire::time::Instant;
 
 use crate::{
+    caller::{self, Caller},
     clock,
     error::{Error, Step},
     gateway::{Gateway, peers, requests::RequestHandler, store},
@@ -67,7 +68,15 @@
     let (outbox, datagrams) = mpsc::unbounded();
     let machine = Machine::new(clock::now(), build_setup(settings));
     let (store_reads, read_requests) = mpsc::unbounded();
-    let gateway = Gateway::new(machine, settings.link_mbps, outbox, store_reads, terminate.clone());
+    let registry = caller::Registry::new(settings.resources);
+    let gateway = Gateway::new(
+        machine,
+        registry.clone(),
+        settings.link_mbps,
+        outbox,
+        store_reads,
+        terminate.clone(),
+    );
     let host = String::from_utf8_lossy(&settings.host).into_owned();
     tracing::info!(
         event = "started",
@@ -79,17 +88,17 @@
     );
     peers::start(&gateway, Rc::new(socket), datagrams);
     let query_handler = Rc::new(peers::QueryHandler { gateway: gateway.clone() });
-    runtime::spawn(Rc::new(http::Server::default()).serve(peers, query_handler)).detach();
+    runtime::spawn(http::Server::new(&registry).serve(peers, query_handler)).detach();
     runtime::spawn(store::follow(gateway.clone(), settings.store)).detach();
     let on_demand = store::read_on_demand(gateway.clone(), settings.store, read_requests);
     runtime::spawn(on_demand).detach();
-    let internal_server = Rc::new(http::Server::default());
+    let internal_server = http::Server::new(&registry);
     let handler = Rc::new(ReadinessHandler { gateway: gateway.clone() });
     runtime::spawn(internal_server.clone().serve(readiness, handler.clone())).detach();
     let handler = Rc::new(MetricsHandler { gateway: gateway.clone() });
     runtime::spawn(internal_server.serve(operators, handler)).detach();
     runtime::spawn(report_dropped_lines()).detach();
-    let server = Rc::new(http::Server::default());
+    let server = http::Server::new(&registry);
     let handler = Rc::new(RequestHandler { gateway: gateway.clone() });
     runtime::spawn(serve_callers(gateway.clone(), server.clone(), callers, handler)).detach();
     runtime::spawn(reload(hangup, settings.clone(), file.to_owned())).detach();
@@ -221,9 +230,11 @@
     fn handle(
         self: Rc<Self>,
         request: Request<body::Incoming>,
+        _caller: Caller,
     ) -> LocalBoxFuture<'static, Response<http::Body>> {
         let page = || {
             let now = clock::now();
+            self.gateway.metrics.record_callers(&self.gateway.registry);
             self.gateway.read(|machine| self.gateway.metrics.encode(now, machine))
         };
         let response = match request.uri().path() {
@@ -249,6 +260,7 @@
     fn handle(
         self: Rc<Self>,
         _request: Request<body::Incoming>,
+        _caller: Caller,
     ) -> LocalBoxFuture<'static, Response<http::Body>> {
         self.gateway.begin_requested_stop();
         let ready = self.gateway.read(|machine| machine.is_ready(clock::now()));
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -15,6 +15,8 @@
 use wire::{event_stream, time::Instant};
 
 use crate::{
+    budget::Full,
+    caller::Caller,
     clock,
     connection::{Pool, Sender},
     framing::Framing,
@@ -109,6 +111,7 @@
 /// connection.
 pub async fn start_stream(
     response: UnreadResponse,
+    caller: &Caller,
 ) -> Result<StartedStream, (AttemptResult, Option<(Framing, usize)>)> {
     let (head, mut reader) = split_response(response);
     let mut events = EventBuffer::default();
@@ -124,6 +127,9 @@
                 if events.partial_len() > MAX_EVENT_BYTES {
                     return Err((AttemptResult::Invalid, None));
                 }
+                if events.settle(caller).is_err() {
+                    return Err((AttemptResult::Discarded, None));
+                }
             }
             BodyRead::End => match end_result(reader.framing, &events, false) {
                 AttemptResult::Complete => {
@@ -259,8 +265,13 @@
                 self.record_data(completed.count);
                 self.ready.push_back(completed.bytes);
                 let is_too_large = self.events.partial_len() > MAX_EVENT_BYTES;
-                self.reader = (!is_too_large).then_some(reader);
-                is_too_large.then_some(AttemptResult::Invalid)
+                let result = match self.events.settle(self.exchange.caller()) {
+                    _ if is_too_large => Some(AttemptResult::Invalid),
+                    Err(Full) => Some(AttemptResult::Discarded),
+                    Ok(()) => None,
+                };
+                self.reader = result.is_none().then_some(reader);
+                result
             }
             BodyRead::End => {
                 let result = self.record_end(reader.framing);
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -24,6 +24,7 @@
 use wire::time::Instant;
 
 use crate::{
+    caller::{Buffer, Caller, Delivery, Registry},
     clock,
     error::{Error, Kind, Step},
     paced::Paced,
@@ -50,9 +51,6 @@
 /// Part of the time of a stop after which no more connections are accepted, so that the requests
 /// that were accepted last can end.
 const ACCEPT_SHARE: f64 = 0.85;
-/// Maximum number of connections that one server serves at once.
-const MAX_CONNECTIONS: usize = 20_000;
-
 /// Maximum number of connections that are taken from a listener when it is closed, twice what its
 /// backlog holds. Callers that come back at once could go on for ever.
 const MAX_WAITING_CONNECTIONS: usize = 256;
@@ -74,10 +72,11 @@
 
 /// Serves requests of one listener.
 pub trait Handler {
-    /// Returns the response to one request.
+    /// Returns the response to one request of a caller.
     fn handle(
         self: Rc<Self>,
         request: Request<body::Incoming>,
+        caller: Caller,
     ) -> LocalBoxFuture<'static, Response<Body>>;
 }
 
@@ -92,6 +91,7 @@
 
 /// Serves listeners whose connections a planned stop closes together.
 pub struct Server {
+    registry: Rc<Registry>,
     open_connections: Cell<usize>,
     /// Listeners that accept connections.
     open_listeners: Cell<usize>,
@@ -101,22 +101,22 @@
     refused: Shared<oneshot::Receiver<()>>,
 }
 
-impl Default for Server {
-    fn default() -> Server {
+impl Server {
+    /// Returns a server without listeners, whose callers are among those of the process.
+    pub fn new(registry: &Rc<Registry>) -> Rc<Server> {
         let (stop, stopped) = oneshot::channel();
         let (refuse, refused) = oneshot::channel();
-        Server {
+        Rc::new(Server {
+            registry: registry.clone(),
             open_connections: Cell::new(0),
             open_listeners: Cell::new(0),
             stop: RefCell::new(Some(stop)),
             stopped: stopped.shared(),
             refuse: RefCell::new(Some(refuse)),
             refused: refused.shared(),
-        }
+        })
     }
-}
 
-impl Server {
     /// Accepts connections until a planned stop is nearly over or the process ends.
     pub async fn serve(
         self: Rc<Self>,
@@ -145,14 +145,14 @@
     }
 
     fn accept(self: &Rc<Self>, connection: net::TcpStream, handler: &Rc<impl Handler + 'static>) {
-        if self.open_connections.get() >= MAX_CONNECTIONS {
-            return;
-        }
+        let Some((caller, closed)) = self.registry.open() else { return };
         let _ = connection.set_nodelay(true);
         let handler = handler.clone();
         let open_connection = OpenConnection::new(self.clone());
         runtime::spawn(async move {
-            open_connection.0.serve_connection(connection, handler).await;
+            let served = open_connection.0.serve_connection(connection, caller, handler);
+            // Ends the connection if it has to give way to others.
+            future::select(pin!(served), closed).await;
             drop(open_connection);
         })
         .detach();
@@ -161,28 +161,31 @@
     async fn serve_connection(
         &self,
         tcp_stream: net::TcpStream,
+        caller: Caller,
         handler: Rc<impl Handler + 'static>,
     ) {
         let socket = tcp_stream.clone();
         let resets_on_close = Cell::new(false);
         let service = service::service_fn(|request: Request<body::Incoming>| {
             let is_old = request.version() < Version::HTTP_11;
-            let response = handler.clone().handle(request);
+            caller.end_head();
+            let response = handler.clone().handle(request, caller.clone());
             let (socket, resets_on_close) = (&socket, &resets_on_close);
+            let caller = caller.clone();
             async move {
                 let response = response.await;
                 if is_old && body::Body::size_hint(response.body()).exact().is_none() {
                     set_reset_on_close(socket, true);
                     resets_on_close.set(true);
                 }
-                Ok::<_, Infallible>(response)
+                Ok::<_, Infallible>(response.map(|body| Delivery::new(body, caller)))
             }
         });
         let connection = http1::Builder::new()
             .timer(CompioTimer)
             .header_read_timeout(HEADER_TIMEOUT)
             .max_buf_size(MAX_HEADER_BYTES)
-            .serve_connection(Paced::new(tcp_stream), service);
+            .serve_connection(Paced::of_caller(tcp_stream, caller.clone()), service);
         let mut connection = pin!(connection);
         let result = match future::select(connection.as_mut(), self.stopped.clone()).await {
             Either::Left((result, _)) => result,
@@ -323,41 +326,60 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyError {
     TooLarge,
+    /// The process has no memory left for it.
+    NoMemory,
     Timeout,
     /// The connection failed before the end of the body.
     Broken,
 }
 
-/// Reads a complete body of at most `limit` bytes. The rest of a larger one is read and discarded
-/// for a bounded time while the response is sent: if the server closed the connection instead,
-/// the client's next write would fail before it has read the response.
+/// Reads a complete body of at most `limit` bytes from a caller. The rest of one that is refused is
+/// read and discarded for a bounded time while the response is sent: if the server closed the
+/// connection instead, the client's next write would fail before it has read the response.
 ///
 /// # Errors
 ///
-/// Returns an error if the body is over the limit, too slow, or truncated.
-pub async fn read_body(mut body: body::Incoming, limit: u64) -> Result<Bytes, BodyError> {
-    if body::Body::size_hint(&body).lower() > limit {
-        runtime::spawn(discard(body)).detach();
-        return Err(BodyError::TooLarge);
-    }
-    let read = async {
-        let mut received = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let Ok(data) = frame.map_err(|_| BodyError::Broken)?.into_data() else { continue };
-            if (received.len() + data.len()) as u64 > limit {
-                return Err(BodyError::TooLarge);
-            }
-            received.extend_from_slice(&data);
+/// Returns an error if the body is over the limit, too slow, or truncated, or if there is no room
+/// for it.
+pub async fn read_body(
+    mut body: body::Incoming,
+    limit: u64,
+    caller: &Caller,
+) -> Result<Bytes, BodyError> {
+    let read = match body::Body::size_hint(&body).lower() > limit {
+        true => Err(BodyError::TooLarge),
+        false => {
+            let read = compio::time::timeout(BODY_TIMEOUT, read_whole(&mut body, limit, caller));
+            read.await.map_err(|_| BodyError::Timeout)?
         }
-        Ok(received.freeze())
     };
-    let read = compio::time::timeout(BODY_TIMEOUT, read).await.map_err(|_| BodyError::Timeout)?;
-    if read == Err(BodyError::TooLarge) {
-        runtime::spawn(discard(body)).detach();
+    match read {
+        Ok(_) => caller.begin_answer(),
+        Err(BodyError::TooLarge | BodyError::NoMemory) => {
+            runtime::spawn(discard(body)).detach();
+        }
+        Err(BodyError::Timeout | BodyError::Broken) => {}
     }
     read
 }
 
+async fn read_whole(
+    body: &mut body::Incoming,
+    limit: u64,
+    caller: &Caller,
+) -> Result<Bytes, BodyError> {
+    let most = body::Body::size_hint(body).exact().unwrap_or(limit).min(limit) as usize;
+    let mut received = Buffer::new(caller.clone());
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| BodyError::Broken)?.into_data() else { continue };
+        if (received.len() + data.len()) as u64 > limit {
+            return Err(BodyError::TooLarge);
+        }
+        received.extend(&data, most).map_err(|_| BodyError::NoMemory)?;
+    }
+    Ok(received.into_bytes())
+}
+
 /// Reads a response body of at most `limit` bytes.
 ///
 /// # Errors
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,8 @@
 //! The daemon `quincespoked`: input and output for the state machines of the other crates.
 
 pub mod backend;
+pub mod budget;
+pub mod caller;
 pub mod callers;
 pub mod chat;
 pub mod clock;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -8,10 +8,12 @@
 };
 
 use bytes::Bytes;
-use cadence::{CountedExt, StatsdClient, Timed};
+use cadence::{Counted, CountedExt, Gauged, StatsdClient, Timed};
 use hdrhistogram::Histogram;
 use wire::status;
 
+use crate::caller;
+
 /// Number of histograms after which new accounts share those of the account name `other`. The target
 /// of 2,300 accounts, three tiers and three names has 20,700.
 const MAX_SERIES: usize = 24_000;
@@ -67,6 +69,15 @@
         let _ = self.statsd.incr(name);
     }
 
+    /// Sends what callers take, and how many were closed or refused since `before`.
+    pub fn send_callers(&self, callers: &caller::Registry, before: caller::Counts) {
+        let ((bytes, connections), counts) = (callers.usage(), callers.counts());
+        let _ = self.statsd.gauge("callers_memory_bytes", bytes);
+        let _ = self.statsd.gauge("connections", connections as u64);
+        let _ = self.statsd.count("crowded_out_closed", counts.closed - before.closed);
+        let _ = self.statsd.count("crowded_out_refused", counts.refused - before.refused);
+    }
+
     /// Returns all histograms, in milliseconds.
     pub fn histograms(&self) -> Vec<status::Histogram> {
         let text = |bytes: &Bytes| String::from_utf8_lossy(bytes).into_owned();
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -7,7 +7,8 @@
 use wire::{host, id, status};
 
 use crate::{
-    distribution::Distribution, http, metrics::Metrics, role::Identity, role::Role, trace,
+    caller::Caller, distribution::Distribution, http, metrics::Metrics, role::Identity, role::Role,
+    trace,
 };
 
 /// Serves operators of one process.
@@ -23,6 +24,7 @@
     fn handle(
         self: Rc<Self>,
         request: Request<body::Incoming>,
+        _caller: Caller,
     ) -> LocalBoxFuture<'static, Response<http::Body>> {
         Box::pin(future::ready(self.respond(&request)))
     }
--- a/crates/daemon/src/paced.rs
+++ b/crates/daemon/src/paced.rs
@@ -1,33 +1,72 @@
 //! Connections whose reading gives way to the rest of the process.
 
 use std::{
+    cell::RefCell,
     io,
     pin::Pin,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
 
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
+use futures_util::AsyncRead;
 use hyper::rt::{Read, ReadBufCursor, Write};
 
+use crate::caller::Caller;
+
 /// Most reads of a connection that return data before other tasks have their turn. The HTTP library
 /// reads on within one poll as long as it discards what it has read, as it does with interim
 /// responses.
 const MAX_READS: u32 = 8;
+/// Most bytes that are read from a caller at once.
+const SCRATCH_BYTES: usize = 16 << 10;
+
+thread_local! {
+    static SCRATCH: RefCell<Vec<u8>> = RefCell::new(vec![0; SCRATCH_BYTES]);
+}
 
 /// A connection for the HTTP library.
-#[derive(Debug)]
 pub struct Paced {
     stream: HyperStream<TcpStream>,
+    /// The caller at the other end, unless that is a server.
+    caller: Option<Caller>,
     /// Reads that returned data since other tasks had their turn.
     reads: u32,
 }
 
 impl Paced {
-    /// Returns a connection without reads.
+    /// Returns a connection to a server, without reads.
     pub fn new(stream: TcpStream) -> Paced {
-        Paced { stream: HyperStream::new_plain(stream), reads: 0 }
+        Paced { stream: HyperStream::new_plain(stream), caller: None, reads: 0 }
+    }
+
+    /// Returns a connection of a caller, whose reads and writes are recorded for it.
+    pub fn of_caller(stream: TcpStream, caller: Caller) -> Paced {
+        Paced { caller: Some(caller), ..Paced::new(stream) }
     }
+
+    fn record_written(&self, written: &Poll<io::Result<usize>>) {
+        if let (Some(caller), Poll::Ready(Ok(bytes))) = (&self.caller, written) {
+            caller.record_written(*bytes);
+        }
+    }
+}
+
+/// Reads from the connection of a caller. The HTTP library doesn't say how much was read into its own
+/// buffer.
+fn read_counted(
+    stream: &mut HyperStream<TcpStream>,
+    caller: &Caller,
+    context: &mut Context<'_>,
+    mut buffer: ReadBufCursor<'_>,
+) -> Poll<io::Result<()>> {
+    SCRATCH.with_borrow_mut(|scratch| {
+        let len = buffer.remaining().min(scratch.len());
+        let read = AsyncRead::poll_read(Pin::new(stream), context, &mut scratch[..len]);
+        let read = ready!(read)?;
+        buffer.put_slice(&scratch[..read]);
+        Poll::Ready(caller.record_read(read))
+    })
 }
 
 impl Read for Paced {
@@ -41,7 +80,11 @@
             context.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let read = Read::poll_read(Pin::new(&mut self.stream), context, buffer);
+        let Paced { stream, caller, .. } = &mut *self;
+        let read = match caller {
+            Some(caller) => read_counted(stream, caller, context, buffer),
+            None => Read::poll_read(Pin::new(stream), context, buffer),
+        };
         self.reads = if read.is_ready() { self.reads + 1 } else { 0 };
         read
     }
@@ -53,7 +96,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Write::poll_write(Pin::new(&mut self.stream), context, bytes)
+        let written = Write::poll_write(Pin::new(&mut self.stream), context, bytes);
+        self.record_written(&written);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -73,6 +118,8 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Write::poll_write_vectored(Pin::new(&mut self.stream), context, buffers)
+        let written = Write::poll_write_vectored(Pin::new(&mut self.stream), context, buffers);
+        self.record_written(&written);
+        written
     }
 }
--- a/crates/daemon/src/role.rs
+++ b/crates/daemon/src/role.rs
@@ -8,7 +8,7 @@
 use hyper::{Request, Response, body};
 use wire::{host, id, status, sync};
 
-use crate::http;
+use crate::{caller::Caller, http};
 
 /// Identity of a process, shared by all of its parts.
 #[derive(Clone, Debug)]
@@ -45,5 +45,6 @@
     fn handle_message(
         self: Rc<Self>,
         request: Request<body::Incoming>,
+        caller: Caller,
     ) -> LocalBoxFuture<'static, Response<http::Body>>;
 }
--- a/crates/daemon/src/role_agent.rs
+++ b/crates/daemon/src/role_agent.rs
@@ -19,7 +19,9 @@
 use wire::{frame, grant, host, id, key, offer, outcome, request, status, sync};
 
 use crate::{
-    backend, clock,
+    backend,
+    caller::Caller,
+    clock,
     distribution::Distribution,
     driver::{Driver, Execute},
     http,
@@ -127,17 +129,21 @@
         Guard { agent: self.clone(), link }
     }
 
-    async fn respond(self: Rc<Self>, request: Request<body::Incoming>) -> Response<http::Body> {
+    async fn respond(
+        self: Rc<Self>,
+        request: Request<body::Incoming>,
+        caller: Caller,
+    ) -> Response<http::Body> {
         let path = request.uri().path().to_owned();
         let from = request.headers().get(peer::FROM).cloned();
         let limit = if path == "/grant" { MAX_COMMIT_BYTES } else { MAX_SHORT_MESSAGE_BYTES };
-        let Ok(body) = http::read_body(request.into_body(), limit).await else {
+        let Ok(body) = http::read_body(request.into_body(), limit, &caller).await else {
             return http::empty(400);
         };
         match path.as_str() {
             "/offer" => self.handle_offer(&body, from).await,
-            "/grant" => self.handle_commit(&body),
-            "/attach" => self.handle_attach(&body),
+            "/grant" => self.handle_commit(&body, caller),
+            "/attach" => self.handle_attach(&body, caller),
             "/cancel" => self.handle_cancel(&body),
             "/key" => self.handle_key_request(&body).await,
             _ => http::empty(404),
@@ -163,21 +169,25 @@
         }
     }
 
-    fn handle_commit(self: &Rc<Self>, body: &[u8]) -> Response<http::Body> {
+    fn handle_commit(self: &Rc<Self>, body: &[u8], caller: Caller) -> Response<http::Body> {
         let mut reader = frame::Reader::default();
         reader.push(body);
         let Ok(Some(commit)) = reader.read::<grant::Commit>() else { return http::empty(400) };
         let body = reader.take_remaining();
-        self.open_stream(|link| Event::Commit { link, commit, body })
+        self.open_stream(caller, |link| Event::Commit { link, commit, body })
     }
 
-    fn handle_attach(self: &Rc<Self>, body: &[u8]) -> Response<http::Body> {
+    fn handle_attach(self: &Rc<Self>, body: &[u8], caller: Caller) -> Response<http::Body> {
         let Some(attach) = decode(body) else { return http::empty(400) };
-        self.open_stream(|link| Event::Attach { link, attach })
+        self.open_stream(caller, |link| Event::Attach { link, attach })
     }
 
-    fn open_stream(self: &Rc<Self>, event: impl FnOnce(Link) -> Event) -> Response<http::Body> {
-        let (sender, receiver) = stream::channel();
+    fn open_stream(
+        self: &Rc<Self>,
+        caller: Caller,
+        event: impl FnOnce(Link) -> Event,
+    ) -> Response<http::Body> {
+        let (sender, receiver) = stream::channel(Some(caller));
         let guard = self.open_link(PendingReply::Stream(sender));
         self.feed(event(guard.link));
         http::streamed(200, peer::CONTENT_TYPE.as_bytes(), receiver, guard)
@@ -379,7 +389,8 @@
     fn handle_message(
         self: Rc<Self>,
         request: Request<body::Incoming>,
+        caller: Caller,
     ) -> LocalBoxFuture<'static, Response<http::Body>> {
-        Box::pin(self.respond(request))
+        Box::pin(self.respond(request, caller))
     }
 }
--- a/crates/daemon/src/role_entry.rs
+++ b/crates/daemon/src/role_entry.rs
@@ -18,6 +18,7 @@
 use wire::{Frame, frame, grant, host, id, key, offer, outcome, request, status, sync};
 
 use crate::{
+    caller::Caller,
     clock,
     distribution::Distribution,
     driver::{Driver, Execute},
@@ -390,6 +391,7 @@
     fn handle_message(
         self: Rc<Self>,
         _request: Request<body::Incoming>,
+        _caller: Caller,
     ) -> LocalBoxFuture<'static, Response<http::Body>> {
         Box::pin(async { http::empty(404) })
     }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     backend,
+    caller::{self, Caller},
     callers::Callers,
     distribution::Distribution,
     error::{Error, Step},
@@ -29,6 +30,8 @@
 const NAME: &str = "quincespoked";
 /// Time for connections to send the last bytes of responses after a planned stop.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time between two reports of the metrics on callers.
+const CALLERS_PERIOD: Duration = Duration::from_secs(1);
 /// Bound on an encoded exchange: 4 MiB of branch text, a digest, requested names and suspects.
 const MAX_ENCODED_EXCHANGE_BYTES: u64 = 8 << 20;
 
@@ -120,12 +123,14 @@
     fn handle(
         self: Rc<Self>,
         request: Request<body::Incoming>,
+        caller: Caller,
     ) -> LocalBoxFuture<'static, Response<http::Body>> {
         if request.uri().path() != "/sync" {
-            return self.role.clone().handle_message(request);
+            return self.role.clone().handle_message(request, caller);
         }
         Box::pin(async move {
-            let body = http::read_body(request.into_body(), MAX_ENCODED_EXCHANGE_BYTES).await;
+            let limit = MAX_ENCODED_EXCHANGE_BYTES;
+            let body = http::read_body(request.into_body(), limit, &caller).await;
             let exchange = body.ok().and_then(|b| wire::frame::decode::<Exchange>(&b).ok());
             let Some(exchange) = exchange else { return http::empty(400) };
             match self.distribution.handle_exchange(exchange).await {
@@ -142,6 +147,7 @@
     identity: Identity,
     metrics: Rc<Metrics>,
     traces: Rc<trace::Store>,
+    registry: Rc<caller::Registry>,
     server: Rc<http::Server>,
     on_stopped: Rc<dyn Fn()>,
 }
@@ -152,12 +158,14 @@
     let peers = http::bind(settings.peers).await?;
     let operators = http::bind(settings.operators).await?;
     let (on_stopped, stop_complete) = stopped_channel();
+    let registry = caller::Registry::new(settings.resources);
     let context = Context {
         settings,
         identity: identify(settings),
         metrics: Rc::new(Metrics::new(settings.statsd)),
         traces: Rc::default(),
-        server: Rc::default(),
+        server: http::Server::new(&registry),
+        registry,
         on_stopped,
     };
     let host = String::from_utf8_lossy(&settings.host).into_owned();
@@ -238,10 +246,24 @@
     });
     // Operators watch a planned stop until the process ends, so their connections have a server of
     // their own, which the stop does not wait for.
-    let operator_server = Rc::new(http::Server::default());
+    let operator_server = http::Server::new(&context.registry);
+    if context.settings.statsd.is_some() {
+        let (metrics, registry) = (context.metrics.clone(), context.registry.clone());
+        runtime::spawn(send_callers(metrics, registry)).detach();
+    }
     runtime::spawn(operator_server.serve(operators, operator_handler)).detach();
 }
 
+/// Sends the metrics on callers.
+async fn send_callers(metrics: Rc<Metrics>, registry: Rc<caller::Registry>) {
+    let mut before = registry.counts();
+    loop {
+        compio::time::sleep(CALLERS_PERIOD).await;
+        metrics.send_callers(&registry, before);
+        before = registry.counts();
+    }
+}
+
 /// Returns a function to call at the end of a planned stop and a future that waits for that call.
 fn stopped_channel() -> (Rc<dyn Fn()>, oneshot::Receiver<()>) {
     let (sender, receiver) = oneshot::channel();
--- a/crates/daemon/tests/bounds.rs
+++ b/crates/daemon/tests/bounds.rs
@@ -17,7 +17,7 @@
 fn a_stalled_reader_gets_an_aborted_body() {
     let runtime = runtime::Runtime::new().expect("the runtime starts");
     let part = Bytes::from(vec![7; 1 << 16]);
-    let (sender, mut receiver) = stream::channel();
+    let (sender, mut receiver) = stream::channel(None);
     let mut sent = 0;
     while sender.send(part.clone()) {
         sent += part.len();
--- a/crates/daemon/tests/server_stop.rs
+++ b/crates/daemon/tests/server_stop.rs
@@ -12,7 +12,11 @@
 };
 
 use compio::runtime;
-use daemon::http::{self, Handler, Server};
+use conf::resources::Resources;
+use daemon::{
+    caller::{self, Caller},
+    http::{self, Handler, Server},
+};
 use futures_util::future::{self, LocalBoxFuture};
 use hyper::{Request, Response, body};
 
@@ -31,6 +35,7 @@
     fn handle(
         self: Rc<Self>,
         request: Request<body::Incoming>,
+        _caller: Caller,
     ) -> LocalBoxFuture<'static, Response<http::Body>> {
         self.paths.lock().expect("lock").insert(request.uri().path().to_owned());
         Box::pin(async {
@@ -43,7 +48,7 @@
 async fn start(handler: impl Handler + 'static) -> (Rc<Server>, SocketAddr) {
     let listener = http::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await.expect("bind");
     let address = listener.local_addr().expect("an address");
-    let server = Rc::new(Server::default());
+    let server = Server::new(&caller::Registry::new(Resources::default()));
     runtime::spawn(server.clone().serve(listener, Rc::new(handler))).detach();
     // The task of the server begins to accept.
     compio::time::sleep(Duration::from_millis(1)).await;
@@ -144,6 +149,7 @@
     fn handle(
         self: Rc<Self>,
         _request: Request<body::Incoming>,
+        _caller: Caller,
     ) -> LocalBoxFuture<'static, Response<http::Body>> {
         self.has_request.set(true);
         Box::pin(future::pending())
@@ -184,6 +190,7 @@
     fn handle(
         self: Rc<Self>,
         _request: Request<body::Incoming>,
+        _caller: Caller,
     ) -> LocalBoxFuture<'static, Response<http::Body>> {
         Box::pin(future::ready(http::buffered(200, "text/plain", "done".into())))
     }
--- a/crates/daemon/tests/stream.rs
+++ b/crates/daemon/tests/stream.rs
@@ -8,7 +8,7 @@
 /// neither way: a cancelled task, a closed link or an early return.
 #[compio::test]
 async fn a_body_without_its_end_is_truncated() {
-    let (sender, mut receiver) = stream::channel();
+    let (sender, mut receiver) = stream::channel(None);
     assert!(sender.send(Bytes::from_static(b"part")));
     drop(sender);
     assert_eq!(receiver.next().await.expect("a part").expect("bytes"), "part");
@@ -19,7 +19,7 @@
 /// Guards against a complete response that looks truncated.
 #[compio::test]
 async fn a_finished_body_is_complete() {
-    let (sender, mut receiver) = stream::channel();
+    let (sender, mut receiver) = stream::channel(None);
     assert!(sender.send(Bytes::from_static(b"part")));
     sender.finish();
     assert_eq!(receiver.next().await.expect("a part").expect("bytes"), "part");
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -27,6 +27,9 @@
     Broken,
     /// The response is invalid or belongs to another request. The backend server has not ended.
     Invalid,
+    /// The response was not read since there was no memory for it, which is no fault of the backend
+    /// server.
+    Discarded,
 }
 
 impl AttemptResult {
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -432,6 +432,17 @@
             AttemptResult::Failed | AttemptResult::Broken | AttemptResult::Invalid => {
                 self.handle_failure(now, number, result, actions)
             }
+            AttemptResult::Discarded => self.discard(now, number, actions),
+        }
+    }
+
+    /// Ends a request whose response was not read. Another attempt would be in need of the same
+    /// memory.
+    fn discard(&mut self, now: Instant, number: RequestNumber, actions: &mut Vec<Action>) {
+        let Some(open) = self.open_requests.get(&number).cloned() else { return };
+        self.give_up(now, &open);
+        if self.withdraw_dispatch(now, number, true).is_some() && !self.stays_at_former(number) {
+            self.refuse_waiting(now, number, Reason::Lost, actions);
         }
     }
 
--- a/crates/gate/src/refusal.rs
+++ b/crates/gate/src/refusal.rs
@@ -42,6 +42,8 @@
     Malformed,
     /// The body exceeds the limit.
     TooLarge,
+    /// The process has no memory left for the request.
+    NoMemory,
     /// The body was received too slowly.
     SlowBody,
 }
@@ -61,7 +63,8 @@
             | Reason::Paused
             | Reason::RateLimit
             | Reason::Poison
-            | Reason::Expired => 503,
+            | Reason::Expired
+            | Reason::NoMemory => 503,
             Reason::NoRoute => 404,
             Reason::UnknownKey => 401,
             Reason::Quota => 429,
@@ -94,6 +97,7 @@
             Reason::Lost => "lost",
             Reason::Malformed => "malformed",
             Reason::TooLarge => "too_large",
+            Reason::NoMemory => "no_memory",
             Reason::SlowBody => "slow_body",
         }
     }
