Go on with a stream only by a response that is one

What callers saw (report of other operators): the text of an error, at times with its whole head, in the middle of a stream, or a stream that ended as if it were complete. Cause: a stream that had broken off went on with whatever the next server answered with a status of success: an error page with status 200, a part of a document, or an empty 204, whose end then counted as the end of the stream. The next response must now have status 200, the content type of event streams or none, and an identifier of its own in its first event. Otherwise the attempt has failed, as with any other answer that doesn't go on. This holds also for a stream that moves from a silent server.

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -7,7 +7,7 @@
 use compio::time;
 use conf::tree;
 use http_body_util::{BodyExt, Full};
-use hyper::{HeaderMap, Method, Request, Response, body, header};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, body, header};
 use serde::Deserialize;
 use serde_json::json;
 use wire::{header as names, id, request, time::Instant};
@@ -119,7 +119,7 @@
             Some(response) if response.status() == 404 => {
                 report(Progress::StreamNotFound { instance: read_instance(&response) });
             }
-            Some(response) if response.status().is_success() => {
+            Some(response) if response.status() == StatusCode::OK => {
                 report_response(response, offset, &report).await;
             }
             _ => report(Progress::ConnectionLost),
--- a/crates/daemon/src/gateway/exchange/waiting.rs
+++ b/crates/daemon/src/gateway/exchange/waiting.rs
@@ -8,7 +8,8 @@
     FutureExt,
     future::{self, Either},
 };
-use gate::{Event, action::Dispatch, event::AttemptResult};
+use gate::{Event, action::Dispatch};
+use hyper::http::response;
 use wire::time::Instant;
 
 use crate::{
@@ -17,6 +18,7 @@
         Instruction,
         exchange::{Attempt, Exchange},
         offer::Offer,
+        relay,
     },
 };
 
@@ -99,11 +101,11 @@
     async fn try_move(&mut self, former: &Dispatch, mut offer: Offer) -> Option<Offer> {
         let event = match time::timeout(ACCEPTANCE_TIMEOUT, offer.response()).await {
             Ok(result) => match self.reporter.classify(&offer.dispatch, result, &offer.pool) {
-                Ok(unread) if unread.head.status.is_success() => {
+                Ok(unread) if accepts(&offer, &unread.head) => {
                     offer.received = Some(unread);
                     None
                 }
-                Ok(_) => Some(self.build_ended(AttemptResult::Failed)),
+                Ok(unread) => Some(self.build_ended(relay::declined_result(&unread.head))),
                 Err(event) => Some(*event),
             },
             Err(_) if offer.is_sent() => None,
@@ -124,6 +126,14 @@
     }
 }
 
+/// Returns whether a response to an offer takes over the request of a former server.
+fn accepts(offer: &Offer, head: &response::Parts) -> bool {
+    match offer.last_event_id {
+        Some(_) => relay::is_continuation(head),
+        None => head.status.is_success(),
+    }
+}
+
 /// Returns the output of the future that ended first.
 fn first_output<A, B, F, G>(either: Either<(A, F), (B, G)>) -> Either<A, B> {
     match either {
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -9,7 +9,7 @@
     event::{AttemptResult, CONTINUATION_TIME},
 };
 use http_body_util::{BodyExt, StreamBody};
-use hyper::{Response, body, header, http::response};
+use hyper::{Response, StatusCode, body, header, http::response};
 use prometheus_client::metrics::histogram::Histogram;
 
 use wire::{event_stream, time::Instant};
@@ -97,6 +97,12 @@
     content_type.is_none_or(|value| event_stream::is_event_stream(value.as_bytes()))
 }
 
+/// Returns whether a response may go on with a stream that has begun. An error page, a part of a
+/// document or an empty response doesn't, although its status is that of a success.
+pub fn is_continuation(head: &response::Parts) -> bool {
+    head.status == StatusCode::OK && is_event_stream(head)
+}
+
 fn split_response(response: UnreadResponse) -> (response::Parts, BodyReader) {
     let UnreadResponse { head, framing, body, sender, pool } = response;
     let idle = exchange::idle_time(&head.headers);
@@ -154,6 +160,11 @@
     }
 }
 
+/// Returns the result of a response that doesn't go on with a stream.
+pub fn declined_result(head: &response::Parts) -> AttemptResult {
+    if head.status.is_success() { AttemptResult::Invalid } else { AttemptResult::Failed }
+}
+
 /// State of a stream's response. It is dropped with the body, which ends the request.
 struct Relay {
     exchange: Exchange,
@@ -261,7 +272,15 @@
         let wait = self.exchange.wait(dispatch, last_event_id, failover, reader.read());
         Ok(match wait.await? {
             BodyRead::Data(data) => {
+                let former_id = self.events.last_id().cloned();
                 let completed = self.events.push(data);
+                // The first event after the last one of a former server has an identifier of its own.
+                if self.first_event_due
+                    && completed.count > 0
+                    && self.events.last_id() == former_id.as_ref()
+                {
+                    return Ok(Some(AttemptResult::Invalid));
+                }
                 self.record_data(completed.count);
                 self.ready.push_back(completed.bytes);
                 let is_too_large = self.events.partial_len() > MAX_EVENT_BYTES;
@@ -371,7 +390,7 @@
             };
             let dispatch = offer.dispatch.clone();
             match self.exchange.conclude(offer).await {
-                Attempt::Received(response) if response.head.status.is_success() => {
+                Attempt::Received(response) if is_continuation(&response.head) => {
                     self.exchange.log_resumed(&dispatch, self.events.last_id());
                     let (_, reader) = split_response(*response);
                     self.reader = Some(reader);
@@ -381,8 +400,8 @@
                     self.first_event_due = true;
                     return Ok(());
                 }
-                Attempt::Received(_) => {
-                    let event = self.exchange.build_ended(AttemptResult::Failed);
+                Attempt::Received(response) => {
+                    let event = self.exchange.build_ended(declined_result(&response.head));
                     self.exchange.log_failure(&dispatch, &event);
                     self.exchange.report(event);
                 }
--- a/crates/daemon/tests/backend_ends.rs
+++ b/crates/daemon/tests/backend_ends.rs
@@ -159,3 +159,32 @@
         }
     }
 }
+
+/// Starts a server that sends these bytes to each connection and closes it.
+fn serve_bytes(bytes: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut request = [0; 4096];
+            if stream.read(&mut request).is_ok_and(|length| length > 0) {
+                let _ = stream.write_all(&bytes);
+            }
+        }
+    });
+    address
+}
+
+/// Guards against a stream that ends as if it were complete, or holds the text of an error, since the
+/// answer to its resumption has the status of a success.
+#[compio::test]
+async fn a_response_that_does_not_resume_a_stream_is_no_part_of_it() {
+    for status in ["204 X", "206 X\r\ncontent-length: 5", "500 X\r\ncontent-length: 5"] {
+        let address = serve_bytes(format!("HTTP/1.1 {status}\r\n\r\nerror").into_bytes());
+        let reported = RefCell::new(Vec::new());
+        let grant = id::Grant { process: id::Process(9), seq: 1 };
+        let report = |progress| reported.borrow_mut().push(progress);
+        Client::new(address).resume(grant, 3, report).await;
+        assert_eq!(reported.into_inner(), [Progress::ConnectionLost], "{status}");
+    }
+}
