Answer all requests before the end of a planned stop

What callers saw (report of other operators): requests that a process had taken late in its grace time were sent to servers and cut at the end without an answer, some of which may not be repeated. Cause: requests are accepted for 0.35 of the grace time, but those that waited for a server were sent to one until the process ended, and at the end whatever was open was closed. Requests without a response at 0.9 are answered 502, which promises nothing.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -22,7 +22,8 @@
 };
 
 use compio::runtime;
-use futures_channel::mpsc;
+use futures_channel::{mpsc, oneshot};
+use futures_util::{FutureExt, future::Shared};
 use gate::{
     Action, Event, Machine, action, backends, event::RequestNumber, refusal::Refusal,
     uplink::Uplink,
@@ -59,6 +60,10 @@
     registry: Rc<caller::Registry>,
     terminate: signal::Listener,
     stopping: Cell<bool>,
+    /// Dropped when the time of a planned stop is nearly over.
+    ending: RefCell<Option<oneshot::Sender<()>>>,
+    /// Completes then.
+    nearly_over: Shared<oneshot::Receiver<()>>,
     metrics: metrics::Metrics,
     /// Large values of the published state, which replies of peers refer to.
     values: delta::Values,
@@ -80,6 +85,7 @@
         terminate: signal::Listener,
     ) -> Rc<Gateway> {
         let metrics = metrics::Metrics::new(machine.hedge_counts().is_some());
+        let (ending, nearly_over) = oneshot::channel();
         Rc::new_cyclic(|this| Gateway {
             this: this.clone(),
             driver: Driver::new(machine),
@@ -89,6 +95,8 @@
             registry,
             terminate,
             stopping: Cell::default(),
+            ending: RefCell::new(Some(ending)),
+            nearly_over: nearly_over.shared(),
             metrics,
             values: delta::Values::default(),
             uplink: RefCell::new(Uplink::new(link_mbps)),
@@ -116,6 +124,11 @@
         }
     }
 
+    /// Ends the requests for which no response has begun.
+    fn interrupt(&self) {
+        self.ending.borrow_mut().take();
+    }
+
     /// Calls `read` with the machine.
     fn read<R>(&self, read: impl FnOnce(&Machine) -> R) -> R {
         self.driver.read(read)
--- a/crates/daemon/src/gateway/process.rs
+++ b/crates/daemon/src/gateway/process.rs
@@ -35,6 +35,10 @@
 /// Part of the grace time after which the process ends. The rest is for the end itself.
 const END_SHARE: f64 = 0.95;
 
+/// Part of the grace time after which requests without a response are answered, so that their callers
+/// get it before the process ends.
+const INTERRUPT_SHARE: f64 = 0.9;
+
 /// Longest time for which callers' connections wait at the start of the process. Callers give up a
 /// connection after a second.
 const MAX_START_WAIT: Duration = Duration::from_millis(600);
@@ -155,6 +159,8 @@
         delay_ms = clock::now().since(requested_at).as_millis() as u64,
     );
     gateway.begin_stop(requested_at);
+    runtime::spawn(interrupt(gateway.clone(), requested_at + grace.mul_f64(INTERRUPT_SHARE)))
+        .detach();
     let wait_until = requested_at + grace.mul_f64(ACCEPT_SHARE);
     time::sleep(wait_until.since(clock::now())).await;
     let end = requested_at + grace.mul_f64(END_SHARE);
@@ -168,6 +174,12 @@
     );
 }
 
+/// Ends the requests for which no response has begun, at `end`.
+async fn interrupt(gateway: Rc<Gateway>, end: Instant) {
+    time::sleep(end.since(clock::now())).await;
+    gateway.interrupt();
+}
+
 /// Logs the requests that end with the process. `arrived_ms` is the time from the request to stop to
 /// the arrival of the request, and negative if it arrived before.
 fn log_abandoned(machine: &Machine, requested_at: Instant) {
--- a/crates/daemon/src/gateway/requests.rs
+++ b/crates/daemon/src/gateway/requests.rs
@@ -1,8 +1,8 @@
 //! Handler of callers' requests: reads them completely, then runs the exchange.
 
-use std::{rc::Rc, time::Duration};
+use std::{pin::pin, rc::Rc, time::Duration};
 
-use futures_util::future::LocalBoxFuture;
+use futures_util::future::{self, Either, LocalBoxFuture};
 use gate::refusal::{Reason, Refusal};
 use hyper::{Request, Response, body, header, header::HeaderValue};
 
@@ -68,6 +68,10 @@
         let Some(gateway_request) = platform::message::decode_request(&parts, &body) else {
             return refuse(Reason::Malformed);
         };
-        Exchange::open(self.gateway.clone(), parts, body, gateway_request, caller).run().await
+        let exchange = Exchange::open(self.gateway.clone(), parts, body, gateway_request, caller);
+        match future::select(pin!(exchange.run()), self.gateway.nearly_over.clone()).await {
+            Either::Left((response, _)) => response,
+            Either::Right(_) => refuse(Reason::Interrupted),
+        }
     }
 }
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -13,6 +13,7 @@
 mod plain;
 mod responses;
 mod resuming;
+mod stopping;
 mod warming;
 
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
@@ -450,6 +451,7 @@
             streams,
             loads,
             plain_loads,
+            self.next_stop_step(),
         ];
         times.into_iter().flatten().min()
     }
--- a/crates/gate/src/machine/admitting.rs
+++ b/crates/gate/src/machine/admitting.rs
@@ -15,8 +15,6 @@
 
 /// Tier of requests that exceed their account's quota.
 const BEYOND_QUOTA_TIER: u32 = u32::MAX;
-/// Part of the grace time during which a stopping gateway still accepts requests.
-const STOP_ACCEPT_SHARE: f64 = 0.35;
 
 impl Machine {
     pub(super) fn handle_arrival(
@@ -58,8 +56,7 @@
 
     fn admit(&mut self, now: Instant, request: Request) -> Result<Entry, Refusal> {
         let left = admission::time_left(&request);
-        let accept_time = self.setup.bounds.grace.mul_f64(STOP_ACCEPT_SHARE);
-        if self.stopping_since.is_some_and(|since| now.since(since) > accept_time) {
+        if !self.accepts_requests(now) {
             return Err(admission::retry_later(Reason::Stopping, left, &mut self.rng));
         }
         let catalog = self.catalog.clone();
--- a/crates/gate/src/machine/dispatching.rs
+++ b/crates/gate/src/machine/dispatching.rs
@@ -26,6 +26,7 @@
 
 impl Machine {
     pub(super) fn dispatch_all_waiting(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.refuse_at_stop(now, actions);
         let nonempty = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
         let services: Vec<Bytes> = nonempty.map(|(service, _)| service.clone()).collect();
         for service in services {
@@ -176,6 +177,9 @@
     /// may have changed while it waited or ran elsewhere.
     pub(super) fn check_dispatch(&self, now: Instant, entry: &Entry) -> Result<(), Reason> {
         self.check_api_key(now, entry)?;
+        if !self.may_dispatch(now) {
+            return Err(Reason::Stopping);
+        }
         match self.suspects.verdict(now, &entry.request) {
             Some(_) => Err(Reason::Poison),
             None => Ok(()),
--- a/crates/gate/src/refusal.rs
+++ b/crates/gate/src/refusal.rs
@@ -40,6 +40,8 @@
     Lost,
     /// The request is malformed.
     Malformed,
+    /// The process ends while a backend server works on the request.
+    Interrupted,
     /// The body exceeds the limit.
     TooLarge,
     /// The process has no memory left for the request.
@@ -69,7 +71,7 @@
             Reason::UnknownKey => 401,
             Reason::Quota => 429,
             Reason::Timeout => 504,
-            Reason::Lost => 502,
+            Reason::Lost | Reason::Interrupted => 502,
             Reason::Malformed => 400,
             Reason::TooLarge => 413,
             Reason::SlowBody => 408,
@@ -95,6 +97,7 @@
             Reason::Expired => "expired",
             Reason::Timeout => "timeout",
             Reason::Lost => "lost",
+            Reason::Interrupted => "interrupted",
             Reason::Malformed => "malformed",
             Reason::TooLarge => "too_large",
             Reason::NoMemory => "no_memory",
--- a/crates/gate/tests/admission.rs
+++ b/crates/gate/tests/admission.rs
@@ -145,3 +145,44 @@
     assert_eq!(refusal.reason, Reason::Stopping);
     assert_eq!(refusal.inputs.usable, 1);
 }
+
+/// Returns a gateway whose requests may wait for longer than a planned stop takes.
+fn with_patient_callers(backends: u16) -> TestGateway {
+    let mut gateway = TestGateway::with_backends(MODEL, backends);
+    let mut patient = catalog(2, &["k1"], 1e6);
+    for route in &mut patient.routes {
+        route.objective = Duration::from_secs(20);
+    }
+    gateway.feed(Event::Catalog(Rc::new(patient)));
+    gateway
+}
+
+/// Guards against requests that wait during a stop, are sent to a server at its end, and are cut.
+#[test]
+fn waiting_requests_are_refused_before_a_stop_is_over() {
+    let mut gateway = with_patient_callers(1);
+    let numbers: Vec<_> = (0..20).map(|_| gateway.arrive(request("essay"))).collect();
+    let sent = numbers.iter().filter(|number| gateway.dispatched(**number).is_some()).count();
+    assert!(sent > 0 && sent < numbers.len(), "{sent} of {}", numbers.len());
+    gateway.stop();
+    gateway.advance_confirmed(Duration::from_millis(4700));
+    let waiting = gateway.machine.open_count() - sent;
+    assert!(waiting > 0, "refused long before the end of the grace time");
+    gateway.advance_confirmed(Duration::from_millis(200));
+    assert_eq!(gateway.machine.open_count(), sent);
+    let reasons: Vec<_> = numbers.iter().filter_map(|number| gateway.reason(*number)).collect();
+    assert_eq!(reasons, vec![Reason::Stopping; waiting]);
+}
+
+/// Guards against a request whose server rejects it late in a stop, and that is sent to another one.
+#[test]
+fn no_request_is_sent_late_in_a_stop() {
+    let mut gateway = with_patient_callers(2);
+    let number = gateway.arrive(request("essay"));
+    assert!(gateway.dispatched(number).is_some());
+    gateway.stop();
+    gateway.advance_confirmed(Duration::from_millis(5000));
+    gateway.feed(Event::Rejected { number, retry_after: None });
+    assert!(gateway.dispatched(number).is_none());
+    assert_eq!(gateway.reason(number), Some(Reason::Stopping));
+}
