--- a/crates/daemon/examples/cost/main.rs
+++ b/crates/daemon/examples/cost/main.rs
@@ -1,10 +1,12 @@
 //! Measures the cost of the daemon on loopback: latency, processor time and memory.
 //!
 //! `cargo run --release -p daemon --example cost -- MODE` with MODE
-//! `latency`, `rate`, `stream`, `open`, `hosts`, `accounts`, `idle AGENTS` or `machines`.
+//! `latency`, `rate`, `stream`, `open`, `hosts`, `accounts`, `idle AGENTS`, `machines` or
+//! `configuration`.
 
 mod caller;
 mod cluster;
+mod configuration;
 mod machines;
 mod usage;
 
@@ -54,6 +56,7 @@
             "accounts" => measure_accounts().await,
             "idle" => measure_idle((number as usize).min(MAX_AGENTS)).await,
             "machines" => machines::run(),
+            "configuration" => configuration::run(),
             _ => return ExitCode::FAILURE,
         }
         ExitCode::SUCCESS
