Count the time of a request from its first byte

A connection that was idle for long before its request counted as one that had taken its bytes for as long, so beside a crowd the ordinary caller was closed or refused. the_time_of_a_request_counts_from_its_first_byte failed before.

--- a/crates/daemon/src/budget.rs
+++ b/crates/daemon/src/budget.rs
@@ -155,7 +155,11 @@
     /// Returns an error if there is no room, since those that take more don't give way. Nothing is
     /// taken then, and nobody is closed.
     pub fn take(&mut self, now: Instant, key: Key, bytes: u64) -> Result<Vec<Closed>, Full> {
-        let Some(own) = self.shares.get(key).copied() else { return Err(Full) };
+        let Some(mut own) = self.shares.get(key).copied() else { return Err(Full) };
+        if own.stage == Stage::Request && own.bytes <= CONNECTION_BYTES {
+            // A request begins. The connection may have been idle for long before.
+            own.since = now;
+        }
         let after = own.bytes + bytes;
         let limit = match after > LARGE_BYTES {
             true => (self.limits.bytes as f64 * LARGE_SHARE) as u64,
@@ -178,8 +182,8 @@
         for (other, _) in &chosen {
             self.close(*other);
         }
-        if let Some(own) = self.shares.get_mut(key) {
-            own.bytes = after;
+        if let Some(share) = self.shares.get_mut(key) {
+            *share = Share { bytes: after, ..own };
         }
         self.used += bytes;
         Ok(chosen)
--- a/crates/daemon/tests/budget.rs
+++ b/crates/daemon/tests/budget.rs
@@ -63,6 +63,18 @@
     assert!(budget.connections() > ordinary.len());
 }
 
+/// Guards against an ordinary request that gives way to a crowd since its connection was idle before.
+#[test]
+fn the_time_of_a_request_counts_from_its_first_byte() {
+    let mut budget = Budget::new(LIMITS);
+    let [first, second] = [0, 0].map(|ms| open(&mut budget, after(ms)));
+    let crowd = gather(&mut budget, after(59_000), 13, MIB);
+    budget.take(after(59_990), first, MIB).expect("there is room");
+    let closed = budget.take(after(60_000), second, 2 * MIB).expect("the crowd gives way");
+    assert!(!closed.is_empty());
+    assert!(keys(&closed).iter().all(|key| crowd.contains(key)), "{closed:?}");
+}
+
 /// Guards against requests that are cut while they may run.
 #[test]
 fn complete_requests_do_not_give_way() {
