--- a/crates/daemon/tests/backend_ends.rs
+++ b/crates/daemon/tests/backend_ends.rs
@@ -114,19 +114,8 @@
 
 /// Starts a server that fails each request and names a limit.
 fn serve_limited() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
-    let address = listener.local_addr().expect("an address");
-    thread::spawn(move || {
-        for mut stream in listener.incoming().flatten() {
-            let mut request = [0; 4096];
-            if stream.read(&mut request).is_ok_and(|length| length > 0) {
-                let head = "HTTP/1.1 404 X\r\nx-rate-limit: 1.8\r\nconnection: close\r\n";
-                let response = format!("{head}content-length: 0\r\n\r\n");
-                stream.write_all(response.as_bytes()).expect("the client reads");
-            }
-        }
-    });
-    address
+    let head = "HTTP/1.1 404 X\r\nx-rate-limit: 1.8\r\nconnection: close\r\n";
+    serve_bytes(format!("{head}content-length: 0\r\n\r\n").into_bytes())
 }
 
 /// Guards against a response whose connection is lost, or that ends with its connection, and is
