Watch the store as often as the bounds on its changes need

Cause: a response to a watch confirms the state at the time of its request, so with waits of 1 s the state is 2 s old when the next response is due.

--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -19,11 +19,7 @@
     http,
 };
 
-/// Time that the store waits for a change before it responds to a watch. Each watch is a request
-/// that is paid for. With a longer wait, less of the lease on keys is left by the time an
-/// unresponsive store is noticed.
-const WATCH_WAIT: Duration = Duration::from_millis(1000);
-/// Time for the head of the response to a watch beyond `WATCH_WAIT`.
+/// Time for the head of the response to a watch beyond the wait for a change.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time limits up to the head of the response to a watch after a failure, used in turn. The short ones detect soon that the
 /// store is reachable again; the long one is for a store that responds slowly.
@@ -189,7 +185,10 @@
             return self.read_all().await;
         };
         let (wait, limit) = match self.failures {
-            0 => (WATCH_WAIT, WATCH_WAIT + WATCH_TIMEOUT),
+            0 => {
+                let wait = self.gateway.read(Machine::watch_wait);
+                (wait, wait + WATCH_TIMEOUT)
+            }
             failures => (Duration::ZERO, PROBE_TIMEOUTS[failures % PROBE_TIMEOUTS.len()]),
         };
         self.watch(revision, wait, limit).await
--- a/crates/gate/src/machine/freshness.rs
+++ b/crates/gate/src/machine/freshness.rs
@@ -16,7 +16,26 @@
 /// Time within which gateways that reach each other confirm the same state.
 const CONFIRMATION_SPREAD: Duration = Duration::from_millis(300);
 
+/// Longest time that the store waits for a change before it responds to a watch. Each watch is a
+/// request that is paid for. With a longer wait, less of the lease on keys is left by the time an
+/// unresponsive store is noticed.
+const MAX_WATCH_WAIT: Duration = Duration::from_millis(1000);
+/// Shortest time, whatever the bounds are.
+const MIN_WATCH_WAIT: Duration = Duration::from_millis(100);
+/// Time for the response to a watch, and until its confirmation has reached the other gateways.
+const CONFIRMATION_TIME: Duration = Duration::from_millis(250);
+
 impl Machine {
+    /// Returns the time for which the store may wait before it responds to a watch. A response
+    /// confirms the state at the time of its request, so the state is as old as two waits when the
+    /// next one is due, and has to be usable until then.
+    pub fn watch_wait(&self) -> Duration {
+        let bounds = &self.setup.bounds;
+        let usable = bounds.apply.min(bounds.drain.saturating_sub(SEND_TIME));
+        let wait = usable.saturating_sub(CONFIRMATION_TIME) / 2;
+        wait.clamp(MIN_WATCH_WAIT, MAX_WATCH_WAIT)
+    }
+
     /// Returns whether the configuration may lack changes that have to be in force.
     pub(super) fn may_lack_configuration(&self, now: Instant) -> bool {
         self.may_lack_changes(now, self.setup.bounds.apply)
--- a/crates/gate/tests/outdated.rs
+++ b/crates/gate/tests/outdated.rs
@@ -2,15 +2,17 @@
 
 mod common;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use common::{MS, PLAIN, TestGateway, record, request};
+use common::{MS, PLAIN, TestGateway, catalog, record, request, setup};
 use gate::{
     Event,
+    event::AttemptResult,
     message::{Datagram, Message, View},
     refusal::Reason,
 };
+use wire::time::Instant;
 
 /// Bound on changes of the configuration and on servers that leave, as it is set by default.
 const BOUND: Duration = Duration::from_secs(3);
@@ -119,3 +121,29 @@
     gateway.add("r0", leaving);
     assert!(!gateway.machine.may_send(gateway.now, &dispatch), "the server left");
 }
+
+/// Guards against a sound store whose state is too old to be used for a part of each second, since the
+/// bounds are shorter than two waits of a watch.
+#[test]
+fn the_state_stays_usable_between_two_watches() {
+    for drain_ms in [1_000, 2_000, 3_000, 10_000] {
+        let bound = Duration::from_millis(drain_ms);
+        let mut own = setup(1, true);
+        (own.bounds.drain, own.bounds.apply) = (bound, bound);
+        let mut gateway = TestGateway::start(own, Instant(1_000_000));
+        gateway.feed(Event::Catalog(Rc::new(catalog(1, &["k1"], 0.0))));
+        gateway.confirm();
+        gateway.add("r0", record(PLAIN, 9_000));
+        let wait = gateway.machine.watch_wait();
+        for _ in 0..10 {
+            let at = gateway.now;
+            gateway.advance(wait + 50 * MS);
+            assert!(!gateway.machine.is_outdated(), "{bound:?}, watches of {wait:?}");
+            let served = gateway.arrive(request("public"));
+            assert!(gateway.dispatched(served).is_some(), "{bound:?}, watches of {wait:?}");
+            let read = Event::StoreRead { at, from: Some(1), to: 1, entries: Vec::new() };
+            gateway.feed(read);
+            gateway.end(served, AttemptResult::Complete);
+        }
+    }
+}
