--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -21,8 +21,9 @@
 
 /// Time for the head of the response to a watch beyond the wait for a change.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(900);
-/// Time limits up to the head of the response to a watch after a failure, used in turn. The short ones detect soon that the
-/// store is reachable again; the long one is for a store that responds slowly.
+/// Time limits up to the head of the response to a watch after a failure, used in turn. The short
+/// ones detect soon that the store is reachable again; the long one is for a store that responds
+/// slowly.
 const PROBE_TIMEOUTS: [Duration; 3] =
     [Duration::from_millis(300), Duration::from_millis(300), Duration::from_millis(1200)];
 /// Time for the head of the response to a read on demand, for which a caller waits.
