Ask the first events of a resumed stream for an identifier, not for a new one

So a request that crashes servers was not put in quarantine by it. Text that is no event of a stream has no identifier at all, and that is what is asked for now.

--- a/crates/daemon/src/gateway/events.rs
+++ b/crates/daemon/src/gateway/events.rs
@@ -28,6 +28,8 @@
     /// The events and the comments between them.
     pub bytes: Bytes,
     pub count: u32,
+    /// Whether one of the events has an identifier.
+    pub has_id: bool,
 }
 
 impl EventBuffer {
@@ -40,10 +42,10 @@
             bytes = mem::take(&mut self.partial).freeze();
         }
         self.partial.extend_from_slice(&data);
-        if let Some(id) = message::parse_last_event_id(&bytes) {
-            self.last_id = Some(Bytes::copy_from_slice(id));
-        }
-        Completed { bytes, count: scanned.events }
+        let id = message::parse_last_event_id(&bytes).map(Bytes::copy_from_slice);
+        let has_id = id.is_some();
+        self.last_id = id.or(self.last_id.take());
+        Completed { bytes, count: scanned.events, has_id }
     }
 
     /// Takes the bytes of the incomplete event for the caller, or gives those of the last one back.
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -272,13 +272,9 @@
         let wait = self.exchange.wait(dispatch, last_event_id, failover, reader.read());
         Ok(match wait.await? {
             BodyRead::Data(data) => {
-                let former_id = self.events.last_id().cloned();
                 let completed = self.events.push(data);
-                // The first event after the last one of a former server has an identifier of its own.
-                if self.first_event_due
-                    && completed.count > 0
-                    && self.events.last_id() == former_id.as_ref()
-                {
+                // A stream that could be resumed has events with identifiers.
+                if self.first_event_due && completed.count > 0 && !completed.has_id {
                     return Ok(Some(AttemptResult::Invalid));
                 }
                 self.record_data(completed.count);
