--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -1,11 +1,13 @@
 //! The cases of the second review. See `review/REPORT-2.md`.
 
 mod refused;
+mod resumed;
 mod world;
 
 fn main() {
     match std::env::args().nth(1).as_deref() {
         Some("refused") => world::run(refused::run),
+        Some("resumed") => world::run(resumed::run),
         _ => {
             eprintln!("usage: world-2 CASE FOLDER");
             std::process::exit(2);
