Review case 8: streams go on at a replica that came back with newer software

Cause: only a refused connection or a 421 shows the gateway that a run has ended. After broken streams the server is ejected for a second, so that nothing is refused, and is then used under the version of its old entry.

--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -1,11 +1,13 @@
 //! The cases of the second review. See `review/REPORT-2.md`.
 
+mod joined;
 mod refused;
 mod resumed;
 mod world;
 
 fn main() {
     match std::env::args().nth(1).as_deref() {
+        Some("joined") => world::run(joined::run),
         Some("refused") => world::run(refused::run),
         Some("resumed") => world::run(resumed::run),
         _ => {
