Review case 9: an older configuration is in force again after a drill of the store

Cause: an older version that is written again after the store came back from a copy is put in force after a second.

--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -3,6 +3,7 @@
 mod joined;
 mod refused;
 mod resumed;
+mod reverted;
 mod world;
 
 fn main() {
@@ -10,6 +11,7 @@
         Some("joined") => world::run(joined::run),
         Some("refused") => world::run(refused::run),
         Some("resumed") => world::run(resumed::run),
+        Some("reverted") => world::run(reverted::run),
         _ => {
             eprintln!("usage: world-2 CASE FOLDER");
             std::process::exit(2);
