Review case 10: the streams of a killed replica end as complete

Cause: the end of a connection between two events counts as the end of a stream without a length or chunks, also if the replica was killed.

--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -4,6 +4,7 @@
 mod refused;
 mod resumed;
 mod reverted;
+mod truncated;
 mod world;
 
 fn main() {
@@ -12,6 +13,8 @@
         Some("refused") => world::run(refused::run),
         Some("resumed") => world::run(resumed::run),
         Some("reverted") => world::run(reverted::run),
+        Some("truncated") => world::run(truncated::run),
+        Some("replica") => truncated::run_replica(),
         _ => {
             eprintln!("usage: world-2 CASE FOLDER");
             std::process::exit(2);
