Harden the stand-ins of the second review

Processes end with the one that starts them, and a case that panics counts as one that couldn't run.

--- a/review/stand-2/joined.rs
+++ b/review/stand-2/joined.rs
@@ -116,8 +116,7 @@
             let after = request.header("last-event-id").and_then(|id| id.parse().ok());
             let after: u32 = after.unwrap_or(0);
             self.record.line(format!("{} v{version}: runs {id} after event {after}", self.id));
-            let head =
-                format!("Attempt-Id: {id}\r\nReplica-Signature: {}.v{version}\r\n", self.id);
+            let head = format!("Attempt-Id: {id}\r\nReplica-Signature: {}.v{version}\r\n", self.id);
             if world::send_stream_head(&mut stream, &head).is_err() {
                 return;
             }
--- a/review/stand-2/refused.rs
+++ b/review/stand-2/refused.rs
@@ -21,15 +21,23 @@
             // One of four replicas fails two in five of its requests after it has run them. Nothing in
             // such an answer says that the request has not run.
             let is_grey = world.has_trouble && n == 1;
-            Replica::start(&world.record, &world.runs, &id, "svc", "1", move |it, request, stream| {
-                it.begin(request);
-                let headers = it.headers(request);
-                let fails = is_grey && matches!(count.fetch_add(1, Ordering::Relaxed) % 5, 1 | 3);
-                let status = if fails { 503 } else { 200 };
-                it.log(format!("{} has run, answers {status}", request.id()));
-                world::send_response(stream, status, &headers, b"done")?;
-                Ok(true)
-            })
+            Replica::start(
+                &world.record,
+                &world.runs,
+                &id,
+                "svc",
+                "1",
+                move |it, request, stream| {
+                    it.begin(request);
+                    let headers = it.headers(request);
+                    let fails =
+                        is_grey && matches!(count.fetch_add(1, Ordering::Relaxed) % 5, 1 | 3);
+                    let status = if fails { 503 } else { 200 };
+                    it.log(format!("{} has run, answers {status}", request.id()));
+                    world::send_response(stream, status, &headers, b"done")?;
+                    Ok(true)
+                },
+            )
         })
         .collect();
     for replica in &replicas {
@@ -51,10 +59,14 @@
         served += usize::from(answer.status() == 200);
         if is_promise && world.runs.count(&id) > 0 {
             broken += 1;
-            world.record.line(format!("REFUSED: {id} was answered {} and has run", answer.status()));
+            world
+                .record
+                .line(format!("REFUSED: {id} was answered {} and has run", answer.status()));
         }
     }
-    world.record.line(format!("{served} of {REQUESTS} served, {broken} refused though they had run"));
+    world
+        .record
+        .line(format!("{served} of {REQUESTS} served, {broken} refused though they had run"));
     match (broken, served) {
         (0, 0) => world::NOT_RUN,
         (0, _) => world::KEPT,
--- a/review/stand-2/resumed.rs
+++ b/review/stand-2/resumed.rs
@@ -1,12 +1,11 @@
 //! All gateways are killed and start again. Their clients take up the streams that broke off.
 
 use std::{
-    sync::{Arc, Barrier},
     thread,
     time::{Duration, Instant},
 };
 
-use crate::world::{self, Answer, Client, Gateway, Machines, Replica, SIGKILL, World};
+use crate::world::{self, Client, Gateway, Machines, Replica, SIGKILL, World};
 
 const CONFIG: &str = r#"{"version":1,
  "routes":[
@@ -179,9 +178,8 @@
                 })
             })
             .collect();
-        let began =
-            new.into_iter().filter(|_| true).map(|new| new.join().unwrap() == Some(true));
-        let began = began.filter(|began| *began).count();
+        let began = new.into_iter().filter_map(|new| new.join().unwrap());
+        let began = began.filter(|has_begun| *has_begun).count();
         let outcomes: Vec<Outcome> =
             streams.into_iter().map(|stream| stream.join().unwrap()).collect();
         (outcomes, began)
@@ -195,8 +193,7 @@
     if taken_up < 12 || began < 12 {
         return world::NOT_RUN;
     }
-    let (share, new_share) =
-        (went_on as f64 / taken_up as f64, began as f64 / STREAMS as f64);
+    let (share, new_share) = (went_on as f64 / taken_up as f64, began as f64 / STREAMS as f64);
     if share < new_share / 2.0 { world::BROKEN } else { world::KEPT }
 }
 
--- a/review/stand-2/reverted.rs
+++ b/review/stand-2/reverted.rs
@@ -38,12 +38,18 @@
     for service in ["old", "new"] {
         for n in 0..2 {
             let id = format!("i-{service}-{n}");
-            let replica =
-                Replica::start(&world.record, &world.runs, &id, service, "1", |it, request, stream| {
+            let replica = Replica::start(
+                &world.record,
+                &world.runs,
+                &id,
+                service,
+                "1",
+                |it, request, stream| {
                     it.begin(request);
                     world::send_response(stream, 200, &it.headers(request), b"done")?;
                     Ok(true)
-                });
+                },
+            );
             replica.register(&world.store, "ready");
         }
     }
--- a/review/stand-2/truncated.rs
+++ b/review/stand-2/truncated.rs
@@ -31,7 +31,7 @@
     let id = std::env::args().nth(2).unwrap();
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     println!("{}", listener.local_addr().unwrap());
-    let address = world::serve(listener, move |request, stream| {
+    world::serve(listener, move |request, stream| {
         let attempt = request.id();
         if request.header("expected-replica").is_some_and(|expected| expected != id) {
             let head = format!("Attempt-Id: {attempt}\r\nNot-Executed: 1\r\n");
@@ -53,7 +53,6 @@
         println!("{id}: has ended {attempt} with event {EVENTS}");
         Ok(false)
     });
-    let _ = address;
     loop {
         thread::sleep(Duration::from_secs(60));
     }
@@ -70,6 +69,7 @@
         let program = std::env::current_exe().unwrap();
         let mut command = Command::new(program);
         command.args(["replica", &id]).stdin(Stdio::null()).stdout(Stdio::piped());
+        world::end_with_parent(&mut command);
         let mut child = command.spawn().unwrap();
         let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
         let address: SocketAddr = lines.next().unwrap().unwrap().parse().unwrap();
--- a/review/stand-2/world.rs
+++ b/review/stand-2/world.rs
@@ -6,6 +6,7 @@
     fs::{self, File},
     io::{self, Read, Write},
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
@@ -18,6 +19,18 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64, a: u64, b: u64, c: u64) -> i32;
+}
+
+/// Lets a process end with the one that starts it.
+pub fn end_with_parent(command: &mut Command) {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL as u64, 0, 0, 0);
+            Ok(())
+        });
+    }
 }
 
 pub const SIGHUP: i32 = 1;
@@ -561,6 +574,7 @@
             .append(true)
             .open(self.folder.join(format!("log-{machine}.txt")))
             .unwrap();
+        end_with_parent(&mut command);
         let child = command
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
@@ -783,12 +797,13 @@
     let temporary = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
     fs::create_dir_all(&temporary).unwrap();
     let record = Record::create(&folder).unwrap();
-    let has_trouble = std::env::var("TROUBLE").is_ok_and(|value| value == "0") == false;
+    let has_trouble = !std::env::var("TROUBLE").is_ok_and(|value| value == "0");
     let store = Store::start(&record);
     let runs = Runs::default();
     record.line(format!("disruption: {has_trouble}"));
     let world = World { record, store, runs, folder: temporary.clone(), has_trouble };
-    let code = case(&world);
+    let result = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| case(&world)));
+    let code = result.unwrap_or(NOT_RUN);
     let verdict = ["the rule held", "the rule was broken", "the case couldn't run"];
     world.record.line(verdict[usize::from(code)]);
     println!("{}", verdict[usize::from(code)]);
