Withhold a server's status that promises what is untrue of a request that has run

What callers saw: a server ran a request that may not be repeated and answered 503 of its own, signed and without the statement that it had not run.

Cause: the response to a failed attempt was kept and forwarded with its status, and nothing asked what the status means to a caller.

Ruled out: that the gateway takes the response for a rejection. Its log has "attempt_failed how=failed" and "failed status=503", and the caller gets the server's own body and signature.

Change: `wire::response::Meaning` decides for each status whether callers may receive it. A 421 that is signed is no proof. The log names what was withheld (`response_withheld`).

Before: in `platform/tests/statuses` 408, 421, 429, 503, 101, 600, 799 and 999 reached the caller on each kind of route, after a retry ("left: (408, Some("s")), right: (500, Some("s"))") and for streams that are taken up; in `platform/tests/hedges` "(503, 2)" for two attempts that both ran. 000 to 099 were broken connections before. After: all tests of both files pass.

--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -7,9 +7,9 @@
     event::{AttemptResult, RequestNumber},
 };
 use http_body_util::BodyExt;
-use hyper::{Response, body};
+use hyper::{Response, StatusCode, body};
 use platform::message;
-use wire::time::Instant;
+use wire::{response::Meaning, time::Instant};
 
 use crate::{
     caller::{Buffer, Caller},
@@ -54,8 +54,10 @@
 /// Why an attempt has no answer.
 pub struct Failure {
     pub cause: Cause,
-    /// The failure response of the backend server.
+    /// The failure response of the backend server, if the caller may receive it.
     pub response: Option<Response<http::Body>>,
+    /// Status of the failure response that the caller may not receive.
+    pub withheld: Option<StatusCode>,
     /// Framing of a stream that ended without an event, and the bytes that it had.
     pub stream_end: Option<(Framing, usize)>,
 }
@@ -68,7 +70,11 @@
 
 impl Failure {
     fn new(result: AttemptResult) -> Failure {
-        Failure { cause: Cause::Result(result), response: None, stream_end: None }
+        Failure::with_cause(Cause::Result(result))
+    }
+
+    fn with_cause(cause: Cause) -> Failure {
+        Failure { cause, response: None, withheld: None, stream_end: None }
     }
 
     /// Returns the event that reports the failure.
@@ -93,7 +99,7 @@
     let result = offer.response().await;
     match reporter.classify(&offer.dispatch, result, &offer.pool) {
         Ok(unread) => read(&offer.dispatch, *unread, &caller).await,
-        Err(event) => Err(Failure { cause: Cause::Event(event), response: None, stream_end: None }),
+        Err(event) => Err(Failure::with_cause(Cause::Event(event))),
     }
 }
 
@@ -124,10 +130,12 @@
     pool.release(sender, exchange::idle_time(&head.headers));
     let mut response = http::buffered(head.status.as_u16(), "", bytes);
     *response.headers_mut() = message::build_response_headers(&head.headers);
-    if !head.status.is_success() {
-        return Err(Failure { response: Some(response), ..Failure::new(AttemptResult::Failed) });
+    let failure = Failure::new(AttemptResult::Failed);
+    match Meaning::of(head.status.as_u16()) {
+        Meaning::Success => Ok(Content::Whole(response, framing)),
+        meaning if meaning.is_forwarded() => Err(Failure { response: Some(response), ..failure }),
+        _ => Err(Failure { withheld: Some(head.status), ..failure }),
     }
-    Ok(Content::Whole(response, framing))
 }
 
 /// Collects the body of a response.
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -203,6 +203,9 @@
             self.log_stream_end(dispatch, framing, partial_bytes, None);
         }
         let event = failure.build_event(self.reporter.number);
+        if let Some(status) = failure.withheld {
+            self.log_withheld(dispatch, status);
+        }
         if failure.response.is_some() {
             self.failure = failure.response;
         }
--- a/crates/daemon/src/gateway/exchange/lines.rs
+++ b/crates/daemon/src/gateway/exchange/lines.rs
@@ -112,6 +112,18 @@
         );
     }
 
+    /// Logs that a backend server failed a request that has run with a status that promises that it has
+    /// not, so the caller doesn't get its response.
+    pub(super) fn log_withheld(&self, dispatch: &Dispatch, status: StatusCode) {
+        tracing::info!(
+            event = "response_withheld",
+            id = %String::from_utf8_lossy(&self.reporter.id),
+            replica = %String::from_utf8_lossy(&dispatch.id),
+            status = status.as_u16(),
+            attempt = dispatch.inputs.attempt,
+        );
+    }
+
     /// Logs that a backend server ended a stream, and how many bytes it sent after the last complete
     /// event.
     pub fn log_stream_end(
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod offer;
 pub mod outcome;
 pub mod request;
+pub mod response;
 pub mod status;
 pub mod sync;
 pub mod tier;
