Withhold such statuses of a server at agents too

An agent passed on the status of its server whatever it was, so a caller of an entry got 408, 421, 429, 503, 600 or 999 for a request that had run, without an outcome.

Change: the agent asks `wire::response::Meaning`, ends the request with the new reason `backend_status` and outcome `unknown` (502), and doesn't read the body. A repeat with the same idempotency key gets the same outcome and doesn't run.

The stand-in service answers paths under /bids/status/ with the status at their end, after it has run the request.

--- a/crates/agent/src/progress.rs
+++ b/crates/agent/src/progress.rs
@@ -7,7 +7,9 @@
 use wire::{
     frame, id,
     outcome::{Outcome, Reason, Step},
-    request, sync,
+    request,
+    response::Meaning,
+    sync,
 };
 
 use crate::{
@@ -137,7 +139,9 @@
             resume.next_attempt = None;
         }
         let first = stream.response_head.is_none();
-        if first {
+        if first && !Meaning::of(response_head.0).is_forwarded() {
+            self.withhold_response(cx, grant, response_head.0);
+        } else if first {
             stream.response_head = Some(response_head.clone());
             stream.first_byte_at = Some(cx.now);
             let (elapsed, tokens_at_dispatch) =
@@ -159,6 +163,18 @@
         self.rearm_stream(grant);
     }
 
+    /// Ends a request whose backend server answers with a status that its caller must not get, since
+    /// the request may have run.
+    fn withhold_response(&mut self, cx: &mut Context<'_>, grant: id::Grant, status: u16) {
+        let Some(stream) = self.streams.get(grant) else { return };
+        let owner = stream.owner;
+        tracing::info!(event = "response_withheld", request = %owner, %grant, status);
+        self.count("withheld_responses");
+        self.trace(cx, owner, Step::Dispatched, "withheld");
+        let refusal = self.refusal(Outcome::Unknown, Step::Dispatched, Reason::BackendStatus, None);
+        self.finish_stream(cx, grant, frame::Body::Refused(refusal));
+    }
+
     fn send_started(
         &mut self,
         cx: &mut Context<'_>,
--- a/crates/agent/tests/streams.rs
+++ b/crates/agent/tests/streams.rs
@@ -365,3 +365,29 @@
         assert_eq!(feed(text), (1, true), "{text:?}");
     }
 }
+
+/// Guards against a status that promises that the request has not run, or that no final response has,
+/// which reaches the caller of a request that has run; and against a second run with its key.
+#[test]
+fn a_status_that_promises_too_much_is_withheld() {
+    for status in [408, 421, 429, 503, 0, 100, 101, 199, 600, 999] {
+        let mut harness = Harness::new(tree::Pool { max_running: 1, ..pool() });
+        let key = harness.issue_key();
+        let service = request::Head { kind: request::Kind::Service, key: Some(key), ..head(1) };
+        let (grant, link) = harness.dispatch(service.clone());
+        let started = |status| Progress::Started {
+            status,
+            content_type: bytes::Bytes::new(),
+            instance: "run-1".into(),
+        };
+        let actions = harness.send_progress(grant, started(status));
+        let expected = [(link, Outcome::Unknown, Reason::BackendStatus)];
+        assert_eq!(refusals(&actions), expected, "{status}");
+        assert_eq!(frames(&actions, link).len(), 1, "{status}: the response has not begun");
+        assert!(harness.send_progress(grant, Progress::End).is_empty(), "{status}");
+        let again = request::Head { request: head(2).request, ..service };
+        let actions = harness.offer(again).1;
+        assert_eq!(dispatches(&actions), 0, "{status}: it runs once");
+        assert_eq!(harness.status().running, 0, "{status}: its slot is free");
+    }
+}
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -10,7 +10,7 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, body, header};
 use serde::Deserialize;
 use serde_json::json;
-use wire::{header as names, id, request, time::Instant};
+use wire::{header as names, id, request, response::Meaning, time::Instant};
 
 use crate::{
     clock,
@@ -257,11 +257,17 @@
 ) -> bool {
     let content_type = response.headers().get(header::CONTENT_TYPE);
     let content_type = content_type.map(|value| Bytes::copy_from_slice(value.as_bytes()));
+    let status = response.status().as_u16();
     report(Progress::Started {
-        status: response.status().as_u16(),
+        status,
         content_type: content_type.unwrap_or_default(),
         instance: read_instance(&response),
     });
+    if !Meaning::of(status).is_forwarded() {
+        // Nobody gets the body, which may have no end.
+        report(Progress::End);
+        return false;
+    }
     let framing = Framing::of(response.headers(), response.body());
     let mut body = response.into_body();
     while let Some(frame) = body.frame().await {
--- a/crates/daemon/src/refusal.rs
+++ b/crates/daemon/src/refusal.rs
@@ -70,7 +70,7 @@
 
 fn status(refusal: &Refusal) -> u16 {
     match (refusal.outcome, refusal.reason) {
-        (Outcome::Incomplete, _) => 502,
+        (Outcome::Incomplete, _) | (Outcome::Unknown, Reason::BackendStatus) => 502,
         (Outcome::Unknown, _) => 504,
         (Outcome::NotRun, Reason::BadRequest | Reason::BadKey) => 400,
         (Outcome::NotRun, Reason::UnknownAccount) => 401,
--- a/crates/daemon/tests/cluster/mod.rs
+++ b/crates/daemon/tests/cluster/mod.rs
@@ -427,8 +427,18 @@
 
     /// Sends a bid with a key to an entry.
     pub fn send_bid(&self, entry: usize, key: &str) -> impl Future<Output = Response> + use<> {
+        self.send_bid_to(entry, "lot-7", key)
+    }
+
+    /// Sends a bid for a lot with a key to an entry.
+    pub fn send_bid_to(
+        &self,
+        entry: usize,
+        lot: &str,
+        key: &str,
+    ) -> impl Future<Output = Response> + use<> {
         let headers = [("x-account", "casa"), ("idempotency-key", key)];
-        self.post(entry, "/bids/lot-7", Bytes::from(format!("bid under {key}")), &headers)
+        self.post(entry, &format!("/bids/{lot}"), Bytes::from(format!("bid under {key}")), &headers)
     }
 
     /// Returns the current time of the clock in an engine's record. This adds a run to the record.
--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -109,6 +109,36 @@
     });
 }
 
+/// Guards against a server's own 503, 429, 408 or 421, or a status of no final response, that reaches
+/// the caller of a request that has run, and against other failures that don't.
+#[test]
+fn no_promise_of_a_server_reaches_the_caller_of_a_request_that_has_run() {
+    cluster::run(1, 0, 1, async |cluster| {
+        for status in [408, 421, 429, 503, 600, 999] {
+            let key = cluster.issue_key(0).await;
+            let before = cluster.bid_run_count();
+            // The second call with the key gets what is known of the first one.
+            for call in 0..2 {
+                let response = cluster.send_bid_to(0, &format!("status/{status}"), &key).await;
+                let case = format!("{status}, call {call}: {response:?}");
+                assert_eq!(response.status, 502, "{case}");
+                let error = response.error();
+                assert_eq!(
+                    (&error["code"], &error["outcome"]),
+                    (&"backend_status".into(), &"unknown".into()),
+                    "{case}"
+                );
+                assert_eq!(cluster.bid_run_count(), before + 1, "{case}");
+            }
+        }
+        for status in [200, 201, 302, 307, 400, 404, 500, 502, 504, 599] {
+            let key = cluster.issue_key(0).await;
+            let response = cluster.send_bid_to(0, &format!("status/{status}"), &key).await;
+            assert_eq!((response.status, response.outcome.clone()), (status, None), "{response:?}");
+        }
+    });
+}
+
 /// Returns the plain requests that the service ran. Its record contains the agent's probes as well.
 fn look_runs(cluster: &Cluster) -> Vec<stand::service::Effect> {
     let mut effects = cluster.services[0].record();
--- a/crates/stand/src/service.rs
+++ b/crates/stand/src/service.rs
@@ -22,6 +22,8 @@
 /// Path whose responses are large, and the size of what fills them, in bytes.
 const LARGE_PATH: &str = "/bids/large";
 const LARGE_BYTES: usize = 1_000_000;
+/// Prefix of paths that are answered with the status at their end.
+const STATUS_PREFIX: &str = "/bids/status/";
 
 /// Settings of the service.
 #[derive(Clone, Debug, Default)]
@@ -155,7 +157,11 @@
         "body_hash": format!("{body_hash:016x}"),
         "filler": if request.path == LARGE_PATH { "x".repeat(LARGE_BYTES) } else { String::new() },
     });
-    Ok(add_instance_header(shared, http::json(&result)))
+    let mut response = http::json(&result);
+    if let Some(status) = request.path.strip_prefix(STATUS_PREFIX) {
+        *response.status_mut() = status.parse().unwrap_or(StatusCode::NOT_FOUND);
+    }
+    Ok(add_instance_header(shared, response))
 }
 
 fn add_instance_header(shared: &Shared, response: Response<Body>) -> Response<Body> {
--- a/crates/wire/src/outcome.rs
+++ b/crates/wire/src/outcome.rs
@@ -64,6 +64,9 @@
     BackendCrashed,
     /// The backend server stopped responding.
     BackendSilent,
+    /// The status of the backend server's response promises that the request has not run, which
+    /// may be untrue, or is not one of the protocol.
+    BackendStatus,
     /// The agent became unreachable after the grant.
     AgentLost,
     /// The agent's process was replaced after the grant or the key was issued.
