Don't take a reset that a write learned of for the end of a response

What callers saw: a server answered an upload at once with a 200 without a length, sent a part and reset the connection while the upload was still being written. Agents reported such a part as closed in an orderly way.

Cause: the system reports a reset once, to the call that comes first. If that is the write in flight, the read that is in flight too returns the end, which for a response without a length is the end of its body.

Change: when a read returns the end, `Paced` asks the write in flight for its result and fails with its error. A write that is still pending has met none, so an orderly end during an upload stays one. Reads from servers go through the same buffer as those from callers.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod metrics;
 pub mod operators;
 pub mod options;
-mod paced;
+pub mod paced;
 pub mod peer;
 pub mod refusal;
 pub mod role;
--- a/crates/daemon/src/paced.rs
+++ b/crates/daemon/src/paced.rs
@@ -18,7 +18,7 @@
 /// reads on within one poll as long as it discards what it has read, as it does with interim
 /// responses.
 const MAX_READS: u32 = 8;
-/// Most bytes that are read from a caller at once.
+/// Most bytes that are read at once.
 const SCRATCH_BYTES: usize = 16 << 10;
 
 thread_local! {
@@ -52,23 +52,37 @@
     }
 }
 
-/// Reads from the connection of a caller. The HTTP library doesn't say how much was read into its own
-/// buffer.
+/// Reads from a connection, and counts what was read from that of a caller. The HTTP library doesn't
+/// say how much was read into its own buffer.
 fn read_counted(
     stream: &mut HyperStream<TcpStream>,
-    caller: &Caller,
+    caller: Option<&Caller>,
     context: &mut Context<'_>,
     mut buffer: ReadBufCursor<'_>,
 ) -> Poll<io::Result<()>> {
     SCRATCH.with_borrow_mut(|scratch| {
         let len = buffer.remaining().min(scratch.len());
-        let read = AsyncRead::poll_read(Pin::new(stream), context, &mut scratch[..len]);
+        let read = AsyncRead::poll_read(Pin::new(&mut *stream), context, &mut scratch[..len]);
         let read = ready!(read)?;
+        if read == 0 && len > 0 {
+            check_end(stream, context)?;
+        }
         buffer.put_slice(&scratch[..read]);
-        Poll::Ready(caller.record_read(read))
+        Poll::Ready(caller.map_or(Ok(()), |caller| caller.record_read(read)))
     })
 }
 
+/// Checks that the end of a connection was an orderly one. The system reports a reset only once. If a
+/// write in flight got the report, the next read finds nothing but an end, which looks like that of
+/// a response without a length.
+fn check_end(stream: &mut HyperStream<TcpStream>, context: &mut Context<'_>) -> io::Result<()> {
+    match Write::poll_flush(Pin::new(stream), context) {
+        Poll::Ready(result) => result,
+        // What is still being written has met no error.
+        Poll::Pending => Ok(()),
+    }
+}
+
 impl Read for Paced {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -81,10 +95,7 @@
             return Poll::Pending;
         }
         let Paced { stream, caller, .. } = &mut *self;
-        let read = match caller {
-            Some(caller) => read_counted(stream, caller, context, buffer),
-            None => Read::poll_read(Pin::new(stream), context, buffer),
-        };
+        let read = read_counted(stream, caller.as_ref(), context, buffer);
         self.reads = if read.is_ready() { self.reads + 1 } else { 0 };
         read
     }
--- a/crates/daemon/tests/backend_ends.rs
+++ b/crates/daemon/tests/backend_ends.rs
@@ -18,6 +18,10 @@
 use wire::id;
 
 const BODY: &str = "data: 1\n\ndata: 2\n\n";
+/// Size of an upload, more than the sockets of a connection hold.
+const UPLOAD_BYTES: usize = 8 << 20;
+/// Uploads in a test, since whether the client reads or writes first differs.
+const UPLOADS: usize = 100;
 /// Time after which a silent response counts as one that does not end.
 const SILENCE: Duration = Duration::from_millis(300);
 /// Time within which any other response ends, on a slow host too.
@@ -190,3 +194,38 @@
         assert_eq!(reported.into_inner(), [Progress::ConnectionLost], "{status}");
     }
 }
+
+/// Starts a server that answers each request without a length as soon as it has read its head, and
+/// resets the connection while the body is still being written.
+fn serve_reset_uploads() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut received = Vec::new();
+            while !received.ends_with(b"\r\n\r\n") {
+                let mut byte = [0];
+                stream.read_exact(&mut byte).expect("a head");
+                received.push(byte[0]);
+            }
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\npart");
+            sockopt::set_socket_linger(&stream, Some(Duration::ZERO)).expect("a socket");
+        }
+    });
+    address
+}
+
+/// Guards against a part of a response that counts as complete, since the connection was reset while
+/// the request was still being written.
+#[compio::test]
+async fn a_response_that_is_reset_during_its_upload_has_no_end() {
+    let address = serve_reset_uploads();
+    let grant = id::Grant { process: id::Process(9), seq: 1 };
+    let upload = Bytes::from(vec![b'x'; UPLOAD_BYTES]);
+    for n in 0..UPLOADS {
+        let last = RefCell::new(None);
+        let report = |progress| *last.borrow_mut() = Some(progress);
+        Client::new(address).dispatch(grant, bid::head(), upload.clone(), report).await;
+        assert_eq!(last.into_inner(), Some(Progress::ConnectionLost), "upload {n}");
+    }
+}
