Bound what is kept of a response's head

Cause: the HTTP library keeps up to 400 kB of a head, and grows its buffer for bodies to the same size, for each connection. Nothing counts that, and 400 connections are a small part of those that a gateway may have.

Change: 32 KiB for each connection to a server or the store. A head that is larger breaks the connection.

--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -17,6 +17,9 @@
 
 use crate::{clock, paced::Paced};
 
+/// Bound on the head of a response, and on what is read of a connection at once, in bytes. The HTTP
+/// library's own is 400 kB, for each connection.
+const MAX_BUFFERED_BYTES: usize = 32 << 10;
 /// Maximum number of idle connections in a pool.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 /// Time for which a connection that was opened too late for its request may be used for another one.
@@ -144,7 +147,9 @@
             _ => Fault::Unsent,
         })?;
         let _ = stream.set_nodelay(true);
-        let handshake = http1::handshake(Paced::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_BUFFERED_BYTES);
+        let handshake = builder.handshake(Paced::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| Fault::Unsent)?;
         runtime::spawn(connection.map(drop)).detach();
         Ok(sender)
