Count what is kept for a caller for as long as it is kept

What callers saw: with 400 answers that stop just short of a megabyte, events of streams made a gateway of 112 MB take 108 MB, and 94 of 400 callers got a closed connection instead of a 502; of failures with a large body, 43 of 300 did.

Cause: the bytes of an incomplete event were counted by their length after the buffer had grown, to up to twice as much. They were not given back when the event was given up, so there was no room for the 502 either. A collected response was given back when it was complete and taken again when it was delivered; in between others took the room, and a failure that is kept during a retry counted as nothing.

Change: one buffer, caller::Buffer, for requests, responses and events. It takes bytes before it grows and gives them back when it is dropped. The body of a collected response holds them until it is delivered.

--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    io,
+    io, mem,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
@@ -276,7 +276,8 @@
     }
 }
 
-/// Bytes of a request or response that are collected for a caller.
+/// Bytes of a request or response that are collected for a caller. They are given back when the buffer
+/// is dropped.
 pub struct Buffer {
     caller: Caller,
     bytes: Vec<u8>,
@@ -316,23 +317,64 @@
 
     /// Returns the bytes, which are taken until the response to the request has been delivered.
     pub fn into_bytes(mut self) -> Bytes {
-        let unused = self.bytes.capacity() - self.bytes.len();
+        self.shrink();
+        mem::take(&mut self.bytes).into()
+    }
+
+    /// Returns the bytes, which are given back, and leaves the buffer empty.
+    pub fn take(&mut self) -> Bytes {
+        self.caller.give_back(self.bytes.capacity());
+        mem::take(&mut self.bytes).into()
+    }
+
+    /// Returns the body of a response. Its bytes stay taken until it is delivered.
+    pub fn into_body(mut self) -> http::Body {
+        self.shrink();
+        Box::pin(Collected(self))
+    }
+
+    fn shrink(&mut self) {
+        let before = self.bytes.capacity();
         self.bytes.shrink_to_fit();
-        self.caller.give_back(unused);
-        self.bytes.into()
+        self.caller.give_back(before - self.bytes.capacity());
+    }
+}
+
+impl Drop for Buffer {
+    fn drop(&mut self) {
+        self.caller.give_back(self.bytes.capacity());
+    }
+}
+
+/// Body of a response that was collected before.
+struct Collected(Buffer);
+
+impl Body for Collected {
+    type Data = Bytes;
+    type Error = Aborted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
+        // The delivery takes the bytes again at once.
+        let frame = (!self.0.is_empty()).then(|| Ok(Frame::data(self.0.take())));
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.0.is_empty()
     }
 
-    /// Returns the bytes of a response, which are taken again when it is delivered.
-    pub fn into_response(self) -> Bytes {
-        let (caller, bytes) = (self.caller.clone(), self.into_bytes());
-        caller.give_back(bytes.len());
-        bytes
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.0.len() as u64)
     }
 }
 
 /// Body of a response to a caller, which notices whether the caller reads it.
 pub struct Delivery {
-    body: http::Body,
+    /// `None` once the response has ended.
+    body: Option<http::Body>,
     caller: Caller,
     /// Part of the body that was not passed on yet, which is taken for the caller.
     rest: Bytes,
@@ -341,12 +383,14 @@
 impl Delivery {
     /// Returns the body of the response to a caller.
     pub fn new(body: http::Body, caller: Caller) -> Delivery {
-        Delivery { body, caller, rest: Bytes::new() }
+        Delivery { body: Some(body), caller, rest: Bytes::new() }
     }
 }
 
 impl Drop for Delivery {
     fn drop(&mut self) {
+        // What the body holds is given back before the connection counts as idle.
+        self.body = None;
         self.caller.end_response();
     }
 }
@@ -360,7 +404,8 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
         if self.rest.is_empty() {
-            match self.body.as_mut().poll_frame(context) {
+            let Some(body) = &mut self.body else { return Poll::Ready(None) };
+            match body.as_mut().poll_frame(context) {
                 Poll::Ready(Some(Ok(frame))) => match frame.into_data() {
                     Ok(data) => {
                         if self.caller.take(data.len()).is_err() {
@@ -384,12 +429,12 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.rest.is_empty() && self.body.is_end_stream()
+        self.rest.is_empty() && self.body.as_ref().is_none_or(|body| body.is_end_stream())
     }
 
     fn size_hint(&self) -> SizeHint {
         let rest = self.rest.len() as u64;
-        let hint = self.body.size_hint();
+        let hint = self.body.as_ref().map(Body::size_hint).unwrap_or_default();
         let mut whole = SizeHint::new();
         whole.set_lower(hint.lower() + rest);
         if let Some(upper) = hint.upper() {
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -268,8 +268,7 @@
                     let Some((request, status, content_type)) = head else { break };
                     self.record("total_ms", &timing);
                     drop(guard);
-                    let content_type = String::from_utf8_lossy(&content_type);
-                    let response = http::buffered(status, &content_type, buffered.into_response());
+                    let response = http::respond(status, &content_type, buffered.into_body());
                     return with_request_id(response, request);
                 }
                 ResponsePart::Refuse { request, refusal } => {
--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -1,6 +1,5 @@
 //! What a backend server answers: a stream from its first event on, or a whole response.
 
-use bytes::Bytes;
 use gate::{
     Event,
     action::Dispatch,
@@ -126,9 +125,10 @@
 /// Reads a response completely before any of it is forwarded.
 async fn read_whole(unread: UnreadResponse, caller: &Caller) -> Result<Content, Failure> {
     let UnreadResponse { head, framing, body, sender, pool } = unread;
-    let bytes = collect(body, caller).await.map_err(Failure::new)?;
+    let received = collect(body, caller).await.map_err(Failure::new)?;
     pool.release(sender, exchange::idle_time(&head.headers));
-    let mut response = http::buffered(head.status.as_u16(), "", bytes);
+    let mut response = Response::new(received.into_body());
+    *response.status_mut() = head.status;
     *response.headers_mut() = message::build_response_headers(&head.headers);
     let failure = Failure::new(AttemptResult::Failed);
     match Meaning::of(head.status.as_u16()) {
@@ -143,7 +143,7 @@
 /// # Errors
 ///
 /// Returns the result of a response that is not complete, or too large.
-async fn collect(mut body: body::Incoming, caller: &Caller) -> Result<Bytes, AttemptResult> {
+async fn collect(mut body: body::Incoming, caller: &Caller) -> Result<Buffer, AttemptResult> {
     let mut received = Buffer::new(caller.clone());
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| AttemptResult::Broken)?.into_data() else { continue };
@@ -152,5 +152,5 @@
         }
         received.extend(&data, MAX_BUFFERED_BYTES).map_err(|_| AttemptResult::Discarded)?;
     }
-    Ok(received.into_response())
+    Ok(received)
 }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -316,11 +316,6 @@
         failure
     }
 
-    /// Returns the caller's connection.
-    pub fn caller(&self) -> &Caller {
-        &self.caller
-    }
-
     /// Returns the gateway's metrics.
     pub fn metrics(&self) -> &Metrics {
         &self.reporter.gateway.metrics
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -15,14 +15,13 @@
 use wire::{event_stream, time::Instant};
 
 use crate::{
-    budget::Full,
     caller::Caller,
     clock,
     connection::{Pool, Sender},
     framing::Framing,
     gateway::{
         Instruction,
-        events::EventBuffer,
+        events::{EventBuffer, MAX_EVENT_BYTES},
         exchange::{self, Attempt, Exchange, Failover, UnreadResponse},
         offer::Offer,
     },
@@ -35,9 +34,6 @@
 /// is moved to one with free capacity. Parts of an event and comments are no progress.
 const STREAM_FAILOVER_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Largest event that is buffered until it is complete, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
-
 /// Reason for the end of a stream whose deadline passed.
 const DEADLINE: &str = "deadline";
 
@@ -120,12 +116,14 @@
     caller: &Caller,
 ) -> Result<StartedStream, (AttemptResult, Option<(Framing, usize)>)> {
     let (head, mut reader) = split_response(response);
-    let mut events = EventBuffer::default();
+    let mut events = EventBuffer::new(caller.clone());
     let mut ready = VecDeque::new();
     loop {
         match reader.read().await {
             BodyRead::Data(data) => {
-                let completed = events.push(data);
+                let Ok(completed) = events.push(data) else {
+                    return Err((AttemptResult::Discarded, None));
+                };
                 if !completed.bytes.is_empty() {
                     ready.push_back(completed.bytes);
                     return Ok(StartedStream { head, reader, events, ready, has_event: true });
@@ -133,9 +131,6 @@
                 if events.partial_len() > MAX_EVENT_BYTES {
                     return Err((AttemptResult::Invalid, None));
                 }
-                if events.settle(caller).is_err() {
-                    return Err((AttemptResult::Discarded, None));
-                }
             }
             BodyRead::End => match end_result(reader.framing, &events, false) {
                 AttemptResult::Complete => {
@@ -272,7 +267,9 @@
         let wait = self.exchange.wait(dispatch, last_event_id, failover, reader.read());
         Ok(match wait.await? {
             BodyRead::Data(data) => {
-                let completed = self.events.push(data);
+                let Ok(completed) = self.events.push(data) else {
+                    return Ok(Some(AttemptResult::Discarded));
+                };
                 // A stream that could be resumed has events with identifiers.
                 if self.first_event_due && completed.count > 0 && !completed.has_id {
                     return Ok(Some(AttemptResult::Invalid));
@@ -280,11 +277,7 @@
                 self.record_data(completed.count);
                 self.ready.push_back(completed.bytes);
                 let is_too_large = self.events.partial_len() > MAX_EVENT_BYTES;
-                let result = match self.events.settle(self.exchange.caller()) {
-                    _ if is_too_large => Some(AttemptResult::Invalid),
-                    Err(Full) => Some(AttemptResult::Discarded),
-                    Ok(()) => None,
-                };
+                let result = is_too_large.then_some(AttemptResult::Invalid);
                 self.reader = result.is_none().then_some(reader);
                 result
             }
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -408,7 +408,7 @@
 /// Returns a response with a complete body. An invalid content type is left out.
 pub fn buffered(status: u16, content_type: &str, bytes: Bytes) -> Response<Body> {
     let body = Full::new(bytes).map_err(|never| match never {});
-    build_response(status, content_type.as_bytes(), Box::pin(body))
+    respond(status, content_type.as_bytes(), Box::pin(body))
 }
 
 /// Returns a JSON response.
@@ -437,10 +437,11 @@
         let _ = &guard;
         part.map(body::Frame::data)
     });
-    build_response(status, content_type, Box::pin(StreamBody::new(frames)))
+    respond(status, content_type, Box::pin(StreamBody::new(frames)))
 }
 
-fn build_response(status: u16, content_type: &[u8], body: Body) -> Response<Body> {
+/// Returns a response with a body. An invalid content type is left out.
+pub fn respond(status: u16, content_type: &[u8], body: Body) -> Response<Body> {
     let mut response = Response::new(body);
     *response.status_mut() =
         hyper::StatusCode::from_u16(status).unwrap_or(hyper::StatusCode::BAD_GATEWAY);
