Deliver a short response though there is no room for it

What callers saw: when other callers have taken all memory of the process, a refusal of some bytes could not be delivered, and its caller got a closed connection, which says less than a 502.

Cause: each part of a response is taken from the budget, however short it is.

Change: a response of up to 1 KiB is delivered in the buffers that its connection has taken anyway.

a_short_response_is_delivered_without_room (crates/daemon/tests/delivery.rs): "left: None" before, passes now.

--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -41,6 +41,9 @@
 /// Largest part of a response that is passed to the HTTP library, which keeps some of them until the
 /// caller has read them.
 const MAX_FRAME_BYTES: usize = 16 << 10;
+/// Bytes up to which a response is delivered if there is no room for it, in the buffers that its
+/// connection has taken. Refusals are shorter, and tell a caller more than a closed connection.
+const MAX_SHORT_BYTES: usize = 1 << 10;
 /// Time between two log lines on connections that were closed for others or refused.
 const LOG_PERIOD: Duration = Duration::from_secs(1);
 
@@ -257,7 +260,7 @@
         }
     }
 
-    /// Records that a part of a response was passed on, whose bytes were taken.
+    /// Records that a part of a response was passed on, of which so many bytes were taken.
     fn record_part(&self, bytes: usize) {
         self.0.unsent.set(self.0.unsent.get() + bytes);
         self.enter(Stage::Delivery);
@@ -376,14 +379,16 @@
     /// `None` once the response has ended.
     body: Option<http::Body>,
     caller: Caller,
-    /// Part of the body that was not passed on yet, which is taken for the caller.
+    /// Part of the body that was not passed on yet.
     rest: Bytes,
+    /// Whether it is taken for the caller. A short one may not be.
+    is_taken: bool,
 }
 
 impl Delivery {
     /// Returns the body of the response to a caller.
     pub fn new(body: http::Body, caller: Caller) -> Delivery {
-        Delivery { body: Some(body), caller, rest: Bytes::new() }
+        Delivery { body: Some(body), caller, rest: Bytes::new(), is_taken: true }
     }
 }
 
@@ -408,7 +413,8 @@
             match body.as_mut().poll_frame(context) {
                 Poll::Ready(Some(Ok(frame))) => match frame.into_data() {
                     Ok(data) => {
-                        if self.caller.take(data.len()).is_err() {
+                        self.is_taken = self.caller.take(data.len()).is_ok();
+                        if !self.is_taken && data.len() > MAX_SHORT_BYTES {
                             return Poll::Ready(Some(Err(Aborted)));
                         }
                         self.rest = data;
@@ -423,7 +429,7 @@
             }
         }
         let len = self.rest.len().min(MAX_FRAME_BYTES);
-        self.caller.record_part(len);
+        self.caller.record_part(if self.is_taken { len } else { 0 });
         let part = self.rest.split_to(len);
         Poll::Ready(Some(Ok(Frame::data(part))))
     }
