Bound what the values of a peer's reply take together

A reply of another gateway has any number of compressed values, each of which may have 8 MiB. Some hundred bytes make one, so a reply of 16 MiB could take all memory.

Change: the values of a reply share the bound of 16 MiB for the reply as a whole.

values_that_grow_together_are_bounded (crates/daemon/tests/delta.rs): 64 values of a megabyte were accepted before; 4 and 12 still are.

--- a/crates/daemon/src/gateway/delta.rs
+++ b/crates/daemon/src/gateway/delta.rs
@@ -146,11 +146,13 @@
         let encoded = decompress(reply, &[], MAX_REPLY_BYTES).map_err(Error::Decompress)?;
         let decoded = wire::frame::decode(&encoded).map_err(Error::Malformed)?;
         let Reply { token, revision, age, entries } = decoded;
+        // Many values that are small when compressed may be large together.
+        let mut remaining = MAX_REPLY_BYTES;
         let decode_entry = |Entry { key, value, deleted }| {
             let value = match value {
                 Value::Encoded(value) => value,
                 Value::Decoded(value) => STANDARD.encode(value).into(),
-                Value::Delta { base, bytes } => self.decompress(base, &bytes)?,
+                Value::Delta { base, bytes } => self.decompress(base, &bytes, &mut remaining)?,
             };
             Ok(StoreEntry { key, value, deleted })
         };
@@ -188,12 +190,20 @@
         Ok(Some(Value::Delta { base: hash, bytes: delta }))
     }
 
-    fn decompress(&self, base: Option<u64>, bytes: &[u8]) -> Result<Bytes, Error> {
+    /// Returns a value as the store encodes it, and takes its size from `remaining`.
+    fn decompress(
+        &self,
+        base: Option<u64>,
+        bytes: &[u8],
+        remaining: &mut u64,
+    ) -> Result<Bytes, Error> {
         let base = match base {
             Some(hash) => self.value(hash).ok_or(Error::UnknownBase)?,
             None => Bytes::new(),
         };
-        let value = decompress(bytes, &base, MAX_VALUE_BYTES).map_err(Error::Decompress)?;
+        let most = MAX_VALUE_BYTES.min(*remaining);
+        let value = decompress(bytes, &base, most).map_err(Error::Decompress)?;
+        *remaining -= value.len() as u64;
         Ok(STANDARD.encode(value).into())
     }
 }
--- a/crates/daemon/tests/delta.rs
+++ b/crates/daemon/tests/delta.rs
@@ -135,3 +135,18 @@
     let size = transfer(&Values::default(), &Values::default(), &reply).expect("a reply");
     assert!(size < plain / 8, "{size} of {plain} bytes");
 }
+
+/// Guards against a reply whose values are small when compressed, each within its bound, and together
+/// take the memory of the process.
+#[test]
+fn values_that_grow_together_are_bounded() {
+    let (sender, receiver) = (Values::default(), Values::default());
+    let large = stored(&" ".repeat(1 << 20));
+    for (count, is_accepted) in [(4, true), (12, true), (64, false)] {
+        let entries = Some(vec![large.clone(); count]);
+        let reply = Reply { entries, ..reply(large.clone()) };
+        let encoded = sender.encode(reply, &[]).expect("a reply");
+        assert!(encoded.len() < 64 << 10, "{} bytes", encoded.len());
+        assert_eq!(receiver.decode(&encoded).is_ok(), is_accepted, "{count} values");
+    }
+}
