Read many changes of the store in pages

A response of the store may have 32 MiB, for the watch and for a read on demand each. A store that sends bytes without end made a gateway of 112 MB take 78 MB, of which 39 MB belong to its callers.

Change: 8 MiB for a response. Pages have about a megabyte; a watch that returns more than 8 MiB is answered by a full read in pages, which has each item once.

Without the full read, changes_over_the_bound_are_read_in_pages fails: the newer configuration is not in force after 60 s.

--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -45,9 +45,9 @@
 const MAX_CONFIRMED_AGE: Duration = Duration::from_millis(2000);
 /// Wait after a failure while peers confirm the cached view.
 const CONFIRMED_RETRY_DELAY: Duration = Duration::from_millis(1000);
-/// Largest response of the store, in bytes. A page has about 500 items or 1 MB; a watch returns all
-/// changes since the last one.
-const MAX_RESPONSE_BYTES: usize = 32 << 20;
+/// Largest response of the store, in bytes. A page has about 500 items or 1 MB. A watch returns all
+/// changes since the last one; if they are more, everything is read in pages.
+const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// Size from which a response of the store is logged, in bytes.
 const LOGGED_RESPONSE_BYTES: usize = 64 << 10;
 /// Idle time after which a connection to the store is not used again.
@@ -205,7 +205,14 @@
         let at = clock::now();
         let Revision { era, number } = Revision::from_ordinal(revision);
         let path = store::watch_path(number, wait);
-        let response = self.get(&path, limit).await?;
+        let response = match self.get(&path, limit).await {
+            Err(Error { kind: Kind::TooLarge, .. }) => {
+                tracing::warn!(event = "store_changes_too_large", revision = number);
+                self.compacted = true;
+                return Ok(());
+            }
+            response => response?,
+        };
         if store::is_compacted(response.status) {
             tracing::info!(event = "store_compacted", revision = number);
             self.compacted = true;
