Let connections to other processes give way to the rest of the process

What callers saw: a configuration service, a host list or another process that sends interim responses without end stops a whole entry or agent.

Cause: the HTTP library reads on within one poll as long as it discards what it reads.

Change: entries and agents use connection::Pool for all calls, as gateways do. Redirects are not followed any more. Responses of the configuration service and the host list have 16 MiB at most, not 64.

--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -75,6 +75,13 @@
         self.address
     }
 
+    /// Returns whether there is an idle connection that may be used.
+    pub fn has_idle(&self) -> bool {
+        let now = clock::now();
+        let is_usable = |(sender, until): &(Sender, Instant)| sender.is_ready() && now < *until;
+        self.idle_connections.borrow().iter().any(is_usable)
+    }
+
     /// Sends a request once, on an idle connection or a new one.
     ///
     /// # Errors
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -1,14 +1,17 @@
 //! Client of the protocol between processes of the system.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{cell::RefCell, collections::HashMap, fmt, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use compio::time;
 use futures_util::{Stream, StreamExt};
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, header};
 use serde::{Serialize, de::DeserializeOwned};
 use wire::{Frame, frame, grant};
 
 use crate::{
+    connection::{Pool, Sent},
     error::{Error, Kind, Step},
     http,
 };
@@ -19,23 +22,23 @@
 pub const FROM: &str = "x-peer";
 /// Timeout of a short exchange.
 pub const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time to connect to a process. A lost packet is sent again after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Idle time after which a connection is not used again. Processes close theirs later.
+const MAX_IDLE: Duration = Duration::from_secs(30);
 
 /// Sends messages to other processes of the system.
 #[derive(Clone)]
 pub struct Client {
-    http: cyper::Client,
+    /// Connections to the processes that messages were sent to.
+    pools: Rc<RefCell<HashMap<SocketAddr, Pool>>>,
     from: SocketAddr,
 }
 
 impl Client {
     /// Returns a client that names `from` as the sender.
-    ///
-    /// # Panics
-    ///
-    /// Panics if the HTTP client can't be built, which happens only with TLS.
     pub fn new(from: SocketAddr) -> Client {
-        let http = cyper::Client::builder().no_proxy().build().expect("client without TLS");
-        Client { http, from }
+        Client { pools: Rc::default(), from }
     }
 
     /// Sends a message and returns the reply. `limit` is the time up to its head.
@@ -50,12 +53,13 @@
         message: &impl Serialize,
         limit: Duration,
     ) -> Result<T, Error> {
-        let response = time::timeout(limit, self.post(peer, path, frame::encode(message))).await;
-        let response =
-            response.map_err(|_| Error::with_kind(Step::Receive, peer, Kind::Timeout))?;
-        let parts = response?.bytes_stream();
+        let sent = time::timeout(limit, self.post(peer, path, frame::encode(message))).await;
+        let sent = sent.map_err(|_| Error::with_kind(Step::Receive, peer, Kind::Timeout))?;
+        let Sent { response, sender, .. } = sent?;
+        let parts = response.into_body().into_data_stream();
         let bytes = http::transfer(parts, frame::MAX_MESSAGE_BYTES).await;
         let bytes = bytes.map_err(|error| error.at(peer))?;
+        self.pool(peer).release(sender, MAX_IDLE);
         frame::decode(&bytes).map_err(|e| Error::new(Step::Decode, peer, e))
     }
 
@@ -94,33 +98,37 @@
         path: &str,
         message: Bytes,
     ) -> Result<impl Stream<Item = Result<Frame, Error>> + use<>, Error> {
-        let response = self.post(peer, path, message).await?;
+        let Sent { response, sender, .. } = self.post(peer, path, message).await?;
         let mut reader = frame::Reader::default();
-        let frames = response
-            .bytes_stream()
-            .flat_map(move |part| futures_util::stream::iter(read_frames(&mut reader, peer, part)));
-        Ok(frames)
+        let parts = response.into_body().into_data_stream();
+        Ok(parts.flat_map(move |part| {
+            // The connection is used for this response alone.
+            let _ = &sender;
+            futures_util::stream::iter(read_frames(&mut reader, peer, part))
+        }))
     }
 
-    async fn post(
-        &self,
-        peer: SocketAddr,
-        path: &str,
-        message: Bytes,
-    ) -> Result<cyper::Response, Error> {
-        let error = |e: cyper::Error| Error::new(Step::Send, peer, e);
-        let response = self
-            .http
-            .post(format!("http://{peer}{path}"))
-            .and_then(|request| request.header("content-type", CONTENT_TYPE))
-            .and_then(|request| request.header(FROM, self.from.to_string()))
-            .map_err(error)?
-            .body(message)
-            .send()
-            .await
-            .map_err(error)?;
-        match response.status().as_u16() {
-            200 => Ok(response),
+    /// Returns the connections to a process. Those to processes without an idle one are left out,
+    /// since hosts are replaced.
+    fn pool(&self, peer: SocketAddr) -> Pool {
+        let mut pools = self.pools.borrow_mut();
+        if !pools.contains_key(&peer) {
+            pools.retain(|_, pool| pool.has_idle());
+        }
+        pools.entry(peer).or_insert_with(|| Pool::new(peer, CONNECT_TIMEOUT)).clone()
+    }
+
+    async fn post(&self, peer: SocketAddr, path: &str, message: Bytes) -> Result<Sent, Error> {
+        let request = Request::post(path)
+            .header(header::HOST, peer.to_string())
+            .header(header::CONTENT_TYPE, CONTENT_TYPE)
+            .header(FROM, self.from.to_string())
+            .body(Full::new(message))
+            .map_err(|error| Error::new(Step::Send, peer, error))?;
+        let sent = self.pool(peer).send(request).await;
+        let sent = sent.map_err(|fault| Error::new(Step::Send, peer, format!("{fault:?}")))?;
+        match sent.response.status().as_u16() {
+            200 => Ok(sent),
             status => Err(Error::with_kind(Step::Receive, peer, Kind::Status(status))),
         }
     }
@@ -129,7 +137,7 @@
 fn read_frames(
     reader: &mut frame::Reader,
     peer: SocketAddr,
-    part: Result<Bytes, cyper::Error>,
+    part: Result<Bytes, impl fmt::Display>,
 ) -> Vec<Result<Frame, Error>> {
     let part = match part {
         Ok(part) => part,
--- a/crates/daemon/src/sources.rs
+++ b/crates/daemon/src/sources.rs
@@ -1,31 +1,96 @@
 //! Client of the platform's configuration service and host list.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use compio::time;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, Uri, header};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use wire::sync;
 
 use crate::{
+    connection::{Pool, Sent},
     error::{Error, Kind, Step},
     http,
 };
 
+/// Time to connect to a service. A lost packet is sent again after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Idle time after which a connection is not used again. Services close theirs after some seconds.
+const MAX_IDLE: Duration = Duration::from_secs(5);
+/// Port of a URL that names none.
+const DEFAULT_PORT: u16 = 80;
 /// Time for the head of the response to a read that does not wait for a change.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
-/// Upper bound of one response, which can contain the whole tree in base64.
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// Upper bound of one response, which can contain the whole tree in base64: as much as eleven branches
+/// of the largest size.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
 /// Client of the platform's services, which it only reads.
 #[derive(Clone)]
 pub struct Client {
-    http: cyper::Client,
-    configuration_url: String,
+    configuration: Service,
     prefix: String,
-    hosts_url: String,
+    hosts: Service,
+}
+
+/// One of the services.
+#[derive(Clone)]
+struct Service {
+    pool: Pool,
+    /// Path of its URL.
+    path: String,
+}
+
+impl Service {
+    /// Returns the service at a URL.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the URL has no address, which the settings don't allow.
+    fn new(url: &str) -> Service {
+        let uri: Uri = url.parse().expect("the settings have valid URLs");
+        let authority = uri.authority().expect("the settings have URLs with an address");
+        let host = authority.host().trim_matches(['[', ']']);
+        let ip = host.parse().expect("the settings have URLs with an address");
+        let address = SocketAddr::new(ip, authority.port_u16().unwrap_or(DEFAULT_PORT));
+        let path = uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+        Service { pool: Pool::new(address, CONNECT_TIMEOUT), path }
+    }
+
+    /// Returns the body of the response to a read and the value of Consul's index header, or 0 without
+    /// the header. `limit` is the time up to the head of the response.
+    async fn get(&self, path: &str, limit: Duration) -> Result<(Bytes, u64), Error> {
+        let address = self.pool.address();
+        let request = Request::get(path)
+            .header(header::HOST, address.to_string())
+            .body(Full::new(Bytes::new()))
+            .map_err(|error| Error::new(Step::Send, address, error))?;
+        let sent = time::timeout(limit, self.pool.send(request)).await;
+        let sent = sent.map_err(|_| Error::with_kind(Step::Receive, address, Kind::Timeout))?;
+        let Sent { response, sender, .. } =
+            sent.map_err(|fault| Error::new(Step::Send, address, format!("{fault:?}")))?;
+        let status = response.status().as_u16();
+        let index = response
+            .headers()
+            .get("x-consul-index")
+            .and_then(|value| value.to_str().ok()?.parse().ok())
+            .unwrap_or(0);
+        match status {
+            200 => {}
+            // Consul returns 404 if no key has the prefix.
+            404 if index > 0 => return Ok((Bytes::from_static(b"[]"), index)),
+            _ => return Err(Error::with_kind(Step::Receive, address, Kind::Status(status))),
+        }
+        let body =
+            http::transfer(response.into_body().into_data_stream(), MAX_RESPONSE_BYTES).await;
+        let body = body.map_err(|error| error.at(address))?;
+        self.pool.release(sender, MAX_IDLE);
+        Ok((body, index))
+    }
 }
 
 /// One key of the configuration service, as Consul's KV API returns it.
@@ -50,14 +115,12 @@
     ///
     /// # Panics
     ///
-    /// Panics if the HTTP client can't be built, which happens only with TLS.
+    /// Panics if a URL has no address, which the settings don't allow.
     pub fn new(process: &conf::process::Settings) -> Client {
-        let http = cyper::Client::builder().no_proxy().build().expect("client without TLS");
         Client {
-            http,
-            configuration_url: process.configuration.trim_end_matches('/').into(),
+            configuration: Service::new(&process.configuration),
             prefix: process.prefix.trim_matches('/').into(),
-            hosts_url: process.hosts.clone(),
+            hosts: Service::new(&process.hosts),
         }
     }
 
@@ -71,20 +134,21 @@
         index: Option<u64>,
         wait: Duration,
     ) -> Result<(Vec<sync::Branch>, u64), Error> {
-        let mut url = format!("{}/v1/kv/{}/?recurse=true", self.configuration_url, self.prefix);
+        let base = self.configuration.path.trim_end_matches('/');
+        let mut path = format!("{base}/v1/kv/{}/?recurse=true", self.prefix);
         let mut limit = READ_TIMEOUT;
         if let Some(index) = index {
-            url.push_str(&format!("&index={index}&wait={}ms", wait.as_millis()));
+            path.push_str(&format!("&index={index}&wait={}ms", wait.as_millis()));
             limit += wait;
         }
-        let (bytes, index) = self.get(&url, limit).await?;
+        let (bytes, index) = self.configuration.get(&path, limit).await?;
         let pairs: Vec<Pair> =
-            serde_json::from_slice(&bytes).map_err(|e| Error::new(Step::Decode, &url, e))?;
+            serde_json::from_slice(&bytes).map_err(|e| Error::new(Step::Decode, &path, e))?;
         let branches = pairs
             .into_iter()
             .map(|pair| self.decode_branch(pair))
             .collect::<Result<_, _>>()
-            .map_err(|e| Error::new(Step::Decode, &url, e))?;
+            .map_err(|e| Error::new(Step::Decode, &path, e))?;
         Ok((branches, index))
     }
 
@@ -94,8 +158,8 @@
     ///
     /// Returns an error with the step and the URL.
     pub async fn read_hosts(&self) -> Result<(u64, Bytes), Error> {
-        let (bytes, _) = self.get(&self.hosts_url, READ_TIMEOUT).await?;
-        let decode = |e| Error::new(Step::Decode, &self.hosts_url, e);
+        let (bytes, _) = self.hosts.get(&self.hosts.path, READ_TIMEOUT).await?;
+        let decode = |e| Error::new(Step::Decode, &self.hosts.path, e);
         let list: List<'_> = serde_json::from_slice(&bytes).map_err(decode)?;
         Ok((list.revision, Bytes::copy_from_slice(list.hosts.get().as_bytes())))
     }
@@ -109,27 +173,4 @@
             text: text.into(),
         })
     }
-
-    /// Returns the body and the value of Consul's index header, or 0 without the header. `limit` is the
-    /// time up to the head of the response.
-    async fn get(&self, url: &str, limit: Duration) -> Result<(Bytes, u64), Error> {
-        let send = |e: cyper::Error| Error::new(Step::Send, url, e);
-        let response = time::timeout(limit, self.http.get(url).map_err(send)?.send()).await;
-        let response = response.map_err(|_| Error::with_kind(Step::Receive, url, Kind::Timeout))?;
-        let response = response.map_err(send)?;
-        let status = response.status().as_u16();
-        let index = response
-            .headers()
-            .get("x-consul-index")
-            .and_then(|value| value.to_str().ok()?.parse().ok())
-            .unwrap_or(0);
-        match status {
-            200 => {}
-            // Consul returns 404 if no key has the prefix.
-            404 if index > 0 => return Ok((Bytes::from_static(b"[]"), index)),
-            _ => return Err(Error::with_kind(Step::Receive, url, Kind::Status(status))),
-        }
-        let body = http::transfer(response.bytes_stream(), MAX_RESPONSE_BYTES).await;
-        Ok((body.map_err(|error| error.at(url))?, index))
-    }
 }
