Bound what entries keep of frames and replies of other processes

A frame of an agent may have 8 MiB, and a reply to an offer or a cancellation too, for each open request. Frames that stop short of their end took all memory of an entry together.

Change: what is kept of an incomplete frame counts in the budget for callers, and a stream for which there is no room is lost, as if its agent were. Replies about one request have 64 KiB at most; they are far shorter.

Taken bytes are given back.

--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -279,6 +279,41 @@
     }
 }
 
+/// Bytes that are taken for a caller until the hold is dropped.
+pub struct Hold {
+    caller: Caller,
+    bytes: usize,
+}
+
+impl Hold {
+    /// Returns a hold of no bytes.
+    pub fn new(caller: Caller) -> Hold {
+        Hold { caller, bytes: 0 }
+    }
+
+    /// Takes as many bytes as are missing, or gives back those that are too many. They are taken in
+    /// units of `MIN_CAPACITY`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no room for them.
+    pub fn set(&mut self, bytes: usize) -> Result<(), Full> {
+        let bytes = bytes.next_multiple_of(MIN_CAPACITY);
+        match bytes.checked_sub(self.bytes) {
+            Some(more) => self.caller.take(more)?,
+            None => self.caller.give_back(self.bytes - bytes),
+        }
+        self.bytes = bytes;
+        Ok(())
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.caller.give_back(self.bytes);
+    }
+}
+
 /// Bytes of a request or response that are collected for a caller. They are given back when the buffer
 /// is dropped.
 pub struct Buffer {
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -159,7 +159,10 @@
             started: clock::now(),
         };
         let (caller, response_parts) =
-            self.entry.open_request(body, |caller| entry::IncomingRequest { caller, ..incoming });
+            self.entry.open_request(body, connection.clone(), |caller| entry::IncomingRequest {
+                caller,
+                ..incoming
+            });
         let guard = Guard { entry: self.entry.clone(), caller };
         Ok(match stream {
             true => self.respond_streamed(response_parts, guard, timing, connection).await,
--- a/crates/daemon/src/distribution.rs
+++ b/crates/daemon/src/distribution.rs
@@ -9,7 +9,7 @@
 
 use compio::runtime;
 use futures_channel::oneshot;
-use wire::{status, sync::Exchange};
+use wire::{frame, status, sync::Exchange};
 
 use crate::{
     driver::{Driver, Execute},
@@ -96,8 +96,8 @@
     fn send_exchange(self: &Rc<Self>, peer: SocketAddr, exchange: Exchange) {
         let distribution = self.clone();
         runtime::spawn(async move {
-            let limit = peer::EXCHANGE_TIMEOUT;
-            let reply = distribution.peers.exchange(peer, "/sync", &exchange, limit).await;
+            let (limit, most) = (peer::EXCHANGE_TIMEOUT, frame::MAX_MESSAGE_BYTES);
+            let reply = distribution.peers.exchange(peer, "/sync", &exchange, limit, most).await;
             distribution.feed(match reply {
                 Ok(exchange) => sync::Event::Replied { peer, exchange },
                 Err(error) => {
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -11,6 +11,7 @@
 use wire::{Frame, frame, grant};
 
 use crate::{
+    caller::{Caller, Hold},
     connection::{Pool, Sent},
     error::{Error, Kind, Step},
     http,
@@ -22,6 +23,8 @@
 pub const FROM: &str = "x-peer";
 /// Timeout of a short exchange.
 pub const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest reply to a message about one request, in bytes.
+pub const MAX_SHORT_REPLY_BYTES: usize = 64 << 10;
 /// Time to connect to a process. A lost packet is sent again after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Idle time after which a connection is not used again. Processes close theirs later.
@@ -41,7 +44,8 @@
         Client { pools: Rc::default(), from }
     }
 
-    /// Sends a message and returns the reply. `limit` is the time up to its head.
+    /// Sends a message and returns the reply of at most `most` bytes. `limit` is the time up to its
+    /// head.
     ///
     /// # Errors
     ///
@@ -52,18 +56,20 @@
         path: &str,
         message: &impl Serialize,
         limit: Duration,
+        most: usize,
     ) -> Result<T, Error> {
         let sent = time::timeout(limit, self.post(peer, path, frame::encode(message))).await;
         let sent = sent.map_err(|_| Error::with_kind(Step::Receive, peer, Kind::Timeout))?;
         let Sent { response, sender, .. } = sent?;
         let parts = response.into_body().into_data_stream();
-        let bytes = http::transfer(parts, frame::MAX_MESSAGE_BYTES).await;
+        let bytes = http::transfer(parts, most).await;
         let bytes = bytes.map_err(|error| error.at(peer))?;
         self.pool(peer).release(sender, MAX_IDLE);
         frame::decode(&bytes).map_err(|e| Error::new(Step::Decode, peer, e))
     }
 
-    /// Sends a commit with the request body and returns the frames of the response.
+    /// Sends a commit with the request body and returns the frames of the response. What is kept of a
+    /// frame that is not complete is taken for `caller`, if there is one.
     ///
     /// # Errors
     ///
@@ -73,13 +79,15 @@
         peer: SocketAddr,
         commit: &grant::Commit,
         body: &Bytes,
+        caller: Option<Caller>,
     ) -> Result<impl Stream<Item = Result<Frame, Error>> + use<>, Error> {
         let mut message = frame::encode_delimited(commit).to_vec();
         message.extend_from_slice(body);
-        self.open_stream(peer, "/grant", message.into()).await
+        self.open_stream(peer, "/grant", message.into(), caller).await
     }
 
-    /// Attaches to a granted request and returns the frames of the response.
+    /// Attaches to a granted request and returns the frames of the response, as [`Client::commit`]
+    /// does.
     ///
     /// # Errors
     ///
@@ -88,8 +96,9 @@
         &self,
         peer: SocketAddr,
         attach: &grant::Attach,
+        caller: Option<Caller>,
     ) -> Result<impl Stream<Item = Result<Frame, Error>> + use<>, Error> {
-        self.open_stream(peer, "/attach", frame::encode(attach)).await
+        self.open_stream(peer, "/attach", frame::encode(attach), caller).await
     }
 
     async fn open_stream(
@@ -97,14 +106,20 @@
         peer: SocketAddr,
         path: &str,
         message: Bytes,
+        caller: Option<Caller>,
     ) -> Result<impl Stream<Item = Result<Frame, Error>> + use<>, Error> {
         let Sent { response, sender, .. } = self.post(peer, path, message).await?;
         let mut reader = frame::Reader::default();
+        let mut hold = caller.map(Hold::new);
         let parts = response.into_body().into_data_stream();
         Ok(parts.flat_map(move |part| {
             // The connection is used for this response alone.
             let _ = &sender;
-            futures_util::stream::iter(read_frames(&mut reader, peer, part))
+            let mut frames = read_frames(&mut reader, peer, part);
+            if hold.as_mut().is_some_and(|hold| hold.set(reader.buffered()).is_err()) {
+                frames.push(Err(Error::with_kind(Step::Receive, peer, Kind::TooLarge)));
+            }
+            futures_util::stream::iter(frames)
         }))
     }
 
--- a/crates/daemon/src/role_entry.rs
+++ b/crates/daemon/src/role_entry.rs
@@ -46,6 +46,8 @@
 struct CallerState {
     body: Bytes,
     parts: mpsc::UnboundedSender<ResponsePart>,
+    connection: Caller,
+    request: Option<id::Request>,
 }
 
 /// Handle of a task; dropping it cancels the task.
@@ -57,6 +59,8 @@
     peers: peer::Client,
     identity: Identity,
     callers: RefCell<HashMap<u64, CallerState>>,
+    /// Connections of the callers of open requests.
+    connections: RefCell<HashMap<id::Request, Caller>>,
     key_callers: RefCell<HashMap<u64, oneshot::Sender<Result<key::Key, outcome::Refusal>>>>,
     next_caller: Cell<u64>,
     bodies: RefCell<HashMap<id::Request, Bytes>>,
@@ -88,6 +92,7 @@
             peers: peer::Client::new(identity.address),
             identity,
             callers: RefCell::default(),
+            connections: RefCell::default(),
             key_callers: RefCell::default(),
             next_caller: Cell::new(1),
             bodies: RefCell::default(),
@@ -126,11 +131,13 @@
     pub fn open_request(
         self: &Rc<Self>,
         body: Bytes,
+        connection: Caller,
         incoming: impl FnOnce(u64) -> entry::IncomingRequest,
     ) -> (u64, mpsc::UnboundedReceiver<ResponsePart>) {
         let caller = self.next_caller.replace(self.next_caller.get() + 1);
         let (parts, receiver) = mpsc::unbounded();
-        self.callers.borrow_mut().insert(caller, CallerState { body, parts });
+        let state = CallerState { body, parts, connection, request: None };
+        self.callers.borrow_mut().insert(caller, state);
         self.feed(Event::Request(incoming(caller)));
         (caller, receiver)
     }
@@ -141,7 +148,7 @@
         // The caller's response may be dropped while the state machine is borrowed, so the event is
         // fed by a new task.
         runtime::spawn(async move {
-            entry.callers.borrow_mut().remove(&caller);
+            entry.remove_caller(caller);
             entry.feed(Event::CallerDisconnected { caller });
         })
         .detach();
@@ -159,6 +166,13 @@
         receiver.await.ok()
     }
 
+    fn remove_caller(&self, caller: u64) {
+        let state = self.callers.borrow_mut().remove(&caller);
+        if let Some(request) = state.and_then(|state| state.request) {
+            self.connections.borrow_mut().remove(&request);
+        }
+    }
+
     fn feed(self: &Rc<Self>, event: Event) {
         let executor = Rc::new(Executor(self.clone()));
         self.driver.feed(&executor, event);
@@ -169,11 +183,11 @@
         let request = head.request;
         let started = clock::now();
         let task = runtime::spawn(async move {
-            let limit = head.remaining;
+            let (limit, most) = (head.remaining, peer::MAX_SHORT_REPLY_BYTES);
             let distribution = entry.distribution.borrow().upgrade();
             let settings = distribution.map_or(0, |distribution| distribution.digest_hash());
             let offer = offer::Offer { head, settings };
-            let reply = entry.peers.exchange(peer, "/offer", &offer, limit).await;
+            let reply = entry.peers.exchange(peer, "/offer", &offer, limit, most).await;
             if let Some(task) = entry.offers.borrow_mut().remove(&(request, peer)) {
                 task.detach();
             }
@@ -192,15 +206,17 @@
     fn commit(self: &Rc<Self>, peer: SocketAddr, commit: grant::Commit) {
         let entry = self.clone();
         let body = self.bodies.borrow().get(&commit.request).cloned().unwrap_or_default();
+        let connection = self.connections.borrow().get(&commit.request).cloned();
         self.open_stream(commit.request, commit.grant, peer, async move {
-            entry.peers.commit(peer, &commit, &body).await
+            entry.peers.commit(peer, &commit, &body, connection).await
         });
     }
 
     fn attach(self: &Rc<Self>, peer: SocketAddr, attach: grant::Attach) {
         let entry = self.clone();
+        let connection = self.connections.borrow().get(&attach.request).cloned();
         self.open_stream(attach.request, attach.grant, peer, async move {
-            entry.peers.attach(peer, &attach).await
+            entry.peers.attach(peer, &attach, connection).await
         });
     }
 
@@ -273,9 +289,9 @@
         let entry = self.clone();
         runtime::spawn(async move {
             for _ in 0..CANCEL_ATTEMPTS {
-                let limit = peer::EXCHANGE_TIMEOUT;
+                let (limit, most) = (peer::EXCHANGE_TIMEOUT, peer::MAX_SHORT_REPLY_BYTES);
                 let sent: Result<(), Error> =
-                    entry.peers.exchange(peer, "/cancel", &commit, limit).await;
+                    entry.peers.exchange(peer, "/cancel", &commit, limit, most).await;
                 if sent.is_ok() {
                     return;
                 }
@@ -287,8 +303,8 @@
     fn request_key(self: &Rc<Self>, caller: u64, peer: SocketAddr, route: Bytes) {
         let entry = self.clone();
         runtime::spawn(async move {
-            let limit = peer::EXCHANGE_TIMEOUT;
-            let reply = entry.peers.exchange(peer, "/key", &route, limit).await;
+            let (limit, most) = (peer::EXCHANGE_TIMEOUT, peer::MAX_SHORT_REPLY_BYTES);
+            let reply = entry.peers.exchange(peer, "/key", &route, limit, most).await;
             entry.feed(match reply {
                 Ok(reply) => Event::KeyReply { caller, reply },
                 Err(error) => {
@@ -302,12 +318,11 @@
 
     fn send_part(&self, caller: u64, part: ResponsePart) {
         let is_last = matches!(part, ResponsePart::Finish | ResponsePart::Refuse { .. });
-        let mut callers = self.callers.borrow_mut();
-        if let Some(state) = callers.get(&caller) {
+        if let Some(state) = self.callers.borrow().get(&caller) {
             let _ = state.parts.unbounded_send(part);
         }
         if is_last {
-            callers.remove(&caller);
+            self.remove_caller(caller);
         }
     }
 }
@@ -334,6 +349,8 @@
             Action::StoreBody { caller, request } => {
                 if let Some(state) = entry.callers.borrow_mut().get_mut(&caller) {
                     let body = std::mem::take(&mut state.body);
+                    state.request = Some(request);
+                    entry.connections.borrow_mut().insert(request, state.connection.clone());
                     entry.bodies.borrow_mut().insert(request, body);
                 }
             }
--- a/crates/daemon/tests/endless.rs
+++ b/crates/daemon/tests/endless.rs
@@ -14,9 +14,10 @@
 
 use bytes::Bytes;
 use compio::time;
-use daemon::{backend, peer, sources};
+use conf::resources::Resources;
+use daemon::{backend, caller, error::Kind, peer, sources};
 use futures_util::{StreamExt, future};
-use wire::{grant, id};
+use wire::{frame, grant, id};
 
 /// Time after which a sender gives up, which is a failure.
 const SENDER_LIMIT: Duration = Duration::from_secs(20);
@@ -174,8 +175,8 @@
         let (address, sent) = sender.start();
         let client = peer::Client::new(address);
         let call = async {
-            let limit = peer::EXCHANGE_TIMEOUT;
-            let reply = client.exchange::<String>(address, "/sync", &"digest", limit).await;
+            let (limit, most) = (peer::EXCHANGE_TIMEOUT, frame::MAX_MESSAGE_BYTES);
+            let reply = client.exchange::<String>(address, "/sync", &"digest", limit, most).await;
             assert!(reply.is_err(), "{}: it is no reply", sender.name);
         };
         assert_bounded(sender, sent, call).await;
@@ -192,7 +193,7 @@
         let commit = grant::Commit { grant, request: bid::head().request };
         let call = async {
             let body = Bytes::from_static(b"bid");
-            let Ok(frames) = client.commit(address, &commit, &body).await else { return };
+            let Ok(frames) = client.commit(address, &commit, &body, None).await else { return };
             let mut frames = Box::pin(frames);
             while let Some(Ok(_)) = frames.next().await {}
         };
@@ -213,3 +214,73 @@
         assert_bounded(sender, sent, call).await;
     }
 }
+
+/// Memory of a process, and the number of requests whose frames stop just short of the bound on one.
+const MEMORY: u64 = 64 << 20;
+const REQUESTS: usize = 24;
+/// Bytes that are sent of each.
+const FRAME_BYTES: usize = (8 << 20) - 64;
+
+/// Starts an agent that announces a frame of the largest size to each request and sends it but for its
+/// end.
+fn start_slow_agent() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let _ = stream.read(&mut [0; 4096]);
+                let head = "HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n";
+                let length = (FRAME_BYTES as u32 + 32).to_be_bytes();
+                let _ = stream.write_all(format!("{head}{:x}\r\n", FRAME_BYTES + 4).as_bytes());
+                let _ = stream.write_all(&length);
+                let _ = stream.write_all(&vec![0; FRAME_BYTES]);
+                // Reads until the entry closes the connection.
+                let _ = stream.read(&mut [0]);
+            });
+        }
+    });
+    address
+}
+
+/// Guards against frames of agents that are within the bound on one and take all memory together.
+#[compio::test]
+async fn frames_that_stop_short_of_their_bound_are_borne() {
+    let resources = Resources { memory: Some(MEMORY), descriptors: Some(1000) };
+    let registry = caller::Registry::new(resources);
+    let address = start_slow_agent();
+    let client = peer::Client::new(address);
+    let read = |n: usize| {
+        let (client, registry) = (client.clone(), registry.clone());
+        async move {
+            let (caller, _closed) = registry.open().expect("there is room");
+            caller.begin_answer();
+            let grant = id::Grant { process: id::Process(9), seq: n as u64 };
+            let commit = grant::Commit { grant, request: bid::head().request };
+            let body = Bytes::from_static(b"bid");
+            let frames = client.commit(address, &commit, &body, Some(caller)).await;
+            let mut frames = Box::pin(frames.expect("a stream"));
+            let next = time::timeout(CALL_LIMIT, frames.next()).await;
+            // Those for which there is room wait for the rest of their frame.
+            matches!(next, Ok(Some(Err(error))) if error.kind == Kind::TooLarge)
+        }
+    };
+    let refused = future::join_all((0..REQUESTS).map(read)).await;
+    let refused = refused.into_iter().filter(|is_refused| *is_refused).count();
+    let room = (MEMORY as f64 * 0.35) as usize / FRAME_BYTES;
+    assert!(refused >= REQUESTS - room, "{refused} of {REQUESTS} were refused");
+    assert!(refused < REQUESTS, "there was room for some");
+    assert_eq!(registry.usage().0, 0, "all is given back");
+}
+
+/// Guards against large replies where short ones are due, of which a process waits for many at once.
+#[compio::test]
+async fn short_replies_have_a_small_bound() {
+    let sender = Sender { name: "body", head: "HTTP/1.1 200 X\r\n\r\n", bytes: b" " };
+    let (address, _sent) = sender.start();
+    let client = peer::Client::new(address);
+    let (limit, most) = (peer::EXCHANGE_TIMEOUT, peer::MAX_SHORT_REPLY_BYTES);
+    let reply = client.exchange::<String>(address, "/offer", &"offer", limit, most).await;
+    assert_eq!(reply.expect_err("it is too large").kind, Kind::TooLarge);
+    assert!(most <= 64 << 10, "{most} bytes");
+}
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -47,7 +47,8 @@
             content_type: Bytes::from_static(b"application/json"),
         };
         let offer = offer::Offer { head, settings: 0 };
-        let reply = self.client.exchange(self.agent, "/offer", &offer, cluster::WAIT_LIMIT).await;
+        let (limit, most) = (cluster::WAIT_LIMIT, peer::MAX_SHORT_REPLY_BYTES);
+        let reply = self.client.exchange(self.agent, "/offer", &offer, limit, most).await;
         match reply.expect("a reply") {
             offer::Reply::Ready { grant, .. } => Commit { grant, request },
             offer::Reply::Refused(refusal) => panic!("{refusal:?}"),
@@ -56,7 +57,7 @@
 
     /// Sends a commit and returns the body of the last frame with the bytes before it.
     async fn commit(&self, commit: &Commit, body: &Bytes) -> (Body, Vec<u8>) {
-        let frames = self.client.commit(self.agent, commit, body).await.expect("a stream");
+        let frames = self.client.commit(self.agent, commit, body, None).await.expect("a stream");
         read(frames).await
     }
 }
@@ -105,7 +106,7 @@
             fingerprint: 0,
             resumable: true,
         };
-        let frames = peer.client.attach(agent, &attach).await.expect("a stream");
+        let frames = peer.client.attach(agent, &attach, None).await.expect("a stream");
         assert_eq!(read(frames).await.1, expected_response(&body)[10..]);
         assert_eq!(cluster.runs(&body).len(), 1);
 
--- a/crates/daemon/tests/slow_links.rs
+++ b/crates/daemon/tests/slow_links.rs
@@ -72,8 +72,8 @@
         let body = frame::encode(&"x".repeat(300_000));
         let sent = send_slowly(listener, "", &body);
         let client = peer::Client::new(address);
-        let limit = peer::EXCHANGE_TIMEOUT;
-        let reply = client.exchange::<String>(address, "/sync", &"digest", limit);
+        let (limit, most) = (peer::EXCHANGE_TIMEOUT, frame::MAX_MESSAGE_BYTES);
+        let reply = client.exchange::<String>(address, "/sync", &"digest", limit, most);
         let (reply, ()) = future::join(reply, sent).await;
         assert_eq!(reply.expect("a reply").len(), 300_000);
     });
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -103,6 +103,11 @@
         }
     }
 
+    /// Returns the number of bytes that belong to no complete message so far.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns the bytes received after the last complete message and leaves the reader empty.
     pub fn take_remaining(&mut self) -> Bytes {
         self.buffer.split().freeze()
