Keep no copy of a whole body that a server doesn't read

The stream below the HTTP library copies what it is given to write, up to 64 MiB. A body that is sent to a server which reads none of it took its size twice, and with a second attempt three times; the budget for callers has it once.

Change: at most 64 KiB are passed on at once.

--- a/crates/daemon/src/paced.rs
+++ b/crates/daemon/src/paced.rs
@@ -18,6 +18,9 @@
 /// reads on within one poll as long as it discards what it has read, as it does with interim
 /// responses.
 const MAX_READS: u32 = 8;
+/// Most bytes that are written at once. The stream copies what it writes, and a server that doesn't
+/// read would let it keep a copy of a whole body.
+const MAX_WRITTEN_BYTES: usize = 64 << 10;
 /// Most bytes that are read at once.
 const SCRATCH_BYTES: usize = 16 << 10;
 
@@ -107,6 +110,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        let bytes = &bytes[..bytes.len().min(MAX_WRITTEN_BYTES)];
         let written = Write::poll_write(Pin::new(&mut self.stream), context, bytes);
         self.record_written(&written);
         written
@@ -129,6 +133,10 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        if buffers.iter().map(|buffer| buffer.len()).sum::<usize>() > MAX_WRITTEN_BYTES {
+            let first = buffers.iter().find(|buffer| !buffer.is_empty());
+            return self.poll_write(context, first.map_or(&[], |buffer| &buffer[..]));
+        }
         let written = Write::poll_write_vectored(Pin::new(&mut self.stream), context, buffers);
         self.record_written(&written);
         written
