--- a/crates/cli/src/fetch.rs
+++ b/crates/cli/src/fetch.rs
@@ -2,7 +2,7 @@
 
 use std::{error::Error as _, fmt, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::{
     StreamExt,
     future::{FutureExt, LocalBoxFuture},
@@ -16,6 +16,9 @@
 /// Limit of requests in flight; below the usual limit of 1024 open files.
 const MAX_CONCURRENT: usize = 256;
 
+/// Largest body of a response, in bytes. The status of a process in a large fleet has a few megabytes.
+const MAX_BODY_BYTES: usize = 32 << 20;
+
 /// HTTP status with which a process responds that does not have the requested data.
 pub const NOT_FOUND: u16 = 404;
 
@@ -160,7 +163,16 @@
         if !status.is_success() {
             return Err(Cause::Status(status.as_u16()));
         }
-        response.bytes().await.map_err(connection_cause)
+        let mut parts = response.bytes_stream();
+        let mut body = BytesMut::new();
+        while let Some(part) = parts.next().await {
+            let part = part.map_err(connection_cause)?;
+            if body.len() + part.len() > MAX_BODY_BYTES {
+                return Err(Cause::Body(format!("the body is over {MAX_BODY_BYTES} bytes")));
+            }
+            body.extend_from_slice(&part);
+        }
+        Ok(body.freeze())
     }
 }
 
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -2,7 +2,11 @@
 
 mod common;
 
-use std::{collections::BTreeMap, net::TcpListener};
+use std::{
+    collections::BTreeMap,
+    io::{Read, Write},
+    net::TcpListener,
+};
 
 use wire::status;
 
@@ -218,3 +222,18 @@
     run.assert_error(1, &["errors in 1 file;"]);
     assert!(run.stdout.contains(&format!("{file}: [process] role = \"both\"")), "{run:?}");
 }
+
+/// Guards against a body without end that takes memory until the time limit of the request.
+#[test]
+fn a_body_without_end_is_refused() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("an address").to_string();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let _ = stream.read(&mut [0; 4096]);
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n");
+        while stream.write_all(&[b' '; 64 << 10]).is_ok() {}
+    });
+    let run = run(&["hosts", "--at", &address, "--timeout-ms", "60000"]);
+    assert!(run.stderr.contains("the body is over"), "{run:?}");
+}
