Keep the streams of two runs apart whose records have not been read

What callers could see: two servers of one version end and start again with others. Until their records are read, both counted as the next run of that version, so a stream that began at one went on at the other (ORDER). No report or case shows it; it was found by asking which beliefs about a run have no sign of their own.

Cause: the key of the next run was made from the former version alone.

Change: it has the run that ended too.

streams_of_two_runs_without_a_record_are_kept_apart (crates/gate/tests/versions.rs): "left: Some("v1"), right: None" before, passes now.

--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -223,7 +223,7 @@
     pub fn record_end(&mut self, run: u64) {
         if let Some(backend) = self.entries.values_mut().find(|backend| backend.run == run) {
             backend.has_ended = true;
-            backend.origin = origin::next_run_key(backend.origin);
+            backend.origin = origin::next_run_key(backend.origin, backend.run);
         }
     }
 
--- a/crates/gate/src/origin.rs
+++ b/crates/gate/src/origin.rs
@@ -34,8 +34,10 @@
     quota::hash(&[&record.service[..], b"\0", &record.version].concat())
 }
 
-/// Returns the key of the run that follows one with this key at its address. Its version isn't known
-/// before its record has been read, so no other backend server has the key.
-pub fn next_run_key(key: u64) -> u64 {
-    quota::hash(&[b"next run\0", &key.to_be_bytes()[..]].concat())
+/// Returns the key of the run that follows `run`, which has this key, at its address. Its version isn't
+/// known before its record has been read, so no other backend server has the key, nor one that
+/// follows another run of the same version.
+pub fn next_run_key(key: u64, run: u64) -> u64 {
+    let (key, run) = (key.to_be_bytes(), run.to_be_bytes());
+    quota::hash(&[b"next run\0", &key[..], &run[..]].concat())
 }
--- a/crates/gate/tests/versions.rs
+++ b/crates/gate/tests/versions.rs
@@ -206,6 +206,32 @@
     }
 }
 
+impl Fleet {
+    /// Lets a connection of a gateway to a server be refused, so that the server's run has ended. It
+    /// accepts connections afterwards.
+    fn refuse_connection(&mut self, gateway: usize, server: usize) {
+        for n in 0.. {
+            let number = self.send(gateway, stream(&format!("refused-{server}-{n}")));
+            let at = self.running[&(gateway, number)];
+            let is_there = at == server;
+            if is_there {
+                self.gateways[gateway].feed(Event::Refused { number });
+                self.take_actions(gateway);
+            }
+            self.gateways[gateway].feed(Event::Closed { number });
+            self.take_actions(gateway);
+            if is_there {
+                break;
+            }
+        }
+        let id = format!("r{server}");
+        let backends = self.gateways[gateway].machine.backends();
+        let found = backends.iter().find(|(_, backend)| backend.id == id);
+        let backend = found.expect("listed").0;
+        self.gateways[gateway].feed(Event::Probed { backend, reachable: true });
+    }
+}
+
 fn write_record(gateway: &mut TestGateway, index: usize, server: &Server) {
     let id: Bytes = format!("r{index}").into();
     let record = server.version.map(|version| gate::backends::Record {
@@ -321,6 +347,32 @@
     }
 }
 
+/// Guards against a stream that goes on at another server which started again too: nobody knows the
+/// version of either before its record is read.
+#[test]
+fn streams_of_two_runs_without_a_record_are_kept_apart() {
+    for is_taken_up in [false, true] {
+        let mut fleet = Fleet::new(1, &["v1", "v1"]);
+        fleet.advance(STREAM_LIFE);
+        for server in 0..2 {
+            fleet.refuse_connection(0, server);
+        }
+        let (number, _) = fleet.begin(0, "a");
+        fleet.advance(100 * MS);
+        let server = fleet.running[&(0, number)];
+        if is_taken_up {
+            for n in 0..10 {
+                let number = fleet.send(0, take_up(&format!("b{n}"), Some("a")));
+                fleet.advance(100 * MS);
+                assert_eq!(fleet.running.get(&(0, number)).copied(), Some(server), "taken up");
+            }
+        } else {
+            fleet.lose_connection(0, number);
+            assert_eq!(fleet.version_of(0, number), None, "within its response");
+        }
+    }
+}
+
 /// Guards against streams that callers take up at another version, at any gateway, also after the
 /// gateway that began them is gone.
 #[test]
