Wait for the replies of other gateways before the store shows a stream's origin

What callers could see: a server starts again under its identifier, and a stream begins there before its record is read. Taken up at another gateway, the stream goes on at a server of the former version (ORDER).

Cause: a gateway that doesn't know a stream asks the others, and takes the only version in the store if that was confirmed after the request had arrived. A confirmation in the milliseconds before the replies made the store's answer certain, which lacks the run without a record.

Change: the store's answer counts from 60 ms after the first question on, as the read of the store for it does.

a_confirmation_does_not_replace_the_replies_of_other_gateways (crates/gate/tests/versions.rs): "at gateway 2: left: Some("v1"), right: None" before, passes now.

--- a/crates/gate/src/machine/resuming.rs
+++ b/crates/gate/src/machine/resuming.rs
@@ -136,8 +136,11 @@
             let Some(id) = open.map(|open| open.entry.request.id.clone()) else { continue };
             let known = attempt.and_then(|attempt| self.streams.get(now, attempt));
             let only = self.only_origin(now, number);
-            let certain = known.or(only.filter(|_| self.is_confirmed_since_arrival(number)));
             let waited = now.since(begun_at);
+            // Others may know a run that has no record yet.
+            let was_asked = attempt.is_none() || waited >= LOOKUP_PERIOD;
+            let is_certain = was_asked && self.is_confirmed_since_arrival(number);
+            let certain = known.or(only.filter(|_| is_certain));
             if let Some(origin) = certain {
                 tracing::info!(
                     event = "origin_found",
@@ -153,7 +156,7 @@
                 self.refuse_waiting(now, number, Reason::NoVersion, actions);
                 continue;
             }
-            needs_read |= only.is_some() && (attempt.is_none() || waited >= LOOKUP_PERIOD);
+            needs_read |= only.is_some() && was_asked;
             if now >= lookup.next_check {
                 lookup.next_check = now + LOOKUP_PERIOD;
                 if let Some(attempt) = attempt {
--- a/crates/gate/tests/versions.rs
+++ b/crates/gate/tests/versions.rs
@@ -347,6 +347,31 @@
     }
 }
 
+/// Guards against a stream of a run without a record that goes on elsewhere, since the state of the
+/// store, which doesn't have that run, is confirmed before the gateways that know it have replied.
+#[test]
+fn a_confirmation_does_not_replace_the_replies_of_other_gateways() {
+    let mut fleet = Fleet::new(4, &["v1", "v1", "v1"]);
+    fleet.advance(STREAM_LIFE);
+    fleet.refuse_connection(0, 0);
+    let ids = (0..30).map(|n| format!("a{n}"));
+    let began = ids.map(|id| {
+        let (number, _) = fleet.begin(0, &id);
+        (id, fleet.running[&(0, number)])
+    });
+    let began: Vec<(String, usize)> = began.collect();
+    let (id, _) = began.iter().find(|(_, at)| *at == 0).expect("the next run is used");
+    fleet.advance(100 * MS);
+    for gateway in 1..4 {
+        let number = fleet.send(gateway, take_up(&format!("b{gateway}"), Some(id)));
+        fleet.gateways[gateway].confirm();
+        fleet.take_actions(gateway);
+        fleet.advance(Duration::from_secs(1));
+        assert_eq!(fleet.version_of(gateway, number), None, "at gateway {gateway}");
+        assert_eq!(fleet.gateways[gateway].reason(number), Some(Reason::NoVersion));
+    }
+}
+
 /// Guards against a stream that goes on at another server which started again too: nobody knows the
 /// version of either before its record is read.
 #[test]
