Let a run go on that refused connections for a moment

Cause: a refused connection is taken as the end of a run, and only a changed record ends that belief. A server that has not ended writes none.

Change: a response that no later run can have sent ends it: one to a request that was sent after the last refusal on a connection from before the first, or data that arrives 1 s after it or later, twice, when the gateway had waited for it.

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -143,7 +143,7 @@
             let request = self.build_request(Method::GET, "/health", name, Bytes::new())?;
             let mut sender = self.connections.connect().await.ok()?;
             let sent_at = clock::now();
-            let response = sender.send_request(request).await.ok()?;
+            let response = sender.send(request).await.ok()?;
             let owner = Owner::of(&response, &id);
             self.report_limit(sent_at, response.headers());
             let instance = response.status().is_success().then(|| read_instance(&response))?;
@@ -197,7 +197,7 @@
         body: Bytes,
     ) -> Option<Response<body::Incoming>> {
         let request = self.build_request(method, path, header, body)?;
-        self.connections.connect().await.ok()?.send_request(request).await.ok()
+        self.connections.connect().await.ok()?.send(request).await.ok()
     }
 
     fn build_request(
--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -27,7 +27,29 @@
 const UNUSED_IDLE: Duration = Duration::from_secs(1);
 
 /// Sends requests on one connection.
-pub type Sender = http1::SendRequest<Full<Bytes>>;
+pub struct Sender {
+    requests: http1::SendRequest<Full<Bytes>>,
+    /// Time at which the connection was opened.
+    pub opened_at: Instant,
+}
+
+impl Sender {
+    /// Sends a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection is lost, or the response is none of the protocol.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> hyper::Result<Response<body::Incoming>> {
+        self.requests.send_request(request).await
+    }
+
+    fn is_ready(&self) -> bool {
+        self.requests.is_ready()
+    }
+}
 
 /// A response whose body has not been read yet, and its connection.
 pub struct Sent {
@@ -108,7 +130,7 @@
         check()?;
         while let Some(mut sender) = self.take_idle() {
             is_sent.set(true);
-            match sender.try_send_request(request).await {
+            match sender.requests.try_send_request(request).await {
                 Ok(response) => return Ok(Sent { response, sender, is_reused: true }),
                 // The request is returned only if none of it was written.
                 Err(mut error) => request = error.take_message().ok_or(Fault::Lost)?,
@@ -123,7 +145,7 @@
             return Err(fault);
         }
         is_sent.set(true);
-        match sender.send_request(request).await {
+        match sender.send(request).await {
             Ok(response) => Ok(Sent { response, sender, is_reused: false }),
             Err(_) => Err(Fault::Lost),
         }
@@ -153,13 +175,14 @@
             io::ErrorKind::ConnectionRefused => Fault::Refused,
             _ => Fault::Unsent,
         })?;
+        let opened_at = clock::now();
         let _ = stream.set_nodelay(true);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_BUFFERED_BYTES);
         let handshake = builder.handshake(Paced::new(stream)).await;
-        let (sender, connection) = handshake.map_err(|_| Fault::Unsent)?;
+        let (requests, connection) = handshake.map_err(|_| Fault::Unsent)?;
         runtime::spawn(connection.map(drop)).detach();
-        Ok(sender)
+        Ok(Sender { requests, opened_at })
     }
 
     /// Removes and returns the connection that was released last of those that are still usable.
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -12,6 +12,7 @@
 use gate::{
     Event,
     action::Dispatch,
+    backends,
     event::AttemptResult,
     refusal::{Reason, Refusal},
     request::Request as GatewayRequest,
@@ -45,6 +46,8 @@
 
 /// Idle time after which a connection is not used again, if the backend server states none.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
+/// Time for which data had not arrived when it was waited for. What has arrived is read sooner.
+const MIN_WAIT: Duration = Duration::from_millis(5);
 /// Part of the idle time stated by the backend server for which a connection may be used again.
 const IDLE_SHARE: f64 = 0.6;
 
@@ -241,6 +244,24 @@
         self.reporter.report(event);
     }
 
+    /// Reports that data of a response arrived for which was waited since `waiting_since`, if its
+    /// backend server's run was taken to have ended.
+    pub fn report_progress(
+        &self,
+        dispatch: &Dispatch,
+        connected_at: Instant,
+        waiting_since: Instant,
+    ) {
+        let waited = clock::now().since(waiting_since);
+        let is_doubted = self.reporter.gateway.read(|machine| {
+            machine.backends().get(dispatch.backend).is_some_and(backends::Backend::has_ended)
+        });
+        if is_doubted && waited >= MIN_WAIT {
+            let number = self.reporter.number;
+            self.report(Event::Progressed { number, connected_at, waiting_since });
+        }
+    }
+
     /// Returns `Event::Ended` for this request.
     pub fn build_ended(&self, result: AttemptResult) -> Event {
         self.reporter.build_ended(result)
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -262,6 +262,7 @@
     /// Reads on and keeps the connection if the response goes on. Returns the result of a response
     /// that was broken off.
     async fn read(&mut self, mut reader: BodyReader) -> Result<Option<AttemptResult>, Attempt> {
+        let waiting_since = clock::now();
         let (dispatch, last_event_id) = (&self.dispatch, self.events.last_id());
         let failover = self.failover.as_mut();
         let wait = self.exchange.wait(dispatch, last_event_id, failover, reader.read());
@@ -274,6 +275,8 @@
                 if self.first_event_due && completed.count > 0 && !completed.has_id {
                     return Ok(Some(AttemptResult::Invalid));
                 }
+                let connected_at = reader.sender.opened_at;
+                self.exchange.report_progress(&self.dispatch, connected_at, waiting_since);
                 self.record_data(completed.count);
                 self.ready.push_back(completed.bytes);
                 let is_too_large = self.events.partial_len() > MAX_EVENT_BYTES;
--- a/crates/daemon/src/gateway/reporter.rs
+++ b/crates/daemon/src/gateway/reporter.rs
@@ -83,6 +83,9 @@
             ResponseKind::Misdirected => Err(Box::new(Event::Misdirected { number })),
             ResponseKind::Unverified => Err(Box::new(self.build_ended(AttemptResult::Invalid))),
             ResponseKind::Failed | ResponseKind::Success => {
+                if is_reused {
+                    self.report(Event::Responded { number, connected_at: sender.opened_at });
+                }
                 let framing = Framing::of(&head.headers, &body);
                 let pool = pool.clone();
                 Ok(Box::new(UnreadResponse { head, framing, body, sender, pool }))
--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -13,6 +13,7 @@
 use crate::{
     claims::{Claim, Claims},
     evacuations::Evacuations,
+    event::RequestNumber,
     load::{FailureShare, Load},
     message, origin, peers, plain_load, quota,
     statement::{Stated, Statement},
@@ -77,9 +78,9 @@
     pub origin: u64,
     pub record: Record,
     pub load: Load,
-    /// Whether the run has ended. What answers at the address since then is the next run, whose
+    /// Signs that the run has ended. What answers at the address since then is the next run, whose
     /// record has not been read yet.
-    has_ended: bool,
+    ended: Option<End>,
     /// End of the pause that the next run asked for.
     next_paused_until: Option<Instant>,
     /// Time at which the backend server is removed, set if its record is missing after an outage of
@@ -89,6 +90,59 @@
     peer_samples: HashMap<u64, u32>,
 }
 
+/// Time after the last sign of a run's end from which data shows that it goes on. What a process that
+/// has ended sent before arrives earlier, unless its packets were lost.
+const MIN_PROGRESS_DELAY: Duration = Duration::from_secs(1);
+/// Time between two arrivals of data of a response, of which the second shows that the run goes on.
+/// Packets that are sent again after a loss arrive together.
+const MIN_PROGRESS_SPAN: Duration = Duration::from_millis(250);
+
+/// Signs that a run has ended.
+#[derive(Clone, Debug)]
+struct End {
+    /// Times of the first and the last one.
+    first: Instant,
+    last: Instant,
+    /// Requests whose responses went on since then, with the time at which they first did.
+    progress: Vec<(RequestNumber, Instant)>,
+}
+
+impl End {
+    /// Returns whether a response on a connection that was opened at `connected_at` shows that the run
+    /// goes on. Data of it arrived which had not arrived at `waiting_since`.
+    fn is_disproved(
+        &mut self,
+        now: Instant,
+        number: RequestNumber,
+        connected_at: Instant,
+        waiting_since: Instant,
+    ) -> bool {
+        if connected_at >= self.first || waiting_since < self.last + MIN_PROGRESS_DELAY {
+            return false;
+        }
+        match self.progress.iter().find(|(other, _)| *other == number) {
+            Some((_, since)) => now.since(*since) >= MIN_PROGRESS_SPAN,
+            None => {
+                self.progress.push((number, now));
+                false
+            }
+        }
+    }
+}
+
+impl Backend {
+    /// Returns whether the run was taken to have ended.
+    pub fn has_ended(&self) -> bool {
+        self.ended.is_some()
+    }
+
+    /// Gives a run its origin back. Returns the key that it had meanwhile, and its own.
+    fn restore_origin(&mut self) -> (u64, u64) {
+        let key = origin::key(&self.record);
+        (std::mem::replace(&mut self.origin, key), key)
+    }
+}
+
 /// What this gateway has received of the load of others.
 #[derive(Clone, Copy, Debug)]
 pub struct View<'a> {
@@ -212,7 +266,7 @@
         let stated = *stated;
         if let Some(backend) = self.entries.values_mut().find(|backend| backend.run == run) {
             backend.load.stated = stated;
-            if backend.has_ended {
+            if backend.ended.is_some() {
                 backend.next_paused_until = backend.next_paused_until.max(pause);
             }
         }
@@ -220,13 +274,45 @@
     }
 
     /// Records that the run of a backend server has ended, though its record is still there.
-    pub fn record_end(&mut self, run: u64) {
+    pub fn record_end(&mut self, now: Instant, run: u64) {
         if let Some(backend) = self.entries.values_mut().find(|backend| backend.run == run) {
-            backend.has_ended = true;
+            let first = backend.ended.as_ref().map_or(now, |end| end.first);
+            backend.ended = Some(End { first, last: now, progress: Vec::new() });
             backend.origin = origin::next_run_key(backend.origin, backend.run);
         }
     }
 
+    /// Records a response to a request that was dispatched at `dispatched_at`, on a connection that
+    /// was opened at `connected_at`. If the run was taken to have ended in between, it goes on: no
+    /// later run has connections of an earlier one. Returns the key that it had meanwhile, and its own.
+    pub fn record_response(
+        &mut self,
+        run: u64,
+        connected_at: Instant,
+        dispatched_at: Instant,
+    ) -> Option<(u64, u64)> {
+        let backend = self.entries.values_mut().find(|backend| backend.run == run)?;
+        let is_disproved = |end: &mut End| connected_at < end.first && dispatched_at > end.last;
+        backend.ended.take_if(is_disproved)?;
+        Some(backend.restore_origin())
+    }
+
+    /// Records that data of a response arrived for which the gateway had waited since `waiting_since`,
+    /// in the same way.
+    pub fn record_progress(
+        &mut self,
+        now: Instant,
+        run: u64,
+        number: RequestNumber,
+        connected_at: Instant,
+        waiting_since: Instant,
+    ) -> Option<(u64, u64)> {
+        let backend = self.entries.values_mut().find(|backend| backend.run == run)?;
+        let ended = &mut backend.ended;
+        ended.take_if(|end| end.is_disproved(now, number, connected_at, waiting_since))?;
+        Some(backend.restore_origin())
+    }
+
     /// Returns the services and origins of the backend servers that left since the last call.
     pub fn take_departures(&mut self) -> Vec<(Bytes, u64)> {
         std::mem::take(&mut self.departures)
@@ -490,7 +576,7 @@
                     self.departures.push((record.service.clone(), before));
                 }
                 // A record that is merely read again doesn't show that its run goes on.
-                if !backend.has_ended || backend.record != record {
+                if backend.ended.is_none() || backend.record != record {
                     backend.origin = origin;
                 }
                 let is_written = !self.reads_all && left.is_some_and(|left| !left.is_zero());
@@ -523,7 +609,7 @@
             origin: origin::key(&record),
             record,
             load,
-            has_ended: false,
+            ended: None,
             next_paused_until: None,
             remove_at: None,
             peer_samples: HashMap::new(),
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -65,6 +65,13 @@
     /// The head of a response was received. `per_s` is the rate limit that it names, in requests a
     /// second from all gateways together.
     RateLimitStated { number: RequestNumber, per_s: Option<f64> },
+    /// The head of a response to this request was received on a connection that was opened at
+    /// `connected_at` and had other requests before.
+    Responded { number: RequestNumber, connected_at: Instant },
+    /// Data of a response arrived, for which the gateway had waited since `waiting_since`, on a
+    /// connection that was opened at `connected_at`. Reported while the run of its backend server is
+    /// taken to have ended.
+    Progressed { number: RequestNumber, connected_at: Instant, waiting_since: Instant },
     /// The head of a response states something of the backend server.
     Stated { number: RequestNumber, statement: Statement },
     /// The first event of the response was received.
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -33,6 +33,7 @@
     hedging::Hedging,
     lease::Lease,
     message,
+    origin::Origin,
     peers::Peers,
     permits::Permits,
     queue::{Entry, Queue},
@@ -112,6 +113,20 @@
 }
 
 impl OpenRequest {
+    /// Replaces the origin of the request and of its attempts.
+    fn replace_origin(&mut self, from: u64, to: u64) {
+        if self.entry.origin == Origin::Known(from) {
+            self.entry.origin = Origin::Known(to);
+        }
+        for state in [&mut self.state].into_iter().chain(&mut self.former).chain(&mut self.hedge) {
+            if let State::Dispatched { origin, .. } = state
+                && *origin == from
+            {
+                *origin = to;
+            }
+        }
+    }
+
     /// Returns a request that waits for a backend server.
     fn waiting(entry: Entry) -> OpenRequest {
         OpenRequest {
@@ -325,6 +340,14 @@
                     return;
                 }
             }
+            Event::Responded { number, connected_at } => {
+                self.record_response(now, number, connected_at);
+                return;
+            }
+            Event::Progressed { number, connected_at, waiting_since } => {
+                self.record_progress(now, number, connected_at, waiting_since);
+                return;
+            }
             Event::Stated { number, statement } => self.record_statement(now, number, statement),
             Event::FirstEvent { number } => self.record_first_event(now, number),
             Event::Unresponsive { number } => self.handle_unresponsive(now, number, actions),
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -180,7 +180,7 @@
     fn record_ends_at_backend_of(&mut self, now: Instant, number: RequestNumber) {
         let state = self.open_requests.get(&number).map(|open| open.state);
         if let Some(State::Dispatched { run, .. }) = state {
-            self.backends.record_end(run);
+            self.backends.record_end(now, run);
             let attempts = self.unanswered.take(now, run);
             self.record_ends(now, &attempts);
         }
@@ -318,6 +318,57 @@
         self.refuse(now, number, Refusal::new(Reason::Lost), actions);
     }
 
+    /// Records that a response was received on a connection that was opened at `connected_at`.
+    pub(super) fn record_response(
+        &mut self,
+        now: Instant,
+        number: RequestNumber,
+        connected_at: Instant,
+    ) {
+        let state = self.open_requests.get(&number).map(|open| open.state);
+        let Some(State::Dispatched { backend, run, dispatched_at, .. }) = state else { return };
+        let renewed = self.backends.record_response(run, connected_at, dispatched_at);
+        self.replace_origin(now, backend, renewed, "response");
+    }
+
+    /// Records that data of a response arrived after `waiting_since`.
+    pub(super) fn record_progress(
+        &mut self,
+        now: Instant,
+        number: RequestNumber,
+        connected_at: Instant,
+        waiting_since: Instant,
+    ) {
+        let state = self.open_requests.get(&number).map(|open| open.state);
+        let Some(State::Dispatched { backend, run, .. }) = state else { return };
+        let backends = &mut self.backends;
+        let renewed = backends.record_progress(now, run, number, connected_at, waiting_since);
+        self.replace_origin(now, backend, renewed, "progress");
+    }
+
+    /// Gives the streams of a run that goes on their origin back, if it was taken to have ended: those
+    /// that began meanwhile have the first of two keys.
+    fn replace_origin(
+        &mut self,
+        now: Instant,
+        backend: backends::Key,
+        renewed: Option<(u64, u64)>,
+        sign: &'static str,
+    ) {
+        let Some((from, to)) = renewed else { return };
+        self.streams.replace_origin(from, to);
+        for open in self.open_requests.values_mut() {
+            open.replace_origin(from, to);
+        }
+        let backend = self.backends.get(backend).map(|backend| &backend.id[..]);
+        tracing::info!(
+            event = "run_goes_on",
+            replica = %String::from_utf8_lossy(backend.unwrap_or_default()),
+            sign,
+            age_ms = self.lease.age(now).map(|age| age.as_millis() as u64),
+        );
+    }
+
     /// Records what the backend server of a dispatched request states of itself.
     pub(super) fn record_statement(
         &mut self,
--- a/crates/gate/src/streams.rs
+++ b/crates/gate/src/streams.rs
@@ -61,6 +61,13 @@
         }
     }
 
+    /// Replaces the origin of the streams that have `from`.
+    pub fn replace_origin(&mut self, from: u64, to: u64) {
+        for stream in self.streams.values_mut().filter(|stream| stream.origin == from) {
+            stream.origin = to;
+        }
+    }
+
     /// Adds streams that began elsewhere.
     pub fn merge(&mut self, now: Instant, reports: &[message::Stream]) {
         for message::Stream { attempt, origin, age } in reports {
--- a/crates/gate/tests/versions.rs
+++ b/crates/gate/tests/versions.rs
@@ -207,23 +207,35 @@
 }
 
 impl Fleet {
-    /// Lets a connection of a gateway to a server be refused, so that the server's run has ended. It
-    /// accepts connections afterwards.
-    fn refuse_connection(&mut self, gateway: usize, server: usize) {
-        for n in 0.. {
-            let number = self.send(gateway, stream(&format!("refused-{server}-{n}")));
-            let at = self.running[&(gateway, number)];
-            let is_there = at == server;
-            if is_there {
-                self.gateways[gateway].feed(Event::Refused { number });
-                self.take_actions(gateway);
+    /// Sends a request for a new stream that is dispatched to a server.
+    fn send_to(&mut self, gateway: usize, server: usize, id: &str) -> RequestNumber {
+        for n in 0..100 {
+            let number = self.send(gateway, stream(&format!("{id}-{n}")));
+            if self.running.get(&(gateway, number)) == Some(&server) {
+                return number;
             }
             self.gateways[gateway].feed(Event::Closed { number });
             self.take_actions(gateway);
-            if is_there {
-                break;
-            }
         }
+        panic!("no request is dispatched to server {server}");
+    }
+
+    /// Begins a stream at a server.
+    fn begin_at(&mut self, gateway: usize, server: usize, id: &str) -> RequestNumber {
+        let number = self.send_to(gateway, server, id);
+        self.gateways[gateway].feed(Event::FirstEvent { number });
+        self.advance(10 * MS);
+        number
+    }
+
+    /// Lets a connection of a gateway to a server be refused, so that the server's run has ended. It
+    /// accepts connections afterwards.
+    fn refuse_connection(&mut self, gateway: usize, server: usize) {
+        let number = self.send_to(gateway, server, &format!("refused-{server}"));
+        self.gateways[gateway].feed(Event::Refused { number });
+        self.take_actions(gateway);
+        self.gateways[gateway].feed(Event::Closed { number });
+        self.take_actions(gateway);
         let id = format!("r{server}");
         let backends = self.gateways[gateway].machine.backends();
         let found = backends.iter().find(|(_, backend)| backend.id == id);
@@ -347,6 +359,101 @@
     }
 }
 
+/// When a connection was opened, and when a request was sent on it, relative to a refused connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Evidence {
+    /// Both before.
+    Before,
+    /// Opened before and sent after.
+    Across,
+    /// Both after.
+    After,
+}
+
+/// Guards against a server whose streams go on nowhere any more, since it refused connections for a
+/// moment; and against a run that counts as going on by a response that a later run may have sent.
+#[test]
+fn only_a_later_response_on_an_earlier_connection_shows_that_a_run_goes_on() {
+    for evidence in [Evidence::Before, Evidence::Across, Evidence::After] {
+        let mut fleet = Fleet::new(2, &["v1", "v1"]);
+        fleet.advance(STREAM_LIFE);
+        let (before, _) = fleet.begin(0, "before");
+        let server = fleet.running[&(0, before)];
+        fleet.advance(100 * MS);
+        let opened_before = fleet.now;
+        let early = fleet.send_to(0, server, "early");
+        fleet.advance(10 * MS);
+        fleet.refuse_connection(0, server);
+        let began_between = fleet.begin_at(0, server, "between");
+        fleet.advance(10 * MS);
+        let opened_after = fleet.now;
+        fleet.advance(10 * MS);
+        let (number, connected_at) = match evidence {
+            Evidence::Before => (early, opened_before),
+            Evidence::Across => (fleet.send_to(0, server, "late"), opened_before),
+            Evidence::After => (fleet.send_to(0, server, "late"), opened_after),
+        };
+        fleet.gateways[0].now = fleet.now;
+        fleet.gateways[0].feed(Event::Responded { number, connected_at });
+        fleet.take_actions(0);
+        let goes_on = evidence == Evidence::Across;
+        // What began before the refusal, and between it and the response, goes on at either server.
+        for (id, number) in [("before", before), ("between", began_between)] {
+            fleet.lose_connection(0, number);
+            let at = fleet.running.get(&(0, number)).copied();
+            let may_go_on = goes_on || id == "before";
+            assert_eq!(at.is_some(), may_go_on, "{evidence:?}: {id} within its response");
+        }
+        let other = 1 - server;
+        fleet.refuse_connection(0, other);
+        let number = fleet.send(0, take_up("b", Some("before")));
+        fleet.advance(100 * MS);
+        let at = fleet.running.get(&(0, number)).copied();
+        assert_eq!(at, goes_on.then_some(server), "{evidence:?}: taken up");
+    }
+}
+
+/// Data of a stream: when the gateway began to wait for it after a refused connection, and when it
+/// arrived, in milliseconds.
+type Arrivals = &'static [(u64, u64)];
+
+/// Guards against a run that counts as ended though its streams go on, and against one that counts as
+/// going on by what had been sent before its end, or was sent again after a loss.
+#[test]
+fn only_later_progress_on_an_earlier_connection_shows_that_a_run_goes_on() {
+    let cases: [(&str, bool, Arrivals, bool); 7] = [
+        ("goes on", true, &[(1_020, 1_100), (1_300, 1_400)], true),
+        ("goes on for long", true, &[(40, 80), (500, 600), (1_100, 1_200), (1_400, 1_500)], true),
+        ("once", true, &[(1_020, 1_100)], false),
+        ("a burst", true, &[(1_020, 1_100), (1_110, 1_120), (1_130, 1_140)], false),
+        ("too early", true, &[(10, 40), (400, 500), (800, 900)], false),
+        ("waited from before", true, &[(900, 1_500), (950, 1_900)], false),
+        ("opened after", false, &[(1_020, 1_100), (1_300, 1_400), (1_700, 1_800)], false),
+    ];
+    for (case, is_earlier, arrivals, goes_on) in cases {
+        let mut fleet = Fleet::new(1, &["v1", "v1"]);
+        fleet.advance(STREAM_LIFE);
+        let opened_before = fleet.now;
+        let (number, _) = fleet.begin(0, "running");
+        let server = fleet.running[&(0, number)];
+        fleet.refuse_connection(0, server);
+        let refused_at = fleet.now;
+        let connected_at = if is_earlier { opened_before } else { refused_at + 10 * MS };
+        for (since, at) in arrivals {
+            let (since, at) = (Duration::from_millis(*since), Duration::from_millis(*at));
+            fleet.advance((refused_at + at).since(fleet.now));
+            let waiting_since = refused_at + since;
+            fleet.gateways[0].now = fleet.now;
+            fleet.gateways[0].feed(Event::Progressed { number, connected_at, waiting_since });
+        }
+        fleet.refuse_connection(0, 1 - server);
+        let taken_up = fleet.send(0, take_up("b", Some("running")));
+        fleet.advance(100 * MS);
+        let at = fleet.running.get(&(0, taken_up)).copied();
+        assert_eq!(at, goes_on.then_some(server), "{case}");
+    }
+}
+
 /// Guards against a stream of a run without a record that goes on elsewhere, since the state of the
 /// store, which doesn't have that run, is confirmed before the gateways that know it have replied.
 #[test]
