Hold back an older version that is written again after a drill of the store

Cause: an older version of the store's copy waits 10 s, but one that was written since waited 1 s, as a deliberate return. Operators' versions only increase.

Change: 10 s for both.

--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -149,8 +149,6 @@
     restores: u64,
     /// The value of `restores` when the store last had the version in force.
     catalog_restores: u64,
-    /// Whether what the store holds after it came back is being read.
-    is_restoring: bool,
     /// An older version that the store holds since then, with the time to put it in force.
     older_catalog: Option<(Rc<Catalog>, Instant)>,
     lease: Lease,
@@ -221,7 +219,6 @@
             catalog: None,
             restores: 0,
             catalog_restores: 0,
-            is_restoring: false,
             older_catalog: None,
             backends: Backends::default(),
             started_at: now,
@@ -379,7 +376,6 @@
             }
             Event::StoreRestored => self.record_restore(),
             Event::StoreRead { at, from, to, entries } => {
-                self.is_restoring = false;
                 self.confirm(now, at);
                 let before = self.source.revision();
                 self.source.record_read(now, from, to, entries);
--- a/crates/gate/src/machine/configuration.rs
+++ b/crates/gate/src/machine/configuration.rs
@@ -7,18 +7,15 @@
 use super::{Machine, OpenRequest, State};
 use crate::{Action, catalog::Catalog, event::RequestNumber, refusal::Reason};
 
-/// Time for which an older version in a store that came back from an older copy is not put in force.
-/// The version that the store lost is usually written again.
-const RESTORED_VERSION_GRACE: Duration = Duration::from_secs(10);
-/// Time for which an older version that was written since then is not put in force, in case the
-/// versions that the store lost are written again one after the other.
-const REWRITTEN_VERSION_GRACE: Duration = Duration::from_millis(1000);
+/// Time for which an older version in a store that came back from an older copy is not put in force,
+/// also if it was written since then. Operators' versions only increase, so the versions that the
+/// store lost are being written again, one after the other.
+const OLDER_VERSION_GRACE: Duration = Duration::from_secs(10);
 
 impl Machine {
     /// Records that the store came back from an older copy.
     pub(super) fn record_restore(&mut self) {
         self.restores += 1;
-        self.is_restoring = true;
         self.older_catalog = None;
         self.backends.record_restore();
     }
@@ -54,13 +51,9 @@
                 self.older_catalog = None;
             }
             Ordering::Less if is_restored && !self.is_pending(catalog.version) => {
-                let grace = match self.is_restoring {
-                    true => RESTORED_VERSION_GRACE,
-                    false => REWRITTEN_VERSION_GRACE,
-                };
                 let (version, in_force) = (catalog.version, current.version);
                 tracing::warn!(event = "version_older", version, in_force);
-                self.older_catalog = Some((catalog, now + grace));
+                self.older_catalog = Some((catalog, now + OLDER_VERSION_GRACE));
             }
             Ordering::Less => {}
         }
