--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -15,7 +15,11 @@
 use hyper::{Request, Response, body, client::conn::http1};
 use wire::time::Instant;
 
-use crate::{clock, paced::Paced};
+use crate::{
+    clock,
+    error::{Error, Kind, Step},
+    paced::Paced,
+};
 
 /// Bound on the head of a response, and on what is read of a connection at once, in bytes. The HTTP
 /// library's own is 400 kB, for each connection.
@@ -113,6 +117,22 @@
         self.send_watched(request, &Cell::new(false), || Ok(())).await
     }
 
+    /// Sends a request as [`Pool::send`] does, and waits for the head of the response for `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with the step and the server's address.
+    pub async fn call(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Sent, Error> {
+        let sent = time::timeout(limit, self.send(request)).await;
+        let sent =
+            sent.map_err(|_| Error::with_kind(Step::Receive, self.address, Kind::Timeout))?;
+        sent.map_err(|fault| Error::new(Step::Send, self.address, format!("{fault:?}")))
+    }
+
     /// Sends a request as [`Pool::send`] does. `is_sent` is set from the time at which the server may
     /// receive it. `check` is called each time that there is a connection to write to; nothing is
     /// sent if it returns an error.
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -222,9 +222,7 @@
         .header(KNOWN_VALUES, hashes.join(","))
         .body(Full::new(wire::frame::encode(query)))
         .map_err(|error| Error::new(Step::Send, peer, error))?;
-    let sent = time::timeout(HEAD_TIMEOUT, Pool::new(peer, CONNECT_TIMEOUT).send(request)).await;
-    let sent = sent.map_err(|_| Error::with_kind(Step::Receive, peer, Kind::Timeout))?;
-    let sent = sent.map_err(|fault| Error::new(Step::Send, peer, format!("{fault:?}")))?;
+    let sent = Pool::new(peer, CONNECT_TIMEOUT).call(request, HEAD_TIMEOUT).await?;
     let response = sent.response;
     let status = response.status().as_u16();
     if status != 200 {
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -313,10 +313,7 @@
             .header(header::HOST, address.to_string())
             .body(Full::new(Bytes::new()))
             .map_err(|error| Error::new(Step::Send, address, error))?;
-        let sent = time::timeout(limit, self.pool.send(request)).await;
-        let sent = sent.map_err(|_| Error::with_kind(Step::Receive, address, Kind::Timeout))?;
-        let Sent { response, sender, .. } =
-            sent.map_err(|fault| Error::new(Step::Send, address, format!("{fault:?}")))?;
+        let Sent { response, sender, .. } = self.pool.call(request, limit).await?;
         let status = response.status().as_u16();
         let era = store::decode_era(response.headers())
             .map_err(|error| Error::new(Step::Decode, address, error))?;
--- a/crates/daemon/src/sources.rs
+++ b/crates/daemon/src/sources.rs
@@ -4,7 +4,6 @@
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
-use compio::time;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Uri, header};
 use serde::Deserialize;
@@ -69,10 +68,7 @@
             .header(header::HOST, address.to_string())
             .body(Full::new(Bytes::new()))
             .map_err(|error| Error::new(Step::Send, address, error))?;
-        let sent = time::timeout(limit, self.pool.send(request)).await;
-        let sent = sent.map_err(|_| Error::with_kind(Step::Receive, address, Kind::Timeout))?;
-        let Sent { response, sender, .. } =
-            sent.map_err(|fault| Error::new(Step::Send, address, format!("{fault:?}")))?;
+        let Sent { response, sender, .. } = self.pool.call(request, limit).await?;
         let status = response.status().as_u16();
         let index = response
             .headers()
--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     claims::{Claim, Claims},
+    ending::Ending,
     evacuations::Evacuations,
     event::RequestNumber,
     load::{FailureShare, Load},
@@ -80,7 +81,7 @@
     pub load: Load,
     /// Signs that the run has ended. What answers at the address since then is the next run, whose
     /// record has not been read yet.
-    ended: Option<End>,
+    ending: Option<Ending>,
     /// End of the pause that the next run asked for.
     next_paused_until: Option<Instant>,
     /// Time at which the backend server is removed, set if its record is missing after an outage of
@@ -90,50 +91,10 @@
     peer_samples: HashMap<u64, u32>,
 }
 
-/// Time after the last sign of a run's end from which data shows that it goes on. What a process that
-/// has ended sent before arrives earlier, unless its packets were lost.
-const MIN_PROGRESS_DELAY: Duration = Duration::from_secs(1);
-/// Time between two arrivals of data of a response, of which the second shows that the run goes on.
-/// Packets that are sent again after a loss arrive together.
-const MIN_PROGRESS_SPAN: Duration = Duration::from_millis(250);
-
-/// Signs that a run has ended.
-#[derive(Clone, Debug)]
-struct End {
-    /// Times of the first and the last one.
-    first: Instant,
-    last: Instant,
-    /// Requests whose responses went on since then, with the time at which they first did.
-    progress: Vec<(RequestNumber, Instant)>,
-}
-
-impl End {
-    /// Returns whether a response on a connection that was opened at `connected_at` shows that the run
-    /// goes on. Data of it arrived which had not arrived at `waiting_since`.
-    fn is_disproved(
-        &mut self,
-        now: Instant,
-        number: RequestNumber,
-        connected_at: Instant,
-        waiting_since: Instant,
-    ) -> bool {
-        if connected_at >= self.first || waiting_since < self.last + MIN_PROGRESS_DELAY {
-            return false;
-        }
-        match self.progress.iter().find(|(other, _)| *other == number) {
-            Some((_, since)) => now.since(*since) >= MIN_PROGRESS_SPAN,
-            None => {
-                self.progress.push((number, now));
-                false
-            }
-        }
-    }
-}
-
 impl Backend {
     /// Returns whether the run was taken to have ended.
     pub fn has_ended(&self) -> bool {
-        self.ended.is_some()
+        self.ending.is_some()
     }
 
     /// Gives a run its origin back. Returns the key that it had meanwhile, and its own.
@@ -266,7 +227,7 @@
         let stated = *stated;
         if let Some(backend) = self.entries.values_mut().find(|backend| backend.run == run) {
             backend.load.stated = stated;
-            if backend.ended.is_some() {
+            if backend.ending.is_some() {
                 backend.next_paused_until = backend.next_paused_until.max(pause);
             }
         }
@@ -276,8 +237,7 @@
     /// Records that the run of a backend server has ended, though its record is still there.
     pub fn record_end(&mut self, now: Instant, run: u64) {
         if let Some(backend) = self.entries.values_mut().find(|backend| backend.run == run) {
-            let first = backend.ended.as_ref().map_or(now, |end| end.first);
-            backend.ended = Some(End { first, last: now, progress: Vec::new() });
+            backend.ending.get_or_insert_with(|| Ending::new(now)).record_sign(now);
             backend.origin = origin::next_run_key(backend.origin, backend.run);
         }
     }
@@ -292,8 +252,7 @@
         dispatched_at: Instant,
     ) -> Option<(u64, u64)> {
         let backend = self.entries.values_mut().find(|backend| backend.run == run)?;
-        let is_disproved = |end: &mut End| connected_at < end.first && dispatched_at > end.last;
-        backend.ended.take_if(is_disproved)?;
+        backend.ending.take_if(|ending| ending.is_disproved(connected_at, dispatched_at))?;
         Some(backend.restore_origin())
     }
 
@@ -308,8 +267,9 @@
         waiting_since: Instant,
     ) -> Option<(u64, u64)> {
         let backend = self.entries.values_mut().find(|backend| backend.run == run)?;
-        let ended = &mut backend.ended;
-        ended.take_if(|end| end.is_disproved(now, number, connected_at, waiting_since))?;
+        let ending = &mut backend.ending;
+        ending
+            .take_if(|ending| ending.record_progress(now, number, connected_at, waiting_since))?;
         Some(backend.restore_origin())
     }
 
@@ -576,7 +536,7 @@
                     self.departures.push((record.service.clone(), before));
                 }
                 // A record that is merely read again doesn't show that its run goes on.
-                if backend.ended.is_none() || backend.record != record {
+                if backend.ending.is_none() || backend.record != record {
                     backend.origin = origin;
                 }
                 let is_written = !self.reads_all && left.is_some_and(|left| !left.is_zero());
@@ -609,7 +569,7 @@
             origin: origin::key(&record),
             record,
             load,
-            ended: None,
+            ending: None,
             next_paused_until: None,
             remove_at: None,
             peer_samples: HashMap::new(),
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -13,6 +13,7 @@
 mod contact;
 pub mod deadlines;
 mod demand;
+mod ending;
 pub mod evacuations;
 pub mod event;
 pub mod hedging;
