Report a response as a sign of life only where a run is doubted

Each response on a kept connection was an event of its own for the machine, which looks for the run among all servers, though it says something only while the run is taken to have ended. Data of streams was asked for that before; one check in Reporter serves both now. What the machine decides is the same.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -12,7 +12,6 @@
 use gate::{
     Event,
     action::Dispatch,
-    backends,
     event::AttemptResult,
     refusal::{Reason, Refusal},
     request::Request as GatewayRequest,
@@ -252,11 +251,8 @@
         connected_at: Instant,
         waiting_since: Instant,
     ) {
-        let waited = clock::now().since(waiting_since);
-        let is_doubted = self.reporter.gateway.read(|machine| {
-            machine.backends().get(dispatch.backend).is_some_and(backends::Backend::has_ended)
-        });
-        if is_doubted && waited >= MIN_WAIT {
+        let has_waited = || clock::now().since(waiting_since) >= MIN_WAIT;
+        if self.reporter.has_ended(dispatch) && has_waited() {
             let number = self.reporter.number;
             self.report(Event::Progressed { number, connected_at, waiting_since });
         }
--- a/crates/daemon/src/gateway/reporter.rs
+++ b/crates/daemon/src/gateway/reporter.rs
@@ -6,6 +6,7 @@
 use gate::{
     Event,
     action::Dispatch,
+    backends,
     event::{AttemptResult, RequestNumber},
     statement::Statement,
 };
@@ -38,6 +39,13 @@
         });
     }
 
+    /// Returns whether the run of a dispatch's backend server was taken to have ended, so that signs
+    /// that it goes on are of interest.
+    pub fn has_ended(&self, dispatch: &Dispatch) -> bool {
+        let has_ended = backends::Backend::has_ended;
+        self.gateway.read(|machine| machine.backends().get(dispatch.backend).is_some_and(has_ended))
+    }
+
     /// Returns `Event::Ended` for the request.
     pub fn build_ended(&self, result: AttemptResult) -> Event {
         Event::Ended { number: self.number, result }
@@ -83,7 +91,7 @@
             ResponseKind::Misdirected => Err(Box::new(Event::Misdirected { number })),
             ResponseKind::Unverified => Err(Box::new(self.build_ended(AttemptResult::Invalid))),
             ResponseKind::Failed | ResponseKind::Success => {
-                if is_reused {
+                if is_reused && self.has_ended(dispatch) {
                     self.report(Event::Responded { number, connected_at: sender.opened_at });
                 }
                 let framing = Framing::of(&head.headers, &body);
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -66,7 +66,8 @@
     /// second from all gateways together.
     RateLimitStated { number: RequestNumber, per_s: Option<f64> },
     /// The head of a response to this request was received on a connection that was opened at
-    /// `connected_at` and had other requests before.
+    /// `connected_at` and had other requests before. Reported while the run of its backend server is
+    /// taken to have ended.
     Responded { number: RequestNumber, connected_at: Instant },
     /// Data of a response arrived, for which the gateway had waited since `waiting_since`, on a
     /// connection that was opened at `connected_at`. Reported while the run of its backend server is
