--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
+pub use cause::answer::CONTINUATION_TIME;
 use wire::time::Instant;
 
 use crate::{backends, catalog::Catalog, message, request::Request, source, statement::Statement};
@@ -10,10 +11,6 @@
 /// Number of a request within its process.
 pub type RequestNumber = u64;
 
-/// Time after the first event of a response from which further ones show that the request does not
-/// crash its backend server. One that does so ends its server as soon as it is answered.
-pub const CONTINUATION_TIME: Duration = Duration::from_millis(250);
-
 /// How one attempt at a backend server ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptResult {
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -1,6 +1,7 @@
 //! State of the gateway and the handling of events.
 
 mod admitting;
+mod causes;
 mod configuration;
 mod demanding;
 mod dispatching;
--- /dev/null
+++ b/crates/gate/src/machine/causes.rs
@@ -0,0 +1,128 @@
+//! Requests and prompt parts as causes of the ends of backend servers.
+
+use cause::Answer;
+use wire::time::Instant;
+
+use super::{Machine, OpenRequest, State};
+use crate::{event::RequestNumber, quarantine, unanswered::Attempt};
+
+impl Machine {
+    /// Records that a dispatched request's backend server has ended, and counts that against the
+    /// requests that were given up there.
+    pub(super) fn record_ends_at_backend_of(&mut self, now: Instant, number: RequestNumber) {
+        let state = self.open_requests.get(&number).map(|open| open.state);
+        if let Some(State::Dispatched { run, .. }) = state {
+            self.backends.record_end(now, run);
+            let attempts = self.unanswered.take(now, run);
+            self.record_ends(now, &attempts);
+        }
+    }
+
+    /// Records that a dispatched request is given up without a response.
+    pub(super) fn give_up(&mut self, now: Instant, open: &OpenRequest) {
+        self.give_up_as(now, open, None);
+    }
+
+    /// Records that the response to a dispatched request ended with its connection. It is whole,
+    /// since `whole_since`, if the backend server has not ended.
+    pub(super) fn give_up_as(
+        &mut self,
+        now: Instant,
+        open: &OpenRequest,
+        whole_since: Option<Instant>,
+    ) {
+        let State::Dispatched { run, dispatched_at, .. } = open.state else { return };
+        let fingerprint = open.entry.request.fingerprint;
+        let parts = suspected_parts(now, open);
+        let attempt = Attempt { fingerprint, parts, run, dispatched_at, whole_since };
+        if self.unanswered.give_up(now, &attempt) {
+            self.record_ends(now, &[attempt]);
+        }
+    }
+
+    pub(super) fn record_ends(&mut self, now: Instant, attempts: &[Attempt]) {
+        for Attempt { fingerprint, parts, run, dispatched_at, .. } in attempts {
+            for part in parts {
+                self.suspects.record_end(now, *part, *run, *dispatched_at);
+            }
+            if self.suspects.record_end(now, *fingerprint, *run, *dispatched_at) {
+                tracing::info!(
+                    event = "suspect_unanswered",
+                    fingerprint = %format_args!("{fingerprint:016x}"),
+                    dispatched_ms = now.since(*dispatched_at).as_millis() as u64,
+                    ends = self.suspects.total(now, *fingerprint),
+                );
+            }
+        }
+    }
+
+    /// Records that a backend server answers a request that was dispatched at `dispatched_at`.
+    pub(super) fn record_answer(&mut self, now: Instant, run: u64, dispatched_at: Instant) {
+        for attempt in self.unanswered.record_answer(run, dispatched_at) {
+            if let Some(since) = attempt.whole_since {
+                self.acquit_parts(now, &attempt.parts, since);
+            }
+        }
+    }
+
+    /// Records that a backend server began to answer a request with these parts at a time and went
+    /// on.
+    pub(super) fn acquit_parts(&mut self, now: Instant, parts: &[u64], at: Instant) {
+        for part in parts {
+            self.suspects.acquit_part(now, *part, at);
+        }
+    }
+
+    /// Records that the response to a request went on for `CONTINUATION_TIME`.
+    pub(super) fn record_continuation(&mut self, now: Instant, number: RequestNumber) {
+        let Some(open) = self.open_requests.get_mut(&number) else { return };
+        let State::Dispatched { first_event_at: Some(at), went_on, .. } = &mut open.state else {
+            return;
+        };
+        *went_on = true;
+        let (at, parts) = (*at, quarantine::part_keys(&open.entry.request));
+        self.acquit_parts(now, &parts, at);
+    }
+
+    /// Counts the end of a backend server whose connection was lost against the request.
+    pub(super) fn record_broken(&mut self, now: Instant, open: &OpenRequest) {
+        let State::Dispatched { backend, run, dispatched_at, first_event_at, .. } = open.state
+        else {
+            return;
+        };
+        let fingerprint = open.entry.request.fingerprint;
+        for part in suspected_parts(now, open) {
+            self.suspects.record_end(now, part, run, dispatched_at);
+        }
+        let counted = self.suspects.record_end(now, fingerprint, run, dispatched_at);
+        let backend = self.backends.get(backend).map(|backend| &backend.id[..]);
+        tracing::info!(
+            event = "suspect",
+            id = %String::from_utf8_lossy(&open.entry.request.id),
+            fingerprint = %format_args!("{fingerprint:016x}"),
+            parts = open.entry.request.parts_text(),
+            replica = %String::from_utf8_lossy(backend.unwrap_or_default()),
+            counted,
+            had_first_event = first_event_at.is_some(),
+            first_event_ms = first_event_at.map(|at| now.since(at).as_millis() as u64),
+            ends = self.suspects.total(now, fingerprint),
+        );
+    }
+}
+
+/// Returns how far the answer to a dispatched request is.
+fn answer(now: Instant, open: &OpenRequest) -> Answer {
+    match open.state {
+        State::Dispatched { went_on: true, .. } => Answer::Continued,
+        State::Dispatched { first_event_at, .. } => Answer::since(now, first_event_at),
+        State::Waiting => Answer::Begun,
+    }
+}
+
+/// Returns the keys of a dispatched request's parts that may have crashed its backend server.
+fn suspected_parts(now: Instant, open: &OpenRequest) -> Vec<u64> {
+    match answer(now, open).accuses_parts() {
+        true => quarantine::part_keys(&open.entry.request),
+        false => Vec::new(),
+    }
+}
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -8,13 +8,12 @@
 use crate::{
     Action, admission, backends,
     catalog::RouteKind,
-    event::{AttemptResult, CONTINUATION_TIME, RequestNumber},
+    event::{AttemptResult, RequestNumber},
     origin::Origin,
     quarantine,
     refusal::{Reason, Refusal},
     statement::{Pause, Statement},
     streams,
-    unanswered::Attempt,
 };
 
 /// Time for which a backend server that refused a request as overloaded gets no other request.
@@ -175,50 +174,6 @@
         self.handle_not_sent(now, number, actions);
     }
 
-    /// Records that a dispatched request's backend server has ended, and counts that against the
-    /// requests that were given up there.
-    fn record_ends_at_backend_of(&mut self, now: Instant, number: RequestNumber) {
-        let state = self.open_requests.get(&number).map(|open| open.state);
-        if let Some(State::Dispatched { run, .. }) = state {
-            self.backends.record_end(now, run);
-            let attempts = self.unanswered.take(now, run);
-            self.record_ends(now, &attempts);
-        }
-    }
-
-    /// Records that a dispatched request is given up without a response.
-    pub(super) fn give_up(&mut self, now: Instant, open: &OpenRequest) {
-        self.give_up_as(now, open, None);
-    }
-
-    /// Records that the response to a dispatched request ended with its connection. It is whole,
-    /// since `whole_since`, if the backend server has not ended.
-    fn give_up_as(&mut self, now: Instant, open: &OpenRequest, whole_since: Option<Instant>) {
-        let State::Dispatched { run, dispatched_at, .. } = open.state else { return };
-        let fingerprint = open.entry.request.fingerprint;
-        let parts = suspected_parts(now, open);
-        let attempt = Attempt { fingerprint, parts, run, dispatched_at, whole_since };
-        if self.unanswered.give_up(now, &attempt) {
-            self.record_ends(now, &[attempt]);
-        }
-    }
-
-    pub(super) fn record_ends(&mut self, now: Instant, attempts: &[Attempt]) {
-        for Attempt { fingerprint, parts, run, dispatched_at, .. } in attempts {
-            for part in parts {
-                self.suspects.record_end(now, *part, *run, *dispatched_at);
-            }
-            if self.suspects.record_end(now, *fingerprint, *run, *dispatched_at) {
-                tracing::info!(
-                    event = "suspect_unanswered",
-                    fingerprint = %format_args!("{fingerprint:016x}"),
-                    dispatched_ms = now.since(*dispatched_at).as_millis() as u64,
-                    ends = self.suspects.total(now, *fingerprint),
-                );
-            }
-        }
-    }
-
     pub(super) fn handle_rejection(
         &mut self,
         now: Instant,
@@ -433,34 +388,6 @@
         backend.load.record_first_event(waited, tokens.saturating_add(tokens_ahead));
     }
 
-    /// Records that a backend server answers a request that was dispatched at `dispatched_at`.
-    fn record_answer(&mut self, now: Instant, run: u64, dispatched_at: Instant) {
-        for attempt in self.unanswered.record_answer(run, dispatched_at) {
-            if let Some(since) = attempt.whole_since {
-                self.acquit_parts(now, &attempt.parts, since);
-            }
-        }
-    }
-
-    /// Records that a backend server began to answer a request with these parts at a time and went
-    /// on.
-    fn acquit_parts(&mut self, now: Instant, parts: &[u64], at: Instant) {
-        for part in parts {
-            self.suspects.acquit_part(now, *part, at);
-        }
-    }
-
-    /// Records that the response to a request went on for `CONTINUATION_TIME`.
-    pub(super) fn record_continuation(&mut self, now: Instant, number: RequestNumber) {
-        let Some(open) = self.open_requests.get_mut(&number) else { return };
-        let State::Dispatched { first_event_at: Some(at), went_on, .. } = &mut open.state else {
-            return;
-        };
-        *went_on = true;
-        let (at, parts) = (*at, quarantine::part_keys(&open.entry.request));
-        self.acquit_parts(now, &parts, at);
-    }
-
     pub(super) fn record_events(&mut self, number: RequestNumber, events: u32, span: Duration) {
         let state = self.open_requests.get(&number).map(|open| open.state);
         let Some(State::Dispatched { backend, .. }) = state else { return };
@@ -537,11 +464,6 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(open) = self.open_requests.get(&number).cloned() else { return };
-        let fingerprint = open.entry.request.fingerprint;
-        let State::Dispatched { run, dispatched_at, first_event_at, .. } = open.state else {
-            return;
-        };
-        let first_event_ms = first_event_at.map(|at| now.since(at).as_millis() as u64);
         if result == AttemptResult::Invalid {
             self.give_up(now, &open);
         }
@@ -555,22 +477,7 @@
             };
         }
         if result == AttemptResult::Broken {
-            for part in suspected_parts(now, &open) {
-                self.suspects.record_end(now, part, run, dispatched_at);
-            }
-            let counted = self.suspects.record_end(now, fingerprint, run, dispatched_at);
-            let backend = self.backends.get(key).map(|backend| &backend.id[..]);
-            tracing::info!(
-                event = "suspect",
-                id = %String::from_utf8_lossy(&open.entry.request.id),
-                fingerprint = %format_args!("{fingerprint:016x}"),
-                parts = open.entry.request.parts_text(),
-                replica = %String::from_utf8_lossy(backend.unwrap_or_default()),
-                counted,
-                had_first_event = first_event_at.is_some(),
-                first_event_ms,
-                ends = self.suspects.total(now, fingerprint),
-            );
+            self.record_broken(now, &open);
         }
         self.continue_or_refuse(now, number, actions);
     }
@@ -632,13 +539,3 @@
         })
     }
 }
-
-/// Returns the keys of a dispatched request's parts that may have crashed its backend server: all,
-/// until it went on to answer the request.
-fn suspected_parts(now: Instant, open: &OpenRequest) -> Vec<u64> {
-    let State::Dispatched { first_event_at, went_on, .. } = open.state else { return Vec::new() };
-    match went_on || first_event_at.is_some_and(|at| now.since(at) >= CONTINUATION_TIME) {
-        true => Vec::new(),
-        false => quarantine::part_keys(&open.entry.request),
-    }
-}
--- a/crates/gate/src/quarantine.rs
+++ b/crates/gate/src/quarantine.rs
@@ -7,21 +7,15 @@
 
 use std::{collections::HashSet, time::Duration};
 
+use cause::rule;
 use wire::time::Instant;
 
 use crate::{
     quota,
     request::Request,
-    suspects::{End, QUARANTINE_ENDS, RETENTION, Suspects},
+    suspects::{End, RETENTION, Suspects},
 };
 
-/// Time within which several ends count as one for a part: many connections may be lost at once for
-/// a reason that has nothing to do with what ran there.
-const END_SPACING: Duration = Duration::from_millis(300);
-/// Number of ends from which a part is in quarantine although this gateway has seen backend servers
-/// answer requests with it. Servers may end for other reasons while several such requests begin.
-const KNOWN_PART_ENDS: u32 = 3;
-
 /// Reason for which a request is not sent to a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Verdict {
@@ -71,13 +65,13 @@
 
     fn part_verdict(&self, now: Instant, key: u64, own: &[u64]) -> Option<Verdict> {
         let ends = self.ends(now, key);
-        let spaced = spaced(&ends);
-        let total = spaced.iter().map(End::counted).sum();
-        let most = if self.is_known(key) { KNOWN_PART_ENDS } else { QUARANTINE_ENDS };
-        if total < most {
+        let rule = if self.is_known(key) { rule::KNOWN_PART } else { rule::PART };
+        let spaced = rule.spaced(ends.iter().map(|end| (end.at, end.counted())));
+        let total = spaced.iter().map(|(_, count)| count).sum();
+        if total < rule.ends {
             return None;
         }
-        let left = RETENTION.saturating_sub(now.since(spaced.first()?.at));
+        let left = RETENTION.saturating_sub(now.since(spaced.last()?.0));
         let is_explained = self.explains(now, &ends, own, |_| true);
         (!is_explained).then_some(Verdict { part: None, ends: total, left })
     }
@@ -97,19 +91,8 @@
                 let some = ends.iter().filter(|end| runs.contains(&end.run) == is_common);
                 some.map(End::counted).sum()
             };
-            count(true) >= QUARANTINE_ENDS && count(false) < QUARANTINE_ENDS && may_explain(&others)
+            let most = rule::REQUEST.ends;
+            count(true) >= most && count(false) < most && may_explain(&others)
         })
     }
 }
-
-/// Returns the ends without those that followed another one within `END_SPACING`, the latest first.
-fn spaced(ends: &[End]) -> Vec<End> {
-    let mut spaced: Vec<End> = Vec::new();
-    for end in ends.iter().rev() {
-        if spaced.last().is_none_or(|last| end.at.since(last.at) >= END_SPACING) {
-            spaced.push(*end);
-        }
-    }
-    spaced.reverse();
-    spaced
-}
--- a/crates/gate/src/suspects.rs
+++ b/crates/gate/src/suspects.rs
@@ -10,12 +10,11 @@
     time::Duration,
 };
 
+use cause::rule;
 use wire::time::Instant;
 
 use crate::message;
 
-/// Number of ends from which a request is refused.
-pub(crate) const QUARANTINE_ENDS: u32 = 2;
 /// Time for which an end counts.
 pub(crate) const RETENTION: Duration = Duration::from_secs(600);
 /// Age up to which an end is reported to peers. Without the margin, gateways that received it at
@@ -86,7 +85,7 @@
     /// Returns the sort key by which the suspects that matter most come first.
     fn rank(&self, now: Instant) -> Reverse<(u32, Option<Instant>)> {
         let latest = self.ends.iter().map(|end| end.at).max();
-        Reverse((self.total(now).min(QUARANTINE_ENDS), latest))
+        Reverse((self.total(now).min(rule::REQUEST.ends), latest))
     }
 
     fn is_expired(&self, now: Instant) -> bool {
@@ -239,13 +238,10 @@
 
     /// Returns the remaining time of the request's quarantine, if any.
     pub fn quarantine_left(&self, now: Instant, fingerprint: u64) -> Option<Duration> {
-        let mut total = 0;
         let ends = self.suspects.get(&fingerprint)?.counted(now);
-        let deciding = ends.iter().find(|end| {
-            total += end.counted();
-            total >= QUARANTINE_ENDS
-        })?;
-        Some(RETENTION.saturating_sub(now.since(deciding.at)))
+        let ends = ends.iter().map(|end| (end.at, end.counted()));
+        let deciding = rule::REQUEST.deciding_end(ends)?;
+        Some(RETENTION.saturating_sub(now.since(deciding)))
     }
 
     /// Returns whether there is no suspect.
@@ -257,7 +253,7 @@
     pub fn counts(&self, now: Instant) -> (usize, usize) {
         let totals = self.suspects.values().map(|suspect| suspect.total(now));
         totals.filter(|total| *total > 0).fold((0, 0), |(all, quarantined), total| {
-            (all + 1, quarantined + usize::from(total >= QUARANTINE_ENDS))
+            (all + 1, quarantined + usize::from(total >= rule::REQUEST.ends))
         })
     }
 
