Need more ends against a request of which copies completed before

What callers saw: two servers that crash at the same moment while they run copies of a popular request put it in quarantine for ten minutes, or until a copy completes that was still running, though hundreds of copies had completed.

Cause: only a completion after the ends counted in its favour. At the moment of two ends there is none.

A request that is known to complete needs three ends, two seconds apart, since its last completion; others two ends as before. A request that crashes each server that runs it never completes.

An end at the very time of a completion counts now, since what completed before the first end is taken into account.

--- a/crates/cause/src/lib.rs
+++ b/crates/cause/src/lib.rs
@@ -6,7 +6,9 @@
 //! take the rules from here. `docs/design/causes.md` has them as tables.
 
 pub mod answer;
+pub mod completions;
 pub mod rule;
 
 pub use answer::Answer;
+pub use completions::Completions;
 pub use rule::Rule;
--- a/crates/cause/src/rule.rs
+++ b/crates/cause/src/rule.rs
@@ -13,8 +13,11 @@
     pub spacing: Duration,
 }
 
-/// Rule for a request.
+/// Rule for a request of which no copy is known to have been answered.
 pub const REQUEST: Rule = Rule { ends: 2, spacing: Duration::ZERO };
+/// Rule for a request of which copies were answered before the ends. What ends several servers for
+/// another reason, such as the loss of hosts, is noticed within the time of some heartbeats.
+pub const KNOWN_REQUEST: Rule = Rule { ends: 3, spacing: Duration::from_secs(2) };
 /// Rule for a prompt part. Many connections may be lost at once for a reason that has nothing to do
 /// with what ran there.
 pub const PART: Rule = Rule { ends: 2, spacing: Duration::from_millis(300) };
@@ -23,6 +26,16 @@
 pub const KNOWN_PART: Rule = Rule { ends: 3, ..PART };
 
 impl Rule {
+    /// Returns the rule for a request.
+    pub fn for_request(is_known: bool) -> Rule {
+        if is_known { KNOWN_REQUEST } else { REQUEST }
+    }
+
+    /// Returns the rule for a prompt part.
+    pub fn for_part(is_known: bool) -> Rule {
+        if is_known { KNOWN_PART } else { PART }
+    }
+
     /// Returns the time of the end from which on enough ends count, if there are enough. `ends` has
     /// the times and numbers of ends, the latest first.
     pub fn deciding_end(
--- a/crates/gate/src/quarantine.rs
+++ b/crates/gate/src/quarantine.rs
@@ -7,7 +7,7 @@
 
 use std::{collections::HashSet, time::Duration};
 
-use cause::rule;
+use cause::{Rule, rule};
 use wire::time::Instant;
 
 use crate::{
@@ -65,7 +65,7 @@
 
     fn part_verdict(&self, now: Instant, key: u64, own: &[u64]) -> Option<Verdict> {
         let ends = self.ends(now, key);
-        let rule = if self.is_known(key) { rule::KNOWN_PART } else { rule::PART };
+        let rule = Rule::for_part(self.is_known(key));
         let spaced = rule.spaced(ends.iter().map(|end| (end.at, end.counted())));
         let total = spaced.iter().map(|(_, count)| count).sum();
         if total < rule.ends {
--- a/crates/gate/src/suspects.rs
+++ b/crates/gate/src/suspects.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use cause::rule;
+use cause::{Completions, Rule, rule};
 use wire::time::Instant;
 
 use crate::message;
@@ -61,7 +61,7 @@
 struct Suspect {
     ends: Vec<End>,
     /// Time at which a copy last completed, or at which a backend server that went on began to answer
-    /// a request with the part. Earlier ends don't count.
+    /// a request with the part. Earlier ends don't count, and more are needed for a quarantine.
     completed_at: Option<Instant>,
     /// Rounds in which the last change is still to be sent.
     announcements: u8,
@@ -71,13 +71,20 @@
     /// Returns the ends that count, the latest first.
     fn counted(&self, now: Instant) -> Vec<End> {
         let counts = |end: &&End| {
-            end.counted() > 0 && Some(end.at) > self.completed_at && now.since(end.at) < RETENTION
+            end.counted() > 0 && Some(end.at) >= self.completed_at && now.since(end.at) < RETENTION
         };
         let mut counted: Vec<End> = self.ends.iter().filter(counts).copied().collect();
         counted.sort_by_key(|end| Reverse(end.at));
         counted
     }
 
+    /// Returns the end from which on enough count against a request for its quarantine.
+    fn deciding_end(&self, now: Instant) -> Option<Instant> {
+        let ends = self.counted(now);
+        let rule = Rule::for_request(self.completed_at.is_some());
+        rule.deciding_end(ends.iter().map(|end| (end.at, end.counted())))
+    }
+
     fn total(&self, now: Instant) -> u32 {
         self.counted(now).iter().map(End::counted).sum()
     }
@@ -130,6 +137,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
     suspects: HashMap<u64, Suspect>,
+    /// Requests of which copies completed here.
+    completions: Completions,
     /// Keys of parts that were acquitted here.
     known: HashSet<u64>,
     /// Position in the table from which the next sample is taken.
@@ -161,6 +170,7 @@
 
     /// Records that a copy completed, so that earlier ends don't count.
     pub fn record_completion(&mut self, now: Instant, fingerprint: u64) {
+        self.completions.record(fingerprint, now);
         self.discard_ends(now, fingerprint, now);
     }
 
@@ -238,9 +248,7 @@
 
     /// Returns the remaining time of the request's quarantine, if any.
     pub fn quarantine_left(&self, now: Instant, fingerprint: u64) -> Option<Duration> {
-        let ends = self.suspects.get(&fingerprint)?.counted(now);
-        let ends = ends.iter().map(|end| (end.at, end.counted()));
-        let deciding = rule::REQUEST.deciding_end(ends)?;
+        let deciding = self.suspects.get(&fingerprint)?.deciding_end(now)?;
         Some(RETENTION.saturating_sub(now.since(deciding)))
     }
 
@@ -251,9 +259,9 @@
 
     /// Returns the numbers of suspects and of those in quarantine.
     pub fn counts(&self, now: Instant) -> (usize, usize) {
-        let totals = self.suspects.values().map(|suspect| suspect.total(now));
-        totals.filter(|total| *total > 0).fold((0, 0), |(all, quarantined), total| {
-            (all + 1, quarantined + usize::from(total >= rule::REQUEST.ends))
+        let counted = self.suspects.values().filter(|suspect| suspect.total(now) > 0);
+        counted.fold((0, 0), |(all, quarantined), suspect| {
+            (all + 1, quarantined + usize::from(suspect.deciding_end(now).is_some()))
         })
     }
 
@@ -303,6 +311,9 @@
                 self.suspects.remove(&last);
             }
         }
-        self.suspects.entry(fingerprint).or_default()
+        self.suspects.entry(fingerprint).or_insert_with(|| Suspect {
+            completed_at: self.completions.last(now, fingerprint, RETENTION),
+            ..Suspect::default()
+        })
     }
 }
--- a/crates/gate/tests/common/cluster.rs
+++ b/crates/gate/tests/common/cluster.rs
@@ -24,12 +24,35 @@
 /// Time after which a caller without a response leaves.
 const PATIENCE: Duration = Duration::from_millis(2500);
 
+/// The same for callers of a popular request.
+const MAX_PATIENCE: Duration = Duration::from_secs(15);
+
 /// Times after the dispatch at which a request with prompt parts gets its first event, further ones
 /// and its end.
 const TIME_TO_FIRST_EVENT: Duration = Duration::from_millis(100);
 const TIME_TO_EVENTS: Duration = Duration::from_millis(400);
 const TIME_TO_END: Duration = Duration::from_millis(700);
 
+/// How backend servers answer copies of a popular request that crashes none of them.
+#[derive(Clone, Copy, Debug)]
+pub struct Popular {
+    pub fingerprint: u64,
+    /// Time from the dispatch to the first event, if the response is a stream. A further one follows
+    /// `TIME_TO_CONTINUE` later.
+    pub first_event: Option<Duration>,
+    /// Time from the dispatch to the end.
+    pub end: Duration,
+    /// How the response ends.
+    pub result: AttemptResult,
+    /// How one ends whose backend server crashed or exited.
+    pub cut: AttemptResult,
+}
+
+/// Time from the first event of a popular stream to the one that shows that it goes on.
+const TIME_TO_CONTINUE: Duration = Duration::from_millis(260);
+/// Time for which a backend server serves after it said that it drains.
+const TIME_TO_EXIT: Duration = Duration::from_millis(2500);
+
 /// How a crash appears to the gateway whose request caused it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Crash {
@@ -48,6 +71,8 @@
     started: u64,
     crashes_at: Option<Instant>,
     restarts_at: Option<Instant>,
+    /// Time at which it exits as planned.
+    exits_at: Option<Instant>,
 }
 
 #[derive(Clone, Debug)]
@@ -82,6 +107,7 @@
     pub crashes: Vec<Instant>,
     /// Times at which a poison request was dispatched, and the gateways that did.
     pub runs: Vec<(Instant, usize)>,
+    pub popular: Option<Popular>,
     /// Prompt parts that crash each backend server which begins to answer a request with them.
     pub bad_parts: Vec<Bytes>,
     /// Requests with prompt parts, none of which is bad.
@@ -125,6 +151,7 @@
             crash,
             crashes: Vec::new(),
             runs: Vec::new(),
+            popular: None,
             bad_parts: Vec::new(),
             sound: Vec::new(),
             parts: vec![0; gateways],
@@ -132,7 +159,10 @@
             store_up: true,
             account_rate,
             loss: 0.0,
-            servers: vec![Server { started: 1, crashes_at: None, restarts_at: None }; servers],
+            servers: vec![
+                Server { started: 1, crashes_at: None, restarts_at: None, exits_at: None };
+                servers
+            ],
             attempts: Vec::new(),
             refused: Vec::new(),
             datagrams: Vec::new(),
@@ -187,13 +217,14 @@
             let (sent_at, request) = (self.now, request.clone());
             self.sound.push(Sound { sent_at, gateway, request, began: false });
         }
+        let popular = self.popular_of(&request).is_some();
         self.attempts.push(Attempt {
             gateway,
             number,
             server: usize::MAX,
             request,
             sound,
-            caller_leaves_at: self.now + PATIENCE,
+            caller_leaves_at: self.now + if popular { MAX_PATIENCE } else { PATIENCE },
             first_event_at: None,
             events_at: None,
             completes_at: None,
@@ -276,6 +307,10 @@
             if self.servers[index].restarts_at.is_some_and(|at| now >= at) {
                 self.restart_server(index);
             }
+            if self.servers[index].exits_at.take_if(|at| now >= *at).is_some() {
+                self.servers[index].restarts_at = Some(Instant(u64::MAX));
+                self.break_connections(index);
+            }
         }
         let is_due = |at: Option<Instant>| at.is_some_and(|at| now >= at);
         for index in 0..self.attempts.len() {
@@ -296,7 +331,9 @@
             }
         }
         for attempt in self.take_attempts(|attempt| is_due(attempt.completes_at)) {
-            self.gateways[attempt.gateway].end(attempt.number, AttemptResult::Complete);
+            let popular = self.popular_of(&attempt.request);
+            let result = popular.map_or(AttemptResult::Complete, |popular| popular.result);
+            self.gateways[attempt.gateway].end(attempt.number, result);
             self.take_actions(attempt.gateway);
         }
         for attempt in self.take_attempts(|attempt| now >= attempt.caller_leaves_at) {
@@ -312,6 +349,35 @@
         }
     }
 
+    /// Lets a backend server drain, and exit some time later.
+    pub fn drain(&mut self, server: usize) {
+        self.servers[server].exits_at = Some(self.now + TIME_TO_EXIT);
+        for gateway in 0..self.gateways.len() {
+            let record = record(MODEL, 9_000 + server as u16);
+            let started = Some(self.servers[server].started);
+            let record = gate::backends::Record { started, draining: true, ..record };
+            self.gateways[gateway].now = self.now;
+            self.gateways[gateway].add(&format!("r{server}"), record);
+            self.take_actions(gateway);
+        }
+    }
+
+    fn popular_of(&self, request: &Request) -> Option<Popular> {
+        self.popular.filter(|popular| popular.fingerprint == request.fingerprint)
+    }
+
+    /// Returns the number of requests that a gateway refused as the cause of ends since the last call.
+    pub fn take_refusals(&mut self, gateway: usize) -> usize {
+        let is_poison = |action: &Action| {
+            let Action::Refuse { refusal, .. } = action else { return false };
+            refusal.reason == gate::refusal::Reason::Poison
+        };
+        let actions = &mut self.gateways[gateway].actions;
+        let count = actions.iter().filter(|action| is_poison(action)).count();
+        actions.retain(|action| !is_poison(action));
+        count
+    }
+
     fn crash_server(&mut self, index: usize) {
         self.crashes.push(self.now);
         self.stop_server(index);
@@ -357,8 +423,14 @@
 
     fn break_connections(&mut self, server: usize) {
         for attempt in self.take_attempts(|attempt| attempt.server == server) {
+            let popular = self.popular_of(&attempt.request);
             let gateway = &mut self.gateways[attempt.gateway];
             gateway.now = self.now;
+            if let Some(popular) = popular {
+                gateway.end(attempt.number, popular.cut);
+                self.take_actions(attempt.gateway);
+                continue;
+            }
             if matches!(self.crash, Crash::AfterFirstEvent | Crash::Unframed) {
                 gateway.feed(Event::FirstEvent { number: attempt.number });
             }
@@ -408,12 +480,19 @@
         let (has_parts, is_sound) = (!attempt.request.parts.is_empty(), attempt.sound.is_some());
         let (first, events, end) = (TIME_TO_FIRST_EVENT, TIME_TO_EVENTS, TIME_TO_END);
         let is_down = self.servers[server].restarts_at.is_some();
-        if has_parts && is_down {
+        let popular = self.popular.filter(|p| p.fingerprint == attempt.request.fingerprint);
+        if (has_parts || popular.is_some()) && is_down {
             if self.crash != Crash::Silent {
                 self.refused.push((gateway, dispatch.number));
             }
             return;
         }
+        if let Some(popular) = popular {
+            attempt.first_event_at = popular.first_event.map(|time| now + time);
+            attempt.events_at = attempt.first_event_at.map(|at| at + TIME_TO_CONTINUE);
+            attempt.completes_at = Some(now + popular.end);
+            return;
+        }
         if is_sound {
             attempt.first_event_at = Some(now + first);
             attempt.events_at = Some(now + events);
