--- a/crates/cause/src/lib.rs
+++ b/crates/cause/src/lib.rs
@@ -7,8 +7,10 @@
 
 pub mod answer;
 pub mod completions;
+pub mod ending;
 pub mod rule;
 
 pub use answer::Answer;
 pub use completions::Completions;
+pub use ending::Ending;
 pub use rule::Rule;
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -434,7 +434,7 @@
         self.apply_readings(now);
         for run in self.backends.take_ended_runs() {
             let attempts = self.unanswered.end_run(now, run);
-            self.record_ends(now, &attempts);
+            self.record_ends(now, attempts);
         }
         for (service, origin) in self.backends.take_departures() {
             self.streams.record_departure(now, service, origin);
--- a/crates/gate/src/machine/admitting.rs
+++ b/crates/gate/src/machine/admitting.rs
@@ -62,7 +62,7 @@
         let catalog = self.catalog.clone();
         let catalog =
             catalog.ok_or_else(|| admission::retry_later(Reason::NotReady, left, &mut self.rng))?;
-        if let Some(verdict) = self.suspects.verdict(now, &request) {
+        if let Some(verdict) = self.verdict(now, &request) {
             let part = verdict.part.and_then(|part| request.parts.get(part));
             tracing::info!(
                 event = "quarantined",
--- a/crates/gate/src/machine/causes.rs
+++ b/crates/gate/src/machine/causes.rs
@@ -1,10 +1,17 @@
 //! Requests and prompt parts as causes of the ends of backend servers.
 
-use cause::Answer;
+use std::{cmp::Reverse, collections::HashSet};
+
+use cause::{Answer, Ending};
 use wire::time::Instant;
 
 use super::{Machine, OpenRequest, State};
-use crate::{event::RequestNumber, quarantine, unanswered::Attempt};
+use crate::{
+    event::RequestNumber,
+    quarantine::{self, Verdict},
+    request::Request,
+    unanswered::Attempt,
+};
 
 impl Machine {
     /// Records that a dispatched request's backend server has ended, and counts that against the
@@ -14,57 +21,100 @@
         if let Some(State::Dispatched { run, .. }) = state {
             self.backends.record_end(now, run);
             let attempts = self.unanswered.take(now, run);
-            self.record_ends(now, &attempts);
+            self.record_ends(now, attempts);
         }
     }
 
+    /// Returns the quarantine of a request, if there is one.
+    pub(super) fn verdict(&self, now: Instant, request: &Request) -> Option<Verdict> {
+        let last_closed = || self.unanswered.last_closed(request.fingerprint);
+        self.suspects.verdict_since(now, request, last_closed)
+    }
+
     /// Records that a dispatched request is given up without a response.
     pub(super) fn give_up(&mut self, now: Instant, open: &OpenRequest) {
-        self.give_up_as(now, open, None);
+        self.record_attempt(now, open, Ending::GivenUp, None);
     }
 
     /// Records that the response to a dispatched request ended with its connection. It is whole,
     /// since `whole_since`, if the backend server has not ended.
-    pub(super) fn give_up_as(
+    pub(super) fn record_closed(&mut self, now: Instant, open: &OpenRequest, whole_since: Instant) {
+        self.record_attempt(now, open, Ending::Closed, Some(whole_since));
+    }
+
+    fn record_attempt(
         &mut self,
         now: Instant,
         open: &OpenRequest,
+        ending: Ending,
         whole_since: Option<Instant>,
     ) {
         let State::Dispatched { run, dispatched_at, .. } = open.state else { return };
         let fingerprint = open.entry.request.fingerprint;
         let parts = suspected_parts(now, open);
-        let attempt = Attempt { fingerprint, parts, run, dispatched_at, whole_since };
-        if self.unanswered.give_up(now, &attempt) {
-            self.record_ends(now, &[attempt]);
+        let ended_at = now;
+        let attempt =
+            Attempt { fingerprint, parts, run, dispatched_at, ended_at, ending, whole_since };
+        if self.unanswered.record(now, &attempt) {
+            self.record_ends(now, vec![attempt]);
         }
     }
 
-    pub(super) fn record_ends(&mut self, now: Instant, attempts: &[Attempt]) {
-        for Attempt { fingerprint, parts, run, dispatched_at, .. } in attempts {
-            for part in parts {
-                self.suspects.record_end(now, *part, *run, *dispatched_at);
+    /// Counts the end of a run against the requests whose attempts there may have caused it.
+    pub(super) fn record_ends(&mut self, now: Instant, mut attempts: Vec<Attempt>) {
+        // Of several copies, the one that was there last.
+        attempts.sort_by_key(|attempt| Reverse(attempt.ending.time_of_end(attempt.ended_at, now)));
+        for attempt in attempts {
+            if attempt.ending.is_whole(now, attempt.ended_at, self.confirmed_since) {
+                self.record_whole(now, &attempt);
+                continue;
+            }
+            let Attempt { fingerprint, parts, run, dispatched_at, ended_at, ending, .. } = attempt;
+            let at = ending.time_of_end(ended_at, now);
+            for part in &parts {
+                self.suspects.record_end(at, *part, run, dispatched_at);
             }
-            if self.suspects.record_end(now, *fingerprint, *run, *dispatched_at) {
+            if self.suspects.record_end(at, fingerprint, run, dispatched_at) {
                 tracing::info!(
                     event = "suspect_unanswered",
                     fingerprint = %format_args!("{fingerprint:016x}"),
-                    dispatched_ms = now.since(*dispatched_at).as_millis() as u64,
-                    ends = self.suspects.total(now, *fingerprint),
+                    dispatched_ms = now.since(dispatched_at).as_millis() as u64,
+                    ended_ms = now.since(ended_at).as_millis() as u64,
+                    closed = ending == Ending::Closed,
+                    ends = self.suspects.total(now, fingerprint),
                 );
             }
         }
     }
 
-    /// Records that a backend server answers a request that was dispatched at `dispatched_at`.
+    /// Records that the run of a backend server answers a request that was dispatched at
+    /// `dispatched_at`, so that it had not ended before.
     pub(super) fn record_answer(&mut self, now: Instant, run: u64, dispatched_at: Instant) {
         for attempt in self.unanswered.record_answer(run, dispatched_at) {
-            if let Some(since) = attempt.whole_since {
+            if attempt.ending.is_whole_by_answer(attempt.ended_at, dispatched_at) {
+                self.record_whole(now, &attempt);
+            } else if let Some(since) = attempt.whole_since {
                 self.acquit_parts(now, &attempt.parts, since);
             }
         }
     }
 
+    /// Records responses that ended with their connections and are whole, since their backend servers
+    /// are still listed.
+    pub(super) fn record_listed(&mut self, now: Instant, runs: &HashSet<u64>) {
+        let is_listed = |run: u64| runs.contains(&run);
+        for attempt in self.unanswered.take_whole(now, self.confirmed_since, is_listed) {
+            self.record_whole(now, &attempt);
+        }
+    }
+
+    /// Records that the response to an attempt is whole, though it ended with its connection.
+    fn record_whole(&mut self, now: Instant, attempt: &Attempt) {
+        let Some(since) = attempt.whole_since else { return };
+        self.suspects.record_completion(now, attempt.fingerprint, attempt.ended_at);
+        self.acquit_parts(now, &attempt.parts, since);
+    }
+
     /// Records that a backend server began to answer a request with these parts at a time and went
     /// on.
     pub(super) fn acquit_parts(&mut self, now: Instant, parts: &[u64], at: Instant) {
--- a/crates/gate/src/machine/dispatching.rs
+++ b/crates/gate/src/machine/dispatching.rs
@@ -80,7 +80,7 @@
         match entry.attempts {
             0 if reason == Reason::UnknownKey => Refusal::new(reason),
             0 if reason == Reason::Poison => {
-                let verdict = self.suspects.verdict(now, &entry.request);
+                let verdict = self.verdict(now, &entry.request);
                 let retry_after = verdict.map(|verdict| verdict.left);
                 Refusal { retry_after, ..Refusal::new(reason) }
             }
@@ -180,7 +180,7 @@
         if !self.may_dispatch(now) {
             return Err(Reason::Stopping);
         }
-        match self.suspects.verdict(now, &entry.request) {
+        match self.verdict(now, &entry.request) {
             Some(_) => Err(Reason::Poison),
             None => Ok(()),
         }
--- a/crates/gate/src/machine/peering.rs
+++ b/crates/gate/src/machine/peering.rs
@@ -79,8 +79,9 @@
         self.send_suspects(targets, changes, actions);
         if now >= self.next_sample {
             self.next_sample = now + SAMPLE_PERIOD;
+            let runs = self.backends.runs();
+            self.record_listed(now, &runs);
             if !self.suspects.is_empty() {
-                let runs = self.backends.runs();
                 self.suspects.disprove(now, self.confirmed_since, |run| runs.contains(&run));
             }
             let sample = self.suspects.sample(now);
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -435,13 +435,13 @@
             return;
         };
         let answered_at = first_event_at.unwrap_or(dispatched_at);
+        self.record_answer(now, run, dispatched_at);
         if result == AttemptResult::Unframed {
-            self.give_up_as(now, &open, Some(answered_at));
+            self.record_closed(now, &open, answered_at);
         } else {
-            self.suspects.record_completion(now, open.entry.request.fingerprint);
+            self.suspects.record_completion(now, open.entry.request.fingerprint, now);
             self.acquit_parts(now, &quarantine::part_keys(&open.entry.request), answered_at);
             self.unanswered.record_completion(run);
-            self.record_answer(now, run, dispatched_at);
         }
         let key = backend;
         let Some(backend) = self.backends.get_mut(key) else { return };
--- a/crates/gate/src/quarantine.rs
+++ b/crates/gate/src/quarantine.rs
@@ -40,13 +40,24 @@
 impl Suspects {
     /// Returns the quarantine of a request, if there is one.
     pub fn verdict(&self, now: Instant, request: &Request) -> Option<Verdict> {
+        self.verdict_since(now, request, || None)
+    }
+
+    /// Returns the quarantine of a request, if there is one. `last_closed` returns when a copy last
+    /// ended with a response that is whole unless its backend server ended, which is not known yet.
+    pub fn verdict_since(
+        &self,
+        now: Instant,
+        request: &Request,
+        last_closed: impl FnOnce() -> Option<Instant>,
+    ) -> Option<Verdict> {
         if self.is_empty() {
             return None;
         }
         let parts = part_keys(request);
         let mut own = parts.clone();
         own.push(request.fingerprint);
-        self.request_verdict(now, request.fingerprint, &own).or_else(|| {
+        self.request_verdict(now, request.fingerprint, &own, last_closed).or_else(|| {
             parts.iter().enumerate().find_map(|(part, key)| {
                 let verdict = self.part_verdict(now, *key, &own)?;
                 Some(Verdict { part: Some(part), ..verdict })
@@ -54,9 +65,20 @@
         })
     }
 
-    fn request_verdict(&self, now: Instant, key: u64, own: &[u64]) -> Option<Verdict> {
+    fn request_verdict(
+        &self,
+        now: Instant,
+        key: u64,
+        own: &[u64],
+        last_closed: impl FnOnce() -> Option<Instant>,
+    ) -> Option<Verdict> {
         let left = self.quarantine_left(now, key)?;
         let ends = self.ends(now, key);
+        // A request that is known to complete is taken to have done so.
+        let last_end = ends.first().map(|end| end.at);
+        if self.is_known_to_complete(key) && last_closed() > last_end {
+            return None;
+        }
         // Two requests that crashed servers together each explain the ends of the other.
         let is_explained = self.explains(now, &ends, own, |others| others.len() > ends.len());
         let total = ends.iter().map(End::counted).sum();
--- a/crates/gate/src/suspects.rs
+++ b/crates/gate/src/suspects.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use cause::{Completions, Rule, rule};
+use cause::{Completions, Rule, ending::VERIFICATION_TIME, rule};
 use wire::time::Instant;
 
 use crate::message;
@@ -20,9 +20,6 @@
 /// Age up to which an end is reported to peers. Without the margin, gateways that received it at
 /// different times could return it to each other after it expired.
 const MAX_REPORTED_AGE: Duration = Duration::from_secs(540);
-/// Time after which an end is disproved if the store still lists the run. The record of a backend
-/// server that ended is removed or replaced within some seconds.
-const VERIFICATION_TIME: Duration = Duration::from_secs(10);
 /// Most suspects kept. In a full table, one with the fewest ends is replaced.
 const MAX_SUSPECTS: usize = 4096;
 /// Most keys kept of parts that were acquitted.
@@ -146,32 +143,32 @@
 }
 
 impl Suspects {
-    /// Records that a run of a backend server ended while a copy ran that was dispatched at
-    /// `dispatched_at`. Copies that were running at the same end count once. Returns whether the
+    /// Records that a run of a backend server ended at a time, while a copy ran that was dispatched
+    /// at `dispatched_at`. Copies that were running at the same end count once. Returns whether the
     /// end is new.
     pub fn record_end(
         &mut self,
-        now: Instant,
+        at: Instant,
         fingerprint: u64,
         run: u64,
         dispatched_at: Instant,
     ) -> bool {
-        let suspect = self.suspect_mut(now, fingerprint);
+        let suspect = self.suspect_mut(at, fingerprint);
         let known = suspect.ends.iter().find(|end| end.run == run);
         let count = match known {
             Some(end) if dispatched_at < end.at && end.counted() > 0 => return false,
             Some(end) => end.count + 1,
             None => 1,
         };
-        suspect.merge(End { run, count, disproved: 0, at: now });
+        suspect.merge(End { run, count, disproved: 0, at });
         suspect.announcements = ANNOUNCEMENTS;
         true
     }
 
-    /// Records that a copy completed, so that earlier ends don't count.
-    pub fn record_completion(&mut self, now: Instant, fingerprint: u64) {
-        self.completions.record(fingerprint, now);
-        self.discard_ends(now, fingerprint, now);
+    /// Records that a copy completed at a time, so that earlier ends don't count.
+    pub fn record_completion(&mut self, now: Instant, fingerprint: u64, at: Instant) {
+        self.completions.record(fingerprint, at);
+        self.discard_ends(now, fingerprint, at);
     }
 
     /// Records that a backend server began to answer a request with the part `key` at a time and went
@@ -241,6 +238,11 @@
         suspect.total(now) != before
     }
 
+    /// Returns whether copies of a request completed before its ends, or are said to have.
+    pub(crate) fn is_known_to_complete(&self, fingerprint: u64) -> bool {
+        self.suspects.get(&fingerprint).is_some_and(|suspect| suspect.completed_at.is_some())
+    }
+
     /// Returns the number of ends that count against a request.
     pub fn total(&self, now: Instant, fingerprint: u64) -> u32 {
         self.suspects.get(&fingerprint).map_or(0, |suspect| suspect.total(now))
--- a/crates/gate/tests/causes.rs
+++ b/crates/gate/tests/causes.rs
@@ -51,6 +51,38 @@
     refused
 }
 
+/// Guards against a popular request that is refused since servers crashed after they had answered it
+/// without a length.
+#[test]
+fn crashes_after_responses_without_a_length_take_no_service() {
+    let mut cluster = cluster(PAGE);
+    assert_eq!(send_copies(&mut cluster, Duration::from_secs(3)), 0);
+    for server in 0..2 {
+        cluster.crash_other(server);
+    }
+    assert_eq!(send_copies(&mut cluster, Duration::from_secs(20)), 0, "two servers at once");
+    cluster.crash_other(2);
+    assert_eq!(send_copies(&mut cluster, Duration::from_secs(5)), 0);
+    cluster.crash_other(3);
+    assert_eq!(send_copies(&mut cluster, Duration::from_secs(5)), 0, "two, five seconds apart");
+    cluster.crash_other(3);
+    assert_eq!(send_copies(&mut cluster, Duration::from_secs(20)), 0, "one server twice");
+}
+
+/// Guards against a popular request that is refused since servers crashed while they ran slow copies
+/// of it.
+#[test]
+fn crashes_under_slow_responses_without_a_length_take_no_service() {
+    for cut in [AttemptResult::Broken, AttemptResult::Unframed] {
+        let mut cluster = cluster(Popular { end: 900 * MS, cut, ..PAGE });
+        assert_eq!(send_copies(&mut cluster, Duration::from_secs(4)), 0);
+        for server in 0..2 {
+            cluster.crash_other(server);
+        }
+        assert_eq!(send_copies(&mut cluster, Duration::from_secs(20)), 0, "{cut:?}");
+    }
+}
+
 /// Guards against a popular request that is refused since two servers crashed at the same time while
 /// they ran copies of it, though copies had completed before.
 #[test]
@@ -65,3 +97,39 @@
         assert_eq!(send_copies(&mut cluster, Duration::from_secs(20)), 0, "{end:?}");
     }
 }
+
+/// Time after the third crash from which copies are counted, and most of them, as the platform states
+/// them.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+const MAX_LATE_RUNS: usize = 3;
+
+/// Sends copies of a request that crashes servers to all gateways in turn for some time.
+fn send_poison(cluster: &mut Cluster, period: Duration, span: Duration) {
+    let end = cluster.now + span;
+    while cluster.now < end {
+        for gateway in 0..cluster.gateways.len() {
+            cluster.send_copy(gateway);
+            cluster.advance(period);
+        }
+    }
+}
+
+fn assert_contained(cluster: &Cluster, name: &str) {
+    let Some(third) = cluster.crashes.get(2) else { return };
+    let late = cluster.runs.iter().filter(|(at, _)| at.since(*third) > CONTACT_TIME).count();
+    let crashes = cluster.crashes.len();
+    assert!(late <= MAX_LATE_RUNS, "{name}: {late} late copies, {crashes} crashes");
+}
+
+/// Guards against a request that crashes server after server since its responses, which end with
+/// their connections, are taken for whole.
+#[test]
+fn a_request_that_crashes_servers_is_contained_however_it_ends() {
+    for crash in [Crash::BeforeFirstEvent, Crash::AfterFirstEvent, Crash::Unframed] {
+        for period in [PERIOD, 400 * MS, 1_500 * MS] {
+            let mut cluster = Cluster::new(GATEWAYS, SERVERS, crash);
+            send_poison(&mut cluster, period, Duration::from_secs(40));
+            assert_contained(&cluster, &format!("{crash:?}, a copy each {period:?}"));
+        }
+    }
+}
--- a/crates/gate/tests/common/cluster.rs
+++ b/crates/gate/tests/common/cluster.rs
@@ -481,7 +481,7 @@
         let (first, events, end) = (TIME_TO_FIRST_EVENT, TIME_TO_EVENTS, TIME_TO_END);
         let is_down = self.servers[server].restarts_at.is_some();
         let popular = self.popular.filter(|p| p.fingerprint == attempt.request.fingerprint);
-        if (has_parts || popular.is_some()) && is_down {
+        if (has_parts || popular.is_some() || self.crash == Crash::Unframed) && is_down {
             if self.crash != Crash::Silent {
                 self.refused.push((gateway, dispatch.number));
             }
