Count the end of a server after a failure response without a length

What callers saw: none has reported it. A request that crashes each server which runs it, and that is answered with a failure status and some bytes without a length before the server ends, never counted as the cause.

Cause: every failure response was an answer that had come, however it ended.

Change: 'AttemptResult::UnframedFailure'; its attempt is kept like that of any response that ends with its connection, but is no completion if the server goes on: a failure says nothing of the request.

--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -130,7 +130,7 @@
     let mut response = Response::new(received.into_body());
     *response.status_mut() = head.status;
     *response.headers_mut() = message::build_response_headers(&head.headers);
-    let failure = Failure::new(AttemptResult::Failed);
+    let failure = Failure::new(exchange::failure_result(framing));
     match Meaning::of(head.status.as_u16()) {
         Meaning::Success => Ok(Content::Whole(response, framing)),
         meaning if meaning.is_forwarded() => Err(Failure { response: Some(response), ..failure }),
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -401,6 +401,14 @@
     }
 }
 
+/// Returns the result of a failure response.
+pub fn failure_result(framing: Framing) -> AttemptResult {
+    match framing {
+        Framing::Length | Framing::Chunks => AttemptResult::Failed,
+        Framing::Close => AttemptResult::UnframedFailure,
+    }
+}
+
 /// Returns the idle time for which a connection may be used again, from the response's headers.
 pub fn idle_time(headers: &HeaderMap) -> Duration {
     let stated = headers.get("keep-alive").and_then(|value| value.to_str().ok());
--- a/crates/daemon/src/gateway/exchange/lines.rs
+++ b/crates/daemon/src/gateway/exchange/lines.rs
@@ -97,6 +97,7 @@
             Event::Ended { result: AttemptResult::Broken, .. } => "broken",
             Event::Ended { result: AttemptResult::Invalid, .. } => "invalid",
             Event::Ended { result: AttemptResult::Discarded, .. } => "discarded",
+            Event::Ended { result: AttemptResult::UnframedFailure, .. } => "failed_unframed",
             Event::Ended { .. } => "failed",
             _ => "other",
         };
--- a/crates/daemon/src/gateway/exchange/waiting.rs
+++ b/crates/daemon/src/gateway/exchange/waiting.rs
@@ -105,7 +105,9 @@
                     offer.received = Some(unread);
                     None
                 }
-                Ok(unread) => Some(self.build_ended(relay::declined_result(&unread.head))),
+                Ok(unread) => {
+                    Some(self.build_ended(relay::declined_result(&unread.head, unread.framing)))
+                }
                 Err(event) => Some(*event),
             },
             Err(_) if offer.is_sent() => None,
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -156,8 +156,11 @@
 }
 
 /// Returns the result of a response that doesn't go on with a stream.
-pub fn declined_result(head: &response::Parts) -> AttemptResult {
-    if head.status.is_success() { AttemptResult::Invalid } else { AttemptResult::Failed }
+pub fn declined_result(head: &response::Parts, framing: Framing) -> AttemptResult {
+    match head.status.is_success() {
+        true => AttemptResult::Invalid,
+        false => exchange::failure_result(framing),
+    }
 }
 
 /// State of a stream's response. It is dropped with the body, which ends the request.
@@ -393,7 +396,9 @@
                     return Ok(());
                 }
                 Attempt::Received(response) => {
-                    let event = self.exchange.build_ended(declined_result(&response.head));
+                    let event = self
+                        .exchange
+                        .build_ended(declined_result(&response.head, response.framing));
                     self.exchange.log_failure(&dispatch, &event);
                     self.exchange.report(event);
                 }
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -20,6 +20,9 @@
     Unframed,
     /// The backend server responded with a failure.
     Failed,
+    /// The backend server responded with a failure that ended with its connection, so it may have
+    /// ended before the response did.
+    UnframedFailure,
     /// The connection was lost before the end of the response.
     Broken,
     /// The response is invalid or belongs to another request. The backend server has not ended.
@@ -30,6 +33,11 @@
 }
 
 impl AttemptResult {
+    /// Returns whether the backend server responded with a failure.
+    pub fn is_failure(self) -> bool {
+        matches!(self, AttemptResult::Failed | AttemptResult::UnframedFailure)
+    }
+
     /// Returns whether the response is passed on as whole.
     pub fn is_whole(self) -> bool {
         matches!(self, AttemptResult::Complete | AttemptResult::Unframed)
--- a/crates/gate/src/machine/causes.rs
+++ b/crates/gate/src/machine/causes.rs
@@ -36,10 +36,15 @@
         self.record_attempt(now, open, Ending::GivenUp, None);
     }
 
-    /// Records that the response to a dispatched request ended with its connection. It is whole,
-    /// since `whole_since`, if the backend server has not ended.
-    pub(super) fn record_closed(&mut self, now: Instant, open: &OpenRequest, whole_since: Instant) {
-        self.record_attempt(now, open, Ending::Closed, Some(whole_since));
+    /// Records that the response to a dispatched request ended with its connection. If the backend
+    /// server has not ended, it is whole since `whole_since`; a failure says nothing of the request.
+    pub(super) fn record_closed(
+        &mut self,
+        now: Instant,
+        open: &OpenRequest,
+        whole_since: Option<Instant>,
+    ) {
+        self.record_attempt(now, open, Ending::Closed, whole_since);
     }
 
     fn record_attempt(
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -407,9 +407,10 @@
             AttemptResult::Complete | AttemptResult::Unframed => {
                 self.complete(now, number, result);
             }
-            AttemptResult::Failed | AttemptResult::Broken | AttemptResult::Invalid => {
-                self.handle_failure(now, number, result, actions)
-            }
+            AttemptResult::Failed
+            | AttemptResult::UnframedFailure
+            | AttemptResult::Broken
+            | AttemptResult::Invalid => self.handle_failure(now, number, result, actions),
             AttemptResult::Discarded => self.discard(now, number, actions),
         }
     }
@@ -437,7 +438,7 @@
         let answered_at = first_event_at.unwrap_or(dispatched_at);
         self.record_answer(now, run, dispatched_at);
         if result == AttemptResult::Unframed {
-            self.record_closed(now, &open, answered_at);
+            self.record_closed(now, &open, Some(answered_at));
         } else {
             self.suspects.record_completion(now, open.entry.request.fingerprint, now);
             self.acquit_parts(now, &quarantine::part_keys(&open.entry.request), answered_at);
@@ -464,11 +465,13 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(open) = self.open_requests.get(&number).cloned() else { return };
-        if result == AttemptResult::Invalid {
-            self.give_up(now, &open);
+        match result {
+            AttemptResult::Invalid => self.give_up(now, &open),
+            AttemptResult::UnframedFailure => self.record_closed(now, &open, None),
+            _ => {}
         }
         let Some(key) = self.withdraw_dispatch(now, number, true) else { return };
-        let is_plain_response = result == AttemptResult::Failed && open.entry.is_plain();
+        let is_plain_response = result.is_failure() && open.entry.is_plain();
         let usual = is_plain_response.then(|| self.backends.usual_failures(key));
         if let Some(backend) = self.backends.get_mut(key) {
             match usual {
--- a/crates/gate/tests/causes.rs
+++ b/crates/gate/tests/causes.rs
@@ -125,7 +125,9 @@
 /// their connections, are taken for whole.
 #[test]
 fn a_request_that_crashes_servers_is_contained_however_it_ends() {
-    for crash in [Crash::BeforeFirstEvent, Crash::AfterFirstEvent, Crash::Unframed] {
+    let crashes =
+        [Crash::BeforeFirstEvent, Crash::AfterFirstEvent, Crash::Unframed, Crash::Failure];
+    for crash in crashes {
         for period in [PERIOD, 400 * MS, 1_500 * MS] {
             let mut cluster = Cluster::new(GATEWAYS, SERVERS, crash);
             send_poison(&mut cluster, period, Duration::from_secs(40));
--- a/crates/gate/tests/common/cluster.rs
+++ b/crates/gate/tests/common/cluster.rs
@@ -60,6 +60,8 @@
     AfterFirstEvent,
     /// As the end of a response that ends with its connection, after its first event.
     Unframed,
+    /// As the end of a failure response that ends with its connection.
+    Failure,
     /// The connection is lost only after the backend server has written its record again.
     AfterRestart,
     /// The connection stays open without data.
@@ -436,6 +438,7 @@
             }
             let result = match self.crash {
                 Crash::Unframed => AttemptResult::Unframed,
+                Crash::Failure => AttemptResult::UnframedFailure,
                 _ => AttemptResult::Broken,
             };
             gateway.end(attempt.number, result);
@@ -481,7 +484,11 @@
         let (first, events, end) = (TIME_TO_FIRST_EVENT, TIME_TO_EVENTS, TIME_TO_END);
         let is_down = self.servers[server].restarts_at.is_some();
         let popular = self.popular.filter(|p| p.fingerprint == attempt.request.fingerprint);
-        if (has_parts || popular.is_some() || self.crash == Crash::Unframed) && is_down {
+        if (has_parts
+            || popular.is_some()
+            || matches!(self.crash, Crash::Unframed | Crash::Failure))
+            && is_down
+        {
             if self.crash != Crash::Silent {
                 self.refused.push((gateway, dispatch.number));
             }
