Take any response of a server as a sign that it went on

A popular page without a length is accused of the end of a server that had answered others since, if it answered them with rejections or failures.

Cause: only completions and first events counted as answers of a run.

Change: rejections and failures do as well. any_response_shows_that_a_server _went_on failed before, for a rejection (one end counted, none expected). poison and parts pass.

--- a/crates/gate/src/machine/causes.rs
+++ b/crates/gate/src/machine/causes.rs
@@ -104,6 +104,14 @@
         }
     }
 
+    /// Records that the backend server of a dispatched request answers it.
+    pub(super) fn record_answer_to(&mut self, now: Instant, number: RequestNumber) {
+        let state = self.open_requests.get(&number).map(|open| open.state);
+        if let Some(State::Dispatched { run, dispatched_at, .. }) = state {
+            self.record_answer(now, run, dispatched_at);
+        }
+    }
+
     /// Records responses that ended with their connections and are whole, since their backend servers
     /// are still listed.
     pub(super) fn record_listed(&mut self, now: Instant, runs: &HashSet<u64>) {
--- a/crates/gate/src/machine/responses.rs
+++ b/crates/gate/src/machine/responses.rs
@@ -181,6 +181,7 @@
         retry_after: Option<Duration>,
         actions: &mut Vec<Action>,
     ) {
+        self.record_answer_to(now, number);
         let Some(key) = self.withdraw_dispatch(now, number, false) else { return };
         let entry = self.open_requests.get(&number).map(|open| &open.entry);
         let plain = entry.filter(|entry| entry.is_plain()).cloned();
@@ -465,6 +466,9 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(open) = self.open_requests.get(&number).cloned() else { return };
+        if result.is_failure() {
+            self.record_answer_to(now, number);
+        }
         match result {
             AttemptResult::Invalid => self.give_up(now, &open),
             AttemptResult::UnframedFailure => self.record_closed(now, &open, None),
--- a/crates/gate/tests/causes.rs
+++ b/crates/gate/tests/causes.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use common::{
-    MS,
+    MS, TestGateway,
     cluster::{Cluster, Crash, Popular},
     request,
 };
-use gate::event::AttemptResult;
+use gate::{Event, event::AttemptResult};
 
 /// Gateways and backend servers of the case in which such a request lost its service.
 const GATEWAYS: usize = 2;
@@ -135,3 +135,35 @@
         }
     }
 }
+
+/// Guards against a request that is accused of the end of a server which answered others since, with
+/// whatever kind of response.
+#[test]
+fn any_response_shows_that_a_server_went_on() {
+    type Respond = fn(u64) -> Event;
+    let responses: [(&str, Respond); 5] = [
+        ("first event", |number| Event::FirstEvent { number }),
+        ("rejected", |number| Event::Rejected { number, retry_after: None }),
+        ("failed", |number| Event::Ended { number, result: AttemptResult::Failed }),
+        ("unframed", |number| Event::Ended { number, result: AttemptResult::Unframed }),
+        ("unframed failure", |number| Event::Ended {
+            number,
+            result: AttemptResult::UnframedFailure,
+        }),
+    ];
+    for (name, respond) in responses {
+        let mut gateway = TestGateway::with_backends(common::MODEL, 1);
+        let copy = gate::request::Request { fingerprint: POPULAR, ..request("tag") };
+        let number = gateway.arrive(copy);
+        gateway.dispatched(number).expect("dispatched");
+        gateway.end(number, AttemptResult::Unframed);
+        gateway.advance(100 * MS);
+        let other = gateway.arrive(request("tag"));
+        gateway.dispatched(other).expect("dispatched");
+        gateway.advance(100 * MS);
+        gateway.feed(respond(other));
+        gateway.advance(100 * MS);
+        gateway.feed(Event::Record { id: "r0".into(), record: None });
+        assert_eq!(gateway.machine.suspects().total(gateway.now, POPULAR), 0, "{name}");
+    }
+}
