Hold no request to be the cause of a server's planned exit

Cause: a connection that is lost counted as a server's end against the request, also where the server's record or a response had said that it leaves.

Change: a gateway keeps the last 4,096 runs that said that they leave. Their ends don't count, whether the gateway noticed the exit before it read of the drain, after it, or has the end from a peer that doesn't know.

planned_exits_take_no_service failed before (6 of 6 copies refused), and so did a_planned_exit_that_is_learned_late_takes_no_service (two ends counted, none expected). poison and parts pass.

--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -161,6 +161,8 @@
     /// Runs whose record was removed or replaced, other than by draining, since the last call of
     /// `take_ended_runs`.
     ended_runs: Vec<u64>,
+    /// Runs that said that they leave since the last call of `take_leaving_runs`.
+    leaving_runs: Vec<u64>,
     /// Services and origins of backend servers that left since the last call of `take_departures`.
     departures: Vec<(Bytes, u64)>,
     /// Statements of runs, also of those whose record is away for a while.
@@ -186,6 +188,7 @@
         match record {
             Some(record) if !record.draining => self.insert(id, record),
             Some(record) => {
+                self.leaving_runs.push(record.hash_run(&id));
                 self.departures.push((record.service.clone(), origin::key(&record)));
                 self.remove(&id);
             }
@@ -199,6 +202,11 @@
         std::mem::take(&mut self.ended_runs)
     }
 
+    /// Returns the runs that said that they leave, in their record or a response, since the last call.
+    pub fn take_leaving_runs(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.leaving_runs)
+    }
+
     /// Returns the records that changed since the last call, by what they say of warm-ups.
     pub fn take_readings(&mut self) -> Vec<warm_up::Reading> {
         std::mem::take(&mut self.readings)
@@ -222,6 +230,9 @@
         }
         let stated = self.stated.entry(run).or_default();
         let before = *stated;
+        if statement.leaving && !before.leaving {
+            self.leaving_runs.push(run);
+        }
         stated.leaving |= statement.leaving;
         stated.paused_until = stated.paused_until.max(pause);
         let stated = *stated;
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -432,6 +432,9 @@
             Event::Tick => self.tick(now, actions),
         }
         self.apply_readings(now);
+        for run in self.backends.take_leaving_runs() {
+            self.suspects.record_leaving(run);
+        }
         for run in self.backends.take_ended_runs() {
             let attempts = self.unanswered.end_run(now, run);
             self.record_ends(now, attempts);
--- a/crates/gate/src/suspects.rs
+++ b/crates/gate/src/suspects.rs
@@ -6,7 +6,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{HashMap, HashSet},
+    collections::{HashMap, HashSet, VecDeque},
     time::Duration,
 };
 
@@ -22,6 +22,8 @@
 const MAX_REPORTED_AGE: Duration = Duration::from_secs(540);
 /// Most suspects kept. In a full table, one with the fewest ends is replaced.
 const MAX_SUSPECTS: usize = 4096;
+/// Most runs kept that said that they leave.
+const MAX_LEAVING_RUNS: usize = 4096;
 /// Most keys kept of parts that were acquitted.
 const MAX_KNOWN: usize = 8192;
 /// Most ends kept of one suspect.
@@ -136,6 +138,10 @@
     suspects: HashMap<u64, Suspect>,
     /// Requests of which copies completed here.
     completions: Completions,
+    /// Runs that said that they leave. Their ends are planned.
+    leaving_runs: HashSet<u64>,
+    /// The same runs, the oldest first.
+    leaving_order: VecDeque<u64>,
     /// Keys of parts that were acquitted here.
     known: HashSet<u64>,
     /// Position in the table from which the next sample is taken.
@@ -153,6 +159,9 @@
         run: u64,
         dispatched_at: Instant,
     ) -> bool {
+        if self.leaving_runs.contains(&run) {
+            return false;
+        }
         let suspect = self.suspect_mut(at, fingerprint);
         let known = suspect.ends.iter().find(|end| end.run == run);
         let count = match known {
@@ -165,6 +174,25 @@
         true
     }
 
+    /// Records that a run said that it leaves. Its end is no fault of what runs there, also if it was
+    /// counted before, or is reported by a peer that doesn't know.
+    pub fn record_leaving(&mut self, run: u64) {
+        if !self.leaving_runs.insert(run) {
+            return;
+        }
+        self.leaving_order.push_back(run);
+        if self.leaving_order.len() > MAX_LEAVING_RUNS
+            && let Some(oldest) = self.leaving_order.pop_front()
+        {
+            self.leaving_runs.remove(&oldest);
+        }
+        for end in self.suspects.values_mut().flat_map(|suspect| &mut suspect.ends) {
+            if end.run == run {
+                end.disproved = end.count;
+            }
+        }
+    }
+
     /// Records that a copy completed at a time, so that earlier ends don't count.
     pub fn record_completion(&mut self, now: Instant, fingerprint: u64, at: Instant) {
         self.completions.record(fingerprint, at);
@@ -225,14 +253,17 @@
     pub fn merge(&mut self, now: Instant, report: &message::Suspect) -> bool {
         let earlier = |age: Duration| Instant(now.0.saturating_sub(age.as_micros() as u64));
         let recent = |age: Duration| age < RETENTION;
-        if !report.ends.iter().any(|end| recent(end.age)) {
+        let is_counted =
+            |end: &&message::End| recent(end.age) && !self.leaving_runs.contains(&end.run);
+        let ends: Vec<message::End> =
+            report.ends.iter().filter(is_counted).take(MAX_ENDS).copied().collect();
+        if ends.is_empty() {
             return false;
         }
         let suspect = self.suspect_mut(now, report.fingerprint);
         let before = suspect.total(now);
-        for end in report.ends.iter().filter(|end| recent(end.age)).take(MAX_ENDS) {
-            let (run, count, at) = (end.run, end.count, earlier(end.age));
-            suspect.merge(End { run, count, disproved: 0, at });
+        for message::End { run, count, age } in ends {
+            suspect.merge(End { run, count, disproved: 0, at: earlier(age) });
         }
         suspect.completed_at = suspect.completed_at.max(report.completed.map(earlier));
         suspect.total(now) != before
--- a/crates/gate/tests/causes.rs
+++ b/crates/gate/tests/causes.rs
@@ -167,3 +167,56 @@
         assert_eq!(gateway.machine.suspects().total(gateway.now, POPULAR), 0, "{name}");
     }
 }
+
+/// A stream that lasts longer than the drain of its server.
+const STREAM: Popular = Popular {
+    first_event: Some(Duration::from_millis(100)),
+    end: Duration::from_secs(9),
+    result: AttemptResult::Complete,
+    cut: AttemptResult::Broken,
+    ..PAGE
+};
+
+/// Guards against a popular request that is refused since servers exited as planned while they ran
+/// copies of it, whether or not these had begun to be answered.
+#[test]
+fn planned_exits_take_no_service() {
+    for popular in [STREAM, Popular { first_event: None, ..STREAM }] {
+        let mut cluster = cluster(popular);
+        // One copy at each server, none of which has completed before.
+        assert_eq!(send_copies(&mut cluster, 700 * MS), 0);
+        for server in [0, 1] {
+            cluster.drain(server);
+        }
+        cluster.advance(Duration::from_secs(1));
+        for server in [2, 3] {
+            cluster.drain(server);
+        }
+        cluster.advance(Duration::from_secs(4));
+        assert_eq!(send_copies(&mut cluster, 300 * MS), 0, "first event {:?}", popular.first_event);
+    }
+}
+
+/// Guards against a planned exit that counts at gateways which learn of it late, or from a peer that
+/// doesn't know of it.
+#[test]
+fn a_planned_exit_that_is_learned_late_takes_no_service() {
+    let mut gateway = TestGateway::with_backends(common::MODEL, 3);
+    let report = |run| gate::message::Suspect {
+        fingerprint: POPULAR,
+        completed: None,
+        ends: vec![gate::message::End { run, count: 1, age: Duration::from_secs(1) }],
+    };
+    let runs: Vec<u64> =
+        gateway.machine.backends().iter().map(|(_, backend)| backend.run).collect();
+    gateway.feed(Event::SuspectsReceived(vec![report(runs[0])]));
+    gateway.feed(Event::SuspectsReceived(vec![report(runs[1])]));
+    assert_eq!(gateway.machine.suspects().total(gateway.now, POPULAR), 2);
+    for n in 0..2 {
+        let record = common::record(common::MODEL, 9_000 + n);
+        gateway.add(&format!("r{n}"), gate::backends::Record { draining: true, ..record });
+    }
+    assert_eq!(gateway.machine.suspects().total(gateway.now, POPULAR), 0, "reported before");
+    gateway.feed(Event::SuspectsReceived(vec![report(runs[0])]));
+    assert_eq!(gateway.machine.suspects().total(gateway.now, POPULAR), 0, "reported again");
+}
