Compare the answers to copies before a late end counts against a request

Cause: the end of a server counted against a request however far its answer was, and only a completion spoke for it.

Change: an end under an answer that had gone on for 250 ms is held back for a second and counts only if no other answer in progress to a copy gets further: a request that ends its server at some point of the answer does so at each server. Such ends are counted under a key of their own. Those under copies that had not got as far are disproved by an answer that goes on, as they were for parts. A stream that breaks off at a server which is no longer listed, and one that its caller leaves after it went on, accuse nobody.

crashes_under_streams_that_go_on_take_no_service failed before (10 of 10 refused). a_request_that_crashes_servers_is_contained_however_it_ends has late ends now, and holds. poison, parts, hedging, failures, schedules pass.

--- a/crates/cause/src/answer.rs
+++ b/crates/cause/src/answer.rs
@@ -30,4 +30,11 @@
     pub fn accuses_parts(self) -> bool {
         self == Answer::Begun
     }
+
+    /// Returns whether the end of the backend server may count against the request. `is_listed` tells
+    /// whether the store still lists the server: one that crashed is listed for some seconds, and one
+    /// that goes on to answer when it isn't listed any more leaves.
+    pub fn accuses_request(self, is_listed: bool) -> bool {
+        self == Answer::Begun || is_listed
+    }
 }
--- a/crates/cause/src/lib.rs
+++ b/crates/cause/src/lib.rs
@@ -6,11 +6,11 @@
 //! take the rules from here. `docs/design/causes.md` has them as tables.
 
 pub mod answer;
-pub mod completions;
+pub mod answers;
 pub mod ending;
 pub mod rule;
 
 pub use answer::Answer;
-pub use completions::Completions;
+pub use answers::Answers;
 pub use ending::Ending;
 pub use rule::Rule;
--- a/crates/cause/src/rule.rs
+++ b/crates/cause/src/rule.rs
@@ -13,9 +13,9 @@
     pub spacing: Duration,
 }
 
-/// Rule for a request of which no copy is known to have been answered.
+/// Rule for a request of which no copy is known to have completed or gone on.
 pub const REQUEST: Rule = Rule { ends: 2, spacing: Duration::ZERO };
-/// Rule for a request of which copies were answered before the ends. What ends several servers for
+/// Rule for a request of which copies completed or went on before. What ends several servers for
 /// another reason, such as the loss of hosts, is noticed within the time of some heartbeats.
 pub const KNOWN_REQUEST: Rule = Rule { ends: 3, spacing: Duration::from_secs(2) };
 /// Rule for a prompt part. Many connections may be lost at once for a reason that has nothing to do
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod event;
 pub mod hedging;
 pub mod issuer;
+pub mod late_ends;
 pub mod lease;
 pub mod load;
 pub mod machine;
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -32,6 +32,7 @@
     deadlines::Deadlines,
     event::RequestNumber,
     hedging::Hedging,
+    late_ends::LateEnds,
     lease::Lease,
     message,
     origin::Origin,
@@ -172,6 +173,7 @@
     retry_budgets: HashMap<Bytes, RetryBudget>,
     suspects: Suspects,
     unanswered: Unanswered,
+    late_ends: LateEnds,
     streams: Streams,
     /// Searches for the origins of streams that callers take up.
     lookups: Vec<resuming::Lookup>,
@@ -233,6 +235,7 @@
             retry_budgets: HashMap::new(),
             suspects: Suspects::default(),
             unanswered: Unanswered::default(),
+            late_ends: LateEnds::default(),
             streams: Streams::default(),
             lookups: Vec::new(),
             next_store_read: now,
@@ -439,6 +442,7 @@
             let attempts = self.unanswered.end_run(now, run);
             self.record_ends(now, attempts);
         }
+        self.record_late_ends(now);
         for (service, origin) in self.backends.take_departures() {
             self.streams.record_departure(now, service, origin);
         }
@@ -474,6 +478,7 @@
             streams,
             loads,
             plain_loads,
+            self.late_ends.next_due(),
             self.next_stop_step(),
         ];
         times.into_iter().flatten().min()
--- a/crates/gate/src/machine/causes.rs
+++ b/crates/gate/src/machine/causes.rs
@@ -8,6 +8,7 @@
 use super::{Machine, OpenRequest, State};
 use crate::{
     event::RequestNumber,
+    late_ends::{LateEnd, late_key},
     quarantine::{self, Verdict},
     request::Request,
     unanswered::Attempt,
@@ -55,11 +56,23 @@
         whole_since: Option<Instant>,
     ) {
         let State::Dispatched { run, dispatched_at, .. } = open.state else { return };
+        let is_late = answer(now, open) == Answer::Continued;
+        if is_late && ending == Ending::GivenUp {
+            return;
+        }
         let fingerprint = open.entry.request.fingerprint;
         let parts = suspected_parts(now, open);
         let ended_at = now;
-        let attempt =
-            Attempt { fingerprint, parts, run, dispatched_at, ended_at, ending, whole_since };
+        let attempt = Attempt {
+            fingerprint,
+            is_late,
+            parts,
+            run,
+            dispatched_at,
+            ended_at,
+            ending,
+            whole_since,
+        };
         if self.unanswered.record(now, &attempt) {
             self.record_ends(now, vec![attempt]);
         }
@@ -75,23 +88,46 @@
                 continue;
             }
             let Attempt { fingerprint, parts, run, dispatched_at, ended_at, ending, .. } = attempt;
+            let key = if attempt.is_late { late_key(fingerprint) } else { fingerprint };
             let at = ending.time_of_end(ended_at, now);
             for part in &parts {
                 self.suspects.record_end(at, *part, run, dispatched_at);
             }
-            if self.suspects.record_end(at, fingerprint, run, dispatched_at) {
+            if self.suspects.record_end(at, key, run, dispatched_at) {
                 tracing::info!(
                     event = "suspect_unanswered",
                     fingerprint = %format_args!("{fingerprint:016x}"),
                     dispatched_ms = now.since(dispatched_at).as_millis() as u64,
                     ended_ms = now.since(ended_at).as_millis() as u64,
                     closed = ending == Ending::Closed,
-                    ends = self.suspects.total(now, fingerprint),
+                    ends = self.suspects.total(now, key),
                 );
             }
         }
     }
 
+    /// Counts the ends of servers under answers that had gone on, unless others get further.
+    pub(super) fn record_late_ends(&mut self, now: Instant) {
+        let answered_for = |open: &OpenRequest| match open.state {
+            State::Dispatched { first_event_at: Some(at), .. } => Some(now.since(at)),
+            _ => None,
+        };
+        let open = self.open_requests.values();
+        let answers =
+            open.filter_map(|open| Some((open.entry.request.fingerprint, answered_for(open)?)));
+        for end in self.late_ends.take_due(now, answers) {
+            let key = late_key(end.fingerprint);
+            let counted = self.suspects.record_end(end.at, key, end.run, end.dispatched_at);
+            tracing::info!(
+                event = "suspect_late",
+                fingerprint = %format_args!("{:016x}", end.fingerprint),
+                answered_ms = end.answered_for.as_millis() as u64,
+                counted,
+                ends = self.suspects.total(now, key),
+            );
+        }
+    }
+
     /// Records that the run of a backend server answers a request that was dispatched at
     /// `dispatched_at`, so that it had not ended before.
     pub(super) fn record_answer(&mut self, now: Instant, run: u64, dispatched_at: Instant) {
@@ -144,6 +180,7 @@
         };
         *went_on = true;
         let (at, parts) = (*at, quarantine::part_keys(&open.entry.request));
+        self.suspects.record_continuation(now, open.entry.request.fingerprint);
         self.acquit_parts(now, &parts, at);
     }
 
@@ -157,8 +194,22 @@
         for part in suspected_parts(now, open) {
             self.suspects.record_end(now, part, run, dispatched_at);
         }
-        let counted = self.suspects.record_end(now, fingerprint, run, dispatched_at);
-        let backend = self.backends.get(backend).map(|backend| &backend.id[..]);
+        let listed = self.backends.get(backend);
+        let answer = answer(now, open);
+        let is_accused = answer.accuses_request(listed.is_some());
+        let mut counted = false;
+        match (is_accused, first_event_at.filter(|_| answer == Answer::Continued)) {
+            (true, Some(began_at)) => {
+                let answered_for = now.since(began_at);
+                let end = LateEnd { fingerprint, run, dispatched_at, at: now, answered_for };
+                self.late_ends.add(end);
+            }
+            (true, None) => {
+                counted = self.suspects.record_end(now, fingerprint, run, dispatched_at);
+            }
+            (false, _) => {}
+        }
+        let backend = listed.map(|backend| &backend.id[..]);
         tracing::info!(
             event = "suspect",
             id = %String::from_utf8_lossy(&open.entry.request.id),
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -274,7 +274,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Suspect {
     pub fingerprint: u64,
-    /// Time since a copy last completed.
+    /// Time since a copy last completed, or was seen to go on.
     pub completed: Option<Duration>,
     pub ends: Vec<End>,
 }
--- a/crates/gate/src/quarantine.rs
+++ b/crates/gate/src/quarantine.rs
@@ -11,6 +11,7 @@
 use wire::time::Instant;
 
 use crate::{
+    late_ends::late_key,
     quota,
     request::Request,
     suspects::{End, RETENTION, Suspects},
@@ -55,9 +56,11 @@
             return None;
         }
         let parts = part_keys(request);
+        let (key, late) = (request.fingerprint, late_key(request.fingerprint));
         let mut own = parts.clone();
-        own.push(request.fingerprint);
-        self.request_verdict(now, request.fingerprint, &own, last_closed).or_else(|| {
+        own.extend([key, late]);
+        let verdict = self.request_verdict(now, key, &own, last_closed);
+        verdict.or_else(|| self.request_verdict(now, late, &own, || None)).or_else(|| {
             parts.iter().enumerate().find_map(|(part, key)| {
                 let verdict = self.part_verdict(now, *key, &own)?;
                 Some(Verdict { part: Some(part), ..verdict })
--- a/crates/gate/src/suspects.rs
+++ b/crates/gate/src/suspects.rs
@@ -10,10 +10,10 @@
     time::Duration,
 };
 
-use cause::{Completions, Rule, ending::VERIFICATION_TIME, rule};
+use cause::{Answers, Rule, ending::VERIFICATION_TIME, rule};
 use wire::time::Instant;
 
-use crate::message;
+use crate::{late_ends::late_key, message};
 
 /// Time for which an end counts.
 pub(crate) const RETENTION: Duration = Duration::from_secs(600);
@@ -59,8 +59,8 @@
 #[derive(Clone, Debug, Default)]
 struct Suspect {
     ends: Vec<End>,
-    /// Time at which a copy last completed, or at which a backend server that went on began to answer
-    /// a request with the part. Earlier ends don't count, and more are needed for a quarantine.
+    /// Time at which a copy last completed or was seen to go on, or at which a backend server that went
+    /// on began to answer a request with the part. Earlier ends don't count, and more are needed for a quarantine.
     completed_at: Option<Instant>,
     /// Rounds in which the last change is still to be sent.
     announcements: u8,
@@ -136,8 +136,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
     suspects: HashMap<u64, Suspect>,
-    /// Requests of which copies completed here.
-    completions: Completions,
+    /// Requests of which copies completed or went on here.
+    answers: Answers,
     /// Runs that said that they leave. Their ends are planned.
     leaving_runs: HashSet<u64>,
     /// The same runs, the oldest first.
@@ -195,8 +195,14 @@
 
     /// Records that a copy completed at a time, so that earlier ends don't count.
     pub fn record_completion(&mut self, now: Instant, fingerprint: u64, at: Instant) {
-        self.completions.record(fingerprint, at);
-        self.discard_ends(now, fingerprint, at);
+        self.record_answered(now, fingerprint, at);
+        self.record_answered(now, late_key(fingerprint), at);
+    }
+
+    /// Records that the answer to a copy went on, so that earlier ends under copies that had not got as
+    /// far don't count.
+    pub fn record_continuation(&mut self, now: Instant, fingerprint: u64) {
+        self.record_answered(now, fingerprint, now);
     }
 
     /// Records that a backend server began to answer a request with the part `key` at a time and went
@@ -209,6 +215,11 @@
         self.discard_ends(now, key, at);
     }
 
+    fn record_answered(&mut self, now: Instant, key: u64, at: Instant) {
+        self.answers.record(key, at);
+        self.discard_ends(now, key, at);
+    }
+
     fn discard_ends(&mut self, now: Instant, key: u64, until: Instant) {
         let Some(suspect) = self.suspects.get_mut(&key) else { return };
         let before = suspect.total(now);
@@ -345,7 +356,7 @@
             }
         }
         self.suspects.entry(fingerprint).or_insert_with(|| Suspect {
-            completed_at: self.completions.last(now, fingerprint, RETENTION),
+            completed_at: self.answers.last(now, fingerprint, RETENTION),
             ..Suspect::default()
         })
     }
--- a/crates/gate/src/unanswered.rs
+++ b/crates/gate/src/unanswered.rs
@@ -19,6 +19,8 @@
 #[derive(Clone, Debug)]
 pub struct Attempt {
     pub fingerprint: u64,
+    /// Whether the answer had gone on for a while; see `late_ends`.
+    pub is_late: bool,
     /// Keys of the prompt parts that may crash the backend server; see `quarantine::part_key`.
     pub parts: Vec<u64>,
     pub run: u64,
--- a/crates/gate/tests/causes.rs
+++ b/crates/gate/tests/causes.rs
@@ -125,8 +125,13 @@
 /// their connections, are taken for whole.
 #[test]
 fn a_request_that_crashes_servers_is_contained_however_it_ends() {
-    let crashes =
-        [Crash::BeforeFirstEvent, Crash::AfterFirstEvent, Crash::Unframed, Crash::Failure];
+    let crashes = [
+        Crash::BeforeFirstEvent,
+        Crash::AfterFirstEvent,
+        Crash::Unframed,
+        Crash::Failure,
+        Crash::Late,
+    ];
     for crash in crashes {
         for period in [PERIOD, 400 * MS, 1_500 * MS] {
             let mut cluster = Cluster::new(GATEWAYS, SERVERS, crash);
@@ -220,3 +225,18 @@
     gateway.feed(Event::SuspectsReceived(vec![report(runs[0])]));
     assert_eq!(gateway.machine.suspects().total(gateway.now, POPULAR), 0, "reported again");
 }
+
+/// Guards against a popular stream that is refused since servers crashed while they ran copies of it,
+/// none of which has completed so far.
+#[test]
+fn crashes_under_streams_that_go_on_take_no_service() {
+    for gap in [Duration::ZERO, 500 * MS] {
+        let mut cluster = cluster(STREAM);
+        assert_eq!(send_copies(&mut cluster, 800 * MS), 0);
+        for server in 0..3 {
+            cluster.crash_other(server);
+            cluster.advance(gap);
+        }
+        assert_eq!(send_copies(&mut cluster, 500 * MS), 0, "{gap:?} between two crashes");
+    }
+}
--- a/crates/gate/tests/common/cluster.rs
+++ b/crates/gate/tests/common/cluster.rs
@@ -19,6 +19,8 @@
 pub const POISON: u64 = 7;
 /// Time from the dispatch of a poison request to the crash.
 const TIME_TO_CRASH: Duration = Duration::from_millis(50);
+/// The same if the response goes on before it.
+const TIME_TO_LATE_CRASH: Duration = Duration::from_millis(500);
 /// Time after which a backend server that crashed is back under its identifier.
 const TIME_TO_RESTART: Duration = Duration::from_millis(1500);
 /// Time after which a caller without a response leaves.
@@ -62,6 +64,8 @@
     Unframed,
     /// As the end of a failure response that ends with its connection.
     Failure,
+    /// As a lost connection, after the response went on for a while.
+    Late,
     /// The connection is lost only after the backend server has written its record again.
     AfterRestart,
     /// The connection stays open without data.
@@ -486,7 +490,7 @@
         let popular = self.popular.filter(|p| p.fingerprint == attempt.request.fingerprint);
         if (has_parts
             || popular.is_some()
-            || matches!(self.crash, Crash::Unframed | Crash::Failure))
+            || matches!(self.crash, Crash::Unframed | Crash::Failure | Crash::Late))
             && is_down
         {
             if self.crash != Crash::Silent {
@@ -511,9 +515,15 @@
             return;
         }
         self.runs.push((now, gateway));
+        let mut time_to_crash = TIME_TO_CRASH;
+        if self.crash == Crash::Late {
+            attempt.first_event_at = Some(now + first);
+            attempt.events_at = Some(now + events);
+            time_to_crash = TIME_TO_LATE_CRASH;
+        }
         let server = &mut self.servers[server];
         if server.restarts_at.is_none() {
-            server.crashes_at.get_or_insert(now + TIME_TO_CRASH);
+            server.crashes_at.get_or_insert(now + time_to_crash);
         }
     }
 }
