Hold no request to be the cause of an exit that only the record's removal announced

Cause: a connection that is lost after the record was removed counted as a crash. A server that crashed loses its connections some seconds before its record is removed.

Change: 'cause::Listing' tells the record that was removed from the one that was replaced by that of the next process, since a crash may be noticed after the server is back. With the first, what breaks off later accuses nobody.

planned_exits_take_no_service, which now has such exits, failed before for copies that had not begun to be answered (6 of 6 refused).

--- a/crates/cause/src/answer.rs
+++ b/crates/cause/src/answer.rs
@@ -17,6 +17,19 @@
     Continued,
 }
 
+/// What the store says of a backend server whose connection is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listing {
+    /// Its record is there, as it is for some seconds after a crash.
+    Current,
+    /// The record of its next process has been read, perhaps before the loss of the connection was
+    /// noticed.
+    Replaced,
+    /// Its record was removed while the connection was there. A server that crashed has lost its
+    /// connections by then, so this one leaves.
+    Gone,
+}
+
 impl Answer {
     /// Returns the state of an answer that began at a time, if it did.
     pub fn since(now: Instant, began_at: Option<Instant>) -> Answer {
@@ -26,15 +39,17 @@
         }
     }
 
-    /// Returns whether the end of the backend server counts against the parts of the request's prompt.
-    pub fn accuses_parts(self) -> bool {
-        self == Answer::Begun
+    /// Returns whether the end of a backend server may count against the request.
+    pub fn accuses_request(self, listing: Listing) -> bool {
+        match listing {
+            Listing::Current => true,
+            Listing::Replaced => self == Answer::Begun,
+            Listing::Gone => false,
+        }
     }
 
-    /// Returns whether the end of the backend server may count against the request. `is_listed` tells
-    /// whether the store still lists the server: one that crashed is listed for some seconds, and one
-    /// that goes on to answer when it isn't listed any more leaves.
-    pub fn accuses_request(self, is_listed: bool) -> bool {
-        self == Answer::Begun || is_listed
+    /// Returns whether it may count against the parts of the request's prompt.
+    pub fn accuses_parts(self, listing: Listing) -> bool {
+        self == Answer::Begun && self.accuses_request(listing)
     }
 }
--- a/crates/cause/src/ending.rs
+++ b/crates/cause/src/ending.rs
@@ -4,6 +4,8 @@
 
 use wire::time::Instant;
 
+use crate::{Answer, Listing};
+
 /// Time after which a server that is still listed has not ended. The record of one that ended is
 /// removed or replaced within some seconds.
 pub const VERIFICATION_TIME: Duration = Duration::from_secs(10);
@@ -20,6 +22,14 @@
 }
 
 impl Ending {
+    /// Returns whether the end of the backend server may count against the request, if it shows later.
+    pub fn accuses(self, answer: Answer, listing: Listing) -> bool {
+        match self {
+            Ending::GivenUp => answer == Answer::Begun,
+            Ending::Closed => answer.accuses_request(listing),
+        }
+    }
+
     /// Returns when the server ended, if the request was the cause: an attempt that ended at
     /// `ended_at`, and an end that was noticed at `noticed_at`.
     pub fn time_of_end(self, ended_at: Instant, noticed_at: Instant) -> Instant {
--- a/crates/cause/src/lib.rs
+++ b/crates/cause/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod ending;
 pub mod rule;
 
-pub use answer::Answer;
+pub use answer::{Answer, Listing};
 pub use answers::Answers;
 pub use ending::Ending;
 pub use rule::Rule;
--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -7,6 +7,7 @@
 };
 
 use bytes::Bytes;
+use cause::Listing;
 use slotmap::{SlotMap, new_key_type};
 use wire::time::Instant;
 
@@ -169,8 +170,8 @@
     stated: HashMap<u64, Stated>,
     /// Whether the next read of all records is of a store that came back from an older copy.
     is_restored: bool,
-    /// Runs that were removed, the oldest first.
-    departed: VecDeque<u64>,
+    /// Runs that were removed, with the hashes of their identifiers, the oldest first.
+    departed: VecDeque<(u64, u64)>,
     /// Records from an older copy of the store, with the time from which they are used.
     withheld: Vec<(Bytes, Record, Instant)>,
     /// Whether all records are being read, so that one may be read again without being written.
@@ -305,7 +306,7 @@
         }
         self.reads_all = true;
         for (id, record) in records {
-            if is_restored && self.departed.contains(&record.hash_run(&id)) {
+            if is_restored && self.has_departed(record.hash_run(&id)) {
                 self.departures.push((record.service.clone(), origin::key(&record)));
                 self.withheld.push((id, record, now + RESTORED_GRACE));
             } else {
@@ -424,6 +425,22 @@
         self.entries.get_mut(key)
     }
 
+    /// Returns what the store says of a run.
+    pub fn listing(&self, key: Key, run: u64) -> Listing {
+        if self.entries.contains_key(key) {
+            return Listing::Current;
+        }
+        let departed = self.departed.iter().rev().find(|(departed, _)| *departed == run);
+        match departed.is_some_and(|(_, server)| !self.keys_by_server.contains_key(server)) {
+            true => Listing::Gone,
+            false => Listing::Replaced,
+        }
+    }
+
+    fn has_departed(&self, run: u64) -> bool {
+        self.departed.iter().any(|(departed, _)| *departed == run)
+    }
+
     /// Returns all backend servers.
     pub fn iter(&self) -> impl Iterator<Item = (Key, &Backend)> {
         self.entries.iter()
@@ -620,7 +637,7 @@
         if self.departed.len() >= MAX_DEPARTED {
             self.departed.pop_front();
         }
-        self.departed.push_back(backend.run);
+        self.departed.push_back((backend.run, backend.server));
         Some(backend.run)
     }
 }
--- a/crates/gate/src/machine/causes.rs
+++ b/crates/gate/src/machine/causes.rs
@@ -55,13 +55,18 @@
         ending: Ending,
         whole_since: Option<Instant>,
     ) {
-        let State::Dispatched { run, dispatched_at, .. } = open.state else { return };
-        let is_late = answer(now, open) == Answer::Continued;
-        if is_late && ending == Ending::GivenUp {
+        let State::Dispatched { backend, run, dispatched_at, .. } = open.state else { return };
+        let answer = answer(now, open);
+        let listing = self.backends.listing(backend, run);
+        if !ending.accuses(answer, listing) {
             return;
         }
+        let is_late = answer == Answer::Continued;
         let fingerprint = open.entry.request.fingerprint;
-        let parts = suspected_parts(now, open);
+        let parts = match is_late {
+            true => Vec::new(),
+            false => quarantine::part_keys(&open.entry.request),
+        };
         let ended_at = now;
         let attempt = Attempt {
             fingerprint,
@@ -191,12 +196,14 @@
             return;
         };
         let fingerprint = open.entry.request.fingerprint;
-        for part in suspected_parts(now, open) {
-            self.suspects.record_end(now, part, run, dispatched_at);
-        }
-        let listed = self.backends.get(backend);
+        let listing = self.backends.listing(backend, run);
         let answer = answer(now, open);
-        let is_accused = answer.accuses_request(listed.is_some());
+        if answer.accuses_parts(listing) {
+            for part in quarantine::part_keys(&open.entry.request) {
+                self.suspects.record_end(now, part, run, dispatched_at);
+            }
+        }
+        let is_accused = answer.accuses_request(listing);
         let mut counted = false;
         match (is_accused, first_event_at.filter(|_| answer == Answer::Continued)) {
             (true, Some(began_at)) => {
@@ -209,7 +216,7 @@
             }
             (false, _) => {}
         }
-        let backend = listed.map(|backend| &backend.id[..]);
+        let backend = self.backends.get(backend).map(|backend| &backend.id[..]);
         tracing::info!(
             event = "suspect",
             id = %String::from_utf8_lossy(&open.entry.request.id),
@@ -232,11 +239,3 @@
         State::Waiting => Answer::Begun,
     }
 }
-
-/// Returns the keys of a dispatched request's parts that may have crashed its backend server.
-fn suspected_parts(now: Instant, open: &OpenRequest) -> Vec<u64> {
-    match answer(now, open).accuses_parts() {
-        true => quarantine::part_keys(&open.entry.request),
-        false => Vec::new(),
-    }
-}
--- a/crates/gate/tests/causes.rs
+++ b/crates/gate/tests/causes.rs
@@ -186,16 +186,21 @@
 /// copies of it, whether or not these had begun to be answered.
 #[test]
 fn planned_exits_take_no_service() {
-    for popular in [STREAM, Popular { first_event: None, ..STREAM }] {
+    for (popular, leave) in [
+        (STREAM, Cluster::drain as fn(&mut Cluster, usize)),
+        (Popular { first_event: None, ..STREAM }, Cluster::drain),
+        (STREAM, Cluster::remove),
+        (Popular { first_event: None, ..STREAM }, Cluster::remove),
+    ] {
         let mut cluster = cluster(popular);
         // One copy at each server, none of which has completed before.
         assert_eq!(send_copies(&mut cluster, 700 * MS), 0);
         for server in [0, 1] {
-            cluster.drain(server);
+            leave(&mut cluster, server);
         }
         cluster.advance(Duration::from_secs(1));
         for server in [2, 3] {
-            cluster.drain(server);
+            leave(&mut cluster, server);
         }
         cluster.advance(Duration::from_secs(4));
         assert_eq!(send_copies(&mut cluster, 300 * MS), 0, "first event {:?}", popular.first_event);
--- a/crates/gate/tests/common/cluster.rs
+++ b/crates/gate/tests/common/cluster.rs
@@ -355,6 +355,17 @@
         }
     }
 
+    /// Removes the record of a backend server, which exits some time later.
+    pub fn remove(&mut self, server: usize) {
+        self.servers[server].exits_at = Some(self.now + TIME_TO_EXIT);
+        for gateway in 0..self.gateways.len() {
+            self.gateways[gateway].now = self.now;
+            let id = format!("r{server}").into();
+            self.gateways[gateway].feed(Event::Record { id, record: None });
+            self.take_actions(gateway);
+        }
+    }
+
     /// Lets a backend server drain, and exit some time later.
     pub fn drain(&mut self, server: usize) {
         self.servers[server].exits_at = Some(self.now + TIME_TO_EXIT);
