Keep ends without effect that were before a completion when their server ends again

One server ends twice under copies of a request, which completes in between, and both ends count while the store has not shown the server's next process.

Cause: the ends of one run are one entry with a number and the time of the last one, and a completion clears by time alone.

an_end_before_a_completion_does_not_count_again failed before (2 ends counted, 1 expected).

--- a/crates/gate/src/suspects.rs
+++ b/crates/gate/src/suspects.rs
@@ -101,6 +101,7 @@
 
     /// Adds ends of a run unless as many are known. Returns whether it changed.
     fn merge(&mut self, end: End) -> bool {
+        let completed_at = self.completed_at;
         match self.ends.iter_mut().find(|known| known.run == end.run) {
             Some(known) if known.count >= end.count => {
                 // The earlier of two times is the more accurate one: reports only add delay.
@@ -109,7 +110,12 @@
                 }
                 return false;
             }
-            Some(known) => *known = End { disproved: known.disproved, ..end },
+            Some(known) => {
+                // Those before a completion stay without effect.
+                let is_cleared = Some(known.at) < completed_at;
+                let disproved = if is_cleared { known.count } else { known.disproved };
+                *known = End { disproved, ..end };
+            }
             None => self.ends.push(end),
         }
         if self.ends.len() > MAX_ENDS {
