Keep the time of a completion in reports between gateways

Gateways that tell each other of a request move the time of its last completion on by the time that a report is under way, with each exchange, until it disproves ends that came after it.

Cause: the time is taken from the receiver's clock, and the later of two times is kept.

Change: the time is taken from the nearest end in the same report, whose own time is the earliest that anyone reports.

--- a/crates/gate/src/suspects.rs
+++ b/crates/gate/src/suspects.rs
@@ -69,8 +69,12 @@
 impl Suspect {
     /// Returns the ends that count, the latest first.
     fn counted(&self, now: Instant) -> Vec<End> {
+        self.counted_since(now, self.completed_at)
+    }
+
+    fn counted_since(&self, now: Instant, completed_at: Option<Instant>) -> Vec<End> {
         let counts = |end: &&End| {
-            end.counted() > 0 && Some(end.at) >= self.completed_at && now.since(end.at) < RETENTION
+            end.counted() > 0 && Some(end.at) >= completed_at && now.since(end.at) < RETENTION
         };
         let mut counted: Vec<End> = self.ends.iter().filter(counts).copied().collect();
         counted.sort_by_key(|end| Reverse(end.at));
@@ -85,7 +89,12 @@
     }
 
     fn total(&self, now: Instant) -> u32 {
-        self.counted(now).iter().map(End::counted).sum()
+        self.total_since(now, self.completed_at)
+    }
+
+    /// Returns the number of ends that would count if a copy had last completed at a time.
+    fn total_since(&self, now: Instant, completed_at: Option<Instant>) -> u32 {
+        self.counted_since(now, completed_at).iter().map(End::counted).sum()
     }
 
     /// Returns the sort key by which the suspects that matter most come first.
@@ -125,6 +134,19 @@
         true
     }
 
+    /// Returns when the completion in a report was. A report may have been under way for long, so the
+    /// time is that from the nearest end in it.
+    fn convert_completion(&self, now: Instant, report: &message::Suspect) -> Option<Instant> {
+        let age = report.completed?;
+        let nearest = report.ends.iter().min_by_key(|end| end.age.abs_diff(age));
+        let known = nearest.and_then(|end| {
+            let known = self.ends.iter().find(|known| known.run == end.run)?;
+            Some((known.at + end.age, age))
+        });
+        let (sent_at, age) = known.unwrap_or((now, age));
+        Some(Instant(sent_at.0.saturating_sub(age.as_micros() as u64)))
+    }
+
     fn report(&self, now: Instant, fingerprint: u64) -> message::Suspect {
         let is_shared = |end: &&End| end.counted() > 0 && now.since(end.at) < MAX_REPORTED_AGE;
         let shared = self.ends.iter().filter(is_shared);
@@ -282,7 +304,8 @@
         for message::End { run, count, age } in ends {
             suspect.merge(End { run, count, disproved: 0, at: earlier(age) });
         }
-        suspect.completed_at = suspect.completed_at.max(report.completed.map(earlier));
+        let completed_at = suspect.convert_completion(now, report);
+        suspect.completed_at = suspect.completed_at.max(completed_at);
         suspect.total(now) != before
     }
 
--- a/crates/gate/tests/causes.rs
+++ b/crates/gate/tests/causes.rs
@@ -10,7 +10,8 @@
     cluster::{Cluster, Crash, Popular},
     request,
 };
-use gate::{Event, event::AttemptResult};
+use gate::{Event, event::AttemptResult, suspects::Suspects};
+use wire::time::Instant;
 
 /// Gateways and backend servers of the case in which such a request lost its service.
 const GATEWAYS: usize = 2;
@@ -245,3 +246,38 @@
         assert_eq!(send_copies(&mut cluster, 500 * MS), 0, "{gap:?} between two crashes");
     }
 }
+
+/// Guards against an end before a completion that counts again with the next end of the same server,
+/// whose new process is not known yet.
+#[test]
+fn an_end_before_a_completion_does_not_count_again() {
+    const RUN: u64 = 7;
+    let at = |seconds: u64| Instant(seconds * 1_000_000);
+    let mut suspects = Suspects::default();
+    suspects.record_end(at(10), POPULAR, RUN, at(9));
+    suspects.record_completion(at(20), POPULAR, at(20));
+    suspects.record_end(at(30), POPULAR, RUN, at(29));
+    assert_eq!(suspects.total(at(30), POPULAR), 1);
+}
+
+/// Guards against a completion that is taken to be later than it was, since reports of it are under way
+/// for some time, and that disproves a later end.
+#[test]
+fn reports_of_a_completion_do_not_make_it_later() {
+    const RUN: u64 = 7;
+    let at = |ms: u64| Instant(ms * 1_000);
+    let [mut observer, mut peer] = [Suspects::default(), Suspects::default()];
+    observer.record_completion(at(1_000), POPULAR, at(1_000));
+    observer.record_end(at(1_200), POPULAR, RUN, at(1_100));
+    for round in 0..100 {
+        let sent_at = at(1_300 + round * 40);
+        let (there, back) = (sent_at + 10 * MS, sent_at + 20 * MS);
+        for report in observer.summary(sent_at) {
+            peer.merge(there, &report);
+        }
+        for report in peer.summary(there) {
+            observer.merge(back, &report);
+        }
+        assert_eq!(observer.total(back, POPULAR), 1, "after {round} exchanges");
+    }
+}
