Report answers that a peer doesn't have to a request that it accuses

A gateway that has had no answer to a popular request, as one that has just started, refuses it after two ends, though other gateways have had hundreds of answers.

Cause: a completion is reported only if it reduces the number of ends, so that those before the ends aren't.

Change: a gateway that gets a report of ends without completions, or with earlier ones than it has itself, reports its own to all.

--- a/crates/gate/src/suspects.rs
+++ b/crates/gate/src/suspects.rs
@@ -305,6 +305,12 @@
             suspect.merge(End { run, count, disproved: 0, at: earlier(age) });
         }
         let completed_at = suspect.convert_completion(now, report);
+        // The sender, and others that it reports to, may have no answer that this gateway has.
+        let knows_more = suspect.completed_at.is_some() && completed_at.is_none();
+        let disproves = suspect.total(now) < suspect.total_since(now, completed_at);
+        if knows_more || disproves {
+            suspect.announcements = ANNOUNCEMENTS;
+        }
         suspect.completed_at = suspect.completed_at.max(completed_at);
         suspect.total(now) != before
     }
--- a/crates/gate/tests/causes.rs
+++ b/crates/gate/tests/causes.rs
@@ -260,6 +260,40 @@
     assert_eq!(suspects.total(at(30), POPULAR), 1);
 }
 
+/// Guards against a request that is refused at a gateway which has no answer to it so far, since a
+/// peer that has none either reports ends, though others have had answers.
+#[test]
+fn gateways_report_answers_from_before_the_ends_of_their_peers() {
+    let page = Popular { result: AttemptResult::Complete, ..PAGE };
+    let mut cluster = Cluster::new(4, SERVERS, Crash::BeforeFirstEvent);
+    cluster.popular = Some(page);
+    let copy = gate::request::Request { fingerprint: POPULAR, ..request("tag") };
+    for _ in 0..20 {
+        for gateway in [2, 3] {
+            cluster.send(gateway, copy.clone());
+            cluster.advance(PERIOD);
+        }
+    }
+    let numbers = [(); 2].map(|()| cluster.send(0, copy.clone()));
+    for number in numbers {
+        cluster.break_connection(0, number);
+    }
+    assert_eq!(cluster.gateways[0].machine.suspects().total(cluster.now, POPULAR), 2);
+    cluster.advance(300 * MS);
+    let totals = |cluster: &Cluster| -> Vec<u32> {
+        let total = |gateway: &TestGateway| gateway.machine.suspects().total(cluster.now, POPULAR);
+        cluster.gateways.iter().map(total).collect()
+    };
+    assert_eq!(totals(&cluster), [2; 4]);
+    cluster.restart(1);
+    cluster.advance(Duration::from_secs(2));
+    assert_eq!(totals(&cluster), [2; 4], "reports disprove no end");
+    for gateway in 0..4 {
+        cluster.send(gateway, copy.clone());
+        assert_eq!(cluster.take_refusals(gateway), 0, "gateway {gateway}");
+    }
+}
+
 /// Guards against a completion that is taken to be later than it was, since reports of it are under way
 /// for some time, and that disproves a later end.
 #[test]
