End the belief that a run has ended when its record is there again

What callers saw: none has reported it; found by random schedules of a popular request. A server stands still, or the store is away, its record is removed and comes back with the same start time.

Cause: a run whose record was removed counted as ended for a minute, unless it completed a response with a length.

Change: a record with the start time of a run that was removed shows that the run goes on, and disproves the ends that were counted at it; so does an answer to a request that was sent after the removal, for the minute.

a_server_whose_record_is_there_again_has_not_ended failed before (one end still counted).

--- a/crates/gate/src/backends.rs
+++ b/crates/gate/src/backends.rs
@@ -164,6 +164,9 @@
     ended_runs: Vec<u64>,
     /// Runs that said that they leave since the last call of `take_leaving_runs`.
     leaving_runs: Vec<u64>,
+    /// Runs whose records were removed and are there again since the last call of
+    /// `take_returned_runs`.
+    returned_runs: Vec<u64>,
     /// Services and origins of backend servers that left since the last call of `take_departures`.
     departures: Vec<(Bytes, u64)>,
     /// Statements of runs, also of those whose record is away for a while.
@@ -208,6 +211,11 @@
         std::mem::take(&mut self.leaving_runs)
     }
 
+    /// Returns the runs whose records were removed and are there again since the last call.
+    pub fn take_returned_runs(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.returned_runs)
+    }
+
     /// Returns the records that changed since the last call, by what they say of warm-ups.
     pub fn take_readings(&mut self) -> Vec<warm_up::Reading> {
         std::mem::take(&mut self.readings)
@@ -585,6 +593,9 @@
             }
         }
         self.readings.push(reading(None));
+        if record.started.is_some() && self.has_departed(run) {
+            self.returned_runs.push(run);
+        }
         let service = record.service.clone();
         let mut load = Load::default();
         load.stated = self.stated.get(&run).copied().unwrap_or_default();
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -435,6 +435,10 @@
             Event::Tick => self.tick(now, actions),
         }
         self.apply_readings(now);
+        for run in self.backends.take_returned_runs() {
+            self.unanswered.record_return(run);
+            self.suspects.record_return(run);
+        }
         for run in self.backends.take_leaving_runs() {
             self.suspects.record_leaving(run);
         }
--- a/crates/gate/src/suspects.rs
+++ b/crates/gate/src/suspects.rs
@@ -214,6 +214,15 @@
         {
             self.leaving_runs.remove(&oldest);
         }
+        self.disprove_run(run);
+    }
+
+    /// Records that the record of a run is there again, so that it has not ended.
+    pub fn record_return(&mut self, run: u64) {
+        self.disprove_run(run);
+    }
+
+    fn disprove_run(&mut self, run: u64) {
         for end in self.suspects.values_mut().flat_map(|suspect| &mut suspect.ends) {
             if end.run == run {
                 end.disproved = end.count;
--- a/crates/gate/src/unanswered.rs
+++ b/crates/gate/src/unanswered.rs
@@ -68,6 +68,9 @@
     /// Records that a run answers a request that was dispatched at `dispatched_at`, so that attempts
     /// which had ended before did not end it. Returns these attempts.
     pub fn record_answer(&mut self, run: u64, dispatched_at: Instant) -> Vec<Attempt> {
+        if self.ended_runs.get(&run).is_some_and(|at| *at <= dispatched_at) {
+            self.ended_runs.remove(&run);
+        }
         self.take_where(|attempt| attempt.run == run && attempt.ended_at <= dispatched_at)
     }
 
@@ -93,6 +96,11 @@
         self.attempts.iter().rev().find(is_closed).map(|attempt| attempt.ended_at)
     }
 
+    /// Records that the record of a run is there again, so that it has not ended.
+    pub fn record_return(&mut self, run: u64) {
+        self.ended_runs.remove(&run);
+    }
+
     fn take_where(&mut self, is_taken: impl Fn(&Attempt) -> bool) -> Vec<Attempt> {
         if !self.attempts.iter().any(&is_taken) {
             return Vec::new();
--- a/crates/gate/tests/causes.rs
+++ b/crates/gate/tests/causes.rs
@@ -28,6 +28,7 @@
     end: Duration::from_millis(30),
     result: AttemptResult::Unframed,
     cut: AttemptResult::Broken,
+    patience: Duration::from_secs(15),
 };
 
 fn cluster(popular: Popular) -> Cluster {
@@ -46,7 +47,7 @@
             let copy = gate::request::Request { fingerprint: POPULAR, ..request("tag") };
             cluster.send(gateway, copy);
             cluster.advance(PERIOD);
-            refused += cluster.take_refusals(gateway);
+            refused += cluster.take_refusals(gateway).len();
         }
     }
     refused
@@ -290,7 +291,7 @@
     assert_eq!(totals(&cluster), [2; 4], "reports disprove no end");
     for gateway in 0..4 {
         cluster.send(gateway, copy.clone());
-        assert_eq!(cluster.take_refusals(gateway), 0, "gateway {gateway}");
+        assert_eq!(cluster.take_refusals(gateway), [0; 0], "gateway {gateway}");
     }
 }
 
@@ -315,3 +316,27 @@
         assert_eq!(observer.total(back, POPULAR), 1, "after {round} exchanges");
     }
 }
+
+/// Guards against a server that counts as ended since its record was away for a while, as after an
+/// outage of the store or when it stood still, so that each response without a length is an end.
+#[test]
+fn a_server_whose_record_is_there_again_has_not_ended() {
+    let mut gateway = TestGateway::with_backends(common::MODEL, 1);
+    let copy = gate::request::Request { fingerprint: POPULAR, ..request("tag") };
+    let run_copy = |gateway: &mut TestGateway| {
+        let number = gateway.arrive(copy.clone());
+        gateway.dispatched(number).expect("dispatched");
+        gateway.advance(30 * MS);
+        gateway.end(number, AttemptResult::Unframed);
+    };
+    run_copy(&mut gateway);
+    gateway.feed(Event::Record { id: "r0".into(), record: None });
+    assert_eq!(gateway.machine.suspects().total(gateway.now, POPULAR), 1, "it may have ended");
+    gateway.advance_confirmed(Duration::from_secs(1));
+    gateway.add("r0", common::record(common::MODEL, 9_000));
+    assert_eq!(gateway.machine.suspects().total(gateway.now, POPULAR), 0);
+    for _ in 0..3 {
+        run_copy(&mut gateway);
+        assert_eq!(gateway.machine.suspects().total(gateway.now, POPULAR), 0);
+    }
+}
--- a/crates/gate/tests/common/cluster.rs
+++ b/crates/gate/tests/common/cluster.rs
@@ -26,9 +26,6 @@
 /// Time after which a caller without a response leaves.
 const PATIENCE: Duration = Duration::from_millis(2500);
 
-/// The same for callers of a popular request.
-const MAX_PATIENCE: Duration = Duration::from_secs(15);
-
 /// Times after the dispatch at which a request with prompt parts gets its first event, further ones
 /// and its end.
 const TIME_TO_FIRST_EVENT: Duration = Duration::from_millis(100);
@@ -48,6 +45,8 @@
     pub result: AttemptResult,
     /// How one ends whose backend server crashed or exited.
     pub cut: AttemptResult,
+    /// Time after which a caller without a response leaves.
+    pub patience: Duration,
 }
 
 /// Time from the first event of a popular stream to the one that shows that it goes on.
@@ -55,6 +54,9 @@
 /// Time for which a backend server serves after it said that it drains.
 const TIME_TO_EXIT: Duration = Duration::from_millis(2500);
 
+/// Time after which the record of a backend server that stands still is removed.
+const TIME_TO_EXPIRY: Duration = Duration::from_millis(3600);
+
 /// How a crash appears to the gateway whose request caused it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Crash {
@@ -72,13 +74,17 @@
     Silent,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Server {
     started: u64,
     crashes_at: Option<Instant>,
     restarts_at: Option<Instant>,
     /// Time at which it exits as planned.
     exits_at: Option<Instant>,
+    /// Time until which it stands still.
+    frozen_until: Option<Instant>,
+    /// Time at which its record is removed since it stands still.
+    expires_at: Option<Instant>,
 }
 
 #[derive(Clone, Debug)]
@@ -165,10 +171,7 @@
             store_up: true,
             account_rate,
             loss: 0.0,
-            servers: vec![
-                Server { started: 1, crashes_at: None, restarts_at: None, exits_at: None };
-                servers
-            ],
+            servers: vec![Server { started: 1, crashes_at: None, ..Server::default() }; servers],
             attempts: Vec::new(),
             refused: Vec::new(),
             datagrams: Vec::new(),
@@ -223,14 +226,14 @@
             let (sent_at, request) = (self.now, request.clone());
             self.sound.push(Sound { sent_at, gateway, request, began: false });
         }
-        let popular = self.popular_of(&request).is_some();
+        let popular = self.popular_of(&request);
         self.attempts.push(Attempt {
             gateway,
             number,
             server: usize::MAX,
             request,
             sound,
-            caller_leaves_at: self.now + if popular { MAX_PATIENCE } else { PATIENCE },
+            caller_leaves_at: self.now + popular.map_or(PATIENCE, |popular| popular.patience),
             first_event_at: None,
             events_at: None,
             completes_at: None,
@@ -313,6 +316,15 @@
             if self.servers[index].restarts_at.is_some_and(|at| now >= at) {
                 self.restart_server(index);
             }
+            if self.servers[index].expires_at.take_if(|at| now >= *at).is_some() {
+                self.publish_removal(index);
+            }
+            if self.servers[index].frozen_until.take_if(|at| now >= *at).is_some() {
+                let is_running = self.servers[index].restarts_at.is_none();
+                if self.servers[index].expires_at.take().is_none() && is_running && self.store_up {
+                    self.publish(index);
+                }
+            }
             if self.servers[index].exits_at.take_if(|at| now >= *at).is_some() {
                 self.servers[index].restarts_at = Some(Instant(u64::MAX));
                 self.break_connections(index);
@@ -358,6 +370,10 @@
     /// Removes the record of a backend server, which exits some time later.
     pub fn remove(&mut self, server: usize) {
         self.servers[server].exits_at = Some(self.now + TIME_TO_EXIT);
+        self.publish_removal(server);
+    }
+
+    fn publish_removal(&mut self, server: usize) {
         for gateway in 0..self.gateways.len() {
             self.gateways[gateway].now = self.now;
             let id = format!("r{server}").into();
@@ -366,6 +382,26 @@
         }
     }
 
+    /// Lets a backend server stand still for some time.
+    pub fn freeze(&mut self, server: usize, span: Duration) {
+        let state = &mut self.servers[server];
+        state.frozen_until = Some(self.now + span);
+        state.expires_at = Some(self.now + TIME_TO_EXPIRY);
+        for attempt in self.attempts.iter_mut().filter(|attempt| attempt.server == server) {
+            let times =
+                [&mut attempt.first_event_at, &mut attempt.events_at, &mut attempt.completes_at];
+            for time in times.into_iter().flatten() {
+                *time = *time + span;
+            }
+        }
+    }
+
+    /// Returns whether a backend server runs, and neither stands still nor leaves.
+    pub fn is_calm(&self, server: usize) -> bool {
+        let Server { crashes_at, restarts_at, exits_at, frozen_until, .. } = self.servers[server];
+        [crashes_at, restarts_at, exits_at, frozen_until].iter().all(Option::is_none)
+    }
+
     /// Lets a backend server drain, and exit some time later.
     pub fn drain(&mut self, server: usize) {
         self.servers[server].exits_at = Some(self.now + TIME_TO_EXIT);
@@ -383,16 +419,16 @@
         self.popular.filter(|popular| popular.fingerprint == request.fingerprint)
     }
 
-    /// Returns the number of requests that a gateway refused as the cause of ends since the last call.
-    pub fn take_refusals(&mut self, gateway: usize) -> usize {
-        let is_poison = |action: &Action| {
-            let Action::Refuse { refusal, .. } = action else { return false };
-            refusal.reason == gate::refusal::Reason::Poison
-        };
-        let actions = &mut self.gateways[gateway].actions;
-        let count = actions.iter().filter(|action| is_poison(action)).count();
-        actions.retain(|action| !is_poison(action));
-        count
+    /// Returns the requests that a gateway refused as the cause of ends since the last call.
+    pub fn take_refusals(&mut self, gateway: usize) -> Vec<RequestNumber> {
+        let actions = std::mem::take(&mut self.gateways[gateway].actions);
+        let refused = actions.into_iter().filter_map(|action| match action {
+            Action::Refuse { number, refusal } => {
+                (refusal.reason == gate::refusal::Reason::Poison).then_some(number)
+            }
+            _ => None,
+        });
+        refused.collect()
     }
 
     fn crash_server(&mut self, index: usize) {
@@ -499,6 +535,7 @@
         let (first, events, end) = (TIME_TO_FIRST_EVENT, TIME_TO_EVENTS, TIME_TO_END);
         let is_down = self.servers[server].restarts_at.is_some();
         let popular = self.popular.filter(|p| p.fingerprint == attempt.request.fingerprint);
+        let now = self.servers[server].frozen_until.unwrap_or(now);
         if (has_parts
             || popular.is_some()
             || matches!(self.crash, Crash::Unframed | Crash::Failure | Crash::Late))
