Compare late ends with answers whose callers left, and with those without a length

What callers saw: none has reported it; found by random schedules. A popular stream is refused after two crashes if no copy is known to have completed, as where callers leave before its end or its responses have no length.

Cause: only answers in progress spoke against a late end, and one that ended with its connection counted without a comparison.

Change: the longest time for which a request was answered until its caller left is kept, and responses that ended with their connections at servers that have not ended count as answers. An answer has to get 50 ms further, not 250, since callers that leave after a fixed time bound it. Late ends of responses without a length are compared as well.

--- a/crates/gate/src/late_ends.rs
+++ b/crates/gate/src/late_ends.rs
@@ -5,13 +5,17 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use cause::answer::CONTINUATION_TIME;
 use wire::time::Instant;
 
 use crate::quota;
 
 /// Time after an end in which the answers to other copies may get further.
 const COMPARISON_TIME: Duration = Duration::from_secs(1);
+/// Time by which another answer has to get further. A request may end its servers not always at the same
+/// point.
+const MIN_LEAD: Duration = Duration::from_millis(50);
+/// Most requests kept whose callers left while they were answered.
+const MAX_LEFT: usize = 4096;
 
 /// Returns the key under which such ends are counted against a request. Others are disproved by an
 /// answer that goes on, and these aren't.
@@ -34,12 +38,24 @@
 #[derive(Clone, Debug, Default)]
 pub struct LateEnds {
     pending: Vec<LateEnd>,
+    /// The longest time for which a request was answered until its caller left.
+    left: HashMap<u64, Duration>,
 }
 
 impl LateEnds {
     /// Adds an end.
     pub fn add(&mut self, end: LateEnd) {
-        self.pending.push(end);
+        let position = self.pending.partition_point(|earlier| earlier.at <= end.at);
+        self.pending.insert(position, end);
+    }
+
+    /// Records that a caller left whose request was answered for some time.
+    pub fn record_left(&mut self, fingerprint: u64, answered_for: Duration) {
+        if self.left.len() >= MAX_LEFT && !self.left.contains_key(&fingerprint) {
+            self.left.clear();
+        }
+        let longest = self.left.entry(fingerprint).or_default();
+        *longest = answered_for.max(*longest);
     }
 
     /// Returns when the next end is due.
@@ -47,8 +63,8 @@
         self.pending.first().map(|end| end.at + COMPARISON_TIME)
     }
 
-    /// Removes the ends that are due and returns those that count. `answers` has the fingerprint of each
-    /// answer in progress and the time since it began.
+    /// Removes the ends that are due and returns those that count. `answers` has the fingerprints of
+    /// answers to which nothing has happened so far, and how long they are.
     pub fn take_due(
         &mut self,
         now: Instant,
@@ -65,8 +81,9 @@
             *longest = time.max(*longest);
         }
         due.retain(|end| {
-            let longest = longest.get(&end.fingerprint).copied().unwrap_or_default();
-            longest < end.answered_for + CONTINUATION_TIME
+            let others = [&longest, &self.left].map(|times| times.get(&end.fingerprint).copied());
+            let longest = others.into_iter().flatten().max().unwrap_or_default();
+            longest < end.answered_for + MIN_LEAD
         });
         due
     }
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -498,6 +498,7 @@
             State::Dispatched { .. } => {
                 self.release_slots(&open);
                 self.record_slow_end(now, &open);
+                self.record_left_answer(now, &open);
                 self.give_up(now, &open);
                 if let Some(state) = open.hedge {
                     self.give_up(now, &OpenRequest { state, ..open });
--- a/crates/gate/src/machine/causes.rs
+++ b/crates/gate/src/machine/causes.rs
@@ -93,24 +93,36 @@
                 continue;
             }
             let Attempt { fingerprint, parts, run, dispatched_at, ended_at, ending, .. } = attempt;
-            let key = if attempt.is_late { late_key(fingerprint) } else { fingerprint };
+            if let Some(began_at) = attempt.whole_since.filter(|_| attempt.is_late) {
+                let answered_for = ended_at.since(began_at);
+                let end = LateEnd { fingerprint, run, dispatched_at, at: ended_at, answered_for };
+                self.late_ends.add(end);
+                continue;
+            }
             let at = ending.time_of_end(ended_at, now);
             for part in &parts {
                 self.suspects.record_end(at, *part, run, dispatched_at);
             }
-            if self.suspects.record_end(at, key, run, dispatched_at) {
+            if self.suspects.record_end(at, fingerprint, run, dispatched_at) {
                 tracing::info!(
                     event = "suspect_unanswered",
                     fingerprint = %format_args!("{fingerprint:016x}"),
                     dispatched_ms = now.since(dispatched_at).as_millis() as u64,
                     ended_ms = now.since(ended_at).as_millis() as u64,
                     closed = ending == Ending::Closed,
-                    ends = self.suspects.total(now, key),
+                    ends = self.suspects.total(now, fingerprint),
                 );
             }
         }
     }
 
+    /// Records that the caller of a dispatched request left while it was answered.
+    pub(super) fn record_left_answer(&mut self, now: Instant, open: &OpenRequest) {
+        if let State::Dispatched { first_event_at: Some(at), .. } = open.state {
+            self.late_ends.record_left(open.entry.request.fingerprint, now.since(at));
+        }
+    }
+
     /// Counts the ends of servers under answers that had gone on, unless others get further.
     pub(super) fn record_late_ends(&mut self, now: Instant) {
         let answered_for = |open: &OpenRequest| match open.state {
@@ -120,6 +132,7 @@
         let open = self.open_requests.values();
         let answers =
             open.filter_map(|open| Some((open.entry.request.fingerprint, answered_for(open)?)));
+        let answers = answers.chain(self.unanswered.closed());
         for end in self.late_ends.take_due(now, answers) {
             let key = late_key(end.fingerprint);
             let counted = self.suspects.record_end(end.at, key, end.run, end.dispatched_at);
--- a/crates/gate/src/unanswered.rs
+++ b/crates/gate/src/unanswered.rs
@@ -101,6 +101,15 @@
         self.ended_runs.remove(&run);
     }
 
+    /// Returns the fingerprints of responses that are whole unless their backend servers ended, with the
+    /// time from their first events to their ends.
+    pub fn closed(&self) -> impl Iterator<Item = (u64, Duration)> {
+        let closed = self.attempts.iter().filter_map(|attempt| {
+            Some((attempt.fingerprint, attempt.ended_at.since(attempt.whole_since?)))
+        });
+        closed
+    }
+
     fn take_where(&mut self, is_taken: impl Fn(&Attempt) -> bool) -> Vec<Attempt> {
         if !self.attempts.iter().any(&is_taken) {
             return Vec::new();
--- a/crates/gate/tests/causes.rs
+++ b/crates/gate/tests/causes.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use common::{
     MS, TestGateway,
@@ -340,3 +340,125 @@
         assert_eq!(gateway.machine.suspects().total(gateway.now, POPULAR), 0);
     }
 }
+
+/// Guards against a popular stream that is refused since servers crashed while they ran copies of it,
+/// where no copy is known to have completed: their ends are those of connections, or callers leave first.
+#[test]
+fn crashes_under_streams_that_never_complete_take_no_service() {
+    let closed = Popular {
+        end: 700 * MS,
+        result: AttemptResult::Unframed,
+        cut: AttemptResult::Unframed,
+        ..STREAM
+    };
+    let left = Popular { patience: Duration::from_millis(900), ..STREAM };
+    for popular in [closed, left] {
+        let mut cluster = cluster(popular);
+        assert_eq!(send_copies(&mut cluster, Duration::from_secs(2)), 0);
+        for server in 0..6 {
+            cluster.crash_other(server % 3);
+            assert_eq!(send_copies(&mut cluster, 700 * MS), 0, "{popular:?}");
+        }
+    }
+}
+
+/// Number of random schedules in CI; see `stand::schedules`.
+const SCHEDULES: u64 = 30;
+
+/// Plays a popular request beside servers that crash, drain, leave without a word or stand still, and
+/// gateways that restart, are paused or are partitioned. With `has_poison`, a request that crashes
+/// servers comes instead of what disturbs gateways. Returns how many copies of the popular one were
+/// refused as the cause of ends.
+fn run_schedule(seed: u64, has_poison: bool) -> (usize, Cluster) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let crashes =
+        [Crash::BeforeFirstEvent, Crash::AfterFirstEvent, Crash::Unframed, Crash::Failure];
+    let is_stream = rng.bool();
+    let is_framed = rng.bool();
+    let end = if is_stream { rng.u64(400..4_000) } else { rng.u64(20..900) };
+    let popular = Popular {
+        first_event: is_stream.then_some(100 * MS),
+        end: Duration::from_millis(end),
+        result: if is_framed { AttemptResult::Complete } else { AttemptResult::Unframed },
+        cut: match rng.u32(..3) {
+            0 if !is_framed => AttemptResult::Unframed,
+            1 if !is_framed => AttemptResult::UnframedFailure,
+            _ => AttemptResult::Broken,
+        },
+        patience: Duration::from_millis(rng.u64(1_500..15_000)),
+        ..PAGE
+    };
+    let (gateways, servers) = (rng.usize(2..7), rng.usize(12..30));
+    let mut cluster = Cluster::new(gateways, servers, crashes[rng.usize(..4)]);
+    cluster.popular = Some(popular);
+    let copy = gate::request::Request { fingerprint: POPULAR, ..request("tag") };
+    let (period, mut refused, mut copies) = (rng.u64(20..120), 0, HashSet::new());
+    for step in 0..600 {
+        for _ in 0..2 {
+            let gateway = rng.usize(..gateways);
+            if cluster.paused[gateway] {
+                continue;
+            }
+            copies.insert((gateway, cluster.send(gateway, copy.clone())));
+            cluster.advance(Duration::from_millis(period / 2));
+            let numbers = cluster.take_refusals(gateway).into_iter();
+            refused += numbers.filter(|number| copies.contains(&(gateway, *number))).count();
+        }
+        if step < 40 {
+            continue;
+        }
+        let (gateway, server) = (rng.usize(..gateways), rng.usize(..servers));
+        let calm = (0..servers).filter(|server| cluster.is_calm(*server)).count();
+        let may_disturb = cluster.is_calm(server) && calm * 4 > servers * 3;
+        match rng.u32(..120) {
+            0..8 if may_disturb => cluster.crash_other(server),
+            8..10 if may_disturb => cluster.drain(server),
+            10..12 if may_disturb => cluster.remove(server),
+            12..16 if may_disturb => {
+                cluster.freeze(server, Duration::from_millis(rng.u64(500..8_000)));
+            }
+            50..56 if has_poison => {
+                cluster.send_copy(gateway);
+            }
+            _ if has_poison => {}
+            16 => cluster.restart(gateway),
+            17 => cluster.paused[gateway] = true,
+            18 => {
+                let cut = rng.usize(..gateways);
+                cluster.parts = (0..gateways).map(|gateway| u8::from(gateway < cut)).collect();
+            }
+            19..24 => cluster.parts.fill(0),
+            24 => cluster.set_store(!cluster.store_up),
+            25..30 => cluster.set_store(true),
+            30..50 => cluster.paused.fill(false),
+            _ => {}
+        }
+    }
+    (refused, cluster)
+}
+
+/// Guards against a popular request that loses its service in any order of ends of its servers.
+#[test]
+fn a_popular_request_keeps_its_service_in_random_schedules() {
+    let (count, first) = stand::schedules::read(SCHEDULES, 1);
+    let mut failed = Vec::new();
+    for seed in first..first + count {
+        let (refused, _) = run_schedule(seed, false);
+        if refused > 0 {
+            failed.push((seed, refused));
+        }
+    }
+    assert!(failed.is_empty(), "seeds and refused copies: {failed:?}");
+}
+
+/// Guards against a popular request that loses its service beside one that crashes servers, and against
+/// one that is not contained since servers end for other reasons.
+#[test]
+fn a_request_that_crashes_servers_is_contained_beside_a_popular_one() {
+    let (count, first) = stand::schedules::read(SCHEDULES, 1);
+    for seed in first..first + count {
+        let (refused, cluster) = run_schedule(seed, true);
+        assert_eq!(refused, 0, "seed {seed}");
+        assert_contained(&cluster, &format!("seed {seed}"));
+    }
+}
