--- a/crates/gate/src/unanswered.rs
+++ b/crates/gate/src/unanswered.rs
@@ -104,10 +104,9 @@
     /// Returns the fingerprints of responses that are whole unless their backend servers ended, with the
     /// time from their first events to their ends.
     pub fn closed(&self) -> impl Iterator<Item = (u64, Duration)> {
-        let closed = self.attempts.iter().filter_map(|attempt| {
+        self.attempts.iter().filter_map(|attempt| {
             Some((attempt.fingerprint, attempt.ended_at.since(attempt.whole_since?)))
-        });
-        closed
+        })
     }
 
     fn take_where(&mut self, is_taken: impl Fn(&Attempt) -> bool) -> Vec<Attempt> {
