Take a response without an end of its own for whole only once its engine goes on, at agents too

A request to a plain service that is answered with some bytes without a length before the service crashes never counts as the cause, and clears itself of earlier crashes.

Cause: every response that looked complete was a completion, also where only the end of its connection said so, and the crash is detected only later.

Change: such a response is kept as an attempt that ended, like an aborted one. It clears the request if a message of the same instance arrives a second later, and counts if the next instance shows first. Responses with a length, in chunks or with an end in their content complete at once, as before.

--- a/crates/agent/src/backend_state.rs
+++ b/crates/agent/src/backend_state.rs
@@ -23,12 +23,12 @@
 /// After an exclusive run, queued offers that need none are served for at least this multiple of
 /// the time that the run and its preparation took.
 const ORDINARY_TIME_FACTOR: u32 = 4;
-/// Time for which an aborted request still counts as active, since a crash that it caused is
-/// detected only after the abort.
-const ABORTED_TTL: Duration = Duration::from_secs(5);
-/// A message from the same instance clears requests that were aborted at least this long before it.
-const MIN_ABORTED_AGE: Duration = Duration::from_secs(1);
-const MAX_ABORTED: usize = 1024;
+/// Time for which a request that ended still counts as active, since a crash that it caused is
+/// detected only after its end.
+const ENDED_TTL: Duration = Duration::from_secs(5);
+/// A message from the same instance clears requests that ended at least this long before it.
+const MIN_ENDED_AGE: Duration = Duration::from_secs(1);
+const MAX_ENDED: usize = 1024;
 
 /// Result of comparing the instance that a message names with the last one seen. An instance is one
 /// run of the backend server's process.
@@ -43,6 +43,14 @@
     Restarted,
 }
 
+/// An attempt that ended and may still prove to have crashed the backend server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Attempt {
+    pub(crate) at: Instant,
+    pub(crate) fingerprint: u64,
+    pub(crate) ending: cause::Ending,
+}
+
 /// The backend server, as derived from its messages and probes.
 #[derive(Debug, Default)]
 pub(crate) struct State {
@@ -50,9 +58,9 @@
     earlier_instances: VecDeque<Bytes>,
     failed_probes: u32,
     pause_until: Option<Instant>,
-    /// Fingerprints of aborted requests with the time of the abort, oldest first.
-    aborted: VecDeque<(Instant, u64)>,
-    /// Number of reservations, running and recently aborted requests of each fingerprint.
+    /// Attempts that ended and may still prove to have crashed the backend server, oldest first.
+    ended: VecDeque<Attempt>,
+    /// Number of reservations, running and recently ended requests of each fingerprint.
     active: HashMap<u64, u32>,
     /// Whether a request has a reserved slot to run alone, or runs alone.
     pub(crate) exclusive: bool,
@@ -120,46 +128,45 @@
         }
     }
 
-    /// Returns whether a request with this fingerprint has a slot, or was aborted so recently that
+    /// Returns whether a request with this fingerprint has a slot, or ended so recently that
     /// it may still prove to have crashed the backend server.
     pub(crate) fn is_active(&self, fingerprint: u64) -> bool {
         self.active.contains_key(&fingerprint)
     }
 
-    /// Records an aborted request and returns when its entry expires.
-    pub(crate) fn add_aborted(&mut self, now: Instant, fingerprint: u64) -> Instant {
-        if self.aborted.len() == MAX_ABORTED
-            && let Some((_, oldest)) = self.aborted.pop_front()
+    /// Records an attempt that ended and returns when its entry expires.
+    pub(crate) fn add_ended(&mut self, attempt: Attempt) -> Instant {
+        if self.ended.len() == MAX_ENDED
+            && let Some(oldest) = self.ended.pop_front()
         {
-            self.remove_active(oldest);
+            self.remove_active(oldest.fingerprint);
         }
-        self.add_active(fingerprint);
-        self.aborted.push_back((now, fingerprint));
-        now + ABORTED_TTL
+        self.add_active(attempt.fingerprint);
+        self.ended.push_back(attempt);
+        attempt.at + ENDED_TTL
     }
 
-    /// Removes and returns all aborted requests, as suspects of a crash.
-    pub(crate) fn remove_all_aborted(&mut self) -> Vec<u64> {
-        self.remove_oldest_aborted(self.aborted.len())
+    /// Removes and returns all attempts that ended, as suspects of a crash.
+    pub(crate) fn remove_all_ended(&mut self) -> Vec<Attempt> {
+        self.remove_oldest_ended(self.ended.len())
     }
 
-    /// Removes and returns aborted requests that are old enough to be cleared of a crash:
-    /// [`MIN_ABORTED_AGE`] if a message has just confirmed the instance, else [`ABORTED_TTL`].
-    pub(crate) fn remove_cleared_aborted(
+    /// Removes and returns attempts that ended long enough ago to be cleared of a crash:
+    /// [`MIN_ENDED_AGE`] if a message has just confirmed the instance, else [`ENDED_TTL`].
+    pub(crate) fn remove_cleared(
         &mut self,
         now: Instant,
         instance_confirmed: bool,
-    ) -> Vec<u64> {
-        let age = if instance_confirmed { MIN_ABORTED_AGE } else { ABORTED_TTL };
-        let count = self.aborted.iter().take_while(|(at, _)| now.since(*at) >= age).count();
-        self.remove_oldest_aborted(count)
+    ) -> Vec<Attempt> {
+        let age = if instance_confirmed { MIN_ENDED_AGE } else { ENDED_TTL };
+        let count = self.ended.iter().take_while(|attempt| now.since(attempt.at) >= age).count();
+        self.remove_oldest_ended(count)
     }
 
-    fn remove_oldest_aborted(&mut self, count: usize) -> Vec<u64> {
-        let removed: Vec<u64> =
-            self.aborted.drain(..count).map(|(_, fingerprint)| fingerprint).collect();
-        for fingerprint in &removed {
-            self.remove_active(*fingerprint);
+    fn remove_oldest_ended(&mut self, count: usize) -> Vec<Attempt> {
+        let removed: Vec<Attempt> = self.ended.drain(..count).collect();
+        for attempt in &removed {
+            self.remove_active(attempt.fingerprint);
         }
         removed
     }
--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -139,8 +139,8 @@
             Timer::Stream(grant) => self.check_stream(cx, grant),
             Timer::Key(seq) => self.check_key(cx, seq),
             Timer::Backend => {
-                let cleared = self.backend.remove_cleared_aborted(cx.now, false);
-                self.unblock_next(&cleared);
+                let cleared = self.backend.remove_cleared(cx.now, false);
+                self.unblock_ended(&cleared);
             }
         }
     }
--- a/crates/agent/src/progress.rs
+++ b/crates/agent/src/progress.rs
@@ -59,8 +59,13 @@
         match self.backend.observe_instance(instance) {
             backend_state::Observation::Ignored => {}
             backend_state::Observation::Unchanged => {
-                let cleared_fingerprints = self.backend.remove_cleared_aborted(cx.now, true);
-                self.unblock_next(&cleared_fingerprints);
+                let cleared = self.backend.remove_cleared(cx.now, true);
+                for attempt in &cleared {
+                    if attempt.ending == cause::Ending::Closed {
+                        self.record_completion(cx, attempt.fingerprint);
+                    }
+                }
+                self.unblock_ended(&cleared);
             }
             backend_state::Observation::First => {
                 for grant in self.streams.open().clone() {
@@ -85,8 +90,8 @@
     fn record_crash(&mut self, cx: &mut Context<'_>, instance: &Bytes) {
         self.count("backend_crashes");
         let crash = self.crash_id();
-        let aborted = self.backend.remove_all_aborted();
-        let mut fingerprints = aborted.clone();
+        let ended = self.backend.remove_all_ended();
+        let mut fingerprints: Vec<u64> = ended.iter().map(|attempt| attempt.fingerprint).collect();
         for grant in self.streams.open().clone() {
             let Some(stream) = self.streams.open_mut(grant) else { continue };
             let on_new_instance = stream.instance.as_ref() == Some(instance);
@@ -107,7 +112,22 @@
         if !suspects.is_empty() {
             cx.push(Action::Suspects(suspects));
         }
-        self.unblock_next(&aborted);
+        self.unblock_ended(&ended);
+    }
+
+    /// Lets requests run that waited for attempts with the same fingerprints.
+    pub(crate) fn unblock_ended(&mut self, ended: &[backend_state::Attempt]) {
+        let fingerprints: Vec<u64> = ended.iter().map(|attempt| attempt.fingerprint).collect();
+        self.unblock_next(&fingerprints);
+    }
+
+    /// Records that a copy of a request completed, which clears it at all agents.
+    fn record_completion(&mut self, cx: &mut Context<'_>, fingerprint: u64) {
+        let crashes = self.suspects.clear(fingerprint);
+        if !crashes.is_empty() {
+            let cleared = |crash| sync::Suspect { fingerprint, crash, cleared: true };
+            cx.push(Action::Suspects(crashes.into_iter().map(cleared).collect()));
+        }
     }
 
     fn handle_start(
@@ -231,7 +251,8 @@
     fn handle_end(&mut self, cx: &mut Context<'_>, grant: id::Grant, is_framed: bool) {
         let Some(stream) = self.streams.open_mut(grant) else { return };
         if stream.is_complete(is_framed) {
-            return self.finish_response(cx, grant);
+            let has_own_end = stream.has_own_end(is_framed);
+            return self.finish_response(cx, grant, has_own_end);
         }
         let (owner, offset) = (stream.owner, stream.buffer.length());
         tracing::info!(event = "broken_off", request = %owner, %grant, offset, is_framed);
@@ -240,7 +261,9 @@
         self.handle_lost_connection(cx, grant);
     }
 
-    fn finish_response(&mut self, cx: &mut Context<'_>, grant: id::Grant) {
+    /// Ends a response that is complete. Unless it has an end of its own, it is known to be that of
+    /// the whole response only once the backend server goes on.
+    fn finish_response(&mut self, cx: &mut Context<'_>, grant: id::Grant, has_own_end: bool) {
         let Some(stream) = self.streams.open_mut(grant) else { return };
         let body =
             frame::Body::End { length: stream.buffer.length(), crc32: stream.buffer.crc32() };
@@ -251,14 +274,21 @@
         }
         self.count("ended");
         self.trace(cx, owner, Step::Answered, "ended");
+        if !has_own_end && fingerprint != 0 {
+            self.add_ended(cx, fingerprint, cause::Ending::Closed);
+        }
         self.finish_stream(cx, grant, body);
-        let crashes = self.suspects.clear(fingerprint);
-        if !crashes.is_empty() {
-            let cleared = |crash| sync::Suspect { fingerprint, crash, cleared: true };
-            cx.push(Action::Suspects(crashes.into_iter().map(cleared).collect()));
+        if has_own_end {
+            self.record_completion(cx, fingerprint);
         }
     }
 
+    fn add_ended(&mut self, cx: &Context<'_>, fingerprint: u64, ending: cause::Ending) {
+        let attempt = backend_state::Attempt { at: cx.now, fingerprint, ending };
+        let until = self.backend.add_ended(attempt);
+        self.timers.arm(until, Timer::Backend);
+    }
+
     fn handle_unreachable(&mut self, cx: &mut Context<'_>, grant: id::Grant) {
         let until = self.backend.pause_grants(cx.now);
         self.timers.arm(until, Timer::Backend);
@@ -382,8 +412,7 @@
         // Recorded before the slot is released, so that no request with the same fingerprint gets
         // it at once.
         if !already_counted && fingerprint != 0 {
-            let until = self.backend.add_aborted(cx.now, fingerprint);
-            self.timers.arm(until, Timer::Backend);
+            self.add_ended(cx, fingerprint, cause::Ending::GivenUp);
         }
         self.finish_stream(cx, grant, frame::Body::Refused(refusal));
     }
--- a/crates/agent/src/streams.rs
+++ b/crates/agent/src/streams.rs
@@ -174,6 +174,15 @@
         is_framed || !is_chat || &content_type[..] != JSON || self.buffer.is_complete_json()
     }
 
+    /// Returns whether the end of the body is that of the response, as its framing or its content
+    /// shows, and not only that of its connection.
+    pub(crate) fn has_own_end(&self, is_framed: bool) -> bool {
+        let Some((status, content_type)) = &self.response_head else { return is_framed };
+        let is_chat = self.kind == request::Kind::Model && (200..300).contains(status);
+        let shows_end = event_stream::is_event_stream(content_type) || &content_type[..] == JSON;
+        is_framed || is_chat && shows_end
+    }
+
     /// Returns whether a request may read this stream.
     pub(crate) fn may_read(&self, request: id::Request) -> bool {
         self.owner == request || self.aliases.contains(&request)
--- /dev/null
+++ b/crates/agent/tests/causes.rs
@@ -0,0 +1,75 @@
+//! Requests that count as the cause of a crash of the backend server, and what clears them; see
+//! `docs/design/causes.md`.
+
+mod support;
+
+use agent::{Action, Event, Progress};
+use support::{Harness, grants, head, ms, pool, refusals};
+use wire::{
+    outcome::{Outcome, Reason},
+    request, sync,
+};
+
+/// Fingerprint of the requests of these tests.
+const COPY: u64 = 666;
+
+/// Returns a copy of a request to a plain service.
+fn page(seq: u64) -> request::Head {
+    request::Head { fingerprint: COPY, kind: request::Kind::Service, ..head(seq) }
+}
+
+fn suspects(actions: &[Action]) -> Vec<sync::Suspect> {
+    let reported = actions.iter().filter_map(|action| match action {
+        Action::Suspects(suspects) => Some(suspects.clone()),
+        _ => None,
+    });
+    reported.flatten().collect()
+}
+
+/// Guards against a request that is never held to be the cause since the backend server sends the begin
+/// of a response without a length before it crashes.
+#[test]
+fn a_crash_after_a_response_without_a_length_counts() {
+    for (end, count) in [(Progress::Closed, 1), (Progress::End, 0)] {
+        let mut harness = Harness::new(pool());
+        harness.send(Event::Suspects(vec![sync::Suspect {
+            fingerprint: COPY,
+            crash: 1,
+            cleared: false,
+        }]));
+        let grant = harness.grant_suspect(page(1));
+        harness.commit(1, grant);
+        harness.send_started(grant, "run-1");
+        harness.send_data(grant, "found");
+        let actions = harness.send_progress(grant, end.clone());
+        let cleared = suspects(&actions).iter().filter(|suspect| suspect.cleared).count();
+        assert_eq!(cleared, 1 - count, "{end:?} clears");
+        let reported = suspects(&harness.probe("run-2"));
+        assert_eq!(reported.iter().filter(|suspect| !suspect.cleared).count(), count, "{end:?}");
+        let (link, actions) = harness.offer(page(2));
+        let refused = [(link, Outcome::NotRun, Reason::Poison)];
+        assert_eq!(refusals(&actions) == refused, count == 1, "{end:?}");
+    }
+}
+
+/// Guards against a request that stays a suspect though the backend server went on after its response
+/// without a length.
+#[test]
+fn a_response_without_a_length_clears_once_its_server_goes_on() {
+    let mut harness = Harness::new(pool());
+    harness.send(Event::Suspects(vec![sync::Suspect {
+        fingerprint: COPY,
+        crash: 1,
+        cleared: false,
+    }]));
+    let grant = harness.grant_suspect(page(1));
+    harness.commit(1, grant);
+    harness.send_started(grant, "run-1");
+    harness.send_data(grant, "found");
+    assert!(suspects(&harness.send_progress(grant, Progress::Closed)).is_empty());
+    harness.advance(ms(1_100));
+    let reported = suspects(&harness.probe("run-1"));
+    assert!(reported.iter().any(|suspect| suspect.cleared), "{reported:?}");
+    assert!(suspects(&harness.probe("run-2")).is_empty(), "a later crash is another's");
+    assert_eq!(grants(&harness.offer(page(2)).1).len(), 1);
+}
