Count one end for each run of a server against a request that is known to complete

A gateway that has started since gets the number of ends of a run from its peers, some of which these have disproved, and adds them up.

Change: against a request of which copies completed, each run counts once. The rule for such requests asks for ends at different times anyway, and a run's entry has one time.

The schedules leave 12 s of calm first, after which a response without a length is known to be whole, and last for 50 s.

--- a/crates/gate/src/suspects.rs
+++ b/crates/gate/src/suspects.rs
@@ -84,8 +84,10 @@
     /// Returns the end from which on enough count against a request for its quarantine.
     fn deciding_end(&self, now: Instant) -> Option<Instant> {
         let ends = self.counted(now);
-        let rule = Rule::for_request(self.completed_at.is_some());
-        rule.deciding_end(ends.iter().map(|end| (end.at, end.counted())))
+        let is_known = self.completed_at.is_some();
+        // A gateway that has started since doesn't know which of several ends were disproved.
+        let weigh = |end: &End| if is_known { 1 } else { end.counted() };
+        Rule::for_request(is_known).deciding_end(ends.iter().map(|end| (end.at, weigh(end))))
     }
 
     fn total(&self, now: Instant) -> u32 {
