Need more crashes against a request that completed before, at agents too

Two engines crash that run copies of a popular request, which is refused for ten minutes. A request to a plain service often has no body, so that all such requests of an account on a route are one. After one crash they run only alone, or are refused for ten seconds at the agent whose engine crashed.

Cause: a completion cleared the crashes that an agent had heard of by then, and crashes are reported only when the engine is back.

A request that completed at the agent within the quarantine time runs among others until three crashes were reported, two seconds apart, without a completion since. One that crashes engines never completes.

a_request_that_completed_before_keeps_its_service_after_two_crashes failed before (no slot after one crash). The tests of 'agent' pass.

--- a/crates/agent/src/progress.rs
+++ b/crates/agent/src/progress.rs
@@ -123,7 +123,7 @@
 
     /// Records that a copy of a request completed, which clears it at all agents.
     fn record_completion(&mut self, cx: &mut Context<'_>, fingerprint: u64) {
-        let crashes = self.suspects.clear(fingerprint);
+        let crashes = self.suspects.record_completion(cx.now, fingerprint);
         if !crashes.is_empty() {
             let cleared = |crash| sync::Suspect { fingerprint, crash, cleared: true };
             cx.push(Action::Suspects(crashes.into_iter().map(cleared).collect()));
--- a/crates/agent/src/suspects.rs
+++ b/crates/agent/src/suspects.rs
@@ -5,12 +5,13 @@
     time::Duration,
 };
 
+use cause::{Answers, Rule, rule};
 use wire::{request, sync, time::Instant};
 
 /// Most suspects kept. In a full table the one that expires first is replaced.
 const MAX_SUSPECTS: usize = 4096;
-/// Crashes after which a fingerprint is quarantined.
-const QUARANTINE_CRASHES: usize = 2;
+/// Most crashes kept of a fingerprint, the latest ones.
+const MAX_CRASHES: usize = 8;
 
 /// Time after a crash of this agent's backend server for which this agent refuses the request. The
 /// same request may still be running at the other agent of its spread, and a crash there has to be
@@ -29,10 +30,18 @@
     Quarantined(Duration),
 }
 
+/// A crash that counts against a fingerprint.
+#[derive(Clone, Copy, Debug)]
+struct Crash {
+    id: u64,
+    /// Time of the report.
+    at: Instant,
+}
+
 #[derive(Clone, Debug)]
 struct Record {
-    /// Identifiers of the counted crashes, oldest first, at most [`QUARANTINE_CRASHES`].
-    crashes: Vec<u64>,
+    /// The counted crashes, oldest first.
+    crashes: Vec<Crash>,
     expires_at: Instant,
     /// End of the refusal after a crash of this agent's backend server.
     refused_until: Instant,
@@ -43,6 +52,10 @@
 pub(crate) struct Suspects {
     records: HashMap<u64, Record>,
     by_expiry: BTreeSet<(Instant, u64)>,
+    /// Requests of which copies completed here.
+    answers: Answers,
+    /// Time for which a crash or a completion counts, from the settings.
+    ttl: Duration,
 }
 
 impl Suspects {
@@ -61,27 +74,42 @@
         let sync::Suspect { fingerprint, crash, cleared } = suspect;
         let existing = self.records.get(&fingerprint);
         let mut crashes = existing.map(|record| record.crashes.clone()).unwrap_or_default();
-        if crashes.contains(&crash) != cleared {
+        if crashes.iter().any(|counted| counted.id == crash) != cleared {
             return false;
         }
         if cleared {
-            crashes.retain(|counted| *counted != crash);
+            crashes.retain(|counted| counted.id != crash);
             let expires_at = existing.map_or(now, |record| record.expires_at);
             let refused_until = existing.map_or(now, |record| record.refused_until);
             self.set(fingerprint, crashes, expires_at, refused_until);
             return true;
         }
-        if crashes.len() == QUARANTINE_CRASHES {
+        let rule = self.rule(now, fingerprint);
+        if deciding_crash(rule, &crashes).is_some() {
             return false;
         }
-        crashes.push(crash);
+        crashes.push(Crash { id: crash, at: now });
+        if crashes.len() > MAX_CRASHES {
+            crashes.remove(0);
+        }
         let refused_until = existing.map_or(now, |record| record.refused_until);
         self.set(fingerprint, crashes, now + ttl, refused_until);
         true
     }
 
+    /// Records that a copy completed, and returns the crashes that counted.
+    pub(crate) fn record_completion(&mut self, now: Instant, fingerprint: u64) -> Vec<u64> {
+        self.answers.record(fingerprint, now);
+        self.clear(fingerprint).into_iter().map(|crash| crash.id).collect()
+    }
+
+    /// Returns how many crashes put a request in quarantine.
+    fn rule(&self, now: Instant, fingerprint: u64) -> Rule {
+        Rule::for_request(self.answers.last(now, fingerprint, self.ttl).is_some())
+    }
+
     /// Removes a fingerprint and returns its counted crashes.
-    pub(crate) fn clear(&mut self, fingerprint: u64) -> Vec<u64> {
+    fn clear(&mut self, fingerprint: u64) -> Vec<Crash> {
         let Some(record) = self.records.remove(&fingerprint) else { return Vec::new() };
         self.by_expiry.remove(&(record.expires_at, fingerprint));
         record.crashes
@@ -90,7 +118,7 @@
     fn set(
         &mut self,
         fingerprint: u64,
-        crashes: Vec<u64>,
+        crashes: Vec<Crash>,
         expires_at: Instant,
         refused_until: Instant,
     ) {
@@ -110,6 +138,7 @@
     /// Removes the oldest crash of each fingerprint that expired, and the fingerprint with its last
     /// crash.
     pub(crate) fn expire(&mut self, now: Instant, ttl: Duration) {
+        self.ttl = ttl;
         while let Some((expires_at, fingerprint)) = self.by_expiry.first().copied() {
             if expires_at > now {
                 return;
@@ -122,20 +151,26 @@
 
     /// Returns how a request is restricted now.
     pub(crate) fn restriction(&self, now: Instant, head: &request::Head) -> Restriction {
-        match self.records.get(&head.fingerprint) {
-            None => Restriction::Unrestricted,
-            Some(record) if record.crashes.len() < QUARANTINE_CRASHES => match record.refused_until
-            {
-                refused_until if refused_until > now => {
-                    Restriction::RefusedHere(refused_until.since(now))
-                }
-                _ if head.beyond_spread => Restriction::RefusedHere(record.expires_at.since(now)),
-                _ => Restriction::Exclusive,
-            },
-            Some(record) if record.expires_at > now => {
-                Restriction::Quarantined(record.expires_at.since(now))
+        let Some(record) = self.records.get(&head.fingerprint) else {
+            return Restriction::Unrestricted;
+        };
+        let rule = self.rule(now, head.fingerprint);
+        if deciding_crash(rule, &record.crashes).is_some() {
+            return match record.expires_at > now {
+                true => Restriction::Quarantined(record.expires_at.since(now)),
+                false => Restriction::Exclusive,
+            };
+        }
+        // A request that completed before runs among others until enough crashes count.
+        if rule == rule::KNOWN_REQUEST {
+            return Restriction::Unrestricted;
+        }
+        match record.refused_until {
+            refused_until if refused_until > now => {
+                Restriction::RefusedHere(refused_until.since(now))
             }
-            Some(_) => Restriction::Exclusive,
+            _ if head.beyond_spread => Restriction::RefusedHere(record.expires_at.since(now)),
+            _ => Restriction::Exclusive,
         }
     }
 
@@ -148,3 +183,8 @@
         })
     }
 }
+
+/// Returns when the crash was reported from which on enough count, if there are enough.
+fn deciding_crash(rule: Rule, crashes: &[Crash]) -> Option<Instant> {
+    rule.deciding_end(crashes.iter().rev().map(|crash| (crash.at, 1)))
+}
--- a/crates/agent/tests/causes.rs
+++ b/crates/agent/tests/causes.rs
@@ -73,3 +73,35 @@
     assert!(suspects(&harness.probe("run-2")).is_empty(), "a later crash is another's");
     assert_eq!(grants(&harness.offer(page(2)).1).len(), 1);
 }
+
+/// Runs a copy to the end of its response.
+fn complete(harness: &mut Harness, seq: u64) {
+    let (grant, _) = harness.dispatch(page(seq));
+    harness.send_started(grant, "run-1");
+    harness.send_data(grant, "found");
+    harness.send_progress(grant, Progress::End);
+}
+
+/// Guards against a popular request that is refused, or runs only alone, since other agents' engines
+/// crashed while they ran copies of it.
+#[test]
+fn a_request_that_completed_before_keeps_its_service_after_two_crashes() {
+    let mut harness = Harness::new(pool());
+    complete(&mut harness, 1);
+    for crash in 1..3 {
+        let suspect = sync::Suspect { fingerprint: COPY, crash, cleared: false };
+        harness.send(Event::Suspects(vec![suspect]));
+        harness.advance(ms(3_000));
+        harness.probe("run-1");
+        let grants = grants(&harness.offer(page(1 + crash)).1);
+        assert_eq!(grants.len(), 1, "after {crash} crashes");
+    }
+    let suspect = sync::Suspect { fingerprint: COPY, crash: 3, cleared: false };
+    harness.send(Event::Suspects(vec![suspect]));
+    let (link, actions) = harness.offer(page(4));
+    assert_eq!(
+        refusals(&actions),
+        [(link, Outcome::NotRun, Reason::Poison)],
+        "it crashes engines now"
+    );
+}
