Hold no stream that went on to be the cause when the engine of a leaving host is stopped

The engine of a host that drains is stopped as planned, and the streams that still ran there count as the cause of a crash.

Change: at an agent whose host leaves, the engine's next instance accuses only requests whose responses had not begun, or less than 250 ms before.

a_planned_exit_accuses_no_stream_that_went_on failed before (one crash counted, none expected).

--- a/crates/agent/src/drain.rs
+++ b/crates/agent/src/drain.rs
@@ -20,7 +20,12 @@
     /// Returns whether new requests are refused because the host is leaving or the agent is
     /// stopping.
     pub(crate) fn is_leaving(&self) -> bool {
-        self.drain_ordered || self.listed_as_leaving || self.stopping
+        self.is_host_leaving() || self.stopping
+    }
+
+    /// Returns whether the host is leaving, so that the end of its engine is planned.
+    pub(crate) fn is_host_leaving(&self) -> bool {
+        self.drain_ordered || self.listed_as_leaving
     }
 
     /// Applies settings. Returns the order for this host unless its fence shows that it, or a newer
--- a/crates/agent/src/progress.rs
+++ b/crates/agent/src/progress.rs
@@ -92,13 +92,21 @@
         let crash = self.crash_id();
         let ended = self.backend.remove_all_ended();
         let mut fingerprints: Vec<u64> = ended.iter().map(|attempt| attempt.fingerprint).collect();
+        // The engine of a host that leaves may have been stopped as planned.
+        let listing = match self.drain.is_host_leaving() {
+            true => cause::Listing::Replaced,
+            false => cause::Listing::Current,
+        };
         for grant in self.streams.open().clone() {
             let Some(stream) = self.streams.open_mut(grant) else { continue };
             let on_new_instance = stream.instance.as_ref() == Some(instance);
             let unconfirmed = stream.adopted && stream.response_head.is_none();
             if !on_new_instance && stream.counted_crash.is_none() && !unconfirmed {
                 stream.counted_crash = Some(crash);
-                fingerprints.push(stream.fingerprint);
+                let answer = cause::Answer::since(cx.now, stream.first_byte_at);
+                if answer.accuses_request(listing) {
+                    fingerprints.push(stream.fingerprint);
+                }
             }
         }
         fingerprints.sort_unstable();
--- a/crates/agent/tests/causes.rs
+++ b/crates/agent/tests/causes.rs
@@ -4,6 +4,8 @@
 mod support;
 
 use agent::{Action, Event, Progress};
+use bytes::Bytes;
+use conf::tree;
 use support::{Harness, grants, head, ms, pool, refusals};
 use wire::{
     outcome::{Outcome, Reason},
@@ -105,3 +107,24 @@
         "it crashes engines now"
     );
 }
+
+/// Guards against a popular stream that counts as the cause when the engine of a host that drains is
+/// stopped under it.
+#[test]
+fn a_planned_exit_accuses_no_stream_that_went_on() {
+    for (drains, answered_ms, count) in [(true, 300, 0), (true, 100, 1), (false, 300, 1)] {
+        let mut harness = Harness::new(pool());
+        let stream = request::Head { fingerprint: COPY, ..head(1) };
+        let (grant, _) = harness.dispatch(stream);
+        harness.send_started(grant, "run-1");
+        if drains {
+            let host = Bytes::from_static(support::HOST);
+            harness.tree.drains.insert(host, tree::Drain { reason: Bytes::new() });
+            harness.apply_tree();
+        }
+        harness.advance(ms(answered_ms));
+        harness.send_progress(grant, Progress::ConnectionLost);
+        let reported = suspects(&harness.probe("run-2"));
+        assert_eq!(reported.len(), count, "drains {drains}, answered for {answered_ms} ms");
+    }
+}
