--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -437,7 +437,7 @@
         self.apply_readings(now);
         for run in self.backends.take_returned_runs() {
             self.unanswered.record_return(run);
-            self.suspects.record_return(run);
+            self.suspects.disprove_run(run);
         }
         for run in self.backends.take_leaving_runs() {
             self.suspects.record_leaving(run);
--- a/crates/gate/src/machine/causes.rs
+++ b/crates/gate/src/machine/causes.rs
@@ -217,18 +217,16 @@
             }
         }
         let is_accused = answer.accuses_request(listing);
-        let mut counted = false;
-        match (is_accused, first_event_at.filter(|_| answer == Answer::Continued)) {
-            (true, Some(began_at)) => {
+        let counted = match first_event_at.filter(|_| answer == Answer::Continued) {
+            _ if !is_accused => false,
+            None => self.suspects.record_end(now, fingerprint, run, dispatched_at),
+            Some(began_at) => {
                 let answered_for = now.since(began_at);
                 let end = LateEnd { fingerprint, run, dispatched_at, at: now, answered_for };
                 self.late_ends.add(end);
+                false
             }
-            (true, None) => {
-                counted = self.suspects.record_end(now, fingerprint, run, dispatched_at);
-            }
-            (false, _) => {}
-        }
+        };
         let backend = self.backends.get(backend).map(|backend| &backend.id[..]);
         tracing::info!(
             event = "suspect",
--- a/crates/gate/src/suspects.rs
+++ b/crates/gate/src/suspects.rs
@@ -60,7 +60,8 @@
 struct Suspect {
     ends: Vec<End>,
     /// Time at which a copy last completed or was seen to go on, or at which a backend server that went
-    /// on began to answer a request with the part. Earlier ends don't count, and more are needed for a quarantine.
+    /// on began to answer a request with the part. Earlier ends don't count, and more are needed for a
+    /// quarantine.
     completed_at: Option<Instant>,
     /// Rounds in which the last change is still to be sent.
     announcements: u8,
@@ -219,12 +220,8 @@
         self.disprove_run(run);
     }
 
-    /// Records that the record of a run is there again, so that it has not ended.
-    pub fn record_return(&mut self, run: u64) {
-        self.disprove_run(run);
-    }
-
-    fn disprove_run(&mut self, run: u64) {
+    /// Disproves the ends of a run.
+    pub fn disprove_run(&mut self, run: u64) {
         for end in self.suspects.values_mut().flat_map(|suspect| &mut suspect.ends) {
             if end.run == run {
                 end.disproved = end.count;
