--- a/crates/agent/tests/causes.rs
+++ b/crates/agent/tests/causes.rs
@@ -28,22 +28,25 @@
     reported.flatten().collect()
 }
 
+/// Runs a copy of a request that was reported for a crash, and returns the actions at its end.
+fn run_suspect(end: Progress) -> (Harness, Vec<Action>) {
+    let mut harness = Harness::new(pool());
+    let suspect = sync::Suspect { fingerprint: COPY, crash: 1, cleared: false };
+    harness.send(Event::Suspects(vec![suspect]));
+    let grant = harness.grant_suspect(page(1));
+    harness.commit(1, grant);
+    harness.send_started(grant, "run-1");
+    harness.send_data(grant, "found");
+    let actions = harness.send_progress(grant, end);
+    (harness, actions)
+}
+
 /// Guards against a request that is never held to be the cause since the backend server sends the begin
 /// of a response without a length before it crashes.
 #[test]
 fn a_crash_after_a_response_without_a_length_counts() {
     for (end, count) in [(Progress::Closed, 1), (Progress::End, 0)] {
-        let mut harness = Harness::new(pool());
-        harness.send(Event::Suspects(vec![sync::Suspect {
-            fingerprint: COPY,
-            crash: 1,
-            cleared: false,
-        }]));
-        let grant = harness.grant_suspect(page(1));
-        harness.commit(1, grant);
-        harness.send_started(grant, "run-1");
-        harness.send_data(grant, "found");
-        let actions = harness.send_progress(grant, end.clone());
+        let (mut harness, actions) = run_suspect(end.clone());
         let cleared = suspects(&actions).iter().filter(|suspect| suspect.cleared).count();
         assert_eq!(cleared, 1 - count, "{end:?} clears");
         let reported = suspects(&harness.probe("run-2"));
@@ -58,17 +61,8 @@
 /// without a length.
 #[test]
 fn a_response_without_a_length_clears_once_its_server_goes_on() {
-    let mut harness = Harness::new(pool());
-    harness.send(Event::Suspects(vec![sync::Suspect {
-        fingerprint: COPY,
-        crash: 1,
-        cleared: false,
-    }]));
-    let grant = harness.grant_suspect(page(1));
-    harness.commit(1, grant);
-    harness.send_started(grant, "run-1");
-    harness.send_data(grant, "found");
-    assert!(suspects(&harness.send_progress(grant, Progress::Closed)).is_empty());
+    let (mut harness, actions) = run_suspect(Progress::Closed);
+    assert!(suspects(&actions).is_empty());
     harness.advance(ms(1_100));
     let reported = suspects(&harness.probe("run-1"));
     assert!(reported.iter().any(|suspect| suspect.cleared), "{reported:?}");
