--- a/crates/gate/tests/causes.rs
+++ b/crates/gate/tests/causes.rs
@@ -362,6 +362,30 @@
     }
 }
 
+/// Guards against a popular request that counts as unknown at a gateway which sends each server little,
+/// so that no later answer shows that a response without a length was whole.
+#[test]
+fn a_response_without_a_length_is_whole_when_its_server_stays_listed() {
+    for is_confirmed in [true, false] {
+        let mut gateway = TestGateway::with_backends(common::MODEL, 1);
+        let copy = gate::request::Request { fingerprint: POPULAR, ..request("tag") };
+        let number = gateway.arrive(copy.clone());
+        gateway.dispatched(number).expect("dispatched");
+        gateway.end(number, AttemptResult::Unframed);
+        match is_confirmed {
+            true => gateway.advance_confirmed(Duration::from_secs(12)),
+            false => gateway.advance_without_store(Duration::from_secs(4)),
+        }
+        let end = |run| gate::message::End { run, count: 1, age: Duration::ZERO };
+        let (completed, ends) = (None, vec![end(1), end(2)]);
+        let report = gate::message::Suspect { fingerprint: POPULAR, completed, ends };
+        gateway.feed(Event::SuspectsReceived(vec![report]));
+        let number = gateway.arrive(copy);
+        let expected = (!is_confirmed).then_some(gate::refusal::Reason::Poison);
+        assert_eq!(gateway.reason(number), expected, "confirmed {is_confirmed}");
+    }
+}
+
 /// Number of random schedules in CI; see `stand::schedules`.
 const SCHEDULES: u64 = 30;
 
