--- a/crates/gate/src/machine/causes.rs
+++ b/crates/gate/src/machine/causes.rs
@@ -88,10 +88,6 @@
         // Of several copies, the one that was there last.
         attempts.sort_by_key(|attempt| Reverse(attempt.ending.time_of_end(attempt.ended_at, now)));
         for attempt in attempts {
-            if attempt.ending.is_whole(now, attempt.ended_at, self.confirmed_since) {
-                self.record_whole(now, &attempt);
-                continue;
-            }
             let Attempt { fingerprint, parts, run, dispatched_at, ended_at, ending, .. } = attempt;
             if let Some(began_at) = attempt.whole_since.filter(|_| attempt.is_late) {
                 let answered_for = ended_at.since(began_at);
