End a quarantine by late ends when a caller leaves after a longer answer

Callers of a popular stream always leave before its end, gateways restart, and the oldest copies are at the servers that crash: two ends count, and nothing clears them, since no copy completes.

Change: an end under an answer that had gone on is compared with later ones too. An answer whose caller leaves counts if it was as long, not only 50 ms longer, since callers that leave after a fixed time bound it.

--- a/crates/gate/src/late_ends.rs
+++ b/crates/gate/src/late_ends.rs
@@ -3,7 +3,10 @@
 //! A request that ends its server at some point of the answer does so at each server. If the answer
 //! to another copy gets further, the request is not the cause.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 
 use wire::time::Instant;
 
@@ -14,6 +17,8 @@
 /// Time by which another answer has to get further. A request may end its servers not always at the same
 /// point.
 const MIN_LEAD: Duration = Duration::from_millis(50);
+/// Most ends kept that count.
+const MAX_COUNTED: usize = 1024;
 /// Most requests kept whose callers left while they were answered.
 const MAX_LEFT: usize = 4096;
 
@@ -38,6 +43,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct LateEnds {
     pending: Vec<LateEnd>,
+    /// Ends that count here, the oldest first.
+    counted: VecDeque<LateEnd>,
     /// The longest time for which a request was answered until its caller left.
     left: HashMap<u64, Duration>,
 }
@@ -49,13 +56,19 @@
         self.pending.insert(position, end);
     }
 
-    /// Records that a caller left whose request was answered for some time.
-    pub fn record_left(&mut self, fingerprint: u64, answered_for: Duration) {
+    /// Records that a caller left whose request was answered for some time. Returns the time of the last
+    /// end that counts although it came at an earlier point of the answer.
+    pub fn record_left(&mut self, fingerprint: u64, answered_for: Duration) -> Option<Instant> {
         if self.left.len() >= MAX_LEFT && !self.left.contains_key(&fingerprint) {
             self.left.clear();
         }
         let longest = self.left.entry(fingerprint).or_default();
         *longest = answered_for.max(*longest);
+        let is_outlived =
+            |end: &LateEnd| end.fingerprint == fingerprint && end.answered_for <= answered_for;
+        let last = self.counted.iter().filter(|end| is_outlived(end)).map(|end| end.at).max();
+        self.counted.retain(|end| !is_outlived(end));
+        last
     }
 
     /// Returns when the next end is due.
@@ -81,10 +94,16 @@
             *longest = time.max(*longest);
         }
         due.retain(|end| {
-            let others = [&longest, &self.left].map(|times| times.get(&end.fingerprint).copied());
-            let longest = others.into_iter().flatten().max().unwrap_or_default();
-            longest < end.answered_for + MIN_LEAD
+            let is_outlived = |times: &HashMap<u64, Duration>, lead: Duration| {
+                let time = times.get(&end.fingerprint);
+                time.is_some_and(|time| *time >= end.answered_for + lead)
+            };
+            // Callers that leave after a fixed time give no lead.
+            !is_outlived(&longest, MIN_LEAD) && !is_outlived(&self.left, Duration::ZERO)
         });
+        self.counted.extend(&due);
+        let excess = self.counted.len().saturating_sub(MAX_COUNTED);
+        self.counted.drain(..excess);
         due
     }
 }
--- a/crates/gate/src/machine/causes.rs
+++ b/crates/gate/src/machine/causes.rs
@@ -115,7 +115,10 @@
     /// Records that the caller of a dispatched request left while it was answered.
     pub(super) fn record_left_answer(&mut self, now: Instant, open: &OpenRequest) {
         if let State::Dispatched { first_event_at: Some(at), .. } = open.state {
-            self.late_ends.record_left(open.entry.request.fingerprint, now.since(at));
+            let fingerprint = open.entry.request.fingerprint;
+            if let Some(end) = self.late_ends.record_left(fingerprint, now.since(at)) {
+                self.suspects.record_longer_answer(now, fingerprint, end);
+            }
         }
     }
 
--- a/crates/gate/src/suspects.rs
+++ b/crates/gate/src/suspects.rs
@@ -251,6 +251,13 @@
         self.discard_ends(now, key, at);
     }
 
+    /// Records that a copy was answered for longer than those under which servers ended late, up to the
+    /// end at `last_end`.
+    pub fn record_longer_answer(&mut self, now: Instant, fingerprint: u64, last_end: Instant) {
+        let after = last_end + Duration::from_micros(1);
+        self.record_answered(now, late_key(fingerprint), after);
+    }
+
     fn record_answered(&mut self, now: Instant, key: u64, at: Instant) {
         self.answers.record(key, at);
         self.discard_ends(now, key, at);
--- a/crates/gate/tests/causes.rs
+++ b/crates/gate/tests/causes.rs
@@ -474,6 +474,25 @@
     }
 }
 
+/// Guards against the quarantine of a stream that goes on although a caller left after a longer answer
+/// than those under which servers ended.
+#[test]
+fn a_longer_answer_whose_caller_leaves_ends_the_quarantine_by_late_ends() {
+    let mut gateway = TestGateway::with_backends(common::MODEL, 3);
+    // Two slots at each server.
+    let broken = [(); 4].map(|()| start_copy(&mut gateway).0);
+    gateway.advance_confirmed(2_500 * MS);
+    let (other, _) = start_copy(&mut gateway);
+    for number in broken {
+        gateway.end(number, AttemptResult::Broken);
+    }
+    gateway.advance_confirmed(1_010 * MS);
+    assert!(is_refused(&mut gateway));
+    gateway.advance_confirmed(1_600 * MS);
+    gateway.feed(Event::Closed { number: other });
+    assert!(!is_refused(&mut gateway));
+}
+
 /// Number of random schedules in CI; see `stand::schedules`.
 const SCHEDULES: u64 = 30;
 
